--- /dev/null
+++ b/src/lib/test_web.c
@@ -0,0 +1,271 @@
+/*
+ * The HTTP server and client against each other on one loop: replies at once,
+ * later and in parts, a caller that leaves, and the client's statement about
+ * whether a request may have run.
+ */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "lib/hcl.h"
+#include "lib/web.h"
+
+struct fixture {
+	struct ev_loop *loop;
+	struct web *web;
+	struct hcl *hcl;
+	struct web_req *held;
+	bool gone;
+	bool done;
+	struct hcl_result result;
+	GString *body;
+	int head_status;
+	int parts;
+};
+
+static void
+on_gone(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->gone = true;
+	web_reply(f->held, 200, "text/plain", "", 0);
+	f->held = NULL;
+	ev_break(f->loop, EVBREAK_ALL);
+}
+
+static void
+on_part(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct fixture *f = timer->data;
+
+	(void)events;
+	if (f->parts-- > 0) {
+		web_stream_write(f->held, "part.", 5);
+		return;
+	}
+	ev_timer_stop(loop, timer);
+	g_free(timer);
+	web_stream_end(f->held);
+}
+
+static void
+stream_later(struct fixture *f, struct web_req *req)
+{
+	ev_timer *timer = g_new0(ev_timer, 1);
+
+	f->held = req;
+	f->parts = 3;
+	web_stream_begin(req, 201, "text/plain");
+	ev_timer_init(timer, on_part, 0.01, 0.01);
+	timer->data = f;
+	ev_timer_start(f->loop, timer);
+}
+
+static void
+on_request(struct web_req *req, void *arg)
+{
+	struct fixture *f = arg;
+	size_t len;
+	const char *body = web_body(req, &len);
+
+	if (strcmp(web_path(req), "/echo") == 0) {
+		web_header_add(req, "X-Method", web_method(req));
+		web_reply(req, 200, "text/plain", body, len);
+	} else if (strcmp(web_path(req), "/stream") == 0) {
+		stream_later(f, req);
+	} else if (strcmp(web_path(req), "/hold") == 0) {
+		f->held = req;
+		web_on_gone(req, on_gone, f);
+	} else if (strcmp(web_path(req), "/cut") == 0) {
+		web_stream_begin(req, 200, "text/plain");
+		web_stream_write(req, "half", 4);
+		web_stream_abort(req);
+	}
+}
+
+static void
+fixture_open(struct fixture *f, gconstpointer unused)
+{
+	struct web_options options = {
+	    .address = "127.0.0.1", .max_body = 1000, .max_connections = 16};
+	char *error = NULL;
+
+	(void)unused;
+	f->loop = ev_loop_new(0);
+	f->web = web_open(f->loop, &options, on_request, f, &error);
+	g_assert_nonnull(f->web);
+	f->hcl = hcl_open(f->loop);
+	f->body = g_string_new(NULL);
+}
+
+static void
+fixture_close(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	hcl_close(f->hcl);
+	web_close(f->web);
+	g_string_free(f->body, TRUE);
+	ev_loop_destroy(f->loop);
+}
+
+static void
+on_done(const struct hcl_result *result, void *arg)
+{
+	struct fixture *f = arg;
+
+	f->done = true;
+	f->result = *result;
+	if (result->body_len > 0)
+		g_string_append_len(
+		    f->body, result->body, (gssize)result->body_len);
+	ev_break(f->loop, EVBREAK_ALL);
+}
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+run_loop(struct fixture *f)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_timeout, 20.0, 0.0);
+	ev_timer_start(f->loop, &timer);
+	ev_run(f->loop, 0);
+	ev_timer_stop(f->loop, &timer);
+}
+
+static void
+fetch(struct fixture *f, uint16_t port, const char *path, const char *body,
+    clk_ms idle_timeout)
+{
+	g_autofree char *url =
+	    g_strdup_printf("http://127.0.0.1:%u%s", (unsigned)port, path);
+	struct hcl_request request = {.method = body != NULL ? "POST" : "GET",
+	    .url = url,
+	    .body = body,
+	    .body_len = body != NULL ? strlen(body) : 0,
+	    .idle_timeout = idle_timeout,
+	    .on_done = on_done,
+	    .arg = f};
+
+	f->done = false;
+	(void)hcl_start(f->hcl, &request);
+	run_loop(f);
+	g_assert_true(f->done);
+}
+
+static void
+test_echo(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	fetch(f, web_port(f->web), "/echo", "hello", 0);
+	g_assert_cmpint(f->result.sent, ==, HCL_REPLIED);
+	g_assert_cmpint(f->result.status, ==, 200);
+	g_assert_cmpstr(f->body->str, ==, "hello");
+	g_assert_cmpuint(web_active(f->web), ==, 0);
+}
+
+static void
+test_stream(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	fetch(f, web_port(f->web), "/stream", NULL, 0);
+	g_assert_cmpint(f->result.status, ==, 201);
+	g_assert_cmpstr(f->body->str, ==, "part.part.part.");
+}
+
+/* Guards against an answer that stops half way passing for a whole one. */
+static void
+test_cut_stream_is_reported(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	fetch(f, web_port(f->web), "/cut", NULL, 0);
+	g_assert_cmpint(f->result.sent, ==, HCL_MAYBE_SENT);
+	g_assert_true(f->result.cut);
+}
+
+/* Guards against unbounded memory for a request body. */
+static void
+test_large_body_is_refused(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *body = g_strnfill(5000, 'x');
+
+	(void)unused;
+	fetch(f, web_port(f->web), "/echo", body, 0);
+	g_assert_cmpint(f->result.status, ==, 413);
+	g_assert_nonnull(strstr(f->body->str, "body_too_large"));
+}
+
+/* Guards against a call that goes on for a caller that has left. */
+static void
+test_caller_leaves(struct fixture *f, gconstpointer unused)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(web_port(f->web))};
+	static const char text[] = "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	(void)unused;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+	g_assert_cmpint(write(fd, text, sizeof(text) - 1), >, 0);
+	for (int i = 0; i < 1000 && f->held == NULL; i++)
+		ev_run(f->loop, EVRUN_ONCE);
+	g_assert_nonnull(f->held);
+	(void)close(fd);
+	run_loop(f);
+	g_assert_true(f->gone);
+	g_assert_cmpuint(web_active(f->web), ==, 0);
+}
+
+/* A refused connection is the only failure that proves nothing ran. */
+static void
+test_refused_is_not_sent(struct fixture *f, gconstpointer unused)
+{
+	uint16_t port = web_port(f->web);
+
+	(void)unused;
+	web_close(f->web);
+	f->web = NULL;
+	fetch(f, port, "/echo", "x", 0);
+	g_assert_cmpint(f->result.sent, ==, HCL_NOT_SENT);
+}
+
+/* A server that takes a request and stays silent may have run it. */
+static void
+test_silence_is_maybe_sent(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	fetch(f, web_port(f->web), "/hold", "x", 300);
+	g_assert_cmpint(f->result.sent, ==, HCL_MAYBE_SENT);
+	g_assert_true(f->result.timed_out);
+	run_loop(f);
+	g_assert_true(f->gone);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+#define ADD(name, test) \
+	g_test_add( \
+	    name, struct fixture, NULL, fixture_open, test, fixture_close)
+	ADD("/web/echo", test_echo);
+	ADD("/web/stream", test_stream);
+	ADD("/web/cut-stream-is-reported", test_cut_stream_is_reported);
+	ADD("/web/large-body-is-refused", test_large_body_is_refused);
+	ADD("/web/caller-leaves", test_caller_leaves);
+	ADD("/web/refused-is-not-sent", test_refused_is_not_sent);
+	ADD("/web/silence-is-maybe-sent", test_silence_is_maybe_sent);
+	return (g_test_run());
+}
