Add the assembly of streamed chat answers

Cause: the owner has to store the assistant's message and the usage of an answer that it passes on chunk by chunk. Change: gate/ans splits the events at any byte, merges tool call parts and refuses what is not a chat-completions stream.

--- /dev/null
+++ b/src/gate/ans.c
@@ -0,0 +1,227 @@
+#include "gate/ans.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct ans {
+	ans_on_chunk *on_chunk;
+	void *arg;
+	GString *buffer; /* bytes of the event not yet complete */
+	GString *content;
+	json_t *tool_calls; /* array, merged by index */
+	char *finish_reason;
+	int64_t chunks;
+	struct ans_usage usage;
+	bool complete;
+	bool failed;
+};
+
+struct ans *
+ans_open(ans_on_chunk *on_chunk, void *arg)
+{
+	struct ans *ans = g_new0(struct ans, 1);
+
+	ans->on_chunk = on_chunk;
+	ans->arg = arg;
+	ans->buffer = g_string_new(NULL);
+	ans->content = g_string_new(NULL);
+	ans->tool_calls = json_array();
+	return (ans);
+}
+
+void
+ans_close(struct ans *ans)
+{
+	if (ans == NULL)
+		return;
+	g_string_free(ans->buffer, TRUE);
+	g_string_free(ans->content, TRUE);
+	json_decref(ans->tool_calls);
+	g_free(ans->finish_reason);
+	g_free(ans);
+}
+
+static void
+append_string(json_t *object, const char *key, const json_t *part)
+{
+	const char *old = json_string_value(json_object_get(object, key));
+	const char *text = json_string_value(part);
+	g_autofree char *joined = NULL;
+
+	if (text == NULL)
+		return;
+	joined = g_strconcat(old != NULL ? old : "", text, NULL);
+	(void)json_object_set_new(object, key, json_string(joined));
+}
+
+/* Merge the parts of a tool call: its arguments arrive in pieces. */
+static void
+merge_tool_call(struct ans *ans, const json_t *part)
+{
+	size_t index =
+	    (size_t)json_integer_value(json_object_get(part, "index"));
+	const json_t *function = json_object_get(part, "function");
+	json_t *call, *merged;
+
+	if (index > json_array_size(ans->tool_calls))
+		return;
+	if (index == json_array_size(ans->tool_calls))
+		(void)json_array_append_new(ans->tool_calls,
+		    json_pack("{s:s,s:s,s:{s:s,s:s}}", "id", "", "type",
+			"function", "function", "name", "", "arguments", ""));
+	call = json_array_get(ans->tool_calls, index);
+	merged = json_object_get(call, "function");
+	append_string(call, "id", json_object_get(part, "id"));
+	append_string(merged, "name", json_object_get(function, "name"));
+	append_string(
+	    merged, "arguments", json_object_get(function, "arguments"));
+}
+
+static void
+take_usage(struct ans *ans, const json_t *usage)
+{
+	const json_t *details = json_object_get(usage, "prompt_tokens_details");
+
+	if (!json_is_object(usage))
+		return;
+	ans->usage.reported = true;
+	ans->usage.prompt_tokens =
+	    json_integer_value(json_object_get(usage, "prompt_tokens"));
+	ans->usage.completion_tokens =
+	    json_integer_value(json_object_get(usage, "completion_tokens"));
+	ans->usage.cached_tokens =
+	    json_integer_value(json_object_get(details, "cached_tokens"));
+}
+
+static bool
+take_chunk(struct ans *ans, const char *text, size_t len)
+{
+	json_t *chunk = json_loadb(text, len, 0, NULL);
+	const json_t *choice, *delta, *calls, *part;
+	const char *content, *reason;
+	size_t i;
+
+	if (!json_is_object(chunk)) {
+		json_decref(chunk);
+		return (false);
+	}
+	take_usage(ans, json_object_get(chunk, "usage"));
+	choice = json_array_get(json_object_get(chunk, "choices"), 0);
+	delta = json_object_get(choice, "delta");
+	content = json_string_value(json_object_get(delta, "content"));
+	calls = json_object_get(delta, "tool_calls");
+	reason = json_string_value(json_object_get(choice, "finish_reason"));
+	if (content != NULL)
+		g_string_append(ans->content, content);
+	json_array_foreach(calls, i, part) merge_tool_call(ans, part);
+	if (reason != NULL) {
+		g_free(ans->finish_reason);
+		ans->finish_reason = g_strdup(reason);
+	}
+	if (content != NULL || calls != NULL)
+		ans->chunks++;
+	if (choice != NULL)
+		ans->on_chunk(text, len, ans->arg);
+	json_decref(chunk);
+	return (true);
+}
+
+static bool
+take_line(struct ans *ans, const char *line, size_t len)
+{
+	static const char prefix[] = "data:";
+
+	while (len > 0 && line[len - 1] == '\r')
+		len--;
+	if (len < sizeof(prefix) - 1 ||
+	    strncmp(line, prefix, sizeof(prefix) - 1) != 0)
+		return (true); /* a comment, an event name or a blank line */
+	line += sizeof(prefix) - 1;
+	len -= sizeof(prefix) - 1;
+	while (len > 0 && *line == ' ') {
+		line++;
+		len--;
+	}
+	if (len == 6 && strncmp(line, "[DONE]", 6) == 0) {
+		ans->complete = true;
+		return (true);
+	}
+	return (take_chunk(ans, line, len));
+}
+
+bool
+ans_feed(struct ans *ans, const void *data, size_t len)
+{
+	const char *newline;
+	size_t start = 0;
+
+	if (ans->failed)
+		return (false);
+	g_string_append_len(ans->buffer, data, (gssize)len);
+	while ((newline = memchr(ans->buffer->str + start, '\n',
+		    ans->buffer->len - start)) != NULL) {
+		size_t end = (size_t)(newline - ans->buffer->str);
+
+		if (!take_line(ans, ans->buffer->str + start, end - start)) {
+			ans->failed = true;
+			return (false);
+		}
+		start = end + 1;
+	}
+	(void)g_string_erase(ans->buffer, 0, (gssize)start);
+	ans->failed = ans->buffer->len > ANS_MAX_EVENT;
+	return (!ans->failed);
+}
+
+bool
+ans_is_complete(const struct ans *ans)
+{
+	return (ans->complete);
+}
+
+bool
+ans_has_content(const struct ans *ans)
+{
+	return (ans->chunks > 0);
+}
+
+void
+ans_usage(const struct ans *ans, struct ans_usage *usage)
+{
+	*usage = ans->usage;
+	if (!usage->reported)
+		usage->completion_tokens = ans->chunks;
+}
+
+json_t *
+ans_message(const struct ans *ans)
+{
+	json_t *message = json_pack("{s:s,s:s%}", "role", "assistant",
+	    "content", ans->content->str, ans->content->len);
+
+	if (json_array_size(ans->tool_calls) > 0)
+		(void)json_object_set_new(
+		    message, "tool_calls", json_deep_copy(ans->tool_calls));
+	return (message);
+}
+
+json_t *
+ans_completion(const struct ans *ans, const char *id, const char *model,
+    const char *program, unsigned turn)
+{
+	struct ans_usage usage;
+
+	ans_usage(ans, &usage);
+	return (json_pack(
+	    "{s:s,s:s,s:s,s:s,s:i,s:[{s:i,s:o,s:s}],s:{s:I,s:I,s:I,s:{s:I}}}",
+	    "id", id, "object", "chat.completion", "model", model, "program_id",
+	    program, "turn", (int)turn, "choices", "index", 0, "message",
+	    ans_message(ans), "finish_reason",
+	    ans->finish_reason != NULL ? ans->finish_reason : "stop", "usage",
+	    "prompt_tokens", (json_int_t)usage.prompt_tokens,
+	    "completion_tokens", (json_int_t)usage.completion_tokens,
+	    "total_tokens",
+	    (json_int_t)(usage.prompt_tokens + usage.completion_tokens),
+	    "prompt_tokens_details", "cached_tokens",
+	    (json_int_t)usage.cached_tokens));
+}
--- /dev/null
+++ b/src/gate/test_ans.c
@@ -0,0 +1,110 @@
+/*
+ * Putting a streamed answer together from parts cut at any byte.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "gate/ans.h"
+
+static const char stream[] =
+    ": comment\n\n"
+    "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"
+    "data: {\"choices\":[{\"delta\":{\"content\":\"Hel\"}}]}\r\n\r\n"
+    "data: {\"choices\":[{\"delta\":{\"content\":\"lo\"},"
+    "\"finish_reason\":\"stop\"}]}\n\n"
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,"
+    "\"completion_tokens\":2,\"prompt_tokens_details\":"
+    "{\"cached_tokens\":4}}}\n\n"
+    "data: [DONE]\n\n";
+
+static void
+count_chunk(const char *text, size_t len, void *arg)
+{
+	int *count = arg;
+
+	g_assert_true(text[0] == '{');
+	g_assert_true(text[len - 1] == '}');
+	(*count)++;
+}
+
+/* Guards against chunks lost or joined when a read ends inside an event. */
+static void
+test_any_cut(void)
+{
+	for (size_t step = 1; step < sizeof(stream); step++) {
+		int chunks = 0;
+		struct ans *ans = ans_open(count_chunk, &chunks);
+		struct ans_usage usage;
+		json_t *message;
+
+		for (size_t i = 0; i < sizeof(stream) - 1; i += step)
+			g_assert_true(ans_feed(ans, stream + i,
+			    MIN(step, sizeof(stream) - 1 - i)));
+		g_assert_true(ans_is_complete(ans));
+		g_assert_cmpint(chunks, ==, 3);
+		ans_usage(ans, &usage);
+		g_assert_cmpint(usage.completion_tokens, ==, 2);
+		g_assert_cmpint(usage.cached_tokens, ==, 4);
+		message = ans_message(ans);
+		g_assert_cmpstr(
+		    json_string_value(json_object_get(message, "content")), ==,
+		    "Hello");
+		json_decref(message);
+		ans_close(ans);
+	}
+}
+
+static void
+test_tool_call_parts(void)
+{
+	static const char text[] =
+	    "data: {\"choices\":[{\"delta\":{\"tool_calls\":[{\"index\":0,"
+	    "\"id\":\"c1\",\"function\":{\"name\":\"order\","
+	    "\"arguments\":\"{\\\"sku\"}}]}}]}\n"
+	    "data: {\"choices\":[{\"delta\":{\"tool_calls\":[{\"index\":0,"
+	    "\"function\":{\"arguments\":\"\\\":7}\"}}]}}]}\n"
+	    "data: [DONE]\n";
+	int chunks = 0;
+	struct ans *ans = ans_open(count_chunk, &chunks);
+	json_t *message;
+	const char *id, *name, *arguments;
+
+	g_assert_true(ans_feed(ans, text, sizeof(text) - 1));
+	message = ans_message(ans);
+	g_assert_cmpint(
+	    json_unpack(message, "{s:[{s:s,s:{s:s,s:s}}]}", "tool_calls", "id",
+		&id, "function", "name", &name, "arguments", &arguments),
+	    ==, 0);
+	g_assert_cmpstr(id, ==, "c1");
+	g_assert_cmpstr(name, ==, "order");
+	g_assert_cmpstr(arguments, ==, "{\"sku\":7}");
+	json_decref(message);
+	ans_close(ans);
+}
+
+/* Guards against an error page or endless event taken for an answer. */
+static void
+test_not_a_stream(void)
+{
+	int chunks = 0;
+	struct ans *ans = ans_open(count_chunk, &chunks);
+	g_autofree char *big = g_strnfill(ANS_MAX_EVENT + 1, 'x');
+
+	g_assert_false(ans_feed(ans, "data: <html>\n", 13));
+	g_assert_false(ans_feed(ans, "data: [DONE]\n", 13));
+	g_assert_false(ans_is_complete(ans));
+	ans_close(ans);
+	ans = ans_open(count_chunk, &chunks);
+	g_assert_false(ans_feed(ans, big, ANS_MAX_EVENT + 1));
+	ans_close(ans);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ans/any-cut", test_any_cut);
+	g_test_add_func("/ans/tool-call-parts", test_tool_call_parts);
+	g_test_add_func("/ans/not-a-stream", test_not_a_stream);
+	return (g_test_run());
+}
