--- a/src/gate/ans.c
+++ b/src/gate/ans.c
@@ -221,7 +221,8 @@
 	    "prompt_tokens", (json_int_t)usage.prompt_tokens,
 	    "completion_tokens", (json_int_t)usage.completion_tokens,
 	    "total_tokens",
-	    (json_int_t)(usage.prompt_tokens + usage.completion_tokens),
+	    (json_int_t)usage.prompt_tokens +
+		(json_int_t)usage.completion_tokens,
 	    "prompt_tokens_details", "cached_tokens",
 	    (json_int_t)usage.cached_tokens));
 }
