--- /dev/null
+++ b/src/own/own.h
@@ -0,0 +1,375 @@
+/*
+ * own: which session owns each shard, and until when an owner may act.
+ *
+ * A decision module: it holds no socket and reads no clock.  It replays the
+ * records of the stream "fleet" into the shard map, keeps the horizon of the
+ * shards that this session owns, and decides what to append.
+ *
+ * Rules that keep two sessions from acting for a shard at the same time:
+ *
+ * 1. A claim or handover names the epoch it is based on and is valid only if
+ *    that epoch is current at its offset.  A claim needs an open session.
+ * 2. A claim is effective W after this session *read it in the log*, never
+ *    earlier, whatever the reply to the append said.  W follows from the
+ *    record and the map alone.  If the epoch before came from a claim that is
+ *    itself not effective, the wait of that one must end as well: otherwise a
+ *    fast second claim would overtake the wait of a slow first one.
+ * 3. A first claim of a shard that nobody owned, or whose owner closed its
+ *    own session, is effective at once: there is nobody to wait for.
+ * 4. The owner acts until its horizon, the minimum over the sessions that may
+ *    claim of the last proof that they had not claimed, plus W.
+ * 5. An answer to a heartbeat is such a proof only if it was made after the
+ *    heartbeat arrived, names every claim that was submitted and not yet read
+ *    in the log (own_pending_get()), and if this session has read the log
+ *    beyond the last valid claim of the answering session.  Without the last
+ *    condition a session that finished its claim would confirm the old owner.
+ * 6. Every clock may be wrong by drift_permille in either direction: the owner
+ *    shortens W by it and the claimant lengthens W by it.
+ * 7. An owner that submitted a handover or the close of its session does not
+ *    act again for that shard unless it reads in the log, or is told for
+ *    certain, that the record is not valid.
+ * 8. Only the owner changes the replica holders; a proposed holder counts as
+ *    one from the submission on, because the owner may be the last to learn
+ *    that its record stands in the log.
+ *
+ * A wait that fails a rule of this list can be seen in test_own.c, which runs
+ * the module with single rules switched off.
+ *
+ * All instances must use the same takeover and drift settings.
+ *
+ * Costs, with D data centres, N shards in each, S sessions, and P the shards
+ * that this session owns: own_apply() O(shards in the record), for a session
+ * record O(1) on average; own_may_act(), own_horizon(), own_shard_get(),
+ * own_holds() O(1); own_heartbeat_answered() and own_log_read() O(P);
+ * own_decide() O(N) cheap steps and at most OWN_RANKS_PER_CALL rankings of
+ * O(S); own_snapshot() and own_restore() O(D * N + S).
+ */
+#ifndef SAMPHIRESHED_OWN_H
+#define SAMPHIRESHED_OWN_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/clk.h"
+#include "member/mem.h"
+
+#define OWN_HOLDERS	    2 /* replica holders of a shard */
+#define OWN_SOURCES	    6 /* sessions that may have the state of a shard */
+#define OWN_PENDING_MAX	    256 /* claims named in an answer to a heartbeat */
+#define OWN_RECORD_SHARDS   32 /* shards in one claim or holders record */
+#define OWN_RANKS_PER_CALL  64
+#define OWN_MAX_DATACENTRES 64
+
+struct own;
+
+struct own_shard_id {
+	uint16_t datacentre;
+	uint16_t shard;
+};
+
+struct own_settings {
+	unsigned datacentres; /* D; numbers are 0 to D - 1 */
+	unsigned shards; /* N, in each data centre */
+	clk_ms takeover_ms; /* 0: 3 s */
+	clk_ms takeover_other_ms; /* 0: 10 min */
+	clk_ms takeover_datacentre_ms; /* 0: never without an operator */
+	int drift_permille; /* of each clock; 0: 10; negative: none */
+	/* After the own session_open, before shards without owner are claimed,
+	 * so that a fleet that starts together is known; 0: 2 s. */
+	clk_ms settle_ms;
+	/* Between the candidates for a claim, by rank; 0: 2 s. */
+	clk_ms stagger_ms;
+	/* How old the last read of the tail may be for an append; 0: 4 s. */
+	clk_ms log_fresh_ms;
+	/* How long the ranking must stand before a shard moves; 0: 5 s. */
+	clk_ms handover_settle_ms;
+	unsigned max_handovers; /* at once; 0: 4 */
+	/* Repeat of an append whose outcome is not known; 0: 5 s. */
+	clk_ms repeat_ms;
+	/* After which others close the session of a dead instance that owns
+	 * and holds nothing; 0: 10 min. */
+	clk_ms forget_ms;
+};
+
+/*
+ * own_open(settings, self)
+ *	Create an empty map, complete as of offset 0.
+ */
+struct own *
+own_open(const struct own_settings *settings, const struct mem_identity *self);
+void own_close(struct own *own);
+
+/* Replaying the log. */
+
+enum own_applied {
+	OWN_APPLIED, /* the record changed the map */
+	OWN_NOT_VALID, /* well-formed, but lost against an earlier record */
+	OWN_DUPLICATE, /* this offset has been applied before */
+	OWN_OTHER, /* a record that does not concern this module */
+	OWN_UNDECODABLE /* malformed; counted and skipped */
+};
+
+/*
+ * own_apply(own, offset, record, now)
+ *	Apply the record at an offset.  Records must come in the order of their
+ *	offsets, from own_next() on.  now must have been read after the record
+ *	arrived.
+ */
+enum own_applied
+own_apply(struct own *own, int64_t offset, const json_t *record, clk_ms now);
+
+/* own_next(own): the offset of the next record to be applied. */
+int64_t own_next(const struct own *own);
+
+/*
+ * own_log_read(own, started_at)
+ *	Every record that stood in the log at the time started_at has been
+ *	applied.  started_at is the clock before the read was sent.
+ */
+void own_log_read(struct own *own, clk_ms started_at);
+
+/*
+ * own_peer_read(own, asked_at, age)
+ *	The same for records fetched from a peer: this session asked at
+ *	asked_at, and the peer said that the tail read which its reply includes
+ *	started age ms before the reply was made.
+ */
+void own_peer_read(struct own *own, clk_ms asked_at, clk_ms age);
+
+/*
+ * own_log_age(own, now)
+ *	How long ago the last read of the tail started, or -1 if there was
+ *	none.  This is what a reply to a peer's fetch of records must say.
+ */
+clk_ms own_log_age(const struct own *own, clk_ms now);
+
+/*
+ * own_gap(own, first)
+ *	Records before the offset first that were not applied are lost to this
+ *	reader.  The map is incomplete until own_restore() has succeeded.  An
+ *	owner may go on acting until its horizon.
+ */
+void own_gap(struct own *own, int64_t first);
+
+/* own_is_complete(own): whether the map lacks no record. */
+bool own_is_complete(const struct own *own);
+
+/* own_undecodable(own): the number of records refused as malformed. */
+uint64_t own_undecodable(const struct own *own);
+
+/*
+ * own_snapshot(own, now)
+ *	Return the map as a JSON array of records of kind "map", each with at
+ *	most 256 shards or sessions, to be appended to the log one by one or
+ *	given to a peer; or nil if the map is not complete.  A reader with a
+ *	complete map ignores them.
+ */
+json_t *own_snapshot(const struct own *own, clk_ms now);
+
+/*
+ * own_restore(own, record, now)
+ *	Take one record of a snapshot.  Parts may come in any order; those of
+ *	an older snapshot are dropped for a newer one.  own_apply() passes "map"
+ *	records on to this function if the map is not complete.
+ * RETURN VALUES
+ *	true if the map is complete again.  Reading must then go on from
+ *	own_next(), which may be before the offset of the snapshot's records.
+ */
+bool own_restore(struct own *own, const json_t *record, clk_ms now);
+
+/*
+ * own_sessions(own, visit, arg)
+ *	Call visit for each open session, to fill mem after a restore.
+ */
+void own_sessions(const struct own *own,
+    void (*visit)(const struct mem_identity *identity, void *arg), void *arg);
+
+/*
+ * own_digest(own)
+ *	Return a hash of the map.  Two readers with the same own_next() and a
+ *	complete map have the same digest.
+ */
+uint64_t own_digest(const struct own *own);
+
+/* Heartbeats. */
+
+struct own_pending {
+	/* Offset of the last valid claim of the answering session that it has
+	 * read in the log, or -1. */
+	int64_t claimed_at;
+	bool more; /* there are more claims than fit */
+	unsigned n;
+	struct own_shard_id shards[OWN_PENDING_MAX];
+};
+
+/*
+ * own_pending_get(own, pending)
+ *	Fill in what an answer to a heartbeat must promise.  To be called for
+ *	each answer after the heartbeat has arrived; never kept for later.
+ */
+void own_pending_get(const struct own *own, struct own_pending *pending);
+
+/*
+ * own_heartbeat_answered(own, session, sent_at, pending)
+ *	A session answered the heartbeat that was sent at sent_at (the clock
+ *	before it was sent).  Late and duplicated answers do no harm.
+ */
+void own_heartbeat_answered(struct own *own, uint64_t session, clk_ms sent_at,
+    const struct own_pending *pending);
+
+/* Acting. */
+
+enum own_phase {
+	OWN_NONE, /* this session is not the owner */
+	OWN_WAITING, /* the claim is valid but not effective yet */
+	OWN_RECOVERING, /* effective; own_recovered() has not been called */
+	OWN_SERVING,
+	OWN_PREPARING, /* handover: calls in progress end, new ones wait */
+	OWN_GIVEN_UP /* the handover or close was submitted */
+};
+
+struct own_shard {
+	uint64_t epoch; /* 0: never owned */
+	uint64_t owner; /* session; 0: none */
+	uint64_t holders[OWN_HOLDERS]; /* sessions; 0: none */
+	/* Whether the owner confirmed that the holders have the state; if not,
+	 * sources lists who may have it. */
+	bool proven;
+	uint64_t sources[OWN_SOURCES];
+	int64_t offset; /* of the record that set the epoch */
+	enum own_phase phase; /* of this session */
+};
+
+/* own_shard_get(own, id, shard): false if there is no such shard. */
+bool own_shard_get(
+    const struct own *own, struct own_shard_id id, struct own_shard *shard);
+
+/*
+ * own_horizon(own, id, now)
+ *	Return until when this session may act as the owner; a time not after
+ *	now if it may not act.
+ */
+clk_ms own_horizon(const struct own *own, struct own_shard_id id, clk_ms now);
+
+/*
+ * own_may_act(own, id, now)
+ *	Whether this session may act as the owner now.  now must be read from
+ *	the clock for this call, not taken from the start of the loop's turn:
+ *	a process may have been stopped in between.
+ */
+bool own_may_act(const struct own *own, struct own_shard_id id, clk_ms now);
+
+/*
+ * own_may_begin(own, id, now)
+ *	Whether new calls may begin: own_may_act(), the state is recovered and
+ *	no handover is being prepared.
+ */
+bool own_may_begin(const struct own *own, struct own_shard_id id, clk_ms now);
+
+/*
+ * own_holds(own, id)
+ *	Whether this session is a replica holder of the shard.
+ */
+bool own_holds(const struct own *own, struct own_shard_id id);
+
+/* own_owned(own): the number of shards that this session owns. */
+unsigned own_owned(const struct own *own);
+
+/*
+ * own_recovered(own, id, epoch)
+ *	The state of the shard has been recovered.  The owner then names the
+ *	replica holders in the log, which also confirms the recovery.
+ */
+void own_recovered(struct own *own, struct own_shard_id id, uint64_t epoch);
+
+/*
+ * own_prepared(own, id, epoch, ready)
+ *	The calls in progress have ended and the successor has the state
+ *	(ready), or the handover must be dropped.
+ */
+void own_prepared(
+    struct own *own, struct own_shard_id id, uint64_t epoch, bool ready);
+
+/*
+ * own_stop(own)
+ *	Begin a planned stop: hand over every shard, claim none, then close the
+ *	session.
+ */
+void own_stop(struct own *own);
+
+/*
+ * own_leave(own)
+ *	Give up every shard for good, without the log: for a planned stop
+ *	during an outage of the log, after the calls in progress have ended.
+ *	May be followed by an append of own_record_close().
+ */
+void own_leave(struct own *own);
+
+/*
+ * own_is_stopped(own)
+ *	Whether the session is closed in the log, by itself or by others.  A
+ *	session that was closed by others must be replaced by a new one.
+ */
+bool own_is_stopped(const struct own *own);
+
+/* Deciding. */
+
+enum own_act {
+	OWN_ACT_APPEND, /* append record to the stream "fleet" */
+	OWN_ACT_RECOVER, /* fetch the state from sources, own_recovered() */
+	OWN_ACT_PREPARE, /* prepare the handover to session, own_prepared() */
+	OWN_ACT_COPY /* the holders have changed: send them the state */
+};
+
+struct own_action {
+	enum own_act act;
+	struct own_shard_id id; /* not of OWN_ACT_APPEND */
+	uint64_t epoch;
+	json_t *record; /* OWN_ACT_APPEND: a new reference for the caller */
+	uint64_t ref; /* OWN_ACT_APPEND: for own_append_done() */
+	uint64_t session; /* OWN_ACT_PREPARE: the successor */
+	uint64_t sources[OWN_SOURCES]; /* OWN_ACT_RECOVER; 0: none */
+	uint64_t holders[OWN_HOLDERS]; /* OWN_ACT_COPY */
+};
+
+/*
+ * own_decide(own, mem, now, actions, max)
+ *	Return what to do now.  An action is returned once; an append counts as
+ *	submitted from then on.  To be called at least every 250 ms, with mem
+ *	up to date.
+ * RETURN VALUES
+ *	The number of actions.
+ */
+size_t own_decide(struct own *own, const struct mem *mem, clk_ms now,
+    struct own_action *actions, size_t max);
+
+enum own_append {
+	OWN_APPENDED,
+	OWN_REFUSED, /* certain: the record is not and will not be in the log */
+	OWN_UNKNOWN
+};
+
+/*
+ * own_append_done(own, ref, outcome)
+ *	The outcome of an append.  Only OWN_REFUSED changes anything: records
+ *	take effect when they are read in the log.
+ */
+void own_append_done(struct own *own, uint64_t ref, enum own_append outcome);
+
+/*
+ * own_record_close(session)
+ * own_record_datacentre_lost(own, datacentre, lost)
+ *	Return a new record that closes a session, or with which an operator
+ *	says that a data centre is lost (or is back).  With the record, holders
+ *	in other data centres may claim its shards after takeover_ms.  The
+ *	operator vouches that no instance of the data centre is running: one
+ *	that is partitioned off acts until takeover_other_ms after its last
+ *	read of the log.
+ */
+json_t *own_record_close(uint64_t session);
+json_t *own_record_datacentre_lost(
+    const struct own *own, unsigned datacentre, bool lost);
+
+#endif
--- /dev/null
+++ b/src/plog/plg.h
@@ -0,0 +1,136 @@
+/*
+ * plg: client of the platform's append-only log over HTTP.
+ *
+ * The client follows streams and appends records.  The data of each append
+ * carries {"session","number"}.  If the reply to an append is lost, the client
+ * looks for its record in the stream from the offset that was the tail before
+ * the append, and sends it again, with the same number, only if it is not
+ * there.  A copy that is delayed in the network can still arrive twice; a
+ * follower drops the second copy of a (session, number) among the last 4,096
+ * records, and users of the stream must not depend on more than that.
+ *
+ * Every call has a deadline and every retry backs off with jitter.
+ */
+#ifndef SAMPHIRESHED_PLG_H
+#define SAMPHIRESHED_PLG_H
+
+#include <ev.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/clk.h"
+#include "lib/cnt.h"
+#include "lib/hcl.h"
+#include "lib/lg.h"
+
+struct plg;
+struct plg_follow;
+
+struct plg_settings {
+	const char *url; /* base, for example "http://127.0.0.1:7000"; copied */
+	uint64_t session; /* this session; written as 16 hex digits */
+	uint64_t seed; /* of the jitter */
+	clk_ms call_timeout; /* of an append or a plain read; 0: 2 s */
+	clk_ms wait_ms; /* long poll of a follower at the tail; 0: 500 ms */
+	clk_ms retry_min; /* first backoff; 0: 50 ms */
+	clk_ms retry_max; /* largest backoff; 0: 2 s */
+	clk_ms append_deadline; /* from plg_append(); 0: 30 s */
+	unsigned appends_per_second; /* of this client; 0: 20 */
+	unsigned append_burst; /* 0: 20 */
+	unsigned max_queue; /* appends queued or in progress; 0: 256 */
+	unsigned read_max; /* records asked for in one read; 0: 256 */
+};
+
+enum plg_outcome {
+	PLG_APPENDED, /* the record stands at the offset */
+	PLG_REFUSED, /* the record is not in the log and will not be */
+	PLG_UNKNOWN /* the deadline passed; the record may appear later */
+};
+
+/* on_appended: called once for each append, never from plg_append(). */
+typedef void
+plg_on_appended(enum plg_outcome outcome, int64_t offset, void *arg);
+
+struct plg_follow_events {
+	/*
+	 * One record, in the order of offsets.  data is borrowed.  now is the
+	 * client's clock after the reply arrived.
+	 */
+	void (*record)(
+	    int64_t offset, int64_t time_ms, json_t *data, void *arg);
+	/*
+	 * Every record that stood in the stream at the time started_at (the
+	 * client's clock before the request was sent) has been passed to
+	 * record().
+	 */
+	void (*tail)(int64_t next, clk_ms started_at, void *arg);
+	/*
+	 * The records from the offset from up to but not including first are
+	 * no longer kept, or the stream ends before from (next < from).  The
+	 * follower goes on at first.
+	 */
+	void (*gap)(int64_t from, int64_t first, int64_t next, void *arg);
+	/* A read failed; the follower retries.  May be nil. */
+	void (*failed)(const char *error, void *arg);
+	void *arg;
+};
+
+/*
+ * plg_open(loop, hcl, clk, settings, cnt, lg)
+ *	Create a client.  hcl must outlive it.  cnt and lg may be nil.
+ */
+struct plg *plg_open(struct ev_loop *loop, struct hcl *hcl, struct clk clk,
+    const struct plg_settings *settings, struct cnt *cnt, struct lg *lg);
+
+/*
+ * plg_close(plg)
+ *	Cancel all calls and free the client with its followers.  Appends that
+ *	are not finished get no callback.
+ */
+void plg_close(struct plg *plg);
+
+/*
+ * plg_follow(plg, stream, from, events)
+ *	Follow a stream from an offset on until plg_follow_stop().  Events are
+ *	never called from within plg_follow().
+ */
+struct plg_follow *plg_follow(struct plg *plg, const char *stream, int64_t from,
+    const struct plg_follow_events *events);
+
+/*
+ * plg_follow_seek(follow, from)
+ *	Go on from another offset, for example after a snapshot was restored.
+ *	The read in progress is dropped.
+ */
+void plg_follow_seek(struct plg_follow *follow, int64_t from);
+void plg_follow_stop(struct plg_follow *follow);
+
+/* plg_follow_next(follow): the offset of the next record to be passed on. */
+int64_t plg_follow_next(const struct plg_follow *follow);
+
+/*
+ * plg_append(plg, stream, data, on_appended, arg)
+ *	Queue an append of data, a JSON object, to which "session" and "number"
+ *	are added.  The reference to data is taken over.  Appends of one client
+ *	are sent one at a time in the order of the calls.
+ * RETURN VALUES
+ *	The number, from 1 on; or 0 if the queue is full or data is not an
+ *	object, in which case on_appended is not called.
+ */
+int64_t plg_append(struct plg *plg, const char *stream, json_t *data,
+    plg_on_appended *on_appended, void *arg);
+
+/* plg_queued(plg): the number of appends queued or in progress. */
+unsigned plg_queued(const struct plg *plg);
+
+/*
+ * plg_session_format(buf, session), plg_session_parse(text, session)
+ *	Convert between a session number and its 16 hex digits in records.
+ *	plg_session_parse() returns false for anything else, and for 0.
+ */
+#define PLG_SESSION_SIZE 17
+const char *plg_session_format(char buf[PLG_SESSION_SIZE], uint64_t session);
+bool plg_session_parse(const char *text, uint64_t *session);
+
+#endif
