--- /dev/null
+++ b/src/daemon/dmn.h
@@ -0,0 +1,18 @@
+/*
+ * dmn: the daemon, which wires the modules to one event loop.
+ */
+#ifndef SAMPHIRESHED_DMN_H
+#define SAMPHIRESHED_DMN_H
+
+struct set;
+
+/*
+ * dmn_run(set)
+ *	Run an instance with the given settings until it has been told to stop
+ *	and has stopped.
+ * RETURN VALUES
+ *	The exit status of the process: 0 after a planned stop, 1 otherwise.
+ */
+int dmn_run(const struct set *set);
+
+#endif
--- /dev/null
+++ b/src/settings/set.h
@@ -0,0 +1,116 @@
+/*
+ * set: the settings of one instance, read from one YAML file.
+ *
+ * The file's keys have the names of the fields below; samphireshed.yaml(5)
+ * describes them.  Settings are read once at start.  Everything that changes
+ * while traffic runs is a configuration object instead (config/obj.h).
+ */
+#ifndef SAMPHIRESHED_SET_H
+#define SAMPHIRESHED_SET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/clk.h"
+#include "lib/lg.h"
+#include "lib/yml.h"
+
+#define SET_IP_SIZE	   46
+#define SET_FLEET_KEY_SIZE 32
+
+struct set_address {
+	char ip[SET_IP_SIZE]; /* IP number */
+	uint16_t port;
+};
+
+/* An HTTP listener for callers. */
+struct set_callers {
+	struct set_address listen;
+	char *tls_certificate; /* PEM text; nil: plain HTTP */
+	char *tls_key; /* PEM text */
+};
+
+/* An instance known at start; others are learnt from the log. */
+struct set_peer {
+	char *name;
+	char *datacentre;
+	struct set_address address; /* of its peer port */
+};
+
+struct set_limits {
+	size_t max_body; /* bytes of a caller's request body */
+	size_t max_header; /* bytes of a request's headers together */
+	unsigned max_connections; /* on the callers' port */
+	unsigned queue; /* calls waiting in one program */
+	unsigned max_turns; /* turns of one program */
+	unsigned copies_min; /* copies that acknowledge a record */
+};
+
+struct set_timings {
+	clk_ms takeover_ms; /* by a replica holder of the data centre */
+	clk_ms takeover_other_ms; /* by another of the data centre */
+	clk_ms takeover_datacentre_ms; /* by another data centre; 0: never */
+	clk_ms heartbeat_ms; /* inside the data centre */
+	clk_ms heartbeat_across_ms; /* to other data centres */
+	clk_ms suspicion_ms; /* without an answered heartbeat */
+	clk_ms stale_after_ms; /* without news of the configuration */
+	clk_ms grant_expiry_ms; /* life of a rate grant */
+	clk_ms grant_wait_ms; /* longest wait of a request for a grant */
+	clk_ms idle_ms; /* an unused program is closed */
+	clk_ms intent_keep_ms; /* stored replies of non-idempotent calls */
+	int64_t lease_drift_ppm; /* taken off a horizon, parts per million */
+	int64_t rate_drift_ppm; /* taken off a refill, parts per million */
+};
+
+struct set {
+	char *instance; /* name, unique in the fleet */
+	char *datacentre; /* name */
+	unsigned datacentre_number; /* 0 to 255, the DD of program ids */
+	unsigned shards; /* per data centre; the same in the whole fleet */
+	double weight; /* size of this instance relative to others */
+	struct set_callers callers;
+	struct set_address operators; /* HTTP */
+	struct set_address peers_listen; /* the address given to peers */
+	char *log_url;
+	char *members_url; /* member list; nil: none */
+	char *weights_url; /* weight store; nil: none */
+	char *trace_url; /* OTLP over HTTP; nil: no export */
+	GPtrArray *peers; /* struct set_peer, without this instance */
+	uint8_t fleet_key[SET_FLEET_KEY_SIZE]; /* key of peer links */
+	struct set_limits limits;
+	struct set_timings timings;
+	enum lg_level log_level;
+};
+
+/*
+ * set_load(path, errors)
+ *	Read a settings file and the files that it names (fleet key, TLS
+ *	certificate and key; relative names start at the settings file's
+ *	directory).  All errors are added to errors as texts that name file,
+ *	line and key and are to be freed by g_free().
+ * RETURN VALUES
+ *	The settings, or nil with at least one text added to errors.
+ */
+struct set *set_load(const char *path, GPtrArray *errors);
+
+/*
+ * set_check(path, errors)
+ *	Like set_load(), but without reading the files that the settings name,
+ *	which may exist only on the instance.  The fleet key is zero unless it
+ *	stands in the settings, and there are no TLS texts.
+ */
+struct set *set_check(const char *path, GPtrArray *errors);
+
+/* set_free(set): free settings; nil is allowed. */
+void set_free(struct set *set);
+
+/*
+ * set_rules(n)
+ *	Return the table of keys that the settings file is checked against, and
+ *	its length in *n.
+ */
+const struct yml_rule *set_rules(size_t *n);
+
+#endif
