Say in a heartbeat's answer up to which claim the log was read

Cause: module own accepts an answer as a proof only with the offset of the last valid claim of the answering session, which peer.x did not carry. Change: claimed_at and more in peer_heartbeat_reply; the daemon's shared state and the driver of membership and ownership (not linked yet). Conclusion: own_pending_get() maps one to one to the message.

--- /dev/null
+++ b/src/daemon/flt.h
@@ -0,0 +1,50 @@
+/*
+ * flt: driver of the fleet's membership and of shard ownership.
+ *
+ * Follows the stream "fleet", sends and answers heartbeats, reads the
+ * platform's member list, and carries out what module own decides.
+ */
+#ifndef SAMPHIRESHED_FLT_H
+#define SAMPHIRESHED_FLT_H
+
+#include "daemon/state.h"
+
+struct flt *flt_open(struct dmn *dmn);
+void flt_close(struct flt *flt);
+
+/*
+ * flt_is_ready(flt)
+ *	Whether the shard map is complete and this session stands in it.
+ */
+bool flt_is_ready(const struct flt *flt);
+
+/* flt_stop(flt): begin handing over every shard. */
+void flt_stop(struct flt *flt);
+
+/*
+ * flt_is_stopped(flt)
+ *	Whether this session has no shard left, or cannot hand over what is
+ *	left because the log has been away since flt_stop().
+ */
+bool flt_is_stopped(const struct flt *flt);
+
+/*
+ * flt_state(flt, state)
+ *	Fill in what this instance says about itself in a heartbeat.  The
+ *	strings and arrays are valid until the next call.
+ */
+void flt_state(struct flt *flt, struct peer_state *state);
+
+/*
+ * flt_sync(flt, args, reply)
+ *	Answer a SYNC of the stream "fleet".  What the reply points to is valid
+ *	until the next call.
+ */
+void flt_sync(struct flt *flt, const struct peer_sync_args *args,
+    struct peer_sync_reply *reply);
+
+/* flt_heartbeat(flt, request, args): handler of HEARTBEAT. */
+void flt_heartbeat(struct flt *flt, struct pr_request *request,
+    const struct peer_heartbeat_args *args);
+
+#endif
--- /dev/null
+++ b/src/daemon/rpl.h
@@ -0,0 +1,52 @@
+/*
+ * rpl: driver of replication.
+ *
+ * Sends the records of the shards owned here to their replica holders, keeps
+ * the replicas held for others, and brings shards over from their holders
+ * after a claim.
+ */
+#ifndef SAMPHIRESHED_RPL_H
+#define SAMPHIRESHED_RPL_H
+
+#include "daemon/state.h"
+
+struct rpl *rpl_open(struct dmn *dmn);
+void rpl_close(struct rpl *rpl);
+
+/*
+ * rpl_recover(rpl, id, epoch, sources)
+ *	Fetch the state of a shard whose claim or handover has become effective
+ *	from its sources, then tell prg and own.
+ */
+void rpl_recover(struct rpl *rpl, struct own_shard_id id, uint64_t epoch,
+    const uint64_t sources[OWN_SOURCES]);
+
+/*
+ * rpl_prepare(rpl, id, epoch, successor)
+ *	Wait for the calls in progress and send the successor the whole state
+ *	of the shard, then call own_prepared().
+ */
+void rpl_prepare(struct rpl *rpl, struct own_shard_id id, uint64_t epoch,
+    uint64_t successor);
+
+/* rpl_copy(rpl, id, epoch): the holders changed: send the state to new ones. */
+void rpl_copy(struct rpl *rpl, struct own_shard_id id, uint64_t epoch);
+
+/*
+ * rpl_wait(rpl, id, on_acked, arg)
+ *	Call on_acked once the records emitted for the shard so far are
+ *	acknowledged by every connected holder and by at least copies_min; or
+ *	with false if that cannot be reached in time or the shard was lost.
+ *	Never called from within rpl_wait().
+ */
+typedef void rpl_on_acked(bool acked, void *arg);
+void rpl_wait(struct rpl *rpl, struct own_shard_id id, rpl_on_acked *on_acked,
+    void *arg);
+
+/* Handlers of REPLICATE and FETCH. */
+void rpl_replicate(struct rpl *rpl, struct pr_request *request,
+    const struct peer_replicate_args *args);
+void rpl_fetch(struct rpl *rpl, struct pr_request *request,
+    const struct peer_fetch_args *args);
+
+#endif
--- /dev/null
+++ b/src/daemon/state.h
@@ -0,0 +1,91 @@
+/*
+ * dmn: the modules and drivers of one running instance.
+ *
+ * A decision module (own, prg, ...) is owned by exactly one driver, which
+ * does its input and output; other drivers read it or call its driver.
+ */
+#ifndef SAMPHIRESHED_STATE_H
+#define SAMPHIRESHED_STATE_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "config/cfg.h"
+#include "lib/clk.h"
+#include "lib/cnt.h"
+#include "lib/hcl.h"
+#include "lib/lg.h"
+#include "lib/trc.h"
+#include "member/mem.h"
+#include "own/own.h"
+#include "peer/pr.h"
+#include "plog/plg.h"
+#include "settings/set.h"
+
+struct cnf;
+struct flt;
+struct fwd;
+struct gate;
+struct grn;
+struct ops;
+struct prg;
+struct cpy;
+struct rat;
+struct rpl;
+struct sch;
+struct ups;
+struct upd;
+
+struct dmn {
+	const struct set *set;
+	struct ev_loop *loop;
+	struct clk clk;
+	struct lg *lg;
+	struct cnt *cnt;
+	struct trc *trc;
+	struct hcl *hcl;
+	struct plg *plg;
+	struct pr *pr;
+	uint64_t session;
+	char address[MEM_ADDRESS_SIZE]; /* of the peer port, "IP:port" */
+	struct mem_identity identity;
+
+	struct cfg *cfg; /* driver cnf */
+	struct cnf *cnf;
+	struct mem *mem; /* driver flt */
+	struct own *own;
+	struct flt *flt;
+	struct prg *prg; /* driver rpl for records, gate for calls */
+	struct cpy *cpy;
+	struct rpl *rpl;
+	struct rat *rat; /* driver grn */
+	struct grn *grn;
+	struct ups *ups; /* driver upd */
+	struct sch *sch;
+	struct upd *upd;
+	struct fwd *fwd;
+	struct gate *gate;
+	struct ops *ops;
+
+	bool stopping; /* a planned stop is in progress */
+};
+
+/* dmn_now(dmn): the daemon's clock. */
+static inline clk_ms
+dmn_now(const struct dmn *dmn)
+{
+	return (clk_now(&dmn->clk));
+}
+
+/*
+ * dmn_address(dmn, session)
+ *	Return the peer address of a session, or nil if it is not known.  Valid
+ *	until the next call.
+ */
+const char *dmn_address(struct dmn *dmn, uint64_t session);
+
+/* dmn_stop(dmn): begin a planned stop. */
+void dmn_stop(struct dmn *dmn);
+
+#endif
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -70,10 +70,15 @@
 	hyper sent_at;
 };
 
-/* sent_at is copied from the request. */
+/*
+ * sent_at is copied from the request.  claims, claimed_at and more are what
+ * module own promises in an answer to a heartbeat (own_pending_get()).
+ */
 struct peer_heartbeat_reply {
 	peer_state state;
 	hyper sent_at;
+	hyper claimed_at;
+	bool more;
 	peer_claim claims<PEER_MAX_CLAIMS>;
 };
 
--- a/src/peer/peer_xdr.c
+++ b/src/peer/peer_xdr.c
@@ -125,6 +125,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->sent_at))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->claimed_at))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, PEER_MAX_CLAIMS,
 		sizeof (peer_claim), (xdrproc_t) xdr_peer_claim))
 		 return FALSE;
--- a/src/peer/peer_xdr.h
+++ b/src/peer/peer_xdr.h
@@ -84,6 +84,8 @@
 struct peer_heartbeat_reply {
 	peer_state state;
 	quad_t sent_at;
+	quad_t claimed_at;
+	bool_t more;
 	struct {
 		u_int claims_len;
 		peer_claim *claims_val;
