hcl: Send a request at most once

Cause: libcurl repeats a request by itself when a reused connection closes before the first byte of the reply.

Change: a callback before each write of a request counts the attempts and aborts the second. A call is reported as not sent only if there was no attempt. web_drop() closes a connection without a reply, for the test and for the stand-ins.

Conclusion: an aborted call is reported as HCL_MAYBE_SENT and the caller decides about a repeat.

--- a/src/lib/hcl.c
+++ b/src/lib/hcl.c
@@ -34,6 +34,7 @@
 	clk_ms idle_timeout;
 	clk_ms last_progress;
 	curl_off_t progress;
+	unsigned attempts; /* how often the request was about to be written */
 	bool head_seen;
 	bool too_large;
 	bool idle_expired;
@@ -56,29 +57,25 @@
 	g_free(call);
 }
 
-/* Whether libcurl failed before it could write any byte of the request. */
-static bool
-is_unsent(const struct hcl_call *call, CURLcode code)
+/*
+ * Called by libcurl when the connection stands and the request is about to be
+ * written.  libcurl repeats a request by itself if a reused connection closes
+ * before the first byte of the reply, although the server may have run it;
+ * the second attempt is aborted here.
+ */
+static int
+on_curl_request(
+    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
-	curl_off_t pretransfer = 0;
-	long sent = 0;
-
-	switch (code) {
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
-	case CURLE_URL_MALFORMAT:
-	case CURLE_UNSUPPORTED_PROTOCOL:
-	case CURLE_SSL_CONNECT_ERROR:
-	case CURLE_PEER_FAILED_VERIFICATION:
-		return (true);
-	default:
-		break;
-	}
-	/* Set once the connection stands and the request is about to go. */
-	(void)curl_easy_getinfo(
-	    call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-	(void)curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent);
-	return (pretransfer == 0 && sent == 0);
+	struct hcl_call *call = arg;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	call->attempts++;
+	return (
+	    call->attempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT);
 }
 
 static void
@@ -91,7 +88,7 @@
 	result.status = (int)status;
 	if (code == CURLE_OK)
 		result.sent = HCL_REPLIED;
-	else if (is_unsent(call, code))
+	else if (call->attempts == 0)
 		result.sent = HCL_NOT_SENT;
 	else
 		result.sent = HCL_MAYBE_SENT;
@@ -103,6 +100,8 @@
 		result.error = call->error[0] != '\0'
 		    ? call->error
 		    : curl_easy_strerror(code);
+	if (call->attempts > 1)
+		result.error = "the connection closed before the reply";
 	if (call->too_large)
 		result.error = "the reply is too large";
 	if (call->idle_expired)
@@ -399,6 +398,8 @@
 	(void)curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->error);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_curl_request);
+	(void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	(void)curl_easy_setopt(
 	    easy, CURLOPT_XFERINFOFUNCTION, on_curl_progress);
 	(void)curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
--- a/src/lib/test_web.c
+++ b/src/lib/test_web.c
@@ -23,6 +23,7 @@
 	GString *body;
 	int head_status;
 	int parts;
+	int drops; /* requests on /drop so far */
 };
 
 static void
@@ -83,6 +84,9 @@
 		web_stream_begin(req, 200, "text/plain");
 		web_stream_write(req, "half", 4);
 		web_stream_abort(req);
+	} else if (strcmp(web_path(req), "/drop") == 0) {
+		f->drops++;
+		web_drop(req);
 	}
 }
 
@@ -253,6 +257,23 @@
 	g_assert_true(f->gone);
 }
 
+/*
+ * Guards against a second run of a request: libcurl repeats a request whose
+ * reused connection closes without a reply.
+ */
+static void
+test_dropped_request_is_sent_once(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	fetch(f, web_port(f->web), "/echo", "x", 0);
+	g_assert_cmpint(f->result.sent, ==, HCL_REPLIED);
+	fetch(f, web_port(f->web), "/drop", "x", 0);
+	g_assert_cmpint(f->result.sent, ==, HCL_MAYBE_SENT);
+	g_assert_false(f->result.timed_out);
+	g_assert_cmpint(f->drops, ==, 1);
+	g_assert_cmpuint(web_active(f->web), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -267,5 +288,7 @@
 	ADD("/web/caller-leaves", test_caller_leaves);
 	ADD("/web/refused-is-not-sent", test_refused_is_not_sent);
 	ADD("/web/silence-is-maybe-sent", test_silence_is_maybe_sent);
+	ADD("/web/dropped-request-is-sent-once",
+	    test_dropped_request_is_sent_once);
 	return (g_test_run());
 }
--- a/src/lib/web.c
+++ b/src/lib/web.c
@@ -28,7 +28,7 @@
 /* How often the connections of requests in progress are checked, in s. */
 #define SWEEP_INTERVAL 0.25
 
-enum phase { READING, HANDLING, REPLYING, STREAMING };
+enum phase { READING, HANDLING, REPLYING, STREAMING, DROPPING };
 
 /*
  * Two parties refer to a request: the connection, until libmicrohttpd
@@ -180,6 +180,9 @@
 		if (req->response != NULL)
 			return (queue_response(req));
 		return (MHD_YES);
+	case DROPPING:
+		/* libmicrohttpd closes the connection without a reply. */
+		return (MHD_NO);
 	default:
 		return (MHD_YES);
 	}
@@ -567,6 +570,13 @@
 	req_end(req);
 }
 
+void
+web_drop(struct web_req *req)
+{
+	req->phase = DROPPING;
+	req_end(req);
+}
+
 size_t
 web_stream_pending(const struct web_req *req)
 {
--- a/src/lib/web.h
+++ b/src/lib/web.h
@@ -124,4 +124,11 @@
  */
 void web_stream_abort(struct web_req *req);
 
+/*
+ * web_drop(req)
+ *	End a request that has no reply yet by closing its connection without
+ *	sending one.
+ */
+void web_drop(struct web_req *req);
+
 #endif
