--- a/src/member/mem.h
+++ b/src/member/mem.h
@@ -99,9 +99,9 @@
 void mem_close(struct mem *mem);
 
 /*
- * mem_record_open(self, number)
- *	Return a new session_open record.  plg_append() adds session and
- *	number.
+ * mem_record_open(self)
+ *	Return a new session_open record, to be appended once at the start of
+ *	a session.  plg_append() adds the number.
  */
 json_t *mem_record_open(const struct mem_identity *self);
 
@@ -139,9 +139,9 @@
 mem_heartbeats(struct mem *mem, clk_ms now, struct mem_ping *pings, size_t max);
 
 /*
- * mem_heard(mem, session, report, now)
- *	A heartbeat or an answer of the session has arrived.  answered says
- *	which; only an answer proves that both directions work.
+ * mem_heard(mem, session, answered, report, now)
+ *	An answer to a heartbeat (answered) or a heartbeat of the session has
+ *	arrived.  Only an answer proves that both directions work.
  */
 void mem_heard(struct mem *mem, uint64_t session, bool answered,
     const struct mem_report *report, clk_ms now);
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -32,8 +32,8 @@
  *    one from the submission on, because the owner may be the last to learn
  *    that its record stands in the log.
  *
- * A wait that fails a rule of this list can be seen in test_own.c, which runs
- * the module with single rules switched off.
+ * test_own.c shows that its check finds violations when rule 2, 5 or 6 does
+ * not hold.
  *
  * All instances must use the same takeover and drift settings.
  *
@@ -86,6 +86,9 @@
 	/* How long the ranking must stand before a shard moves; 0: 5 s. */
 	clk_ms handover_settle_ms;
 	unsigned max_handovers; /* at once; 0: 4 */
+	/* How long a replica holder is suspected before it is replaced, which
+	 * costs a copy of the shard; 0: 2 s. */
+	clk_ms replace_ms;
 	/* Repeat of an append whose outcome is not known; 0: 5 s. */
 	clk_ms repeat_ms;
 	/* After which others close the session of a dead instance that owns
@@ -336,11 +339,10 @@
 
 /*
  * own_decide(own, mem, now, actions, max)
- *	Return what to do now.  An action is returned once; an append counts as
- *	submitted from then on.  To be called at least every 250 ms, with mem
- *	up to date.
- * RETURN VALUES
- *	The number of actions.
+ *	Return what to do now.  Nothing is decided before the session_open
+ *	record of this session (mem_record_open()) has been applied.  An action
+ *is returned once; an append counts as submitted from then on.  To be called at
+ *least every 250 ms, with mem up to date. RETURN VALUES The number of actions.
  */
 size_t own_decide(struct own *own, const struct mem *mem, clk_ms now,
     struct own_action *actions, size_t max);
--- a/src/plog/plg.h
+++ b/src/plog/plg.h
@@ -67,8 +67,7 @@
 	void (*tail)(int64_t next, clk_ms started_at, void *arg);
 	/*
 	 * The records from the offset from up to but not including first are
-	 * no longer kept, or the stream ends before from (next < from).  The
-	 * follower goes on at first.
+	 * no longer kept.  The follower goes on at first.
 	 */
 	void (*gap)(int64_t from, int64_t first, int64_t next, void *arg);
 	/* A read failed; the follower retries.  May be nil. */
@@ -86,7 +85,7 @@
 /*
  * plg_close(plg)
  *	Cancel all calls and free the client with its followers.  Appends that
- *	are not finished get no callback.
+ *	are not finished get no callback.  Not to be called from a callback.
  */
 void plg_close(struct plg *plg);
 
