--- a/src/program/cpy.h
+++ b/src/program/cpy.h
@@ -23,7 +23,7 @@
 
 struct cpy_result {
 	enum cpy_outcome outcome;
-	uint64_t epoch; /* newest epoch known here */
+	uint64_t epoch; /* of the state held; if REFUSED, the newest known */
 	uint64_t seq; /* last record held */
 };
 
--- /dev/null
+++ b/src/program/prg.c
@@ -0,0 +1,1762 @@
+#include "program/prg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "program/tbl.h"
+
+#define TOKENS_MAX	((int64_t)1 << 40) /* keeps sums far from overflow */
+#define SPENT_GRACE	CLK_MINUTE /* a repeat still finds its reply */
+#define RELEASE_BACKOFF 32
+#define RETRY_AFTER	CLK_SECOND
+
+enum call_state {
+	CALL_QUEUED,
+	CALL_BEGINNING, /* waits for prg_begun() */
+	CALL_RUNNING, /* may be at an upstream */
+	CALL_ENDING /* waits for prg_ended() */
+};
+
+/* A call with all callers that wait for its answer. */
+struct call {
+	struct run *run;
+	enum call_state state;
+	GArray *handles; /* the first is the daemon's own; others joined */
+	enum prg_call_kind kind;
+	char *key;
+	uint8_t digest[PRG_DIGEST_SIZE];
+	uint32_t stated_turn;
+	int64_t prompt_tokens;
+	int64_t answer_tokens;
+	json_t *messages;
+	uint32_t turn; /* that the call makes */
+	int64_t reserve;
+	uint64_t seq; /* of the latest record */
+	struct vd vd; /* outcome, from CALL_ENDING on */
+	uint32_t made_turn;
+	int status;
+	char *content_type;
+	char *reply;
+	size_t reply_len;
+};
+
+/* What the owner keeps of a program besides its replicated state. */
+struct run {
+	struct shard *shard;
+	struct tbl_program *program;
+	struct call *current;
+	GQueue waiting; /* struct call */
+	clk_ms created;
+	clk_ms last_use;
+	clk_ms release_at;
+	clk_ms release_pause;
+	bool unproven;
+	bool touched; /* changed by this owner since the recovery */
+	bool closing;
+};
+
+struct shard {
+	struct prg *prg;
+	uint16_t number;
+	uint64_t epoch;
+	bool recovered;
+	bool draining;
+	bool unproven;
+	uint64_t base_epoch; /* of the state that recovery started from */
+	uint64_t base_seq;
+	uint64_t acked; /* records up to here are held by the replicas */
+	struct tbl *tbl;
+	struct tbl *late; /* an export that arrives after the recovery */
+	GHashTable *gone; /* ids removed while the shard was unproven */
+};
+
+struct slot {
+	struct call *call;
+	uint32_t generation;
+};
+
+/* A callback that is due. */
+struct event {
+	prg_handle handle;
+	bool start;
+	struct prg_answer answer;
+	char *content_type;
+	char *reply;
+};
+
+struct prg {
+	struct prg_options options;
+	struct prg_hooks hooks;
+	GHashTable *shards;
+	GArray *slots;
+	GArray *free_slots;
+	GQueue events;
+	bool draining_events;
+	char *answer_type; /* of the last replay */
+	char *answer_reply;
+};
+
+static struct run *
+run_of(const struct tbl_program *program)
+{
+	return (program->run);
+}
+
+/* Handles. */
+
+static prg_handle
+handle_new(struct prg *prg, struct call *call)
+{
+	struct slot *slot;
+	uint32_t index;
+
+	if (prg->free_slots->len > 0) {
+		index = g_array_index(
+		    prg->free_slots, uint32_t, prg->free_slots->len - 1);
+		g_array_set_size(prg->free_slots, prg->free_slots->len - 1);
+	} else {
+		index = prg->slots->len;
+		g_array_set_size(prg->slots, index + 1);
+	}
+	slot = &g_array_index(prg->slots, struct slot, index);
+	slot->call = call;
+	slot->generation++;
+	return ((uint64_t)slot->generation << 32 | (index + 1U));
+}
+
+static struct slot *
+handle_slot(const struct prg *prg, prg_handle handle)
+{
+	uint32_t index = (uint32_t)handle;
+	struct slot *slot;
+
+	if (index == 0 || index > prg->slots->len)
+		return (NULL);
+	slot = &g_array_index(prg->slots, struct slot, index - 1);
+	if (slot->call == NULL || slot->generation != handle >> 32)
+		return (NULL);
+	return (slot);
+}
+
+static void
+handle_free(struct prg *prg, prg_handle handle)
+{
+	struct slot *slot = handle_slot(prg, handle);
+	uint32_t index = (uint32_t)handle - 1;
+
+	if (slot == NULL)
+		return;
+	slot->call = NULL;
+	g_array_append_val(prg->free_slots, index);
+}
+
+static struct call *
+handle_call(const struct prg *prg, prg_handle handle)
+{
+	struct slot *slot = handle_slot(prg, handle);
+
+	return (slot != NULL ? slot->call : NULL);
+}
+
+/* The call that handle started, if it is in the given state. */
+static struct call *
+started_call(const struct prg *prg, prg_handle handle, enum call_state state)
+{
+	struct call *call = handle_call(prg, handle);
+
+	if (call == NULL || call->state != state ||
+	    g_array_index(call->handles, prg_handle, 0) != handle)
+		return (NULL);
+	return (call);
+}
+
+static void
+call_free(struct prg *prg, struct call *call)
+{
+	for (guint i = 0; i < call->handles->len; i++)
+		handle_free(prg, g_array_index(call->handles, prg_handle, i));
+	g_array_unref(call->handles);
+	g_free(call->key);
+	g_free(call->content_type);
+	g_free(call->reply);
+	json_decref(call->messages);
+	g_free(call);
+}
+
+/* Callbacks. */
+
+static void
+event_free(struct event *event)
+{
+	g_free(event->content_type);
+	g_free(event->reply);
+	g_free(event);
+}
+
+static void
+events_run(struct prg *prg)
+{
+	struct event *event;
+
+	if (prg->draining_events)
+		return;
+	prg->draining_events = true;
+	while ((event = g_queue_pop_head(&prg->events)) != NULL) {
+		if (event->start) {
+			/* The call may have been dropped in the meantime. */
+			if (handle_call(prg, event->handle) != NULL)
+				prg->hooks.on_start(
+				    event->handle, prg->hooks.arg);
+		} else {
+			prg->hooks.on_answer(
+			    event->handle, &event->answer, prg->hooks.arg);
+		}
+		event_free(event);
+	}
+	prg->draining_events = false;
+}
+
+static void
+event_start(struct prg *prg, const struct call *call)
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->start = true;
+	event->handle = g_array_index(call->handles, prg_handle, 0);
+	g_queue_push_tail(&prg->events, event);
+}
+
+static void
+event_answer(struct prg *prg, prg_handle handle, const struct call *call,
+    const struct vd *vd, bool whole)
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->handle = handle;
+	event->answer.vd = *vd;
+	event->answer.content_type = "";
+	if (whole) {
+		event->content_type = g_strdup(call->content_type);
+		event->reply = g_memdup2(call->reply, call->reply_len);
+		event->answer.turn = call->made_turn;
+		event->answer.status = call->status;
+		event->answer.reply = event->reply;
+		event->answer.reply_len = call->reply_len;
+		if (event->content_type != NULL)
+			event->answer.content_type = event->content_type;
+	}
+	g_queue_push_tail(&prg->events, event);
+}
+
+/* Answer the callers of a call from handle number first on. */
+static void
+call_answer(struct prg *prg, const struct call *call, guint first,
+    const struct vd *vd, bool whole)
+{
+	for (guint i = first; i < call->handles->len; i++)
+		event_answer(prg, g_array_index(call->handles, prg_handle, i),
+		    call, vd, whole);
+}
+
+/* Records. */
+
+/* Apply a change to the shard and send it; payload is consumed. */
+static uint64_t
+emit(struct shard *shard, enum prg_kind kind, const char *program,
+    json_t *payload)
+{
+	struct prg_record record = {.datacentre = shard->tbl->datacentre,
+	    .shard = shard->number,
+	    .epoch = shard->epoch,
+	    .seq = shard->tbl->seq + 1,
+	    .kind = kind};
+	char *text = json_dumps(payload, JSON_COMPACT);
+
+	g_strlcpy(record.program, program, sizeof(record.program));
+	record.payload = text;
+	record.payload_len = strlen(text);
+	if (tbl_apply_json(shard->tbl, &record, payload) != TBL_OK)
+		g_error("record of kind %d does not fit the state", kind);
+	shard->prg->hooks.on_record(&record, shard->prg->hooks.arg);
+	free(text);
+	json_decref(payload);
+	return (record.seq);
+}
+
+/* Runs. */
+
+static void
+run_free(void *data)
+{
+	struct run *run = data;
+	struct call *call;
+
+	if (run->current != NULL)
+		call_free(run->shard->prg, run->current);
+	while ((call = g_queue_pop_head(&run->waiting)) != NULL)
+		call_free(run->shard->prg, call);
+	g_free(run);
+}
+
+static struct run *
+run_new(struct shard *shard, struct tbl_program *program, clk_ms now)
+{
+	struct run *run = g_new0(struct run, 1);
+
+	run->shard = shard;
+	run->program = program;
+	run->created = now;
+	run->last_use = now;
+	g_queue_init(&run->waiting);
+	program->run = run;
+	return (run);
+}
+
+static struct shard *
+shard_find(const struct prg *prg, uint16_t number)
+{
+	return (g_hash_table_lookup(prg->shards, GUINT_TO_POINTER(number)));
+}
+
+static struct run *
+run_find(const struct prg *prg, const char *program)
+{
+	const struct shard *shard;
+	struct tbl_program *found;
+	struct prg_id id;
+
+	if (!prg_id_parse(program, &id) ||
+	    id.datacentre != prg->options.datacentre)
+		return (NULL);
+	shard = shard_find(prg, id.shard);
+	if (shard == NULL || !shard->recovered)
+		return (NULL);
+	found = tbl_find(shard->tbl, program);
+	return (found != NULL ? run_of(found) : NULL);
+}
+
+static void
+shard_free(void *data)
+{
+	struct shard *shard = data;
+
+	tbl_free(shard->tbl);
+	tbl_free(shard->late);
+	g_hash_table_unref(shard->gone);
+	g_free(shard);
+}
+
+struct prg *
+prg_new(const struct prg_options *options, const struct prg_hooks *hooks)
+{
+	struct prg *prg = g_new0(struct prg, 1);
+
+	prg->options = *options;
+	prg->hooks = *hooks;
+	if (prg->options.idle == 0)
+		prg->options.idle = 30 * CLK_MINUTE;
+	if (prg->options.keep == 0)
+		prg->options.keep = 24 * CLK_HOUR;
+	if (prg->options.release_retry == 0)
+		prg->options.release_retry = 2 * CLK_SECOND;
+	if (prg->options.turn_limit == 0)
+		prg->options.turn_limit = PRG_TURN_LIMIT;
+	prg->shards = g_hash_table_new_full(NULL, NULL, NULL, shard_free);
+	prg->slots = g_array_new(FALSE, TRUE, sizeof(struct slot));
+	prg->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	g_queue_init(&prg->events);
+	return (prg);
+}
+
+void
+prg_free(struct prg *prg)
+{
+	struct event *event;
+
+	if (prg == NULL)
+		return;
+	g_hash_table_unref(prg->shards);
+	while ((event = g_queue_pop_head(&prg->events)) != NULL)
+		event_free(event);
+	g_array_unref(prg->slots);
+	g_array_unref(prg->free_slots);
+	g_free(prg->answer_type);
+	g_free(prg->answer_reply);
+	g_free(prg);
+}
+
+/* Recovery. */
+
+void
+prg_shard_open(struct prg *prg, uint16_t number, uint64_t epoch)
+{
+	struct shard *shard = shard_find(prg, number);
+
+	if (shard != NULL) {
+		if (epoch <= shard->epoch)
+			return;
+		prg_shard_close(prg, number);
+	}
+	shard = g_new0(struct shard, 1);
+	shard->prg = prg;
+	shard->number = number;
+	shard->epoch = epoch;
+	shard->tbl = tbl_new(prg->options.datacentre, number, run_free);
+	shard->gone =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_insert(prg->shards, GUINT_TO_POINTER(number), shard);
+}
+
+static const char *
+result_name(const struct tbl_program *program)
+{
+	return (program->call_kind == PRG_CALL_MODEL ? "*" : NULL);
+}
+
+/* End a call whose owner was lost: its reserve stays spent. */
+static void
+end_lost(struct shard *shard, const struct tbl_program *program)
+{
+	json_t *payload = json_pack(
+	    "{s:s,s:I}", "o", "maybe", "s", (json_int_t)program->call_reserve);
+	const char *engine = result_name(program);
+
+	if (engine != NULL)
+		json_object_set_new(payload, "e", json_string(engine));
+	emit(shard, PRG_END, program->id, payload);
+}
+
+/* Turn a program state read from an export into the state after end_lost(). */
+static void
+state_end_lost(struct tbl_program *program)
+{
+	struct tbl_intent *intent = NULL;
+
+	if (!program->active)
+		return;
+	program->active = false;
+	program->spent += program->call_reserve;
+	if (program->call_key != NULL)
+		intent =
+		    g_hash_table_lookup(program->intents, program->call_key);
+	if (intent != NULL && intent->kind == PRG_CALL_ONCE)
+		intent->state = TBL_MAYBE;
+	else if (intent != NULL)
+		g_hash_table_remove(program->intents, intent->key);
+	if (program->call_kind == PRG_CALL_MODEL) {
+		g_ptr_array_set_size(program->engines, 0);
+		g_ptr_array_add(program->engines, g_strdup("*"));
+	}
+}
+
+static void
+intents_date(struct tbl_program *program, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, program->intents);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct tbl_intent *)value)->since = now;
+}
+
+/*
+ * Add to a program that has changed since the recovery what only the late
+ * export knows: intents, spending, and that it was closed.
+ */
+static json_t *
+merge_changed(const struct tbl_program *ours, const struct tbl_program *late)
+{
+	json_t *state = tbl_state(ours), *other = tbl_state(late);
+	json_t *intents = json_object_get(state, "in"), *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(other, "in"), i, item)
+	{
+		const char *key =
+		    json_string_value(json_object_get(item, "key"));
+
+		if (!g_hash_table_contains(ours->intents, key))
+			json_array_append(intents, item);
+	}
+	json_decref(other);
+	if (late->spent > ours->spent)
+		json_object_set_new(state, "s", json_integer(late->spent));
+	return (state);
+}
+
+/* Replace a program's state; its intents count as of now. */
+static void
+state_emit(struct shard *shard, const char *id, json_t *state, clk_ms now)
+{
+	struct tbl_program *program;
+	char copy[PRG_ID_SIZE];
+
+	/* id may lie in the state that is replaced. */
+	g_strlcpy(copy, id, sizeof(copy));
+	emit(shard, PRG_STATE, copy, state);
+	program = tbl_find(shard->tbl, copy);
+	if (program->run == NULL)
+		run_new(shard, program, now)->unproven = true;
+	run_of(program)->program = program;
+	intents_date(program, run_of(program)->last_use);
+}
+
+/* A sub-agent that only the late export knows counts against its parent. */
+static void
+merge_parent(struct shard *shard, const struct tbl_program *late)
+{
+	struct tbl_program *parent = tbl_find(shard->tbl, late->parent);
+	json_t *state;
+
+	if (parent == NULL || parent->closed || late->closed ||
+	    !run_of(parent)->touched)
+		return;
+	state = tbl_state(parent);
+	json_object_set_new(
+	    state, "l", json_integer(parent->lent + late->limit));
+	json_object_set_new(
+	    state, "n", json_integer((json_int_t)parent->children + 1));
+	state_emit(shard, late->parent, state, 0);
+}
+
+static void
+merge_program(struct shard *shard, struct tbl_program *late, clk_ms now)
+{
+	struct tbl_program *ours = tbl_find(shard->tbl, late->id);
+
+	state_end_lost(late);
+	if (ours == NULL) {
+		if (g_hash_table_contains(shard->gone, late->id))
+			return;
+		state_emit(shard, late->id, tbl_state(late), now);
+		merge_parent(shard, late);
+	} else if (!run_of(ours)->touched) {
+		state_emit(shard, late->id, tbl_state(late), now);
+	} else if (!ours->closed) {
+		state_emit(shard, late->id, merge_changed(ours, late), now);
+	}
+}
+
+static void
+merge_late(struct shard *shard, clk_ms now)
+{
+	struct tbl *late = shard->late;
+	GHashTableIter iter;
+	void *value;
+
+	if (late->epoch < shard->base_epoch ||
+	    (late->epoch == shard->base_epoch && late->seq <= shard->base_seq))
+		return;
+	shard->base_epoch = late->epoch;
+	shard->base_seq = late->seq;
+	g_hash_table_iter_init(&iter, late->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		merge_program(shard, value, now);
+}
+
+bool
+prg_apply(struct prg *prg, clk_ms now, const struct prg_record *record)
+{
+	struct shard *shard = shard_find(prg, record->shard);
+	struct tbl *late;
+	enum tbl_result result;
+
+	if (shard == NULL || record->epoch >= shard->epoch ||
+	    record->datacentre != prg->options.datacentre)
+		return (false);
+	if (record->kind != PRG_HEAD && record->kind != PRG_STATE)
+		return (false);
+	if (!shard->recovered) {
+		result = tbl_apply(shard->tbl, record);
+		return (result == TBL_OK || result == TBL_OLD);
+	}
+	if (!shard->unproven)
+		return (true);
+	if (shard->late == NULL)
+		shard->late =
+		    tbl_new(prg->options.datacentre, record->shard, NULL);
+	late = shard->late;
+	result = tbl_apply(late, record);
+	if (result == TBL_OK && late->staged == NULL)
+		merge_late(shard, now);
+	return (result == TBL_OK || result == TBL_OLD);
+}
+
+static void
+shard_prove(struct shard *shard)
+{
+	GHashTableIter iter;
+	void *value;
+
+	shard->unproven = false;
+	g_hash_table_remove_all(shard->gone);
+	g_clear_pointer(&shard->late, tbl_free);
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_of(value)->unproven = false;
+}
+
+void
+prg_recovered(struct prg *prg, clk_ms now, uint16_t number, bool proven)
+{
+	struct shard *shard = shard_find(prg, number);
+	GPtrArray *lost;
+	GHashTableIter iter;
+	void *value;
+
+	if (shard == NULL)
+		return;
+	if (shard->recovered) {
+		if (proven && shard->unproven)
+			shard_prove(shard);
+		return;
+	}
+	g_clear_pointer(&shard->tbl->staged, tbl_free);
+	shard->recovered = true;
+	shard->unproven = !proven;
+	shard->base_epoch = shard->tbl->epoch;
+	shard->base_seq = shard->tbl->seq;
+	emit(shard, PRG_RECOVER, "",
+	    json_pack("{s:I,s:I}", "epoch", (json_int_t)shard->base_epoch,
+		"seq", (json_int_t)shard->base_seq));
+	lost = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tbl_program *program = value;
+
+		run_new(shard, program, now)->unproven = !proven;
+		if (program->active)
+			g_ptr_array_add(lost, program);
+	}
+	for (guint i = 0; i < lost->len; i++)
+		end_lost(shard, g_ptr_array_index(lost, i));
+	g_ptr_array_unref(lost);
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		intents_date(value, now);
+	shard->acked = shard->base_seq;
+}
+
+/* Stopping. */
+
+static void
+queue_refuse(struct prg *prg, struct run *run, const struct vd *vd)
+{
+	struct call *call;
+
+	while ((call = g_queue_pop_head(&run->waiting)) != NULL) {
+		call_answer(prg, call, 0, vd, false);
+		call_free(prg, call);
+	}
+}
+
+static struct vd
+not_owner(void)
+{
+	struct vd vd = vd_make(VD_NOT_RUN, VD_NOT_OWNER,
+	    "this instance does not own the program's shard");
+
+	vd.retry_after = RETRY_AFTER;
+	return (vd);
+}
+
+void
+prg_shard_close(struct prg *prg, uint16_t number)
+{
+	struct shard *shard = shard_find(prg, number);
+	struct vd unsent = not_owner();
+	struct vd sent = vd_make(VD_MAYBE, VD_OWNER_LOST,
+	    "the shard passed to another instance while the call ran");
+	GHashTableIter iter;
+	void *value;
+
+	if (shard == NULL)
+		return;
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run *run = run_of(value);
+
+		if (run == NULL)
+			continue;
+		if (run->current != NULL)
+			call_answer(prg, run->current, 0,
+			    run->current->state == CALL_BEGINNING ? &unsent
+								  : &sent,
+			    false);
+		queue_refuse(prg, run, &unsent);
+	}
+	g_hash_table_remove(prg->shards, GUINT_TO_POINTER(number));
+	events_run(prg);
+}
+
+unsigned
+prg_shard_busy(const struct prg *prg, uint16_t number)
+{
+	const struct shard *shard = shard_find(prg, number);
+	unsigned busy = 0;
+	GHashTableIter iter;
+	void *value;
+
+	if (shard == NULL || !shard->recovered)
+		return (0);
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		busy += run_of(value)->current != NULL;
+	return (busy);
+}
+
+void
+prg_shard_drain(struct prg *prg, uint16_t number)
+{
+	struct shard *shard = shard_find(prg, number);
+	struct vd vd = not_owner();
+	GHashTableIter iter;
+	void *value;
+
+	if (shard == NULL)
+		return;
+	shard->draining = true;
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (run_of(value) != NULL)
+			queue_refuse(prg, run_of(value), &vd);
+	}
+	events_run(prg);
+}
+
+GPtrArray *
+prg_export(const struct prg *prg, uint16_t number)
+{
+	const struct shard *shard = shard_find(prg, number);
+
+	return (shard != NULL ? tbl_export(shard->tbl) : prg_records_new());
+}
+
+uint64_t
+prg_shard_seq(const struct prg *prg, uint16_t number)
+{
+	const struct shard *shard = shard_find(prg, number);
+
+	return (shard != NULL ? shard->tbl->seq : 0);
+}
+
+/* Closing. */
+
+static void
+run_try_close(struct run *run)
+{
+	struct shard *shard = run->shard;
+	struct tbl_program *program = run->program, *parent;
+	char parent_id[PRG_ID_SIZE];
+
+	if (!run->closing || run->current != NULL || program->closed ||
+	    !g_queue_is_empty(&run->waiting) || program->children > 0)
+		return;
+	g_strlcpy(parent_id, program->parent, sizeof(parent_id));
+	if (shard->unproven)
+		g_hash_table_add(shard->gone, g_strdup(program->id));
+	run->touched = true;
+	emit(shard, PRG_CLOSE, program->id, json_object());
+	parent = tbl_find(shard->tbl, parent_id);
+	if (parent == NULL)
+		return;
+	run_of(parent)->touched = true;
+	run_try_close(run_of(parent));
+}
+
+static void
+run_close(struct run *run)
+{
+	struct prg *prg = run->shard->prg;
+	struct vd vd = vd_make(
+	    VD_NOT_RUN, VD_PROGRAM_CLOSED, "the program has been closed");
+	GPtrArray *children = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	run->closing = true;
+	queue_refuse(prg, run, &vd);
+	if (run->program->children > 0) {
+		g_hash_table_iter_init(&iter, run->shard->tbl->programs);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct tbl_program *child = value;
+
+			if (strcmp(child->parent, run->program->id) == 0 &&
+			    !child->closed && !run_of(child)->closing)
+				g_ptr_array_add(children, child->run);
+		}
+	}
+	if (children->len == 0)
+		run_try_close(run);
+	/* The last child to close also closes this program. */
+	for (guint i = 0; i < children->len; i++)
+		run_close(g_ptr_array_index(children, i));
+	g_ptr_array_unref(children);
+}
+
+static struct vd
+find_refusal(const struct prg *prg, const char *program)
+{
+	const struct shard *shard;
+	struct prg_id id;
+	struct vd vd;
+
+	if (!prg_id_parse(program, &id))
+		return (vd_make(
+		    VD_NOT_RUN, VD_UNKNOWN_PROGRAM, "not the id of a program"));
+	shard = shard_find(prg, id.shard);
+	if (id.datacentre != prg->options.datacentre || shard == NULL ||
+	    !shard->recovered || shard->draining)
+		return (not_owner());
+	if (shard->unproven) {
+		vd = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
+		    "the program is not in the state that was recovered");
+		vd.retry_after = RETRY_AFTER;
+		return (vd);
+	}
+	return (vd_make(VD_NOT_RUN, VD_UNKNOWN_PROGRAM, "no such program"));
+}
+
+struct vd
+prg_close(
+    struct prg *prg, clk_ms now, const char *organisation, const char *program)
+{
+	struct run *run = run_find(prg, program);
+
+	(void)now;
+	if (run == NULL)
+		return (find_refusal(prg, program));
+	if (organisation != NULL &&
+	    strcmp(organisation, run->program->organisation) != 0)
+		return (vd_make(VD_NOT_RUN, VD_FORBIDDEN,
+		    "the program belongs to another organisation"));
+	if (!run->program->closed && !run->closing)
+		run_close(run);
+	events_run(prg);
+	return (vd_ok());
+}
+
+/* Creating. */
+
+static bool
+name_valid(const char *name, size_t max)
+{
+	return (name != NULL && strlen(name) <= max &&
+	    g_utf8_validate(name, -1, NULL));
+}
+
+static void
+create(struct shard *shard, clk_ms now, const char *id,
+    const struct prg_new_program *program, bool implicit)
+{
+	json_t *payload = json_pack("{s:s,s:s,s:I}", "o", program->organisation,
+	    "u", program->urgency != NULL ? program->urgency : "", "b",
+	    (json_int_t)program->budget);
+
+	if (program->parent != NULL)
+		json_object_set_new(payload, "p", json_string(program->parent));
+	if (implicit)
+		json_object_set_new(payload, "i", json_true());
+	emit(shard, PRG_CREATE, id, payload);
+	run_new(shard, tbl_find(shard->tbl, id), now)->touched = true;
+}
+
+static struct vd
+parent_check(const struct prg *prg, const struct prg_new_program *program,
+    struct run **parent)
+{
+	struct vd vd;
+
+	*parent = run_find(prg, program->parent);
+	if (*parent == NULL)
+		return (find_refusal(prg, program->parent));
+	if (strcmp((*parent)->program->organisation, program->organisation) !=
+	    0)
+		return (vd_make(VD_NOT_RUN, VD_FORBIDDEN,
+		    "the parent belongs to another organisation"));
+	if ((*parent)->closing || (*parent)->program->closed)
+		return (vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
+		    "the parent has been closed"));
+	if ((*parent)->unproven) {
+		vd = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
+		    "the parent's budget is not known for certain");
+		vd.retry_after = RETRY_AFTER;
+		return (vd);
+	}
+	if (tbl_left((*parent)->program) < program->budget)
+		return (vd_make(VD_NOT_RUN, VD_BUDGET_EXCEEDED,
+		    "the parent has %lld tokens left",
+		    (long long)tbl_left((*parent)->program)));
+	return (vd_ok());
+}
+
+struct vd
+prg_create(struct prg *prg, clk_ms now, const struct prg_new_program *program,
+    char id[PRG_ID_SIZE])
+{
+	struct prg_id fresh = {
+	    .datacentre = prg->options.datacentre, .shard = program->shard};
+	struct shard *shard;
+	struct run *parent = NULL;
+	struct vd vd;
+
+	if (!name_valid(program->organisation, PRG_NAME_MAX) ||
+	    program->budget <= 0 || program->budget > TOKENS_MAX ||
+	    (program->urgency != NULL &&
+		!name_valid(program->urgency, PRG_NAME_MAX)))
+		return (vd_make(VD_NOT_RUN, VD_BAD_REQUEST,
+		    "a program needs a valid organisation and a budget"));
+	if (program->parent != NULL) {
+		vd = parent_check(prg, program, &parent);
+		if (!vd_is_ok(&vd))
+			return (vd);
+		parent->last_use = now;
+		parent->touched = true;
+		fresh.shard = parent->shard->number;
+	}
+	shard = shard_find(prg, fresh.shard);
+	if (shard == NULL || !shard->recovered || shard->draining)
+		return (not_owner());
+	do {
+		prg->hooks.random(
+		    fresh.random, sizeof(fresh.random), prg->hooks.arg);
+		prg_id_format(&fresh, id);
+	} while (tbl_find(shard->tbl, id) != NULL);
+	create(shard, now, id, program, false);
+	return (vd_ok());
+}
+
+/* Calls. */
+
+static int64_t
+call_reserve(const struct tbl_program *program, const struct call *call)
+{
+	if (call->kind != PRG_CALL_MODEL)
+		return (call->prompt_tokens + call->answer_tokens);
+	return (program->context + call->prompt_tokens + call->answer_tokens);
+}
+
+/* Emit the begin record of a call, or say why it can't begin. */
+static struct vd
+call_begin(struct run *run, struct call *call)
+{
+	struct tbl_program *program = run->program;
+	json_t *payload;
+	char text[2 * PRG_DIGEST_SIZE + 1];
+
+	if (run->closing || program->closed)
+		return (vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
+		    "the program has been closed"));
+	if (call->stated_turn != 0 && call->stated_turn != program->turn + 1)
+		return (vd_make(VD_NOT_RUN, VD_TURN_MISMATCH,
+		    "the next turn of the program is %u", program->turn + 1));
+	if (program->turn >= run->shard->prg->options.turn_limit ||
+	    g_hash_table_size(program->intents) >=
+		run->shard->prg->options.turn_limit)
+		return (vd_make(VD_NOT_RUN, VD_TURN_LIMIT,
+		    "the program has made %u turns", program->turn));
+	call->reserve = call_reserve(program, call);
+	if (call->reserve > tbl_left(program))
+		return (vd_make(VD_NOT_RUN, VD_BUDGET_EXCEEDED,
+		    "the call may need %lld tokens and %lld are left",
+		    (long long)call->reserve, (long long)tbl_left(program)));
+	call->turn = program->turn + 1;
+	payload = json_pack("{s:i,s:I,s:I}", "k", call->kind, "t",
+	    (json_int_t)call->turn, "r", (json_int_t)call->reserve);
+	if (call->key != NULL) {
+		for (size_t i = 0; i < PRG_DIGEST_SIZE; i++)
+			(void)g_snprintf(
+			    text + 2 * i, 3, "%02x", call->digest[i]);
+		json_object_set_new(payload, "key", json_string(call->key));
+		json_object_set_new(payload, "d", json_string(text));
+	}
+	call->seq = emit(run->shard, PRG_BEGIN, program->id, payload);
+	call->state = CALL_BEGINNING;
+	run->touched = true;
+	run->current = call;
+	return (vd_ok());
+}
+
+/* Start the next queued call that can begin. */
+static void
+run_pump(struct run *run)
+{
+	struct prg *prg = run->shard->prg;
+	struct call *call;
+	struct vd vd;
+
+	while (run->current == NULL &&
+	    (call = g_queue_pop_head(&run->waiting)) != NULL) {
+		vd = call_begin(run, call);
+		if (vd_is_ok(&vd)) {
+			event_start(prg, call);
+			continue;
+		}
+		call_answer(prg, call, 0, &vd, false);
+		call_free(prg, call);
+	}
+	run_try_close(run);
+}
+
+static enum prg_outcome
+refuse(struct prg_answer *answer, struct vd vd)
+{
+	answer->vd = vd;
+	return (PRG_REFUSED);
+}
+
+/*
+ * Refuse a call whose key can't be looked up: a non-idempotent one may have
+ * run in an earlier attempt.
+ */
+static enum prg_outcome
+refuse_unknown_key(
+    struct prg_answer *answer, const struct prg_call *call, struct vd vd)
+{
+	if (call->kind == PRG_CALL_ONCE)
+		vd.ran = VD_MAYBE;
+	return (refuse(answer, vd));
+}
+
+/* Find the call of this program that carries the key, waiting or not. */
+static struct call *
+run_call_by_key(const struct run *run, const char *key)
+{
+	if (run->current != NULL && run->current->key != NULL &&
+	    strcmp(run->current->key, key) == 0)
+		return (run->current);
+	for (GList *item = run->waiting.head; item != NULL; item = item->next) {
+		struct call *call = item->data;
+
+		if (call->key != NULL && strcmp(call->key, key) == 0)
+			return (call);
+	}
+	return (NULL);
+}
+
+static struct vd
+key_reused(void)
+{
+	return (vd_make(VD_NOT_RUN, VD_KEY_REUSED,
+	    "the Idempotency-Key was used for another request"));
+}
+
+static enum prg_outcome
+join(struct prg *prg, struct call *call, const struct prg_call *asked,
+    prg_handle *handle, struct prg_answer *answer)
+{
+	struct vd vd;
+
+	if (memcmp(call->digest, asked->digest, PRG_DIGEST_SIZE) != 0)
+		return (refuse(answer, key_reused()));
+	if (call->handles->len > PRG_JOIN_MAX) {
+		vd = vd_make(call->state == CALL_QUEUED ? VD_NOT_RUN : VD_MAYBE,
+		    VD_QUEUE_FULL, "%d callers wait for this call already",
+		    PRG_JOIN_MAX);
+		vd.retry_after = RETRY_AFTER;
+		return (refuse(answer, vd));
+	}
+	*handle = handle_new(prg, call);
+	g_array_append_val(call->handles, *handle);
+	return (PRG_JOIN);
+}
+
+static enum prg_outcome
+replay(struct prg *prg, const struct run *run, const struct tbl_intent *intent,
+    const struct prg_call *asked, struct prg_answer *answer)
+{
+	struct vd vd;
+
+	if (memcmp(intent->digest, asked->digest, PRG_DIGEST_SIZE) != 0)
+		return (refuse(answer, key_reused()));
+	if (intent->state != TBL_RAN)
+		return (refuse(answer,
+		    vd_make(VD_MAYBE, VD_OUTCOME_UNKNOWN,
+			"an earlier attempt with this key may have run")));
+	if (intent->end_seq > run->shard->acked) {
+		vd = vd_make(VD_MAYBE, VD_COPIES_UNAVAILABLE,
+		    "the call ran; its outcome is not replicated yet");
+		vd.retry_after = RETRY_AFTER;
+		return (refuse(answer, vd));
+	}
+	answer->turn = intent->turn;
+	if (intent->reply == NULL)
+		return (refuse(answer,
+		    vd_make(VD_RAN, VD_OUTCOME_UNKNOWN,
+			"the call ran; its reply is not stored")));
+	g_free(prg->answer_type);
+	g_free(prg->answer_reply);
+	prg->answer_type = g_strdup(intent->content_type);
+	prg->answer_reply = g_memdup2(intent->reply, intent->reply_len);
+	answer->vd = vd_ok();
+	answer->status = intent->status;
+	if (prg->answer_type != NULL)
+		answer->content_type = prg->answer_type;
+	answer->reply = prg->answer_reply;
+	answer->reply_len = intent->reply_len;
+	return (PRG_REPLAY);
+}
+
+static struct vd
+call_check(const struct prg_call *call)
+{
+	bool bad = !name_valid(call->organisation, PRG_NAME_MAX) ||
+	    (call->key != NULL && !name_valid(call->key, PRG_KEY_MAX)) ||
+	    call->prompt_tokens < 0 || call->answer_tokens < 0 ||
+	    call->prompt_tokens > TOKENS_MAX ||
+	    call->answer_tokens > TOKENS_MAX || call->implicit_budget < 0 ||
+	    call->implicit_budget > TOKENS_MAX ||
+	    (call->messages != NULL && !json_is_array(call->messages));
+	json_t *message;
+	size_t i;
+
+	if (!bad)
+		json_array_foreach(call->messages, i, message) bad |=
+		    !json_is_object(message);
+	if (bad)
+		return (vd_make(
+		    VD_NOT_RUN, VD_BAD_REQUEST, "the call is malformed"));
+	if (call->kind == PRG_CALL_ONCE && call->key == NULL)
+		return (vd_make(VD_NOT_RUN, VD_KEY_REQUIRED,
+		    "a call that may not be repeated needs a key"));
+	return (vd_ok());
+}
+
+/* The program of a call; an implicit one is created. */
+static struct run *
+call_program(
+    struct prg *prg, clk_ms now, const struct prg_call *call, struct vd *vd)
+{
+	struct run *run = run_find(prg, call->program);
+	struct prg_new_program program = {
+	    .organisation = call->organisation,
+	    .budget = call->implicit_budget,
+	};
+	struct shard *shard;
+	struct prg_id id;
+
+	if (run != NULL && !run->shard->draining)
+		return (run);
+	*vd = run != NULL ? not_owner() : find_refusal(prg, call->program);
+	if (vd->code == VD_HISTORY_UNPROVEN && call->implicit &&
+	    call->kind != PRG_CALL_ONCE)
+		vd->code = VD_UNKNOWN_PROGRAM;
+	if (!call->implicit || vd->code != VD_UNKNOWN_PROGRAM ||
+	    !prg_id_parse(call->program, &id))
+		return (NULL);
+	shard = shard_find(prg, id.shard);
+	create(shard, now, call->program, &program, true);
+	return (run_find(prg, call->program));
+}
+
+/* Whether an unproven program may run the call; see design section 8. */
+static bool
+unproven_refuses(const struct run *run, const struct prg_call *call)
+{
+	return (
+	    run->unproven && (call->kind == PRG_CALL_ONCE || call->turn == 0));
+}
+
+static struct call *
+call_new(struct prg *prg, struct run *run, const struct prg_call *asked)
+{
+	struct call *call = g_new0(struct call, 1);
+	prg_handle handle = handle_new(prg, call);
+
+	call->run = run;
+	call->handles = g_array_new(FALSE, FALSE, sizeof(prg_handle));
+	g_array_append_val(call->handles, handle);
+	call->kind = asked->kind;
+	call->key = g_strdup(asked->key);
+	memcpy(call->digest, asked->digest, PRG_DIGEST_SIZE);
+	call->stated_turn = asked->turn;
+	call->prompt_tokens = asked->prompt_tokens;
+	call->answer_tokens = asked->answer_tokens;
+	call->messages = json_deep_copy(asked->messages);
+	return (call);
+}
+
+static enum prg_outcome
+submit_new(struct prg *prg, struct run *run, const struct prg_call *asked,
+    prg_handle *handle, struct prg_answer *answer)
+{
+	uint32_t next = run->program->turn + 1;
+	uint32_t ahead = run->waiting.length + (run->current != NULL ? 1U : 0U);
+	struct call *call;
+	struct vd vd;
+
+	if (asked->turn != 0 &&
+	    (asked->turn < next || asked->turn - next > ahead))
+		return (refuse(answer,
+		    vd_make(VD_NOT_RUN, VD_TURN_MISMATCH,
+			"the next turn of the program is %u", next + ahead)));
+	if (run->waiting.length >= PRG_QUEUE_MAX) {
+		vd = vd_make(VD_NOT_RUN, VD_QUEUE_FULL,
+		    "%d calls of the program wait already", PRG_QUEUE_MAX);
+		vd.retry_after = RETRY_AFTER;
+		return (refuse(answer, vd));
+	}
+	call = call_new(prg, run, asked);
+	*handle = g_array_index(call->handles, prg_handle, 0);
+	if (run->current != NULL) {
+		g_queue_push_tail(&run->waiting, call);
+		return (PRG_QUEUED);
+	}
+	vd = call_begin(run, call);
+	if (vd_is_ok(&vd))
+		return (PRG_START);
+	call_free(prg, call);
+	*handle = 0;
+	return (refuse(answer, vd));
+}
+
+enum prg_outcome
+prg_submit(struct prg *prg, clk_ms now, const struct prg_call *asked,
+    prg_handle *handle, struct prg_answer *answer)
+{
+	struct tbl_intent *intent;
+	struct call *call;
+	struct run *run;
+	struct vd vd;
+
+	*handle = 0;
+	*answer = (struct prg_answer){.content_type = ""};
+	vd = call_check(asked);
+	if (!vd_is_ok(&vd))
+		return (refuse(answer, vd));
+	run = call_program(prg, now, asked, &vd);
+	if (run == NULL && vd.code == VD_NOT_OWNER)
+		return (refuse(answer, vd));
+	if (run == NULL)
+		return (refuse_unknown_key(answer, asked, vd));
+	if (strcmp(run->program->organisation, asked->organisation) != 0)
+		return (refuse(answer,
+		    vd_make(VD_NOT_RUN, VD_FORBIDDEN,
+			"the program belongs to another organisation")));
+	run->last_use = now;
+	if (asked->key != NULL) {
+		call = run_call_by_key(run, asked->key);
+		if (call != NULL)
+			return (join(prg, call, asked, handle, answer));
+		intent = g_hash_table_lookup(run->program->intents, asked->key);
+		if (intent != NULL)
+			return (replay(prg, run, intent, asked, answer));
+	}
+	if (run->program->closed)
+		return (refuse_unknown_key(answer, asked,
+		    vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
+			"the program has been closed")));
+	if (run->closing)
+		return (refuse(answer,
+		    vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
+			"the program has been closed")));
+	if (unproven_refuses(run, asked)) {
+		vd = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
+		    "the latest turn of the program is not known for certain");
+		vd.retry_after = RETRY_AFTER;
+		return (refuse_unknown_key(answer, asked, vd));
+	}
+	return (submit_new(prg, run, asked, handle, answer));
+}
+
+bool
+prg_call_get(
+    const struct prg *prg, prg_handle handle, struct prg_call_info *info)
+{
+	const struct call *call = handle_call(prg, handle);
+
+	if (call == NULL || call->state == CALL_QUEUED)
+		return (false);
+	*info = (struct prg_call_info){
+	    .program = call->run->program->id,
+	    .organisation = call->run->program->organisation,
+	    .urgency = call->run->program->urgency,
+	    .kind = call->kind,
+	    .turn = call->turn,
+	    .shard = call->run->shard->number,
+	    .epoch = call->run->shard->epoch,
+	    .seq = call->seq,
+	    .reserve = call->reserve,
+	    .created = call->run->created,
+	};
+	return (true);
+}
+
+char *
+prg_messages_text(const struct prg *prg, prg_handle handle)
+{
+	const struct call *call = handle_call(prg, handle);
+	const GString *history;
+	GString *text;
+	json_t *message;
+	size_t i;
+
+	if (call == NULL || call->state == CALL_QUEUED)
+		return (NULL);
+	history = call->run->program->history;
+	text = g_string_sized_new(history->len + 256);
+	g_string_append_c(text, '[');
+	g_string_append_len(text, history->str, (gssize)history->len);
+	json_array_foreach(call->messages, i, message)
+	{
+		char *dump = json_dumps(message, JSON_COMPACT);
+
+		if (text->len > 1)
+			g_string_append_c(text, ',');
+		g_string_append(text, dump != NULL ? dump : "{}");
+		free(dump);
+	}
+	g_string_append_c(text, ']');
+	return (g_string_free(text, FALSE));
+}
+
+json_t *
+prg_messages(const struct prg *prg, prg_handle handle)
+{
+	char *text = prg_messages_text(prg, handle);
+	json_t *messages = NULL;
+
+	if (text != NULL)
+		messages = json_loads(text, JSON_ALLOW_NUL, NULL);
+	g_free(text);
+	return (messages);
+}
+
+struct vd
+prg_begun(struct prg *prg, clk_ms now, prg_handle handle, bool acked)
+{
+	struct call *call = started_call(prg, handle, CALL_BEGINNING);
+	struct run *run;
+	struct vd vd;
+
+	if (call == NULL)
+		return (not_owner());
+	run = call->run;
+	run->last_use = now;
+	if (acked) {
+		run->shard->acked = MAX(run->shard->acked, call->seq);
+		call->state = CALL_RUNNING;
+		return (vd_ok());
+	}
+	vd = vd_make(VD_NOT_RUN, VD_COPIES_UNAVAILABLE,
+	    "the call could not be replicated");
+	vd.retry_after = RETRY_AFTER;
+	emit(run->shard, PRG_END, run->program->id,
+	    json_pack("{s:s}", "o", "no"));
+	run->current = NULL;
+	call_answer(prg, call, 1, &vd, false);
+	call_free(prg, call);
+	run_pump(run);
+	events_run(prg);
+	return (vd);
+}
+
+static int64_t
+tokens_charged(const struct call *call, const struct prg_result *result)
+{
+	if (result->vd.ran == VD_NOT_RUN)
+		return (0);
+	if (result->tokens < 0 || result->tokens > TOKENS_MAX)
+		return (call->reserve);
+	/* A call that may have run can't have used more than its reserve. */
+	if (result->vd.ran == VD_MAYBE)
+		return (MIN(result->tokens, call->reserve));
+	return (result->tokens);
+}
+
+static const char *
+engine_held(const struct call *call, const struct prg_result *result)
+{
+	if (call->kind != PRG_CALL_MODEL || result->vd.ran == VD_NOT_RUN)
+		return (NULL);
+	if (name_valid(result->engine, PRG_NAME_MAX) &&
+	    result->engine[0] != '\0')
+		return (result->engine);
+	return ("*");
+}
+
+static void
+end_messages(
+    json_t *payload, const struct call *call, const struct prg_result *result)
+{
+	json_t *messages = json_array(), *message;
+	size_t i;
+
+	json_array_foreach(call->messages, i, message)
+	    json_array_append(messages, message);
+	json_array_foreach(result->messages, i, message)
+	{
+		if (json_is_object(message))
+			json_array_append(messages, message);
+	}
+	json_object_set_new(payload, "m", messages);
+}
+
+static json_t *
+end_payload(const struct call *call, const struct prg_result *result)
+{
+	static const char *const names[] = {"ran", "no", "maybe"};
+	bool turn = result->vd.ran == VD_RAN &&
+	    (call->kind != PRG_CALL_MODEL || vd_is_ok(&result->vd));
+	const char *engine = engine_held(call, result);
+	json_t *payload = json_pack("{s:s,s:I}", "o", names[result->vd.ran],
+	    "s", (json_int_t)tokens_charged(call, result));
+
+	if (engine != NULL)
+		json_object_set_new(payload, "e", json_string(engine));
+	if (!turn)
+		return (payload);
+	json_object_set_new(payload, "t", json_true());
+	if (call->kind == PRG_CALL_MODEL) {
+		end_messages(payload, call, result);
+		json_object_set_new(payload, "c",
+		    json_integer(result->context_tokens > 0
+			    ? MIN(result->context_tokens, TOKENS_MAX)
+			    : call->reserve));
+	}
+	if (call->key == NULL)
+		return (payload);
+	json_object_set_new(
+	    payload, "st", json_integer(CLAMP(result->status, 0, 999)));
+	if (name_valid(result->content_type, PRG_NAME_MAX))
+		json_object_set_new(
+		    payload, "ct", json_string(result->content_type));
+	if (result->reply != NULL && result->reply_len <= PRG_REPLY_MAX)
+		tbl_text_set(payload, "re", result->reply, result->reply_len);
+	return (payload);
+}
+
+bool
+prg_finish(struct prg *prg, clk_ms now, prg_handle handle,
+    const struct prg_result *result)
+{
+	struct call *call = started_call(prg, handle, CALL_RUNNING);
+	struct tbl_program *program;
+	struct tbl_intent *intent;
+	uint32_t before;
+
+	if (call == NULL)
+		return (false);
+	program = call->run->program;
+	before = program->turn;
+	call->run->last_use = now;
+	call->seq = emit(
+	    call->run->shard, PRG_END, program->id, end_payload(call, result));
+	call->state = CALL_ENDING;
+	call->vd = result->vd;
+	call->made_turn = program->turn != before ? program->turn : 0;
+	call->status = result->status;
+	call->content_type = g_strdup(result->content_type);
+	/* Another caller may still join until prg_ended(). */
+	if (call->key != NULL && result->reply != NULL) {
+		call->reply = g_memdup2(result->reply, result->reply_len);
+		call->reply_len = result->reply_len;
+	}
+	if (call->key != NULL) {
+		intent = g_hash_table_lookup(program->intents, call->key);
+		if (intent != NULL)
+			intent->since = now;
+	}
+	return (true);
+}
+
+void
+prg_ended(struct prg *prg, clk_ms now, prg_handle handle, bool acked)
+{
+	struct call *call = started_call(prg, handle, CALL_ENDING);
+	struct run *run;
+	struct vd vd;
+
+	if (call == NULL)
+		return;
+	run = call->run;
+	run->last_use = now;
+	run->current = NULL;
+	vd = call->vd;
+	if (acked) {
+		run->shard->acked = MAX(run->shard->acked, call->seq);
+	} else {
+		vd = vd_make(vd.ran == VD_NOT_RUN ? VD_NOT_RUN : VD_MAYBE,
+		    VD_COPIES_UNAVAILABLE,
+		    "the outcome could not be replicated");
+		vd.retry_after = RETRY_AFTER;
+	}
+	call_answer(prg, call, 1, &vd, acked);
+	call_free(prg, call);
+	run_pump(run);
+	events_run(prg);
+}
+
+bool
+prg_cancel(struct prg *prg, prg_handle handle)
+{
+	struct call *call = handle_call(prg, handle);
+	struct run *run;
+
+	if (call == NULL)
+		return (true);
+	run = call->run;
+	for (guint i = 0; i < call->handles->len; i++) {
+		if (g_array_index(call->handles, prg_handle, i) != handle)
+			continue;
+		if (i == 0 && call->state != CALL_QUEUED)
+			return (false);
+		g_array_remove_index(call->handles, i);
+		handle_free(prg, handle);
+		break;
+	}
+	if (call->handles->len > 0)
+		return (true);
+	g_queue_remove(&run->waiting, call);
+	call_free(prg, call);
+	return (true);
+}
+
+/* Time. */
+
+static bool
+program_due(const struct prg *prg, const struct run *run, clk_ms now)
+{
+	const struct tbl_program *program = run->program;
+	clk_ms unused = now - run->last_use;
+	GHashTableIter iter;
+	void *value;
+
+	if (program->closed || run->closing || run->current != NULL ||
+	    program->children > 0 || run->waiting.length > 0)
+		return (false);
+	if (program->limit > 0 && tbl_left(program) <= 0)
+		return (unused >= MIN(SPENT_GRACE, prg->options.idle));
+	if (!program->implicit)
+		return (unused >= prg->options.idle);
+	/* An outcome that is unknown stays on record for good. */
+	g_hash_table_iter_init(&iter, program->intents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct tbl_intent *)value)->state == TBL_MAYBE)
+			return (false);
+	}
+	return (unused >= prg->options.keep);
+}
+
+static void
+replies_age(struct run *run, clk_ms now)
+{
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	clk_ms keep = run->shard->prg->options.keep;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, run->program->intents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tbl_intent *intent = value;
+
+		if (intent->state == TBL_RAN && now - intent->since >= keep &&
+		    (intent->reply != NULL || intent->kind != PRG_CALL_ONCE))
+			g_ptr_array_add(keys, g_strdup(intent->key));
+	}
+	for (guint i = 0; i < keys->len; i++)
+		emit(run->shard, PRG_FORGET, run->program->id,
+		    json_pack("{s:s}", "key",
+			(const char *)g_ptr_array_index(keys, i)));
+	g_ptr_array_unref(keys);
+}
+
+static void
+release_ask(struct prg *prg, struct run *run, clk_ms now)
+{
+	const struct tbl_program *program = run->program;
+
+	if (now < run->release_at)
+		return;
+	if (run->release_pause == 0)
+		run->release_pause = prg->options.release_retry;
+	else if (run->release_pause <
+	    RELEASE_BACKOFF * prg->options.release_retry)
+		run->release_pause *= 2;
+	run->release_at = now + run->release_pause;
+	for (guint i = 0; i < program->engines->len; i++)
+		prg->hooks.on_release(program->id,
+		    g_ptr_array_index(program->engines, i), prg->hooks.arg);
+}
+
+/* The ids of a shard's programs: the table may change while they are used. */
+static GPtrArray *
+shard_ids(const struct shard *shard)
+{
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_ptr_array_add(ids, g_strdup(key));
+	return (ids);
+}
+
+static void
+shard_tick(struct shard *shard, clk_ms now)
+{
+	GPtrArray *ids;
+
+	if (!shard->recovered)
+		return;
+	ids = shard_ids(shard);
+	for (guint i = 0; i < ids->len; i++) {
+		struct tbl_program *program =
+		    tbl_find(shard->tbl, g_ptr_array_index(ids, i));
+
+		if (program == NULL)
+			continue;
+		if (program->closed) {
+			release_ask(shard->prg, run_of(program), now);
+			continue;
+		}
+		replies_age(run_of(program), now);
+		if (program_due(shard->prg, run_of(program), now))
+			run_close(run_of(program));
+	}
+	g_ptr_array_unref(ids);
+}
+
+void
+prg_tick(struct prg *prg, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, prg->shards);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		shard_tick(value, now);
+	events_run(prg);
+}
+
+void
+prg_released(struct prg *prg, const char *program, const char *engine)
+{
+	struct run *run = run_find(prg, program);
+	const GPtrArray *engines;
+
+	if (run == NULL || !run->program->closed)
+		return;
+	engines = run->program->engines;
+	for (guint i = 0; i < engines->len; i++) {
+		if (strcmp(g_ptr_array_index(engines, i), engine) == 0) {
+			emit(run->shard, PRG_RELEASED, program,
+			    json_pack("{s:s}", "e", engine));
+			return;
+		}
+	}
+}
+
+/* For operators. */
+
+static json_t *
+program_summary(const struct run *run)
+{
+	const struct tbl_program *program = run->program;
+	json_t *summary = json_pack(
+	    "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:b,s:b}",
+	    "program_id", program->id, "organisation", program->organisation,
+	    "urgency", program->urgency, "parent", program->parent, "turn",
+	    (int)program->turn, "budget_tokens", (json_int_t)program->limit,
+	    "spent_tokens", (json_int_t)program->spent, "reserved_tokens",
+	    (json_int_t)(program->active ? program->call_reserve : 0),
+	    "lent_tokens", (json_int_t)program->lent, "bytes",
+	    (json_int_t)program->bytes, "queued", (int)run->waiting.length,
+	    "proven", !run->unproven, "closed",
+	    program->closed || run->closing);
+
+	json_object_set_new(
+	    summary, "in_progress", json_boolean(run->current != NULL));
+	return (summary);
+}
+
+static int
+compare_ids(gconstpointer a, gconstpointer b)
+{
+	return (strcmp((*(const struct run *const *)a)->program->id,
+	    (*(const struct run *const *)b)->program->id));
+}
+
+json_t *
+prg_list(const struct prg *prg, const char *organisation, const char *after,
+    unsigned limit)
+{
+	GPtrArray *runs = g_ptr_array_new();
+	json_t *list = json_array();
+	GHashTableIter shards, programs;
+	void *shard, *value;
+
+	g_hash_table_iter_init(&shards, prg->shards);
+	while (g_hash_table_iter_next(&shards, NULL, &shard)) {
+		g_hash_table_iter_init(
+		    &programs, ((struct shard *)shard)->tbl->programs);
+		while (g_hash_table_iter_next(&programs, NULL, &value)) {
+			struct tbl_program *program = value;
+
+			if (program->run == NULL ||
+			    (organisation != NULL &&
+				strcmp(organisation, program->organisation) !=
+				    0) ||
+			    (after != NULL && strcmp(program->id, after) <= 0))
+				continue;
+			g_ptr_array_add(runs, program->run);
+		}
+	}
+	g_ptr_array_sort(runs, compare_ids);
+	for (guint i = 0; i < runs->len && i < limit; i++)
+		json_array_append_new(
+		    list, program_summary(g_ptr_array_index(runs, i)));
+	g_ptr_array_unref(runs);
+	return (list);
+}
+
+json_t *
+prg_show(const struct prg *prg, const char *program)
+{
+	const struct run *run = run_find(prg, program);
+	json_t *show, *messages;
+	char *text;
+
+	if (run == NULL)
+		return (NULL);
+	show = program_summary(run);
+	text = g_strconcat("[", run->program->history->str, "]", NULL);
+	messages = json_loads(text, JSON_ALLOW_NUL, NULL);
+	g_free(text);
+	json_object_set_new(
+	    show, "messages", messages != NULL ? messages : json_array());
+	json_object_set_new(show, "intents",
+	    json_integer(g_hash_table_size(run->program->intents)));
+	return (show);
+}
+
+void
+prg_count(const struct prg *prg, struct prg_counts *counts)
+{
+	GHashTableIter shards, programs;
+	void *value, *item;
+
+	*counts = (struct prg_counts){0};
+	g_hash_table_iter_init(&shards, prg->shards);
+	while (g_hash_table_iter_next(&shards, NULL, &value)) {
+		const struct shard *shard = value;
+
+		counts->bytes += shard->tbl->bytes;
+		g_hash_table_iter_init(&programs, shard->tbl->programs);
+		while (g_hash_table_iter_next(&programs, NULL, &item)) {
+			const struct tbl_program *program = item;
+			const struct run *run = program->run;
+
+			if (program->closed)
+				counts->releases++;
+			else
+				counts->programs++;
+			if (run == NULL)
+				continue;
+			counts->queued += run->waiting.length;
+			counts->in_progress += run->current != NULL;
+		}
+	}
+}
--- a/src/program/prg.h
+++ b/src/program/prg.h
@@ -17,6 +17,9 @@
  *	acknowledgement in the same way, calls prg_ended() and then shows the
  *	end of the answer to the caller.
  *
+ * Every call that ran makes a turn, model calls and service calls alike; turns
+ * count from 1.
+ *
  * on_start and on_answer are called as the last step of a public function and
  * may call any function of this module except prg_free() and
  * prg_shard_close().  on_record must not call this module.
@@ -169,7 +172,7 @@
  * prg_shard_open(prg, shard, epoch)
  *	Start owning a shard.  It serves no call until prg_recovered().
  *	Opening an open shard at a newer epoch closes it first.
- * prg_apply(prg, record)
+ * prg_apply(prg, now, record)
  *	Give a record of a former owner: PRG_HEAD with its PRG_STATE records,
  *	as returned by cpy_fetch() or prg_export().  Of several exports the one
  *	with the largest (epoch, seq) is kept, whole.  An export that arrives
@@ -187,7 +190,7 @@
  *	malformed, out of place or of a shard that is not open.
  */
 void prg_shard_open(struct prg *prg, uint16_t shard, uint64_t epoch);
-bool prg_apply(struct prg *prg, const struct prg_record *record);
+bool prg_apply(struct prg *prg, clk_ms now, const struct prg_record *record);
 void prg_recovered(struct prg *prg, clk_ms now, uint16_t shard, bool proven);
 
 /*
@@ -373,6 +376,8 @@
  * prg_close(prg, now, organisation, program)
  *	Close a program and its sub-agents: queued calls are refused, a call in
  *	progress may end, what is left of the budget goes back to the parent.
+ *	If the owner is lost before that end, the program is open again at the
+ *	next owner and closes when it has been idle.
  *	organisation nil: by an operator.  Returns vd_ok() or a refusal.
  */
 struct vd prg_close(
--- /dev/null
+++ b/src/program/tbl.c
@@ -0,0 +1,1015 @@
+#include "program/tbl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define INTENT_BYTES \
+	(sizeof(struct tbl_intent) + 48) /* and hash table node \
+					  */
+#define PROGRAM_BYTES (sizeof(struct tbl_program) + 96)
+#define MONEY_MAX     ((json_int_t)1 << 50) /* keeps sums far from overflow */
+
+static void
+intent_free(void *data)
+{
+	struct tbl_intent *intent = data;
+
+	g_free(intent->key);
+	g_free(intent->content_type);
+	g_free(intent->reply);
+	g_free(intent);
+}
+
+static size_t
+intent_bytes(const struct tbl_intent *intent)
+{
+	size_t bytes = INTENT_BYTES + strlen(intent->key) + 1;
+
+	if (intent->content_type != NULL)
+		bytes += strlen(intent->content_type) + 1;
+	return (bytes + intent->reply_len);
+}
+
+static void
+program_free(struct tbl_program *program)
+{
+	g_free(program->organisation);
+	g_free(program->urgency);
+	g_free(program->call_key);
+	if (program->history != NULL)
+		g_string_free(program->history, TRUE);
+	g_hash_table_unref(program->intents);
+	g_ptr_array_unref(program->engines);
+	g_free(program);
+}
+
+static struct tbl_program *
+program_new(const char *id)
+{
+	struct tbl_program *program = g_new0(struct tbl_program, 1);
+
+	g_strlcpy(program->id, id, sizeof(program->id));
+	program->history = g_string_new(NULL);
+	program->intents =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, intent_free);
+	program->engines = g_ptr_array_new_with_free_func(g_free);
+	return (program);
+}
+
+static void
+program_count(struct tbl *tbl, struct tbl_program *program)
+{
+	size_t bytes = PROGRAM_BYTES + strlen(program->organisation) +
+	    strlen(program->urgency);
+	GHashTableIter iter;
+	void *value;
+
+	if (program->history != NULL)
+		bytes += program->history->allocated_len;
+	g_hash_table_iter_init(&iter, program->intents);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		bytes += intent_bytes(value);
+	for (guint i = 0; i < program->engines->len; i++)
+		bytes += strlen(g_ptr_array_index(program->engines, i)) + 9;
+	tbl->bytes += bytes;
+	tbl->bytes -= program->bytes;
+	program->bytes = bytes;
+}
+
+static void
+program_remove(struct tbl *tbl, struct tbl_program *program)
+{
+	tbl->bytes -= program->bytes;
+	g_hash_table_remove(tbl->programs, program->id);
+	if (program->run != NULL && tbl->run_free != NULL)
+		tbl->run_free(program->run);
+	program_free(program);
+}
+
+struct tbl *
+tbl_new(uint8_t datacentre, uint16_t shard, GDestroyNotify run_free)
+{
+	struct tbl *tbl = g_new0(struct tbl, 1);
+
+	tbl->datacentre = datacentre;
+	tbl->shard = shard;
+	tbl->run_free = run_free;
+	tbl->programs = g_hash_table_new(g_str_hash, g_str_equal);
+	return (tbl);
+}
+
+static void
+programs_free(struct tbl *tbl)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tbl_program *program = value;
+
+		if (program->run != NULL && tbl->run_free != NULL)
+			tbl->run_free(program->run);
+		program_free(program);
+	}
+	g_hash_table_unref(tbl->programs);
+}
+
+void
+tbl_free(struct tbl *tbl)
+{
+	if (tbl == NULL)
+		return;
+	tbl_free(tbl->staged);
+	programs_free(tbl);
+	g_free(tbl);
+}
+
+struct tbl_program *
+tbl_find(const struct tbl *tbl, const char *id)
+{
+	return (g_hash_table_lookup(tbl->programs, id));
+}
+
+int64_t
+tbl_left(const struct tbl_program *program)
+{
+	return (program->limit - program->spent - program->lent -
+	    (program->active ? program->call_reserve : 0));
+}
+
+/*
+ * Reading of payloads.  Each function returns false if the member is there
+ * but out of range, or if it is missing and required.
+ */
+static bool
+get_int(const json_t *object, const char *name, json_int_t max, int64_t *value)
+{
+	const json_t *member = json_object_get(object, name);
+
+	*value = 0;
+	if (member == NULL)
+		return (true);
+	*value = json_integer_value(member);
+	return (json_is_integer(member) && *value >= 0 && *value <= max);
+}
+
+static bool
+get_text(const json_t *object, const char *name, size_t max, const char **value)
+{
+	const json_t *member = json_object_get(object, name);
+
+	*value = json_string_value(member);
+	if (member == NULL)
+		return (true);
+	return (*value != NULL && json_string_length(member) <= max &&
+	    strlen(*value) == json_string_length(member));
+}
+
+static bool
+get_name(const json_t *object, const char *name, const char **value)
+{
+	return (get_text(object, name, PRG_NAME_MAX, value) && *value != NULL);
+}
+
+static int
+hex_digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return (c - '0');
+	if (c >= 'a' && c <= 'f')
+		return (c - 'a' + 10);
+	return (-1);
+}
+
+static bool
+get_digest(const json_t *object, uint8_t digest[PRG_DIGEST_SIZE])
+{
+	const char *text;
+
+	if (!get_text(object, "d", 2 * PRG_DIGEST_SIZE, &text) ||
+	    text == NULL || strlen(text) != (size_t)2 * PRG_DIGEST_SIZE)
+		return (false);
+	for (size_t i = 0; i < PRG_DIGEST_SIZE; i++) {
+		int high = hex_digit(text[2 * i]);
+		int low = hex_digit(text[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return (false);
+		digest[i] = (uint8_t)(high * 16 + low);
+	}
+	return (true);
+}
+
+static void
+digest_set(json_t *object, const uint8_t digest[PRG_DIGEST_SIZE])
+{
+	char text[2 * PRG_DIGEST_SIZE + 1];
+
+	for (size_t i = 0; i < PRG_DIGEST_SIZE; i++) {
+		text[2 * i] = "0123456789abcdef"[digest[i] >> 4];
+		text[2 * i + 1] = "0123456789abcdef"[digest[i] & 15];
+	}
+	text[sizeof(text) - 1] = '\0';
+	json_object_set_new(object, "d", json_string(text));
+}
+
+void
+tbl_text_set(json_t *object, const char *name, const char *data, size_t len)
+{
+	char *other, *encoded;
+
+	if (memchr(data, '\0', len) == NULL &&
+	    g_utf8_validate(data, (gssize)len, NULL)) {
+		json_object_set_new(object, name, json_stringn(data, len));
+		return;
+	}
+	other = g_strconcat(name, "64", NULL);
+	encoded = g_base64_encode((const guchar *)data, len);
+	json_object_set_new(object, other, json_string(encoded));
+	g_free(encoded);
+	g_free(other);
+}
+
+/* A reply, if there is one; *reply is to be freed by g_free(). */
+static bool
+get_reply(const json_t *object, char **reply, size_t *len)
+{
+	const json_t *text = json_object_get(object, "re");
+	const json_t *encoded = json_object_get(object, "re64");
+	gsize size;
+
+	*reply = NULL;
+	*len = 0;
+	if (text != NULL) {
+		if (!json_is_string(text) ||
+		    json_string_length(text) > PRG_REPLY_MAX)
+			return (false);
+		*len = json_string_length(text);
+		*reply = g_malloc(*len + 1);
+		memcpy(*reply, json_string_value(text), *len + 1);
+		return (true);
+	}
+	if (encoded == NULL)
+		return (true);
+	if (!json_is_string(encoded) ||
+	    json_string_length(encoded) > (size_t)PRG_REPLY_MAX * 4 / 3 + 4)
+		return (false);
+	*reply = (char *)g_base64_decode(json_string_value(encoded), &size);
+	*len = size;
+	return (true);
+}
+
+static bool
+messages_valid(const json_t *messages)
+{
+	size_t i;
+	json_t *message;
+
+	if (messages == NULL)
+		return (true);
+	if (!json_is_array(messages))
+		return (false);
+	json_array_foreach(messages, i, message)
+	{
+		if (!json_is_object(message))
+			return (false);
+	}
+	return (true);
+}
+
+static void
+messages_append(GString *history, const json_t *messages)
+{
+	size_t i;
+	json_t *message;
+
+	json_array_foreach(messages, i, message)
+	{
+		char *text = json_dumps(message, JSON_COMPACT);
+
+		if (text == NULL)
+			continue;
+		if (history->len > 0)
+			g_string_append_c(history, ',');
+		g_string_append(history, text);
+		free(text);
+	}
+}
+
+static void
+engine_add(struct tbl_program *program, const char *engine)
+{
+	GPtrArray *engines = program->engines;
+
+	for (guint i = 0; i < engines->len; i++) {
+		if (strcmp(g_ptr_array_index(engines, i), engine) == 0 ||
+		    strcmp(g_ptr_array_index(engines, i), "*") == 0)
+			return;
+	}
+	if (engines->len == TBL_ENGINES_MAX || strcmp(engine, "*") == 0) {
+		g_ptr_array_set_size(engines, 0);
+		engine = "*";
+	}
+	g_ptr_array_add(engines, g_strdup(engine));
+}
+
+static bool
+id_valid(const struct tbl *tbl, const char *text)
+{
+	struct prg_id id;
+
+	return (prg_id_parse(text, &id) && id.datacentre == tbl->datacentre &&
+	    id.shard == tbl->shard);
+}
+
+static enum tbl_result
+apply_create(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program, *parent = NULL;
+	const char *organisation, *urgency, *parent_id;
+	int64_t budget;
+
+	if (!id_valid(tbl, record->program) ||
+	    tbl_find(tbl, record->program) != NULL ||
+	    !get_name(payload, "o", &organisation) ||
+	    !get_name(payload, "u", &urgency) ||
+	    !get_text(payload, "p", PRG_ID_SIZE, &parent_id) ||
+	    !get_int(payload, "b", MONEY_MAX, &budget))
+		return (TBL_BAD);
+	if (parent_id != NULL) {
+		parent = tbl_find(tbl, parent_id);
+		if (parent == NULL || parent->closed ||
+		    tbl_left(parent) < budget)
+			return (TBL_BAD);
+		parent->lent += budget;
+		parent->children++;
+		parent->changed = record->seq;
+	}
+	program = program_new(record->program);
+	program->organisation = g_strdup(organisation);
+	program->urgency = g_strdup(urgency);
+	if (parent_id != NULL)
+		g_strlcpy(program->parent, parent_id, sizeof(program->parent));
+	program->limit = budget;
+	program->implicit = json_is_true(json_object_get(payload, "i"));
+	program->changed = record->seq;
+	g_hash_table_insert(tbl->programs, program->id, program);
+	program_count(tbl, program);
+	return (TBL_OK);
+}
+
+static bool
+get_kind(const json_t *object, enum prg_call_kind *kind)
+{
+	int64_t value;
+
+	if (!get_int(object, "k", PRG_CALL_ONCE, &value))
+		return (false);
+	*kind = (enum prg_call_kind)value;
+	return (true);
+}
+
+static enum tbl_result
+apply_begin(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program = tbl_find(tbl, record->program);
+	struct tbl_intent *intent;
+	uint8_t digest[PRG_DIGEST_SIZE];
+	enum prg_call_kind kind;
+	int64_t turn, reserve;
+	const char *key;
+
+	if (program == NULL || program->closed || program->active ||
+	    !get_kind(payload, &kind) ||
+	    !get_int(payload, "t", UINT32_MAX, &turn) ||
+	    !get_int(payload, "r", MONEY_MAX, &reserve) ||
+	    !get_text(payload, "key", PRG_KEY_MAX, &key) ||
+	    turn != (int64_t)program->turn + 1 || reserve > tbl_left(program))
+		return (TBL_BAD);
+	if (kind == PRG_CALL_ONCE && key == NULL)
+		return (TBL_BAD);
+	if (key != NULL) {
+		if (g_hash_table_contains(program->intents, key) ||
+		    !get_digest(payload, digest))
+			return (TBL_BAD);
+		intent = g_new0(struct tbl_intent, 1);
+		intent->key = g_strdup(key);
+		memcpy(intent->digest, digest, sizeof(digest));
+		intent->state = TBL_BEGUN;
+		intent->kind = kind;
+		g_hash_table_insert(program->intents, intent->key, intent);
+	}
+	program->active = true;
+	program->call_kind = kind;
+	program->call_turn = (uint32_t)turn;
+	program->call_reserve = reserve;
+	program->call_key = g_strdup(key);
+	program->changed = record->seq;
+	program_count(tbl, program);
+	return (TBL_OK);
+}
+
+static void
+reply_drop(struct tbl_program *program, struct tbl_intent *intent)
+{
+	program->reply_bytes -= intent->reply_len;
+	g_clear_pointer(&intent->reply, g_free);
+	intent->reply_len = 0;
+}
+
+/* Drop the oldest replies until len more bytes fit. */
+static void
+reply_room(struct tbl_program *program, size_t len)
+{
+	while (program->reply_bytes + len > TBL_REPLIES_MAX) {
+		struct tbl_intent *oldest = NULL;
+		GHashTableIter iter;
+		void *value;
+
+		g_hash_table_iter_init(&iter, program->intents);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct tbl_intent *intent = value;
+
+			if (intent->reply_len > 0 &&
+			    (oldest == NULL ||
+				intent->end_seq < oldest->end_seq))
+				oldest = intent;
+		}
+		if (oldest == NULL)
+			return;
+		reply_drop(program, oldest);
+	}
+}
+
+static void
+end_intent(struct tbl_program *program, const struct prg_record *record,
+    const char *outcome, const json_t *payload, char **reply, size_t len)
+{
+	struct tbl_intent *intent;
+	const char *type = json_string_value(json_object_get(payload, "ct"));
+
+	intent = g_hash_table_lookup(program->intents, program->call_key);
+	if (intent == NULL)
+		return;
+	intent->end_seq = record->seq;
+	if (strcmp(outcome, "ran") == 0 &&
+	    (json_is_true(json_object_get(payload, "t")) ||
+		intent->kind != PRG_CALL_MODEL)) {
+		intent->state = TBL_RAN;
+		intent->turn = program->turn;
+		intent->status =
+		    (int)json_integer_value(json_object_get(payload, "st"));
+		intent->content_type = g_strdup(type);
+		if (*reply != NULL) {
+			reply_room(program, len);
+			intent->reply = g_steal_pointer(reply);
+			intent->reply_len = len;
+			program->reply_bytes += len;
+		}
+	} else if (strcmp(outcome, "no") != 0 &&
+	    intent->kind == PRG_CALL_ONCE) {
+		intent->state = TBL_MAYBE;
+	} else {
+		g_hash_table_remove(program->intents, intent->key);
+	}
+}
+
+static enum tbl_result
+apply_end(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program = tbl_find(tbl, record->program);
+	const json_t *messages = json_object_get(payload, "m");
+	const char *outcome, *engine, *type;
+	int64_t spent, context, status;
+	char *reply;
+	size_t len;
+
+	if (program == NULL || !program->active ||
+	    !get_name(payload, "o", &outcome) ||
+	    !get_text(payload, "e", PRG_NAME_MAX, &engine) ||
+	    !get_text(payload, "ct", PRG_NAME_MAX, &type) ||
+	    !get_int(payload, "s", MONEY_MAX, &spent) ||
+	    !get_int(payload, "c", MONEY_MAX, &context) ||
+	    !get_int(payload, "st", 999, &status) || !messages_valid(messages))
+		return (TBL_BAD);
+	if (strcmp(outcome, "ran") != 0 && strcmp(outcome, "no") != 0 &&
+	    strcmp(outcome, "maybe") != 0)
+		return (TBL_BAD);
+	if (!get_reply(payload, &reply, &len))
+		return (TBL_BAD);
+	if (json_is_true(json_object_get(payload, "t"))) {
+		program->turn = program->call_turn;
+		messages_append(program->history, messages);
+		if (context > 0)
+			program->context = context;
+	}
+	program->spent += spent;
+	if (engine != NULL)
+		engine_add(program, engine);
+	if (program->call_key != NULL)
+		end_intent(program, record, outcome, payload, &reply, len);
+	g_free(reply);
+	program->active = false;
+	program->call_reserve = 0;
+	g_clear_pointer(&program->call_key, g_free);
+	program->changed = record->seq;
+	program_count(tbl, program);
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_close(struct tbl *tbl, const struct prg_record *record)
+{
+	struct tbl_program *program = tbl_find(tbl, record->program);
+	struct tbl_program *parent;
+
+	if (program == NULL || program->closed || program->active ||
+	    program->children > 0)
+		return (TBL_BAD);
+	parent = tbl_find(tbl, program->parent);
+	if (parent != NULL && parent->children > 0) {
+		parent->children--;
+		parent->lent -= program->limit;
+		parent->spent += program->spent;
+		parent->changed = record->seq;
+	}
+	if (program->engines->len == 0) {
+		program_remove(tbl, program);
+		return (TBL_OK);
+	}
+	program->closed = true;
+	g_string_free(program->history, TRUE);
+	program->history = g_string_new(NULL);
+	g_hash_table_remove_all(program->intents);
+	program->reply_bytes = 0;
+	program->changed = record->seq;
+	program_count(tbl, program);
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_forget(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program = tbl_find(tbl, record->program);
+	struct tbl_intent *intent;
+	const char *key;
+
+	if (program == NULL || !get_text(payload, "key", PRG_KEY_MAX, &key) ||
+	    key == NULL)
+		return (TBL_BAD);
+	intent = g_hash_table_lookup(program->intents, key);
+	if (intent == NULL || intent->state != TBL_RAN)
+		return (TBL_BAD);
+	reply_drop(program, intent);
+	if (intent->kind != PRG_CALL_ONCE)
+		g_hash_table_remove(program->intents, key);
+	program->changed = record->seq;
+	program_count(tbl, program);
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_released(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program = tbl_find(tbl, record->program);
+	const char *engine;
+
+	if (program == NULL || !program->closed ||
+	    !get_name(payload, "e", &engine))
+		return (TBL_BAD);
+	for (guint i = 0; i < program->engines->len; i++) {
+		if (strcmp(g_ptr_array_index(program->engines, i), engine) != 0)
+			continue;
+		g_ptr_array_remove_index(program->engines, i);
+		program->changed = record->seq;
+		program_count(tbl, program);
+		if (program->engines->len == 0)
+			program_remove(tbl, program);
+		return (TBL_OK);
+	}
+	return (TBL_BAD);
+}
+
+static bool
+read_intent(struct tbl_program *program, const json_t *item)
+{
+	struct tbl_intent *intent;
+	uint8_t digest[PRG_DIGEST_SIZE];
+	enum prg_call_kind kind;
+	const char *key, *type;
+	int64_t state, turn, end_seq, status;
+	char *reply;
+	size_t len;
+
+	if (!json_is_object(item) ||
+	    !get_text(item, "key", PRG_KEY_MAX, &key) || key == NULL ||
+	    !get_digest(item, digest) || !get_kind(item, &kind) ||
+	    !get_int(item, "s", TBL_MAYBE, &state) ||
+	    !get_int(item, "t", UINT32_MAX, &turn) ||
+	    !get_int(item, "q", INT64_MAX, &end_seq) ||
+	    !get_int(item, "st", 999, &status) ||
+	    !get_text(item, "ct", PRG_NAME_MAX, &type) ||
+	    g_hash_table_contains(program->intents, key) ||
+	    !get_reply(item, &reply, &len))
+		return (false);
+	intent = g_new0(struct tbl_intent, 1);
+	intent->key = g_strdup(key);
+	memcpy(intent->digest, digest, sizeof(digest));
+	intent->state = (enum tbl_intent_state)state;
+	intent->kind = kind;
+	intent->turn = (uint32_t)turn;
+	intent->end_seq = (uint64_t)end_seq;
+	intent->status = (int)status;
+	intent->content_type = g_strdup(type);
+	intent->reply = reply;
+	intent->reply_len = len;
+	program->reply_bytes += len;
+	g_hash_table_insert(program->intents, intent->key, intent);
+	return (true);
+}
+
+static bool
+read_call(struct tbl_program *program, const json_t *call)
+{
+	int64_t turn, reserve;
+	const char *key;
+
+	if (call == NULL)
+		return (true);
+	if (!json_is_object(call) || !get_kind(call, &program->call_kind) ||
+	    !get_int(call, "t", UINT32_MAX, &turn) ||
+	    !get_int(call, "r", MONEY_MAX, &reserve) ||
+	    !get_text(call, "key", PRG_KEY_MAX, &key))
+		return (false);
+	if (key != NULL && !g_hash_table_contains(program->intents, key))
+		return (false);
+	program->active = true;
+	program->call_turn = (uint32_t)turn;
+	program->call_reserve = reserve;
+	program->call_key = g_strdup(key);
+	return (true);
+}
+
+static bool
+read_lists(struct tbl_program *program, const json_t *payload)
+{
+	const json_t *intents = json_object_get(payload, "in");
+	const json_t *engines = json_object_get(payload, "en");
+	json_t *item;
+	size_t i;
+
+	if ((intents != NULL && !json_is_array(intents)) ||
+	    (engines != NULL && !json_is_array(engines)) ||
+	    json_array_size(engines) > TBL_ENGINES_MAX)
+		return (false);
+	json_array_foreach(intents, i, item)
+	{
+		if (!read_intent(program, item))
+			return (false);
+	}
+	json_array_foreach(engines, i, item)
+	{
+		if (!json_is_string(item) ||
+		    json_string_length(item) > PRG_NAME_MAX)
+			return (false);
+		engine_add(program, json_string_value(item));
+	}
+	return (true);
+}
+
+static struct tbl_program *
+read_state(const struct tbl *tbl, const char *id, const json_t *payload)
+{
+	struct tbl_program *program;
+	const json_t *messages = json_object_get(payload, "m");
+	const char *organisation, *urgency, *parent;
+	int64_t children, turn, changed;
+
+	if (!id_valid(tbl, id))
+		return (NULL);
+	program = program_new(id);
+	if (!get_name(payload, "o", &organisation) ||
+	    !get_name(payload, "u", &urgency) ||
+	    !get_text(payload, "p", PRG_ID_SIZE - 1, &parent) ||
+	    !get_int(payload, "b", MONEY_MAX, &program->limit) ||
+	    !get_int(payload, "s", MONEY_MAX, &program->spent) ||
+	    !get_int(payload, "l", MONEY_MAX, &program->lent) ||
+	    !get_int(payload, "c", MONEY_MAX, &program->context) ||
+	    !get_int(payload, "n", UINT32_MAX, &children) ||
+	    !get_int(payload, "t", UINT32_MAX, &turn) ||
+	    !get_int(payload, "q", INT64_MAX, &changed) ||
+	    !messages_valid(messages) || !read_lists(program, payload) ||
+	    !read_call(program, json_object_get(payload, "call"))) {
+		program_free(program);
+		return (NULL);
+	}
+	program->organisation = g_strdup(organisation);
+	program->urgency = g_strdup(urgency);
+	if (parent != NULL)
+		g_strlcpy(program->parent, parent, sizeof(program->parent));
+	program->children = (uint32_t)children;
+	program->turn = (uint32_t)turn;
+	program->changed = (uint64_t)changed;
+	program->implicit = json_is_true(json_object_get(payload, "i"));
+	program->closed = json_is_true(json_object_get(payload, "x"));
+	messages_append(program->history, messages);
+	return (program);
+}
+
+static void
+program_insert(struct tbl *tbl, struct tbl_program *program)
+{
+	g_hash_table_insert(tbl->programs, program->id, program);
+	program_count(tbl, program);
+}
+
+/* Replace a program's state within the sequence of records. */
+static enum tbl_result
+apply_state(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program, *old;
+
+	program = read_state(tbl, record->program, payload);
+	if (program == NULL)
+		return (TBL_BAD);
+	old = tbl_find(tbl, program->id);
+	if (old != NULL) {
+		program->run = g_steal_pointer(&old->run);
+		program_remove(tbl, old);
+	}
+	program->changed = record->seq;
+	program_insert(tbl, program);
+	return (TBL_OK);
+}
+
+static void
+staged_take(struct tbl *tbl)
+{
+	struct tbl *staged = g_steal_pointer(&tbl->staged);
+
+	programs_free(tbl);
+	tbl->programs = staged->programs;
+	tbl->bytes = staged->bytes;
+	tbl->epoch = staged->epoch;
+	tbl->seq = staged->seq;
+	g_free(staged);
+}
+
+static bool
+is_newer(const struct tbl *tbl, uint64_t epoch, uint64_t seq)
+{
+	return (epoch > tbl->epoch || (epoch == tbl->epoch && seq > tbl->seq));
+}
+
+static enum tbl_result
+apply_head(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	int64_t count;
+
+	if (json_object_get(payload, "n") == NULL ||
+	    !get_int(payload, "n", INT32_MAX, &count))
+		return (TBL_BAD);
+	if (!is_newer(tbl, record->epoch, record->seq))
+		return (TBL_OLD);
+	tbl_free(tbl->staged);
+	tbl->staged = tbl_new(tbl->datacentre, tbl->shard, NULL);
+	tbl->staged->epoch = record->epoch;
+	tbl->staged->seq = record->seq;
+	tbl->missing = (uint64_t)count;
+	if (tbl->missing == 0)
+		staged_take(tbl);
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_staged(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	struct tbl_program *program;
+
+	if (tbl_find(tbl->staged, record->program) != NULL)
+		return (TBL_OLD);
+	program = read_state(tbl, record->program, payload);
+	if (program == NULL)
+		return (TBL_BAD);
+	program_insert(tbl->staged, program);
+	if (--tbl->missing == 0)
+		staged_take(tbl);
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_recover(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	int64_t epoch, seq;
+
+	if (!get_int(payload, "epoch", INT64_MAX, &epoch) ||
+	    !get_int(payload, "seq", INT64_MAX, &seq))
+		return (TBL_BAD);
+	if (!is_newer(tbl, record->epoch, record->seq))
+		return (TBL_OLD);
+	if (record->epoch <= tbl->epoch || tbl->epoch != (uint64_t)epoch ||
+	    tbl->seq != (uint64_t)seq || record->seq != tbl->seq + 1)
+		return (TBL_GAP);
+	tbl->epoch = record->epoch;
+	tbl->seq = record->seq;
+	return (TBL_OK);
+}
+
+static enum tbl_result
+apply_change(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	switch (record->kind) {
+	case PRG_CREATE:
+		return (apply_create(tbl, record, payload));
+	case PRG_BEGIN:
+		return (apply_begin(tbl, record, payload));
+	case PRG_END:
+		return (apply_end(tbl, record, payload));
+	case PRG_CLOSE:
+		return (apply_close(tbl, record));
+	case PRG_FORGET:
+		return (apply_forget(tbl, record, payload));
+	case PRG_RELEASED:
+		return (apply_released(tbl, record, payload));
+	case PRG_STATE:
+		return (apply_state(tbl, record, payload));
+	default:
+		return (TBL_BAD);
+	}
+}
+
+enum tbl_result
+tbl_apply_json(
+    struct tbl *tbl, const struct prg_record *record, const json_t *payload)
+{
+	enum tbl_result result;
+
+	if (record->datacentre != tbl->datacentre ||
+	    record->shard != tbl->shard || !json_is_object(payload))
+		return (TBL_BAD);
+	if (record->kind == PRG_HEAD)
+		return (apply_head(tbl, record, payload));
+	if (record->kind == PRG_RECOVER)
+		return (apply_recover(tbl, record, payload));
+	if (record->kind == PRG_STATE && tbl->staged != NULL &&
+	    record->epoch == tbl->staged->epoch &&
+	    record->seq == tbl->staged->seq)
+		return (apply_staged(tbl, record, payload));
+	if (!is_newer(tbl, record->epoch, record->seq))
+		return (TBL_OLD);
+	if (record->epoch != tbl->epoch || record->seq != tbl->seq + 1)
+		return (TBL_GAP);
+	result = apply_change(tbl, record, payload);
+	if (result == TBL_OK)
+		tbl->seq = record->seq;
+	return (result);
+}
+
+enum tbl_result
+tbl_apply(struct tbl *tbl, const struct prg_record *record)
+{
+	enum tbl_result result;
+	json_t *payload;
+
+	if (record->payload_len > PRG_PAYLOAD_MAX)
+		return (TBL_BAD);
+	payload = json_loadb(record->payload, record->payload_len,
+	    JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, NULL);
+	if (payload == NULL)
+		return (TBL_BAD);
+	result = tbl_apply_json(tbl, record, payload);
+	json_decref(payload);
+	return (result);
+}
+
+static void
+int_set(json_t *object, const char *name, int64_t value)
+{
+	if (value != 0)
+		json_object_set_new(object, name, json_integer(value));
+}
+
+static json_t *
+intent_state(const struct tbl_intent *intent)
+{
+	json_t *item = json_object();
+
+	json_object_set_new(item, "key", json_string(intent->key));
+	digest_set(item, intent->digest);
+	int_set(item, "s", intent->state);
+	int_set(item, "k", intent->kind);
+	int_set(item, "t", intent->turn);
+	int_set(item, "q", (int64_t)intent->end_seq);
+	int_set(item, "st", intent->status);
+	if (intent->content_type != NULL)
+		json_object_set_new(
+		    item, "ct", json_string(intent->content_type));
+	if (intent->reply != NULL)
+		tbl_text_set(item, "re", intent->reply, intent->reply_len);
+	return (item);
+}
+
+static json_t *
+messages_array(const struct tbl_program *program)
+{
+	char *text = g_strconcat("[", program->history->str, "]", NULL);
+	json_t *array = json_loads(text, JSON_ALLOW_NUL, NULL);
+
+	g_free(text);
+	return (array != NULL ? array : json_array());
+}
+
+json_t *
+tbl_state(const struct tbl_program *program)
+{
+	json_t *state = json_object();
+	json_t *intents = json_array(), *engines = json_array(), *call;
+	GHashTableIter iter;
+	void *value;
+
+	json_object_set_new(state, "o", json_string(program->organisation));
+	json_object_set_new(state, "u", json_string(program->urgency));
+	if (program->parent[0] != '\0')
+		json_object_set_new(state, "p", json_string(program->parent));
+	if (program->implicit)
+		json_object_set_new(state, "i", json_true());
+	if (program->closed)
+		json_object_set_new(state, "x", json_true());
+	int_set(state, "b", program->limit);
+	int_set(state, "s", program->spent);
+	int_set(state, "l", program->lent);
+	int_set(state, "n", program->children);
+	int_set(state, "t", program->turn);
+	int_set(state, "c", program->context);
+	int_set(state, "q", (int64_t)program->changed);
+	json_object_set_new(state, "m", messages_array(program));
+	g_hash_table_iter_init(&iter, program->intents);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(intents, intent_state(value));
+	json_object_set_new(state, "in", intents);
+	for (guint i = 0; i < program->engines->len; i++)
+		json_array_append_new(engines,
+		    json_string(g_ptr_array_index(program->engines, i)));
+	json_object_set_new(state, "en", engines);
+	if (program->active) {
+		call = json_object();
+		int_set(call, "k", program->call_kind);
+		int_set(call, "t", program->call_turn);
+		int_set(call, "r", program->call_reserve);
+		if (program->call_key != NULL)
+			json_object_set_new(
+			    call, "key", json_string(program->call_key));
+		json_object_set_new(state, "call", call);
+	}
+	return (state);
+}
+
+static void
+export_add(const struct tbl *tbl, GPtrArray *records, enum prg_kind kind,
+    const char *id, json_t *payload)
+{
+	struct prg_record record = {.datacentre = tbl->datacentre,
+	    .shard = tbl->shard,
+	    .epoch = tbl->epoch,
+	    .seq = tbl->seq,
+	    .kind = kind};
+	char *text = json_dumps(payload, JSON_COMPACT);
+
+	g_strlcpy(record.program, id, sizeof(record.program));
+	record.payload = text;
+	record.payload_len = strlen(text);
+	prg_records_add(records, &record);
+	free(text);
+	json_decref(payload);
+}
+
+GPtrArray *
+tbl_export(const struct tbl *tbl)
+{
+	GPtrArray *records = prg_records_new();
+	GHashTableIter iter;
+	void *value;
+
+	export_add(tbl, records, PRG_HEAD, "",
+	    json_pack(
+		"{s:I}", "n", (json_int_t)g_hash_table_size(tbl->programs)));
+	g_hash_table_iter_init(&iter, tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct tbl_program *program = value;
+
+		export_add(
+		    tbl, records, PRG_STATE, program->id, tbl_state(program));
+	}
+	return (records);
+}
