--- a/src/program/cpy.c
+++ b/src/program/cpy.c
@@ -161,7 +161,8 @@
 		return;
 	cpy->bytes -= table_bytes(replica->tbl);
 	cpy->programs -= table_programs(replica->tbl);
-	g_clear_pointer(&replica->tbl, tbl_free);
+	tbl_free(replica->tbl);
+	replica->tbl = NULL;
 }
 
 size_t
--- a/src/program/prg.c
+++ b/src/program/prg.c
@@ -591,7 +591,8 @@
 
 	shard->unproven = false;
 	g_hash_table_remove_all(shard->gone);
-	g_clear_pointer(&shard->late, tbl_free);
+	tbl_free(shard->late);
+	shard->late = NULL;
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		run_of(value)->unproven = false;
@@ -612,7 +613,8 @@
 			shard_prove(shard);
 		return;
 	}
-	g_clear_pointer(&shard->tbl->staged, tbl_free);
+	tbl_free(shard->tbl->staged);
+	shard->tbl->staged = NULL;
 	shard->recovered = true;
 	shard->unproven = !proven;
 	shard->base_epoch = shard->tbl->epoch;
--- /dev/null
+++ b/src/rate/rat.c
@@ -0,0 +1,950 @@
+#include "rate/rat.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MICRO	     ((int64_t)1000000) /* bucket levels are in 1e-6 tokens */
+#define PPM	     ((int64_t)1000000)
+#define BURST_MAX    ((int64_t)1000000000)
+#define RATE_MAX     ((int64_t)1000000000000)
+#define IDLE_FORGET  (10 * CLK_SECOND)
+#define GRANT_FORGET (2 * RAT_GRANT_LIFETIME)
+#define REPORT_WAIT  ((clk_ms)50)
+#define DEMAND_WAIT  ((clk_ms)100)
+#define REPLY_WAIT   CLK_SECOND /* then a request counts as lost */
+#define RETRY_MAX    CLK_MINUTE
+
+int64_t
+rat_split(
+    int64_t total, const uint32_t *weights, unsigned count, unsigned index)
+{
+	int64_t sum = 0, given = 0, share, rest;
+	unsigned before = 0;
+
+	for (unsigned i = 0; i < count; i++)
+		sum += weights[i];
+	if (sum == 0 || index >= count || total < 0)
+		return (0);
+	for (unsigned i = 0; i < count; i++)
+		given += (int64_t)((__int128)total * weights[i] / sum);
+	share = (int64_t)((__int128)total * weights[index] / sum);
+	rest = (int64_t)((__int128)total * weights[index] % sum);
+	/* The entries with the largest remainders get one more each. */
+	for (unsigned i = 0; i < count; i++) {
+		int64_t other = (int64_t)((__int128)total * weights[i] % sum);
+
+		if (other > rest || (other == rest && i < index))
+			before++;
+	}
+	if (before < total - given)
+		share++;
+	return (share);
+}
+
+/* The longest time in which d ms of one clock may pass on another. */
+static clk_ms
+lengthen(clk_ms d)
+{
+	return (d + d * 3 * RAT_DRIFT_PPM / PPM + 2);
+}
+
+/* A time on another clock in which at most d ms pass on this one. */
+static clk_ms
+shorten(clk_ms d)
+{
+	return (d - d * 3 * RAT_DRIFT_PPM / PPM - 2);
+}
+
+/*
+ * Coordinator
+ */
+
+/* Tokens in the hands of a session. */
+struct grant {
+	uint32_t tokens; /* neither reported nor returned */
+	bool borrowed; /* out of another data centre's bucket */
+	bool expired; /* counted as spent */
+	clk_ms expiry; /* on this coordinator's clock */
+};
+
+struct session {
+	uint64_t number;
+	uint64_t serial; /* of the last request taken */
+	clk_ms last_use;
+	GArray *grants; /* in order of expiry */
+};
+
+struct bucket {
+	char *organisation;
+	uint16_t shard;
+	struct rat_limit limit;
+	int64_t level; /* in 1e-6 tokens */
+	int64_t outstanding; /* tokens granted and possibly not spent */
+	clk_ms filled; /* the level is that of this time */
+	clk_ms next_expiry; /* the earliest of a grant, or INT64_MAX */
+	GPtrArray *sessions;
+	uint32_t pool; /* borrowed tokens not handed on */
+	clk_ms pool_expiry;
+	uint32_t shortfall; /* wanted and not granted since the last list */
+	clk_ms short_at; /* when a holder last got less than it wanted */
+};
+
+struct rat_coordinator {
+	rat_limit_of *limit_of;
+	void *arg;
+	GHashTable *owned; /* shard -> clk_ms *, when its buckets start */
+	GHashTable *buckets; /* organisation -> struct bucket */
+	GHashTable *wanting; /* struct bucket with a shortfall */
+	uint64_t serial; /* of requests to other data centres */
+};
+
+static void
+session_free(void *data)
+{
+	struct session *session = data;
+
+	g_array_unref(session->grants);
+	g_free(session);
+}
+
+static void
+bucket_free(void *data)
+{
+	struct bucket *bucket = data;
+
+	g_ptr_array_unref(bucket->sessions);
+	g_free(bucket->organisation);
+	g_free(bucket);
+}
+
+struct rat_coordinator *
+rat_coordinator_new(rat_limit_of *limit_of, void *arg)
+{
+	struct rat_coordinator *coordinator = g_new0(struct rat_coordinator, 1);
+
+	coordinator->limit_of = limit_of;
+	coordinator->arg = arg;
+	coordinator->owned = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	coordinator->buckets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bucket_free);
+	coordinator->wanting = g_hash_table_new(NULL, NULL);
+	return (coordinator);
+}
+
+void
+rat_coordinator_free(struct rat_coordinator *coordinator)
+{
+	if (coordinator == NULL)
+		return;
+	g_hash_table_unref(coordinator->wanting);
+	g_hash_table_unref(coordinator->buckets);
+	g_hash_table_unref(coordinator->owned);
+	g_free(coordinator);
+}
+
+void
+rat_coordinator_own(struct rat_coordinator *coordinator, clk_ms now,
+    uint16_t shard, bool handover)
+{
+	clk_ms *start = g_new(clk_ms, 1);
+
+	rat_coordinator_disown(coordinator, shard);
+	*start = handover ? now + lengthen(RAT_GRANT_LIFETIME) : now;
+	g_hash_table_insert(coordinator->owned, GUINT_TO_POINTER(shard), start);
+}
+
+static gboolean
+bucket_is_of_shard(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	return (((struct bucket *)value)->shard == GPOINTER_TO_UINT(data));
+}
+
+static gboolean
+wanting_is_of_shard(gpointer key, gpointer value, gpointer data)
+{
+	(void)value;
+	return (((struct bucket *)key)->shard == GPOINTER_TO_UINT(data));
+}
+
+void
+rat_coordinator_disown(struct rat_coordinator *coordinator, uint16_t shard)
+{
+	void *key = GUINT_TO_POINTER(shard);
+
+	if (!g_hash_table_remove(coordinator->owned, key))
+		return;
+	g_hash_table_foreach_remove(
+	    coordinator->wanting, wanting_is_of_shard, key);
+	g_hash_table_foreach_remove(
+	    coordinator->buckets, bucket_is_of_shard, key);
+}
+
+/*
+ * The largest level + outstanding.  One ms of refill is left out of the burst
+ * because a window of w ms on the wall may show w + 1 ticks of this clock.  A
+ * bucket of one token is exact without that: it fills from a full state each
+ * time, and bucket_fill() starts the refill of a full bucket one tick late.
+ */
+static int64_t
+bucket_cap(const struct rat_limit *limit)
+{
+	int64_t cap = limit->burst * MICRO - limit->rate;
+
+	if (limit->burst == 0)
+		return (0);
+	return (MAX(cap, MICRO));
+}
+
+/* Count grants past their expiry as spent. */
+static void
+bucket_expire(struct bucket *bucket, clk_ms now)
+{
+	if (now < bucket->next_expiry)
+		return;
+	bucket->next_expiry = INT64_MAX;
+	for (guint i = 0; i < bucket->sessions->len; i++) {
+		struct session *session =
+		    g_ptr_array_index(bucket->sessions, i);
+
+		for (guint j = 0; j < session->grants->len; j++) {
+			struct grant *grant =
+			    &g_array_index(session->grants, struct grant, j);
+
+			if (grant->expired)
+				continue;
+			if (grant->expiry > now) {
+				bucket->next_expiry =
+				    MIN(bucket->next_expiry, grant->expiry);
+				continue;
+			}
+			grant->expired = true;
+			if (!grant->borrowed)
+				bucket->outstanding -= grant->tokens;
+		}
+	}
+}
+
+static void
+bucket_fill(struct bucket *bucket, clk_ms now)
+{
+	int64_t cap = bucket_cap(&bucket->limit);
+	int64_t room;
+	__int128 gain;
+
+	bucket_expire(bucket, now);
+	if (bucket->pool > 0 && now >= bucket->pool_expiry)
+		bucket->pool = 0;
+	room = cap - bucket->outstanding * MICRO;
+	if (now > bucket->filled) {
+		/* A rate of n is n millionths of a token a ms. */
+		gain = (__int128)bucket->limit.rate * (now - bucket->filled);
+		gain -= (gain * RAT_DRIFT_PPM + PPM - 1) / PPM;
+		bucket->level += (int64_t)MIN(gain, (__int128)cap);
+		bucket->filled = now;
+	}
+	if (bucket->level >= room) {
+		bucket->level = MAX(room, 0);
+		bucket->filled = MAX(bucket->filled, now + 1);
+	}
+}
+
+/* Take a change of configuration into account. */
+static void
+bucket_limit(struct bucket *bucket, clk_ms now, const struct rat_limit *limit)
+{
+	struct rat_limit slower = *limit;
+
+	if (bucket->limit.rate == limit->rate &&
+	    bucket->limit.burst == limit->burst)
+		return;
+	/* The time of the change is not known: fill at the slower rate. */
+	slower.rate = MIN(limit->rate, bucket->limit.rate);
+	slower.burst = MIN(limit->burst, bucket->limit.burst);
+	bucket->limit = slower;
+	bucket_fill(bucket, now);
+	bucket->limit = *limit;
+}
+
+static bool
+limit_read(const struct rat_coordinator *coordinator, const char *organisation,
+    struct rat_limit *limit)
+{
+	if (!coordinator->limit_of(organisation, limit, coordinator->arg))
+		return (false);
+	limit->rate = CLAMP(limit->rate, 0, RATE_MAX);
+	limit->burst = CLAMP(limit->burst, 0, BURST_MAX);
+	return (true);
+}
+
+/* The organisation's bucket, up to date, or nil. */
+static struct bucket *
+bucket_get(struct rat_coordinator *coordinator, clk_ms now,
+    const char *organisation, uint16_t shard)
+{
+	struct bucket *bucket =
+	    g_hash_table_lookup(coordinator->buckets, organisation);
+	const clk_ms *start =
+	    g_hash_table_lookup(coordinator->owned, GUINT_TO_POINTER(shard));
+	struct rat_limit limit;
+
+	if (start == NULL || !limit_read(coordinator, organisation, &limit))
+		return (NULL);
+	if (bucket == NULL) {
+		bucket = g_new0(struct bucket, 1);
+		bucket->organisation = g_strdup(organisation);
+		bucket->shard = shard;
+		bucket->limit = limit;
+		bucket->filled = *start;
+		bucket->next_expiry = INT64_MAX;
+		bucket->short_at = INT64_MIN / 2;
+		bucket->sessions = g_ptr_array_new_with_free_func(session_free);
+		g_hash_table_insert(
+		    coordinator->buckets, bucket->organisation, bucket);
+	}
+	bucket_limit(bucket, now, &limit);
+	bucket_fill(bucket, now);
+	return (bucket);
+}
+
+static struct session *
+session_get(struct bucket *bucket, uint64_t number)
+{
+	struct session *session;
+
+	for (guint i = 0; i < bucket->sessions->len; i++) {
+		session = g_ptr_array_index(bucket->sessions, i);
+		if (session->number == number)
+			return (session);
+	}
+	session = g_new0(struct session, 1);
+	session->number = number;
+	session->grants = g_array_new(FALSE, FALSE, sizeof(struct grant));
+	g_ptr_array_add(bucket->sessions, session);
+	return (session);
+}
+
+/*
+ * Take tokens out of the session's grants, those that expire first before the
+ * others.  Tokens of an expired grant were counted as spent before, so that a
+ * late report does not lower the outstanding tokens of a newer grant.
+ */
+static void
+session_report(struct bucket *bucket, struct session *session, uint32_t count,
+    bool returned)
+{
+	for (guint i = 0; i < session->grants->len && count > 0; i++) {
+		struct grant *grant =
+		    &g_array_index(session->grants, struct grant, i);
+		uint32_t part = MIN(count, grant->tokens);
+
+		grant->tokens -= part;
+		count -= part;
+		if (grant->expired)
+			continue;
+		if (!grant->borrowed) {
+			bucket->outstanding -= part;
+			if (returned)
+				bucket->level += part * MICRO;
+		} else if (returned && bucket->pool > 0) {
+			bucket->pool += part;
+			bucket->pool_expiry =
+			    MIN(bucket->pool_expiry, grant->expiry);
+		}
+	}
+}
+
+static void
+session_prune(struct session *session, clk_ms now)
+{
+	guint keep = 0;
+
+	for (guint i = 0; i < session->grants->len; i++) {
+		struct grant grant =
+		    g_array_index(session->grants, struct grant, i);
+
+		/*
+		 * A report that names tokens of an expired grant may still be
+		 * under way.  Later than one lifetime after the expiry, every
+		 * grant that the holder could have got before that report was
+		 * sent has expired too, so that the report does no harm.
+		 */
+		if (grant.tokens == 0 ||
+		    (grant.expired && now - grant.expiry > GRANT_FORGET))
+			continue;
+		g_array_index(session->grants, struct grant, keep) = grant;
+		keep++;
+	}
+	g_array_set_size(session->grants, keep);
+}
+
+static void
+grant_add(struct bucket *bucket, struct session *session, uint32_t tokens,
+    bool borrowed, clk_ms expiry)
+{
+	struct grant grant = {
+	    .tokens = tokens, .borrowed = borrowed, .expiry = expiry};
+	guint at = session->grants->len;
+
+	if (tokens == 0)
+		return;
+	while (at > 0 &&
+	    g_array_index(session->grants, struct grant, at - 1).expiry >
+		expiry)
+		at--;
+	g_array_insert_val(session->grants, at, grant);
+	bucket->next_expiry = MIN(bucket->next_expiry, expiry);
+	if (!borrowed)
+		bucket->outstanding += tokens;
+}
+
+static clk_ms
+next_token(const struct bucket *bucket, clk_ms now)
+{
+	int64_t lacking = MICRO - bucket->level;
+	clk_ms wait;
+
+	if (bucket->limit.rate <= 0 || bucket->limit.burst == 0)
+		return (CLK_SECOND);
+	if (bucket->outstanding >= bucket->limit.burst &&
+	    bucket->next_expiry != INT64_MAX)
+		lacking = MICRO;
+	wait = lacking / bucket->limit.rate + 1 + MAX(bucket->filled - now, 0);
+	return (CLAMP(wait, 1, RETRY_MAX));
+}
+
+bool
+rat_grant(struct rat_coordinator *coordinator, clk_ms now, clk_ms horizon,
+    uint64_t number, const struct rat_request *request, struct rat_reply *reply)
+{
+	struct bucket *bucket;
+	struct session *session;
+	clk_ms lifetime;
+	uint32_t own, borrowed = 0;
+
+	*reply = (struct rat_reply){.retry_after = CLK_SECOND};
+	bucket =
+	    bucket_get(coordinator, now, request->organisation, request->shard);
+	if (bucket == NULL)
+		return (false);
+	session = session_get(bucket, number);
+	if (request->serial <= session->serial)
+		return (false);
+	session->serial = request->serial;
+	session->last_use = now;
+	session_report(bucket, session, request->used, false);
+	session_report(bucket, session, request->returned, true);
+	session_prune(session, now);
+	bucket_fill(bucket, now);
+	lifetime = RAT_GRANT_LIFETIME;
+	if (horizon < now + 2 * RAT_GRANT_LIFETIME)
+		lifetime = MIN(lifetime, shorten(horizon - now));
+	if (lifetime <= 0)
+		return (true);
+	own = (uint32_t)MIN(bucket->level / MICRO, (int64_t)UINT32_MAX);
+	if (request->borrow)
+		own = now - bucket->short_at < CLK_SECOND ? 0 : own / 2;
+	own = MIN(own, request->wanted);
+	if (!request->borrow && own < request->wanted && bucket->pool > 0 &&
+	    shorten(bucket->pool_expiry - now) > 0) {
+		borrowed = MIN(bucket->pool, request->wanted - own);
+		lifetime = MIN(lifetime, shorten(bucket->pool_expiry - now));
+	}
+	bucket->level -= own * MICRO;
+	bucket->pool -= borrowed;
+	grant_add(bucket, session, own, false, now + lengthen(lifetime));
+	grant_add(bucket, session, borrowed, true, now + lengthen(lifetime));
+	reply->tokens = own + borrowed;
+	reply->lifetime = lifetime;
+	reply->retry_after = 0;
+	if (reply->tokens == request->wanted)
+		return (true);
+	reply->retry_after = next_token(bucket, now);
+	if (!request->borrow) {
+		bucket->short_at = now;
+		bucket->shortfall += request->wanted - reply->tokens;
+		g_hash_table_add(coordinator->wanting, bucket);
+	}
+	return (true);
+}
+
+void
+rat_borrow_list(struct rat_coordinator *coordinator, clk_ms now,
+    rat_each_request *each, void *arg)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, coordinator->wanting);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct bucket *bucket = key;
+		struct rat_request request = {
+		    .organisation = bucket->organisation,
+		    .shard = bucket->shard,
+		    .serial = ++coordinator->serial,
+		    .borrow = true,
+		    .wanted = bucket->shortfall,
+		};
+
+		bucket->shortfall = 0;
+		g_hash_table_iter_remove(&iter);
+		if (now - bucket->short_at < CLK_SECOND)
+			each(&request, arg);
+	}
+}
+
+void
+rat_borrowed(struct rat_coordinator *coordinator, clk_ms now, clk_ms sent,
+    const char *organisation, const struct rat_reply *reply)
+{
+	struct bucket *bucket =
+	    g_hash_table_lookup(coordinator->buckets, organisation);
+	clk_ms expiry = sent + reply->lifetime;
+
+	if (bucket == NULL || reply->tokens == 0 || expiry <= now)
+		return;
+	if (bucket->pool == 0 || now >= bucket->pool_expiry) {
+		bucket->pool = 0;
+		bucket->pool_expiry = expiry;
+	}
+	bucket->pool += reply->tokens;
+	bucket->pool_expiry = MIN(bucket->pool_expiry, expiry);
+}
+
+static gboolean
+bucket_is_idle(gpointer key, gpointer value, gpointer data)
+{
+	struct bucket *bucket = value;
+	clk_ms now = *(const clk_ms *)data;
+
+	(void)key;
+	bucket_fill(bucket, now);
+	for (guint i = bucket->sessions->len; i-- > 0;) {
+		struct session *session =
+		    g_ptr_array_index(bucket->sessions, i);
+
+		session_prune(session, now);
+		if (session->grants->len == 0 &&
+		    now - session->last_use > IDLE_FORGET)
+			g_ptr_array_remove_index_fast(bucket->sessions, i);
+	}
+	return (bucket->sessions->len == 0 && bucket->pool == 0 &&
+	    bucket->shortfall == 0 &&
+	    (bucket->level >= bucket_cap(&bucket->limit) ||
+		bucket->limit.rate == 0));
+}
+
+void
+rat_coordinator_tick(struct rat_coordinator *coordinator, clk_ms now)
+{
+	g_hash_table_foreach_remove(coordinator->buckets, bucket_is_idle, &now);
+}
+
+size_t
+rat_coordinator_buckets(const struct rat_coordinator *coordinator)
+{
+	return (g_hash_table_size(coordinator->buckets));
+}
+
+/*
+ * Holder
+ */
+
+struct tokens {
+	uint32_t count;
+	clk_ms expiry;
+};
+
+struct waiter {
+	void *tag;
+	clk_ms deadline;
+};
+
+struct account {
+	char *organisation;
+	uint16_t shard;
+	GArray *tokens; /* struct tokens in order of expiry */
+	GQueue waiting; /* struct waiter, oldest first */
+	uint32_t used; /* since the last request */
+	uint32_t demand; /* tokens taken in this period */
+	uint32_t last_demand; /* in the period before */
+	clk_ms period; /* start of this period */
+	clk_ms last_use;
+	clk_ms last_request;
+	uint64_t serial; /* of the request under way; 0: none */
+	clk_ms sent; /* when it was sent */
+	uint64_t late_serial; /* of the one before, given up as lost */
+	clk_ms late_sent;
+	clk_ms retry_at; /* no request before */
+	clk_ms retry_after; /* as the coordinator last said */
+	bool refused; /* it gave fewer tokens than wanted */
+};
+
+struct rat_holder {
+	rat_shard_of *shard_of;
+	rat_on_done *on_done;
+	void *arg;
+	GHashTable *accounts; /* organisation -> struct account */
+	uint64_t serial;
+	GQueue over; /* struct over: waits that have ended without a token */
+};
+
+struct over {
+	void *tag;
+	clk_ms retry_after;
+};
+
+static void
+account_free(void *data)
+{
+	struct account *account = data;
+
+	g_queue_clear_full(&account->waiting, g_free);
+	g_array_unref(account->tokens);
+	g_free(account->organisation);
+	g_free(account);
+}
+
+struct rat_holder *
+rat_holder_new(rat_shard_of *shard_of, rat_on_done *on_done, void *arg)
+{
+	struct rat_holder *holder = g_new0(struct rat_holder, 1);
+
+	g_queue_init(&holder->over);
+	holder->shard_of = shard_of;
+	holder->on_done = on_done;
+	holder->arg = arg;
+	holder->accounts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_free);
+	return (holder);
+}
+
+void
+rat_holder_free(struct rat_holder *holder)
+{
+	if (holder == NULL)
+		return;
+	g_queue_clear_full(&holder->over, g_free);
+	g_hash_table_unref(holder->accounts);
+	g_free(holder);
+}
+
+static struct account *
+account_get(struct rat_holder *holder, clk_ms now, const char *organisation)
+{
+	struct account *account =
+	    g_hash_table_lookup(holder->accounts, organisation);
+
+	if (account != NULL)
+		return (account);
+	account = g_new0(struct account, 1);
+	account->organisation = g_strdup(organisation);
+	account->shard = holder->shard_of(organisation, holder->arg);
+	account->tokens = g_array_new(FALSE, FALSE, sizeof(struct tokens));
+	g_queue_init(&account->waiting);
+	account->period = now;
+	account->last_request = now - REPORT_WAIT;
+	g_hash_table_insert(holder->accounts, account->organisation, account);
+	return (account);
+}
+
+static void
+account_period(struct account *account, clk_ms now)
+{
+	if (now - account->period < DEMAND_WAIT)
+		return;
+	account->last_demand =
+	    now - account->period < 2 * DEMAND_WAIT ? account->demand : 0;
+	account->demand = 0;
+	account->period = now;
+}
+
+static void
+account_expire(struct account *account, clk_ms now)
+{
+	guint expired = 0;
+
+	while (expired < account->tokens->len &&
+	    g_array_index(account->tokens, struct tokens, expired).expiry <=
+		now)
+		expired++;
+	if (expired > 0)
+		g_array_remove_range(account->tokens, 0, expired);
+}
+
+static uint32_t
+account_tokens(const struct account *account)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < account->tokens->len; i++)
+		sum += g_array_index(account->tokens, struct tokens, i).count;
+	return (sum);
+}
+
+/* Remove one token of those that expire first. */
+static bool
+account_spend(struct account *account, clk_ms now)
+{
+	struct tokens *first;
+
+	account_expire(account, now);
+	if (account->tokens->len == 0)
+		return (false);
+	first = &g_array_index(account->tokens, struct tokens, 0);
+	account->used++;
+	account->demand++;
+	if (--first->count == 0)
+		g_array_remove_index(account->tokens, 0);
+	return (true);
+}
+
+static clk_ms
+account_retry(const struct account *account)
+{
+	return (account->retry_after > 0 ? account->retry_after : CLK_SECOND);
+}
+
+enum rat_outcome
+rat_take(struct rat_holder *holder, clk_ms now, const char *organisation,
+    void *tag, clk_ms *retry_after)
+{
+	struct account *account = account_get(holder, now, organisation);
+	struct waiter *waiter;
+
+	*retry_after = 0;
+	account->last_use = now;
+	account_period(account, now);
+	if (account->waiting.length == 0 && account_spend(account, now))
+		return (RAT_TAKEN);
+	/* The coordinator said that no token comes within the wait. */
+	if (account->waiting.length >= RAT_WAITERS_MAX ||
+	    (account->refused && account->retry_at > now + RAT_WAIT)) {
+		*retry_after =
+		    MAX(account_retry(account), account->retry_at - now);
+		return (RAT_REFUSED);
+	}
+	waiter = g_new(struct waiter, 1);
+	waiter->tag = tag;
+	waiter->deadline = now + RAT_WAIT;
+	g_queue_push_tail(&account->waiting, waiter);
+	return (RAT_WAITING);
+}
+
+void
+rat_take_cancel(struct rat_holder *holder, const char *organisation, void *tag)
+{
+	struct account *account =
+	    g_hash_table_lookup(holder->accounts, organisation);
+
+	for (GList *item = holder->over.head; item != NULL; item = item->next) {
+		if (((struct over *)item->data)->tag != tag)
+			continue;
+		g_free(item->data);
+		g_queue_delete_link(&holder->over, item);
+		return;
+	}
+	if (account == NULL)
+		return;
+	for (GList *item = account->waiting.head; item != NULL;
+	     item = item->next) {
+		if (((struct waiter *)item->data)->tag != tag)
+			continue;
+		g_free(item->data);
+		g_queue_delete_link(&account->waiting, item);
+		return;
+	}
+}
+
+/* Tokens that the demand of the last period does not need. */
+static uint32_t
+account_spare(const struct account *account, clk_ms now)
+{
+	uint32_t held = account_tokens(account);
+	uint32_t need = MAX(account->demand, account->last_demand);
+
+	if (account->waiting.length > 0)
+		return (0);
+	if (now - account->last_use >= 2 * DEMAND_WAIT)
+		return (held);
+	need = MAX(need, 1);
+	return (held > 2 * need ? held - 2 * need : 0);
+}
+
+static void
+account_give_back(struct account *account, uint32_t count)
+{
+	while (count > 0 && account->tokens->len > 0) {
+		struct tokens *first =
+		    &g_array_index(account->tokens, struct tokens, 0);
+		uint32_t part = MIN(count, first->count);
+
+		first->count -= part;
+		count -= part;
+		if (first->count == 0)
+			g_array_remove_index(account->tokens, 0);
+	}
+}
+
+static bool
+account_request(
+    struct account *account, clk_ms now, struct rat_request *request)
+{
+	uint32_t held, target;
+	bool waiting = account->waiting.length > 0;
+
+	if (account->serial != 0) {
+		if (now - account->sent < REPLY_WAIT)
+			return (false);
+		account->late_serial = account->serial;
+		account->late_sent = account->sent;
+		account->serial = 0;
+	}
+	account_expire(account, now);
+	held = account_tokens(account);
+	target = MAX(account->demand, account->last_demand);
+	if (now - account->last_use >= 2 * DEMAND_WAIT)
+		target = 0;
+	else
+		target = MAX(target, 1);
+	target += account->waiting.length;
+	request->returned = account_spare(account, now);
+	request->used = account->used;
+	request->wanted = 0;
+	if (now >= account->retry_at && target > held)
+		request->wanted = target - held;
+	if (waiting && request->wanted > 0 && held == 0)
+		return (true);
+	return (now - account->last_request >= REPORT_WAIT &&
+	    (request->used > 0 || request->returned > 0 ||
+		request->wanted > 0));
+}
+
+void
+rat_request_list(
+    struct rat_holder *holder, clk_ms now, rat_each_request *each, void *arg)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, holder->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct account *account = value;
+		struct rat_request request = {
+		    .organisation = account->organisation,
+		    .shard = account->shard,
+		};
+
+		account_period(account, now);
+		if (!account_request(account, now, &request))
+			continue;
+		request.serial = ++holder->serial;
+		/* A report that is lost is not repeated: see rat.h. */
+		account_give_back(account, request.returned);
+		account->used = 0;
+		account->serial = request.serial;
+		account->sent = now;
+		account->last_request = now;
+		each(&request, arg);
+	}
+}
+
+static void
+account_add(struct account *account, uint32_t count, clk_ms expiry)
+{
+	struct tokens tokens = {.count = count, .expiry = expiry};
+	guint at = account->tokens->len;
+
+	while (at > 0 &&
+	    g_array_index(account->tokens, struct tokens, at - 1).expiry >
+		expiry)
+		at--;
+	g_array_insert_val(account->tokens, at, tokens);
+}
+
+/* Serve waiting requests in order. */
+static void
+account_serve(struct rat_holder *holder, struct account *account, clk_ms now)
+{
+	while (account->waiting.length > 0 && account_spend(account, now)) {
+		struct waiter *waiter = g_queue_pop_head(&account->waiting);
+		void *tag = waiter->tag;
+
+		g_free(waiter);
+		holder->on_done(tag, RAT_TAKEN, 0, holder->arg);
+	}
+}
+
+void
+rat_granted(struct rat_holder *holder, clk_ms now, const char *organisation,
+    uint64_t serial, const struct rat_reply *reply)
+{
+	struct account *account =
+	    g_hash_table_lookup(holder->accounts, organisation);
+	clk_ms sent;
+
+	if (account == NULL || serial == 0)
+		return;
+	if (serial == account->serial) {
+		sent = account->sent;
+		account->serial = 0;
+	} else if (serial == account->late_serial) {
+		sent = account->late_sent;
+		account->late_serial = 0;
+	} else {
+		return;
+	}
+	if (reply == NULL) {
+		account->retry_at = now + REPORT_WAIT;
+		account->refused = false;
+		return;
+	}
+	account->refused = reply->retry_after > 0;
+	account->retry_after = reply->retry_after;
+	account->retry_at = now + MIN(reply->retry_after, CLK_SECOND);
+	/* The lifetime counts from the sending, whatever the way back took. */
+	if (reply->tokens > 0 && sent + reply->lifetime > now)
+		account_add(account, reply->tokens, sent + reply->lifetime);
+	account_serve(holder, account, now);
+}
+
+void
+rat_holder_tick(struct rat_holder *holder, clk_ms now)
+{
+	struct over *over;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, holder->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct account *account = value;
+		struct waiter *waiter;
+
+		account_expire(account, now);
+		while (
+		    (waiter = g_queue_peek_head(&account->waiting)) != NULL &&
+		    waiter->deadline <= now) {
+			over = g_new(struct over, 1);
+			over->tag = waiter->tag;
+			over->retry_after = account_retry(account);
+			g_queue_push_tail(&holder->over, over);
+			g_free(g_queue_pop_head(&account->waiting));
+		}
+		if (now - account->last_use >= IDLE_FORGET &&
+		    account->tokens->len == 0 && account->used == 0 &&
+		    account->waiting.length == 0 && account->serial == 0)
+			g_hash_table_iter_remove(&iter);
+	}
+	/* on_done may cancel waits that are still in this list. */
+	while ((over = g_queue_pop_head(&holder->over)) != NULL) {
+		holder->on_done(
+		    over->tag, RAT_REFUSED, over->retry_after, holder->arg);
+		g_free(over);
+	}
+}
+
+size_t
+rat_holder_active(const struct rat_holder *holder)
+{
+	return (g_hash_table_size(holder->accounts));
+}
--- a/src/rate/rat.h
+++ b/src/rate/rat.h
@@ -111,10 +111,12 @@
  * rat_borrow_list(coordinator, now, each, arg)
  *	Call each() for every organisation whose holders got less than they
  *	wanted since the last call, with a request to be sent to coordinators of
- *	other data centres.  Costs O(organisations that are short).
+ *	other data centres.  Costs O(organisations that are short).  each must
+ *	not call functions of the coordinator.
  * rat_borrowed(coordinator, now, sent, organisation, reply)
  *	Add a grant from another data centre; sent is when this instance sent
- *	the request.  It is handed on with the rest of its lifetime only.
+ *	the request.  It is handed on with the rest of its lifetime only.  To be
+ *	called once for each reply.
  */
 typedef void rat_each_request(const struct rat_request *request, void *arg);
 void rat_borrow_list(struct rat_coordinator *coordinator, clk_ms now,
@@ -179,7 +181,8 @@
  *	used or has spare tokens to report, at most every 50 ms.  To be called
  *	right after a rat_take() that returned RAT_WAITING and every 25 ms.  The
  *	daemon sends the requests at once; now counts as the send time.
- *	Costs O(organisations that were active in the last few seconds).
+ *	Costs O(organisations that were active in the last few seconds).  each
+ *	must not call functions of the holder.
  * rat_granted(holder, now, organisation, serial, reply)
  *	The answer to the request with that serial number; reply nil if it
  *	failed or was refused.  Waiting requests are served in order.  A late
