--- a/src/lib/yml.h
+++ b/src/lib/yml.h
@@ -113,13 +113,13 @@
  */
 struct yml_rule {
 	const char *path;
-	enum yml_type type;
 	int64_t min;
 	int64_t max;
 	const char *words; /* YML_ENUM */
-	bool required;
 	const char *value; /* the default as it would be written, or nil */
 	const char *help;
+	enum yml_type type;
+	bool required;
 };
 
 /*
@@ -127,7 +127,8 @@
  *	Check every node below root against the rules, add an error for each
  *	violation, set the values that yml_integer() and yml_number() return,
  *	and add a node for each absent key that has a default.  A group that is
- *	absent is added if it is not required and no key in it is required.
+ *	absent is added if it is not required and no key in it is required.  A
+ *	key without a value counts as absent.
  * RETURN VALUES
  *	true if no error was added.
  */
