--- a/src/lib/yml.c
+++ b/src/lib/yml.c
@@ -723,9 +723,9 @@
 	switch (rule->type) {
 	case YML_STRING:
 		if (max == 0)
-			return (g_strdup("a text"));
-		return (
-		    g_strdup_printf("a text of %lld to %lld bytes", min, max));
+			return (g_strdup("a text on one line"));
+		return (g_strdup_printf(
+		    "a text on one line of %lld to %lld bytes", min, max));
 	case YML_NAME:
 		return (g_strdup("a name of 1 to 63 lower-case letters, digits "
 				 "and hyphens that begins with a letter or "
@@ -825,6 +825,10 @@
 
 	switch (rule->type) {
 	case YML_STRING:
+		for (const char *p = node->text; *p != '\0'; p++) {
+			if (g_ascii_iscntrl(*p))
+				return (false);
+		}
 		return (rule->max == 0 ||
 		    (len >= (size_t)rule->min && len <= (size_t)rule->max));
 	case YML_NAME:
@@ -924,6 +928,19 @@
 		strcmp(node->text, "null") == 0));
 }
 
+/* A group in which every key is without a value. */
+static bool
+is_blank_group(const struct yml_node *node)
+{
+	if (node->kind != YML_MAPPING || node->children->len == 0)
+		return (false);
+	for (size_t i = 0; i < node->children->len; i++) {
+		if (!is_empty(child_at(node, i)))
+			return (false);
+	}
+	return (true);
+}
+
 static bool
 has_required(const struct check *check, const char *group)
 {
@@ -935,6 +952,18 @@
 	return (false);
 }
 
+static const char *
+help_separator(const struct yml_rule *rule)
+{
+	return (rule->help != NULL ? ". " : "");
+}
+
+static const char *
+help_text(const struct yml_rule *rule)
+{
+	return (rule->help != NULL ? rule->help : "");
+}
+
 static void
 add_absent(struct check *check, struct yml_node *group,
     const struct yml_rule *rule, unsigned line)
@@ -945,8 +974,8 @@
 	if (rule->required) {
 		accepts = yml_accepts(rule);
 		yml_error(check->errors, check->file, line,
-		    "%s: required and missing; accepted is %s", rule->path,
-		    accepts);
+		    "%s: required and missing; accepted is %s%s%s", rule->path,
+		    accepts, help_separator(rule), help_text(rule));
 		return;
 	}
 	if (rule->type == YML_GROUP && !has_required(check, rule->path))
@@ -982,7 +1011,8 @@
 		    : NULL;
 		if (rule == NULL) {
 			report_unknown(check, child, path);
-		} else if (is_empty(child)) {
+		} else if (is_empty(child) ||
+		    (!rule->required && is_blank_group(child))) {
 			(void)g_hash_table_insert(empty, g_strdup(child->key),
 			    GUINT_TO_POINTER(child->line));
 			(void)g_ptr_array_remove_index(
@@ -1022,19 +1052,19 @@
     const struct yml_rule *rule)
 {
 	g_autofree char *accepts = yml_accepts(rule);
+	g_autofree char *found = NULL;
 
 	if (node->kind == YML_SCALAR)
-		yml_error(check->errors, check->file, node->line,
-		    "%s: \"%s\" is not accepted; accepted is %s", rule->path,
-		    node->text, accepts);
+		found =
+		    g_strdup_printf("\"%.100s\" is not accepted", node->text);
 	else if (rule->type == YML_LIST && node->kind == YML_SEQUENCE)
-		yml_error(check->errors, check->file, node->line,
-		    "%s: %u items; accepted is %s", rule->path,
-		    node->children->len, accepts);
+		found = g_strdup_printf("%u items", node->children->len);
 	else
-		yml_error(check->errors, check->file, node->line,
-		    "%s: a %s is not accepted; accepted is %s", rule->path,
-		    node->kind == YML_MAPPING ? "mapping" : "list", accepts);
+		found = g_strdup_printf("a %s is not accepted",
+		    node->kind == YML_MAPPING ? "mapping" : "list");
+	yml_error(check->errors, check->file, node->line,
+	    "%s: %s; accepted is %s%s%s", rule->path, found, accepts,
+	    help_separator(rule), help_text(rule));
 }
 
 static void
--- a/src/lib/yml.h
+++ b/src/lib/yml.h
@@ -94,7 +94,7 @@
 json_t *yml_json(const struct yml_node *node);
 
 enum yml_type {
-	YML_STRING, /* min and max: length in bytes, if max is not 0 */
+	YML_STRING, /* one line; min and max: bytes, if max is not 0 */
 	YML_NAME, /* lower-case letters, digits and hyphens, 1 to 63 bytes */
 	YML_INTEGER, /* from min to max */
 	YML_NUMBER, /* from min to max, which are in thousandths */
@@ -128,7 +128,9 @@
  *	violation, set the values that yml_integer() and yml_number() return,
  *	and add a node for each absent key that has a default.  A group that is
  *	absent is added if it is not required and no key in it is required.  A
- *	key without a value counts as absent.
+ *	key without a value counts as absent, and so does a group that is not
+ *	required if all its keys are without a value.  An error about a key
+ *	ends with the help text of its rule.
  * RETURN VALUES
  *	true if no error was added.
  */
