--- a/src/cli/check.c
+++ b/src/cli/check.c
@@ -52,7 +52,7 @@
 
 	status = cli_options_parse(io, argc, argv, entries, "[FILE...]",
 	    "Validates settings files, and with --objects a file of "
-	    "configuration objects. Every error names file, line and key.",
+	    "configuration objects.\nEvery error names file, line and key.",
 	    &args);
 	if (status >= 0)
 		return (status);
--- a/src/cli/init.c
+++ b/src/cli/init.c
@@ -1094,7 +1094,7 @@
 
 	status = cli_options_parse(io, argc, argv, entries, NULL,
 	    "Writes DIR/instances/NAME.yaml for each instance and "
-	    "DIR/objects.yaml. The same answers give the same files.",
+	    "DIR/objects.yaml.\nThe same answers give the same files.",
 	    &args);
 	if (status >= 0)
 		return (status);
--- a/src/cli/test_cli.c
+++ b/src/cli/test_cli.c
@@ -617,6 +617,26 @@
 	    "\"base\":10,\"value\":{\"capacity\":1,\"state\":\"leaving\"}");
 }
 
+/* Guards against an error code that operators can't look up. */
+static void
+test_errors_page(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *page = NULL;
+
+	(void)f;
+	(void)unused;
+	g_assert_true(
+	    g_file_get_contents("docs/operators/errors.md", &page, NULL, NULL));
+	for (int code = VD_OK; code <= VD_INTERNAL; code++) {
+		struct vd vd =
+		    vd_make(VD_NOT_RUN, (enum vd_code)code, "%s", "");
+		g_autofree char *row = g_strdup_printf("\n| `%s` | %d |",
+		    vd_code_name((enum vd_code)code), vd.status);
+
+		assert_holds(page, row);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -638,5 +658,6 @@
 	ADD("/cli/apply-of-bad-file", test_apply_of_bad_file);
 	ADD("/cli/key-create", test_key_create);
 	ADD("/cli/states", test_states);
+	ADD("/cli/errors-page", test_errors_page);
 	return (g_test_run());
 }
--- a/src/settings/test_set.c
+++ b/src/settings/test_set.c
@@ -224,6 +224,40 @@
 	g_assert_cmpuint(f->errors->len, ==, 5);
 }
 
+/* Guards against a key that the manual page leaves out or describes wrongly. */
+static void
+test_manual(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *page = NULL;
+	const struct yml_rule *rules;
+	size_t n;
+
+	(void)f;
+	(void)unused;
+	g_assert_true(
+	    g_file_get_contents("man/samphireshed.yaml.5", &page, NULL, NULL));
+	rules = set_rules(&n);
+	for (size_t i = 0; i < n; i++) {
+		g_autofree char *item =
+		    g_strdup_printf("\n.It Cm %s\n", rules[i].path);
+		g_autofree char *accepts = yml_accepts(&rules[i]);
+		g_autofree char *line = g_strdup_printf("\nAccepted: %s%s%s.\n",
+		    accepts, rules[i].value != NULL ? "; default " : "",
+		    rules[i].value != NULL ? rules[i].value : "");
+		const char *found;
+
+		if (g_str_has_suffix(rules[i].path, "[]"))
+			continue;
+		found = strstr(page, item);
+		if (found == NULL)
+			g_error("the manual lacks %s", rules[i].path);
+		found = strstr(found, line);
+		if (rules[i].type != YML_GROUP && found == NULL)
+			g_error("the manual lacks \"%s\" for %s", line,
+			    rules[i].path);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -238,5 +272,6 @@
 	ADD("/set/order-of-timings", test_order_of_timings);
 	ADD("/set/unspecified-peer-address", test_unspecified_peer_address);
 	ADD("/set/all-errors", test_all_errors);
+	ADD("/set/manual", test_manual);
 	return (g_test_run());
 }
