Drive the ownership module through random orders of events

Cause: two owners at once, diverging maps and shards without an owner had no test. Change: test_own.c with a check after each event, and four variants with one rule off each that must be found. It found: a lost data centre whose only remote holder had restarted was claimed by nobody; a late second copy of a session_open record made the member table take a live session for replaced.

--- a/src/member/mem.c
+++ b/src/member/mem.c
@@ -17,7 +17,6 @@
 
 struct session {
 	struct mem_info info;
-	bool replaced;
 	bool peer; /* of another data centre, one of peers_other */
 	bool watched;
 	bool listed; /* was on the member list once */
@@ -166,10 +165,9 @@
 	for (unsigned i = 0; i < mem->list->len; i++) {
 		struct session *s = g_ptr_array_index(mem->list, i);
 
-		if (s->replaced ||
+		if (s->info.self ||
 		    strcmp(s->info.identity.instance, identity->instance) != 0)
 			continue;
-		s->replaced = true;
 		set_state(mem, s, MEM_REPLACED, now);
 	}
 }
@@ -390,7 +388,7 @@
 			s->unanswered_since = now;
 			s->new_sent_at = -1;
 		}
-		if (s->info.self || s->replaced)
+		if (s->info.self)
 			continue;
 		if (s->info.state == MEM_LIVE && is_silent(mem, s, now))
 			set_state(mem, s, MEM_SUSPECTED, now);
@@ -404,9 +402,9 @@
 {
 	clk_ms wait = interval(mem, s);
 
-	if (s->info.self || s->replaced)
+	if (s->info.self)
 		return (false);
-	if (s->info.state == MEM_SUSPECTED) {
+	if (s->info.state != MEM_LIVE) {
 		/* So that a session that comes back is noticed. */
 		if (!is_near(mem, s) && !s->peer && !s->watched)
 			wait *= SUSPECTED_PING_FACTOR;
@@ -463,8 +461,7 @@
 	s->info.answered_at = now;
 	s->unanswered_since = -1;
 	s->new_sent_at = -1;
-	if (s->info.state == MEM_SUSPECTED)
-		set_state(mem, s, MEM_LIVE, now);
+	set_state(mem, s, MEM_LIVE, now);
 }
 
 static void
--- a/src/member/mem.h
+++ b/src/member/mem.h
@@ -58,7 +58,11 @@
 	MEM_UNKNOWN, /* no such session, or closed */
 	MEM_LIVE, /* answers, or has not been silent for long enough */
 	MEM_SUSPECTED,
-	/* The instance has opened a newer session. */
+	/*
+	 * A later session_open record names the same instance.  The order of
+	 * the records is not always that of the sessions, so an answer makes
+	 * the session live again.
+	 */
 	MEM_REPLACED
 };
 
@@ -114,7 +118,8 @@
 /*
  * mem_apply(mem, record, now)
  *	Apply a session_open or session_close record; other records are
- *	ignored.
+ *	ignored.  Only records that own_apply() found to be OWN_APPLIED may be
+ *	passed: a late second copy would open a closed session again.
  */
 void mem_apply(struct mem *mem, const json_t *record, clk_ms now);
 
--- a/src/own/own.c
+++ b/src/own/own.c
@@ -1,6 +1,7 @@
 #include "own/own.h"
 
 #include <glib.h>
+#include <limits.h>
 #include <string.h>
 
 #include "plog/plg.h"
@@ -93,7 +94,8 @@
 	uint64_t rank_generation;
 	uint64_t rank[2]; /* the best two of the data centre */
 	uint64_t rank_other; /* the best of the other data centres */
-	unsigned self_position; /* MAX_RANK: not among the first */
+	/* Among those of its side; MAX_RANK: not among the first. */
+	unsigned self_position;
 	clk_ms rank_since; /* when the best one changed last */
 };
 
@@ -1507,6 +1509,16 @@
 		out->now - submitted->at >= out->own->settings.repeat_ms));
 }
 
+static unsigned
+position_of(uint64_t session, const uint64_t *sessions, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (sessions[i] == session)
+			return ((unsigned)i);
+	}
+	return (MAX_RANK);
+}
+
 /* Bring the shard's ranking up to date; false if that has to wait. */
 static bool
 refresh_rank(struct out *out, unsigned index)
@@ -1515,7 +1527,6 @@
 	struct own_shard_id id = shard_id(out->own, index);
 	uint64_t sessions[MAX_RANK];
 	uint64_t first = sh->rank[0];
-	uint64_t other = 0;
 	size_t n;
 
 	if (sh->rank_generation == mem_generation(out->mem))
@@ -1527,13 +1538,13 @@
 	    out->mem, id.datacentre, id.shard, true, sessions, MAX_RANK);
 	sh->rank[0] = n > 0 ? sessions[0] : 0;
 	sh->rank[1] = n > 1 ? sessions[1] : 0;
-	sh->self_position = MAX_RANK;
-	for (size_t i = 0; i < n; i++) {
-		if (sessions[i] == out->own->self.session)
-			sh->self_position = (unsigned)i;
-	}
-	(void)mem_rank(out->mem, id.datacentre, id.shard, false, &other, 1);
-	sh->rank_other = other;
+	sh->self_position = position_of(out->own->self.session, sessions, n);
+	n = mem_rank(
+	    out->mem, id.datacentre, id.shard, false, sessions, MAX_RANK);
+	sh->rank_other = n > 0 ? sessions[0] : 0;
+	if (out->own->self.datacentre != id.datacentre)
+		sh->self_position =
+		    position_of(out->own->self.session, sessions, n);
 	if (sh->rank[0] != first)
 		sh->rank_since = out->now;
 	sh->rank_generation = mem_generation(out->mem);
@@ -1583,7 +1594,7 @@
 
 /*
  * After how many times stagger_ms this session may claim a shard without a
- * live owner; MAX_RANK or more if never.
+ * live owner; UINT_MAX if never.
  */
 static unsigned
 claim_position(const struct out *out, unsigned index)
@@ -1591,11 +1602,10 @@
 	const struct own *own = out->own;
 	const struct shard *sh = &own->shards[index];
 	unsigned datacentre = shard_id(own, index).datacentre;
-	bool inside = own->self.datacentre == datacentre;
 	unsigned before = 0;
 
-	if (!inside && !own->lost[datacentre])
-		return (MAX_RANK);
+	if (own->self.datacentre != datacentre && !own->lost[datacentre])
+		return (UINT_MAX);
 	for (unsigned i = 0; i < OWN_HOLDERS; i++) {
 		const struct session *holder =
 		    find_session(own, sh->holders[i]);
@@ -1606,8 +1616,8 @@
 		    mem_state(out->mem, sh->holders[i]) == MEM_LIVE)
 			before++;
 	}
-	if (!inside || sh->self_position >= MAX_RANK)
-		return (MAX_RANK);
+	if (sh->self_position >= MAX_RANK)
+		return (UINT_MAX);
 	return (sh->self_position + (before > 0 ? OTHER_POSITION : 0));
 }
 
@@ -1641,7 +1651,7 @@
 	    !refresh_rank(out, index))
 		return;
 	position = claim_position(out, index);
-	if (position < MAX_RANK + OTHER_POSITION &&
+	if (position != UINT_MAX &&
 	    out->now - sh->orphan_since >=
 		(clk_ms)position * own->settings.stagger_ms)
 		claim_add(out, batch, index);
--- /dev/null
+++ b/src/own/test_own.c
@@ -0,0 +1,1187 @@
+/*
+ * The ownership module at its interface.
+ *
+ * The main test drives several instances' modules through random orders of
+ * events: appends that land late, twice or not at all, and whose replies are
+ * lost; outages of the log for one or for all; late, lost and duplicated
+ * heartbeats; pauses; clocks that drift within the allowance; deaths, restarts,
+ * planned stops, lost data centres and readers that start from a snapshot.
+ * After each event no two sessions may act for one shard, and readers at the
+ * same offset must have the same map.  After the faults every shard must get
+ * an owner within a bound.
+ *
+ * SAMPHIRESHED_SEED and SAMPHIRESHED_ORDERS set the first seed and the number
+ * of orders.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "own/own.h"
+#include "plog/plg.h"
+
+#define MAX_INSTANCES 5
+#define DATACENTRES   2
+#define SHARDS	      2
+#define ALL_SHARDS    (DATACENTRES * SHARDS)
+#define MAX_NAMED     ALL_SHARDS
+#define THREADS	      4
+#define ORDERS	      20000
+#define ORDERS_BROKEN 4000
+
+#define TAKEOVER       300
+#define TAKEOVER_OTHER 900
+#define SETTLE	       60
+#define STAGGER	       60
+#define SUSPICION      100
+#define REPEAT	       150
+#define REPLACE	       150
+#define LOG_FRESH      300
+#define TICK_MAX       60
+
+#define MS	   ((int64_t)1000) /* times of the test are in microseconds */
+#define FAULTS_END (1500 * MS)
+/*
+ * From the last fault: suspicion, the places in the queue of claimants, one
+ * repeated append, the longest wait with its allowance of 10%, recovery, and
+ * the settling of the ranking that precedes a handover; each step can take an
+ * extra round of ticks, reads and messages.
+ */
+#define SERVED_WITHIN \
+	((SUSPICION + SETTLE + (5 + MAX_INSTANCES) * STAGGER + 2 * REPEAT + \
+	     TAKEOVER_OTHER * 11 / 10 + REPLACE + 12 * TICK_MAX) * \
+	    MS)
+
+/* Which rule is switched off, to show that the check finds what follows. */
+enum broken {
+	BROKEN_NONE,
+	BROKEN_DRIFT, /* clocks drift, but nobody allows for it */
+	BROKEN_WAIT, /* claimants do not wait */
+	BROKEN_PENDING, /* answers do not name pending claims */
+	BROKEN_POSITION, /* answers do not tell the own last claim */
+	BROKEN_KINDS
+};
+
+enum type {
+	STEP_TICK,
+	STEP_PING,
+	STEP_PONG,
+	STEP_READ,
+	STEP_READ_SERVED,
+	STEP_READ_DONE,
+	STEP_LAND,
+	STEP_APPEND_DONE,
+	STEP_RECOVERED,
+	STEP_PREPARED,
+	STEP_SYNC_ASK,
+	STEP_SYNC_DONE,
+	STEP_FAULT,
+	STEP_RESUME,
+	STEP_START,
+	STEP_LOST
+};
+
+struct event {
+	int64_t time;
+	uint64_t order; /* ties go by creation */
+	enum type type;
+	int to;
+	int from;
+	uint64_t session; /* the event is void if to has another one */
+	uint64_t sender;
+	clk_ms at; /* of the sender's clock */
+	clk_ms age;
+	int64_t upto;
+	json_t *record;
+	uint64_t ref;
+	enum own_append outcome;
+	struct own_shard_id id;
+	uint64_t epoch;
+	bool flag;
+	bool once; /* a tick or read beside the regular ones */
+	bool whole; /* the read reached the tail */
+	int64_t claimed_at;
+	unsigned n_named;
+	struct own_shard_id named[MAX_NAMED];
+};
+
+struct instance {
+	struct mem_identity identity;
+	struct own *own;
+	struct mem *mem;
+	bool alive;
+	bool stopping;
+	bool open_sent;
+	int64_t open_sent_at;
+	bool paused;
+	int64_t paused_until;
+	int64_t log_down_until;
+	int64_t sync_down_until; /* no records from peers either */
+	double rate;
+	clk_ms clock_start;
+	uint64_t checked; /* own_next() of the last comparison */
+};
+
+struct world {
+	uint64_t random;
+	uint64_t seed;
+	enum broken broken;
+	int drift_permille;
+	int64_t now;
+	uint64_t order;
+	GArray *heap;
+	json_t *log;
+	GArray *digests; /* uint64_t by offset, 0: not known yet */
+	struct instance instances[MAX_INSTANCES];
+	int n;
+	int64_t log_down_until;
+	int64_t ping_cut[MAX_INSTANCES][MAX_INSTANCES];
+	int64_t pong_cut[MAX_INSTANCES][MAX_INSTANCES];
+	int64_t fault_gap; /* longest time between faults */
+	bool lost;
+	bool quiet;
+	unsigned double_owners;
+	unsigned different_maps;
+	unsigned unserved;
+	unsigned takeovers;
+	unsigned steps;
+	char first[160];
+};
+
+static uint64_t
+draw(struct world *w)
+{
+	uint64_t x = w->random += 0x9e3779b97f4a7c15ULL;
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return (x ^ (x >> 31));
+}
+
+/* A number from low to high, both included. */
+static int64_t
+between(struct world *w, int64_t low, int64_t high)
+{
+	return (low + (int64_t)(draw(w) % (uint64_t)(high - low + 1)));
+}
+
+static bool
+chance(struct world *w, unsigned percent)
+{
+	return (draw(w) % 100 < percent);
+}
+
+static bool
+is_before(const struct event *a, const struct event *b)
+{
+	return (
+	    a->time < b->time || (a->time == b->time && a->order < b->order));
+}
+
+static struct event *
+heap_at(struct world *w, unsigned i)
+{
+	return (&g_array_index(w->heap, struct event, i));
+}
+
+static void
+heap_swap(struct world *w, unsigned i, unsigned k)
+{
+	struct event event = *heap_at(w, i);
+
+	*heap_at(w, i) = *heap_at(w, k);
+	*heap_at(w, k) = event;
+}
+
+static void
+push(struct world *w, int64_t delay, struct event event)
+{
+	unsigned i = w->heap->len;
+
+	event.time = w->now + delay;
+	event.order = w->order++;
+	g_array_append_val(w->heap, event);
+	while (i > 0 && is_before(heap_at(w, i), heap_at(w, (i - 1) / 2))) {
+		heap_swap(w, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static struct event
+pop(struct world *w)
+{
+	struct event event = *heap_at(w, 0);
+	unsigned i = 0;
+
+	*heap_at(w, 0) = *heap_at(w, w->heap->len - 1);
+	g_array_set_size(w->heap, w->heap->len - 1);
+	for (;;) {
+		unsigned least = i;
+
+		for (unsigned k = 2 * i + 1; k <= 2 * i + 2; k++) {
+			if (k < w->heap->len &&
+			    is_before(heap_at(w, k), heap_at(w, least)))
+				least = k;
+		}
+		if (least == i)
+			return (event);
+		heap_swap(w, i, least);
+		i = least;
+	}
+}
+
+static clk_ms
+clock_of(const struct world *w, const struct instance *in)
+{
+	return (
+	    in->clock_start + (clk_ms)((double)w->now * in->rate / (double)MS));
+}
+
+/* Real time that passes while the clock of the instance advances by ms. */
+static int64_t
+real(const struct instance *in, clk_ms ms)
+{
+	return ((int64_t)((double)(ms * MS) / in->rate));
+}
+
+static void
+note(struct world *w, const char *what, unsigned shard)
+{
+	if (w->first[0] == '\0')
+		(void)g_snprintf(w->first, sizeof(w->first),
+		    "order %" G_GUINT64_FORMAT " at %" G_GINT64_FORMAT
+		    " us: %s, shard %u",
+		    w->seed, w->now, what, shard);
+}
+
+static struct own_shard_id
+id_of(unsigned shard)
+{
+	return ((struct own_shard_id){
+	    (uint16_t)(shard / SHARDS), (uint16_t)(shard % SHARDS)});
+}
+
+/* The safety check.  A paused instance counts: it acts when it wakes. */
+static void
+check_owners(struct world *w)
+{
+	for (unsigned shard = 0; shard < ALL_SHARDS; shard++) {
+		unsigned acting = 0;
+
+		for (int i = 0; i < w->n; i++) {
+			struct instance *in = &w->instances[i];
+
+			if (in->alive &&
+			    own_may_act(in->own, id_of(shard), clock_of(w, in)))
+				acting++;
+		}
+		if (acting > 1) {
+			w->double_owners++;
+			note(w, "two sessions may act", shard);
+		}
+	}
+}
+
+static void
+check_map(struct world *w, struct instance *in)
+{
+	uint64_t next = (uint64_t)own_next(in->own);
+	uint64_t digest;
+	uint64_t *expected;
+
+	if (!own_is_complete(in->own) || next == in->checked)
+		return;
+	in->checked = next;
+	digest = own_digest(in->own);
+	if (w->digests->len <= next)
+		g_array_set_size(w->digests, (guint)next + 1);
+	expected = &g_array_index(w->digests, uint64_t, next);
+	if (*expected == 0)
+		*expected = digest;
+	if (*expected != digest) {
+		w->different_maps++;
+		note(w, "readers at one offset differ", 0);
+	}
+}
+
+static bool
+log_is_up(const struct world *w, const struct instance *in)
+{
+	return (w->now >= w->log_down_until && w->now >= in->log_down_until);
+}
+
+/*
+ * The client of the log, with its worst behaviour: the record may land late
+ * or twice, and the reported outcome may be "unknown" either way.
+ */
+static void
+append(struct world *w, int from, json_t *record, uint64_t ref)
+{
+	struct instance *in = &w->instances[from];
+	struct event land = {.type = STEP_LAND, .to = -1};
+	struct event done = {.type = STEP_APPEND_DONE,
+	    .to = from,
+	    .session = in->identity.session,
+	    .ref = ref,
+	    .outcome = OWN_APPENDED};
+	bool up = log_is_up(w, in);
+	bool lands = up || chance(w, 20);
+	int64_t delay = between(w, 1 * MS, 15 * MS);
+
+	if (!w->quiet && chance(w, 20)) {
+		done.outcome = OWN_UNKNOWN;
+		lands = lands && chance(w, 60);
+		if (chance(w, 30))
+			delay = between(w, 20 * MS, 600 * MS);
+	} else if (!lands || (!w->quiet && chance(w, 10))) {
+		done.outcome = OWN_REFUSED;
+		lands = false;
+	}
+	if (lands) {
+		land.record = json_incref(record);
+		push(w, delay, land);
+		if (!w->quiet && chance(w, 15)) {
+			land.record = json_incref(record);
+			push(w, delay + between(w, 0, 500 * MS), land);
+		}
+	}
+	json_decref(record);
+	if (done.outcome == OWN_APPENDED)
+		delay += between(w, 0, 10 * MS);
+	else
+		delay = between(w, 1 * MS, 60 * MS);
+	push(w, delay, done);
+}
+
+static void
+start(struct world *w, int slot)
+{
+	struct instance *in = &w->instances[slot];
+	struct own_settings settings = {.datacentres = DATACENTRES,
+	    .shards = SHARDS,
+	    .takeover_ms = TAKEOVER,
+	    .takeover_other_ms = TAKEOVER_OTHER,
+	    .drift_permille =
+		w->broken == BROKEN_DRIFT ? -1 : w->drift_permille,
+	    .settle_ms = SETTLE,
+	    .stagger_ms = STAGGER,
+	    .log_fresh_ms = LOG_FRESH,
+	    .handover_settle_ms = 150,
+	    .replace_ms = REPLACE,
+	    .repeat_ms = REPEAT,
+	    .forget_ms = 700};
+	struct mem_settings times = {.heartbeat_ms = 40,
+	    .heartbeat_other_ms = 120,
+	    .suspicion_ms = SUSPICION,
+	    .suspicion_other_ms = 3 * SUSPICION};
+
+	in->identity.session = draw(w) | 1;
+	in->own = own_open(&settings, &in->identity);
+	in->mem = mem_open(&times, &in->identity);
+	in->alive = true;
+	in->stopping = false;
+	in->open_sent = false;
+	in->paused = false;
+	in->log_down_until = 0;
+	in->sync_down_until = 0;
+	in->checked = 0;
+	in->rate = 1.0 +
+	    (double)between(w, -w->drift_permille, w->drift_permille) / 1000.0;
+	/* Most of the danger is at the ends of the range. */
+	if (chance(w, 80))
+		in->rate = 1.0 +
+		    (double)(chance(w, 50) ? w->drift_permille
+					   : -w->drift_permille) /
+			1000.0;
+	in->clock_start = between(w, 0, 1000000);
+	push(w, between(w, 0, 20 * MS),
+	    (struct event){.type = STEP_TICK,
+		.to = slot,
+		.session = in->identity.session});
+	push(w, between(w, 0, 20 * MS),
+	    (struct event){.type = STEP_READ,
+		.to = slot,
+		.session = in->identity.session});
+}
+
+static void
+stop(struct instance *in)
+{
+	own_close(in->own);
+	mem_close(in->mem);
+	in->own = NULL;
+	in->mem = NULL;
+	in->alive = false;
+	in->paused = false;
+}
+
+static void
+add_member(const struct mem_identity *identity, void *arg)
+{
+	struct instance *in = arg;
+
+	mem_session_add(in->mem, identity, in->clock_start);
+}
+
+/* Continue from a peer's snapshot, as after a gap in the log. */
+static void
+restore_from_peer(struct world *w, struct instance *in)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct instance *peer = &w->instances[i];
+		json_t *parts;
+
+		if (peer == in || !peer->alive || peer->paused ||
+		    !own_is_complete(peer->own) ||
+		    own_next(peer->own) <= own_next(in->own))
+			continue;
+		own_gap(in->own, own_next(peer->own));
+		parts = own_snapshot(peer->own, clock_of(w, peer));
+		for (size_t k = json_array_size(parts); k-- > 0;)
+			(void)own_restore(
+			    in->own, json_array_get(parts, k), clock_of(w, in));
+		json_decref(parts);
+		g_assert_true(own_is_complete(in->own));
+		own_sessions(in->own, add_member, in);
+		return;
+	}
+}
+
+static void
+apply_upto(struct world *w, struct instance *in, int64_t upto)
+{
+	for (int64_t i = own_next(in->own); i < upto; i++) {
+		json_t *record = json_array_get(w->log, (size_t)i);
+		clk_ms read_at = clock_of(w, in);
+
+		if (w->broken == BROKEN_WAIT)
+			read_at -= 2 * TAKEOVER_OTHER;
+		if (own_apply(in->own, i, record, read_at) == OWN_APPLIED)
+			mem_apply(in->mem, record, clock_of(w, in));
+		check_map(w, in);
+	}
+}
+
+static void
+tick_later(struct world *w, int slot, int64_t delay)
+{
+	push(w, delay,
+	    (struct event){.type = STEP_TICK,
+		.to = slot,
+		.once = true,
+		.session = w->instances[slot].identity.session});
+}
+
+static void
+run_action(struct world *w, int slot, struct own_action *action)
+{
+	struct event event = {.to = slot,
+	    .session = w->instances[slot].identity.session,
+	    .id = action->id,
+	    .epoch = action->epoch,
+	    .flag = chance(w, 85)};
+
+	switch (action->act) {
+	case OWN_ACT_APPEND:
+		append(w, slot, action->record, action->ref);
+		break;
+	case OWN_ACT_RECOVER:
+		w->takeovers++;
+		event.type = STEP_RECOVERED;
+		push(w, between(w, 1 * MS, 40 * MS), event);
+		break;
+	case OWN_ACT_PREPARE:
+		event.type = STEP_PREPARED;
+		push(w, between(w, 1 * MS, 60 * MS), event);
+		break;
+	case OWN_ACT_COPY:
+		break;
+	}
+}
+
+static void
+send_pings(struct world *w, int slot)
+{
+	struct instance *in = &w->instances[slot];
+	struct mem_ping pings[MAX_INSTANCES * 4];
+	clk_ms now = clock_of(w, in);
+	size_t n = mem_heartbeats(in->mem, now, pings, G_N_ELEMENTS(pings));
+
+	for (size_t i = 0; i < n; i++) {
+		struct event ping = {.type = STEP_PING,
+		    .to = -1,
+		    .from = slot,
+		    .session = pings[i].session,
+		    .sender = in->identity.session,
+		    .at = now};
+		unsigned copies = 1;
+
+		for (int k = 0; k < w->n; k++) {
+			if (w->instances[k].alive &&
+			    w->instances[k].identity.session ==
+				pings[i].session)
+				ping.to = k;
+		}
+		if (ping.to < 0 || w->now < w->ping_cut[slot][ping.to])
+			continue;
+		if (!w->quiet && chance(w, 5))
+			copies = chance(w, 50) ? 0 : 2;
+		while (copies-- > 0)
+			push(w,
+			    !w->quiet && chance(w, 4)
+				? between(w, 50 * MS, 400 * MS)
+				: between(w, 100, 8 * MS),
+			    ping);
+	}
+}
+
+static void
+run_tick(struct world *w, int slot, bool once)
+{
+	struct instance *in = &w->instances[slot];
+	struct own_action actions[16];
+	clk_ms now = clock_of(w, in);
+	size_t n;
+
+	if (own_is_stopped(in->own)) {
+		stop(in);
+		push(w, between(w, 10 * MS, 300 * MS),
+		    (struct event){.type = STEP_START, .to = slot});
+		return;
+	}
+	if (!in->open_sent ||
+	    (mem_state(in->mem, in->identity.session) == MEM_UNKNOWN &&
+		w->now - in->open_sent_at > REPEAT * MS)) {
+		in->open_sent = true;
+		in->open_sent_at = w->now;
+		append(w, slot, mem_record_open(&in->identity), 0);
+	}
+	send_pings(w, slot);
+	n = own_decide(in->own, in->mem, now, actions, G_N_ELEMENTS(actions));
+	check_owners(w);
+	for (size_t i = 0; i < n; i++)
+		run_action(w, slot, &actions[i]);
+	if (!once)
+		push(w, between(w, TICK_MAX / 2 * MS, TICK_MAX * MS),
+		    (struct event){.type = STEP_TICK,
+			.to = slot,
+			.session = in->identity.session});
+}
+
+static void
+answer(struct world *w, const struct event *ping)
+{
+	struct instance *in = &w->instances[ping->to];
+	struct own_pending pending;
+	struct event pong = {.type = STEP_PONG,
+	    .to = ping->from,
+	    .from = ping->to,
+	    .session = ping->sender,
+	    .sender = in->identity.session,
+	    .at = ping->at,
+	    .flag = in->stopping};
+	unsigned copies = 1;
+
+	own_pending_get(in->own, &pending);
+	pong.claimed_at =
+	    w->broken == BROKEN_POSITION ? -1 : pending.claimed_at;
+	if (w->broken != BROKEN_PENDING) {
+		pong.n_named = pending.n;
+		memcpy(pong.named, pending.shards,
+		    pending.n * sizeof(pong.named[0]));
+	}
+	if (w->now < w->pong_cut[ping->to][ping->from])
+		return;
+	if (!w->quiet && chance(w, 5))
+		copies = chance(w, 50) ? 0 : 2;
+	while (copies-- > 0)
+		push(w,
+		    !w->quiet && chance(w, 4) ? between(w, 50 * MS, 400 * MS)
+					      : between(w, 100, 8 * MS),
+		    pong);
+}
+
+static void
+hear(struct world *w, const struct event *pong)
+{
+	struct instance *in = &w->instances[pong->to];
+	struct own_pending pending;
+	struct mem_report report = {.draining = pong->flag};
+
+	pending.claimed_at = pong->claimed_at;
+	pending.more = false;
+	pending.n = pong->n_named;
+	memcpy(pending.shards, pong->named,
+	    pong->n_named * sizeof(pong->named[0]));
+	mem_heard(in->mem, pong->sender, true, &report, clock_of(w, in));
+	own_heartbeat_answered(in->own, pong->sender, pong->at, &pending);
+}
+
+/* A read of the log in three steps: sent, served, arrived. */
+static void
+run_read(struct world *w, struct event *event)
+{
+	struct instance *in = &w->instances[event->to];
+	int64_t end = (int64_t)json_array_size(w->log);
+
+	switch (event->type) {
+	case STEP_READ:
+		event->type = STEP_READ_SERVED;
+		event->at = clock_of(w, in);
+		push(w, between(w, 100, 10 * MS), *event);
+		return;
+	case STEP_READ_SERVED:
+		event->type = STEP_READ_DONE;
+		event->flag = log_is_up(w, in);
+		/* A read returns a bounded number of records. */
+		event->upto = MIN(end, own_next(in->own) + 6);
+		event->whole = event->upto == end;
+		push(w, between(w, 100, 10 * MS), *event);
+		return;
+	default:
+		break;
+	}
+	if (event->flag) {
+		clk_ms wait = TAKEOVER + TAKEOVER * w->drift_permille / 1000;
+
+		apply_upto(w, in, event->upto);
+		if (event->whole)
+			own_log_read(in->own, event->at);
+		/* Look at the moment when a claim becomes effective. */
+		tick_later(w, event->to,
+		    w->broken == BROKEN_DRIFT ? real(in, TAKEOVER + 1)
+					      : real(in, wait + 2));
+	} else if (w->now >= in->sync_down_until && chance(w, 50)) {
+		int peer = (int)between(w, 0, w->n - 1);
+
+		if (peer != event->to && w->instances[peer].alive)
+			push(w, between(w, 100, 10 * MS),
+			    (struct event){.type = STEP_SYNC_ASK,
+				.to = peer,
+				.session = w->instances[peer].identity.session,
+				.from = event->to,
+				.sender = in->identity.session,
+				.at = clock_of(w, in)});
+	}
+	if (event->once)
+		return;
+	push(w,
+	    event->flag && !event->whole ? 100 : between(w, 20 * MS, 60 * MS),
+	    (struct event){.type = STEP_READ,
+		.to = event->to,
+		.session = in->identity.session});
+}
+
+static void
+run_sync(struct world *w, const struct event *event)
+{
+	struct instance *in = &w->instances[event->to];
+
+	if (event->type == STEP_SYNC_ASK) {
+		if (!own_is_complete(in->own))
+			return;
+		push(w, between(w, 100, 10 * MS),
+		    (struct event){.type = STEP_SYNC_DONE,
+			.to = event->from,
+			.session = event->sender,
+			.at = event->at,
+			.upto = own_next(in->own),
+			.age = own_log_age(in->own, clock_of(w, in))});
+		return;
+	}
+	apply_upto(w, in, event->upto);
+	if (own_next(in->own) >= event->upto)
+		own_peer_read(in->own, event->at, event->age);
+}
+
+static int
+alive_in(const struct world *w, unsigned datacentre)
+{
+	int n = 0;
+
+	for (int i = 0; i < w->n; i++)
+		n += w->instances[i].alive &&
+		    w->instances[i].identity.datacentre == datacentre;
+	return (n);
+}
+
+/* The operator vouches that nothing of the data centre runs. */
+static void
+lose_datacentre(struct world *w)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		if (in->alive && in->identity.datacentre == 1)
+			stop(in);
+	}
+	w->lost = true;
+	push(w, between(w, 10 * MS, 200 * MS),
+	    (struct event){.type = STEP_LOST, .to = -1});
+}
+
+static void
+append_lost(struct world *w)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		if (in->alive && own_is_complete(in->own)) {
+			push(w, 0,
+			    (struct event){.type = STEP_LAND,
+				.to = -1,
+				.record = own_record_datacentre_lost(
+				    in->own, 1, true)});
+			return;
+		}
+	}
+	push(w, 20 * MS, (struct event){.type = STEP_LOST, .to = -1});
+}
+
+/*
+ * The instance neither reads the log nor is heard by its peers, but its own
+ * heartbeats are answered: a former owner lives longest like this.
+ */
+static void
+deafen(struct world *w, int slot, int64_t until)
+{
+	struct instance *in = &w->instances[slot];
+
+	in->log_down_until = until;
+	if (chance(w, 70))
+		in->sync_down_until = until;
+	for (int i = 0; i < w->n; i++)
+		w->ping_cut[i][slot] = until;
+}
+
+/* Faults around a claim are the dangerous ones. */
+static void
+disturb_claim(struct world *w, const json_t *record)
+{
+	const char *kind = json_string_value(json_object_get(record, "kind"));
+	const char *by = json_string_value(json_object_get(record, "session"));
+	int64_t until = w->now + between(w, 200 * MS, 900 * MS);
+	uint64_t session;
+
+	if (w->quiet || kind == NULL || strcmp(kind, "claim") != 0 ||
+	    !plg_session_parse(by, &session) || !chance(w, 40))
+		return;
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		if (in->alive && in->identity.session == session)
+			deafen(w, i, until);
+	}
+}
+
+static void
+run_fault(struct world *w)
+{
+	int slot = (int)between(w, 0, w->n - 1);
+	int other = (int)between(w, 0, w->n - 1);
+	struct instance *in = &w->instances[slot];
+	int64_t until = w->now + between(w, 20 * MS, 700 * MS);
+
+	switch (between(w, 0, 13)) {
+	case 0:
+		if (!in->alive)
+			break;
+		stop(in);
+		push(w, until - w->now,
+		    (struct event){.type = STEP_START, .to = slot});
+		break;
+	case 1:
+	case 2:
+		if (!in->alive || in->paused)
+			break;
+		in->paused = true;
+		in->paused_until = until;
+		push(w, until - w->now,
+		    (struct event){.type = STEP_RESUME,
+			.to = slot,
+			.session = in->identity.session});
+		break;
+	case 3:
+	case 4:
+		in->log_down_until = until;
+		break;
+	case 5:
+		w->log_down_until = w->now + between(w, 50 * MS, 900 * MS);
+		break;
+	case 6:
+	case 7:
+	case 8:
+		/* One direction fails: the owner hears, but is not heard. */
+		w->ping_cut[slot][other] = until;
+		if (chance(w, 50))
+			w->pong_cut[other][slot] = until;
+		break;
+	case 9:
+		if (!in->alive)
+			break;
+		in->stopping = true;
+		own_stop(in->own);
+		if (!log_is_up(w, in) && chance(w, 70))
+			own_leave(in->own);
+		break;
+	case 10:
+		if (in->alive && !in->paused)
+			restore_from_peer(w, in);
+		break;
+	case 11:
+	case 12:
+		deafen(w, slot, w->now + between(w, 400 * MS, 1100 * MS));
+		break;
+	default:
+		if (!w->lost && chance(w, 25) && alive_in(w, 0) > 0)
+			lose_datacentre(w);
+		break;
+	}
+	if (w->now < FAULTS_END)
+		push(w, between(w, w->fault_gap / 10, w->fault_gap),
+		    (struct event){.type = STEP_FAULT, .to = -1});
+}
+
+static void
+end_faults(struct world *w)
+{
+	w->quiet = true;
+	w->log_down_until = 0;
+	memset(w->ping_cut, 0, sizeof(w->ping_cut));
+	memset(w->pong_cut, 0, sizeof(w->pong_cut));
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		in->log_down_until = 0;
+		in->sync_down_until = 0;
+		if (in->paused)
+			push(w, 0,
+			    (struct event){.type = STEP_RESUME,
+				.to = i,
+				.session = in->identity.session});
+		/* Some dead instances stay dead, but never all. */
+		if (!in->alive && !(w->lost && in->identity.datacentre == 1) &&
+		    (alive_in(w, in->identity.datacentre) == 0 ||
+			chance(w, 50)))
+			start(w, i);
+	}
+}
+
+static bool
+is_served(struct world *w, unsigned shard)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		if (in->alive &&
+		    own_may_begin(in->own, id_of(shard), clock_of(w, in)))
+			return (true);
+	}
+	return (false);
+}
+
+static bool
+all_served(struct world *w)
+{
+	for (unsigned shard = 0; shard < ALL_SHARDS; shard++) {
+		if (!is_served(w, shard))
+			return (false);
+	}
+	return (true);
+}
+
+/* Followers that poll for long see a record at once. */
+static void
+wake_readers(struct world *w)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct instance *in = &w->instances[i];
+
+		if (in->alive && chance(w, 60))
+			push(w, between(w, 10, 2 * MS),
+			    (struct event){.type = STEP_READ,
+				.to = i,
+				.once = true,
+				.session = in->identity.session});
+	}
+}
+
+static void
+run_event(struct world *w, struct event *event)
+{
+	struct instance *in = event->to >= 0 ? &w->instances[event->to] : NULL;
+
+	switch (event->type) {
+	case STEP_LAND:
+		if (w->now < w->log_down_until) {
+			push(w, w->log_down_until - w->now, *event);
+			return;
+		}
+		(void)json_array_append_new(w->log, event->record);
+		disturb_claim(w, event->record);
+		wake_readers(w);
+		return;
+	case STEP_FAULT:
+		if (!w->quiet)
+			run_fault(w);
+		return;
+	case STEP_LOST:
+		append_lost(w);
+		return;
+	case STEP_START:
+		if (!in->alive && !(w->lost && in->identity.datacentre == 1)) {
+			start(w, event->to);
+			if (chance(w, 30))
+				restore_from_peer(w, in);
+		}
+		return;
+	default:
+		break;
+	}
+	if (!in->alive || in->identity.session != event->session)
+		return;
+	if (event->type == STEP_RESUME) {
+		in->paused = false;
+		return;
+	}
+	if (in->paused && event->type != STEP_READ_SERVED) {
+		/* What arrives meanwhile is seen after the pause. */
+		push(w,
+		    MAX(in->paused_until - w->now, 0) + between(w, 1, 2 * MS),
+		    *event);
+		return;
+	}
+	switch (event->type) {
+	case STEP_TICK:
+		run_tick(w, event->to, event->once);
+		break;
+	case STEP_PING:
+		answer(w, event);
+		break;
+	case STEP_PONG:
+		hear(w, event);
+		break;
+	case STEP_READ:
+	case STEP_READ_SERVED:
+	case STEP_READ_DONE:
+		run_read(w, event);
+		break;
+	case STEP_APPEND_DONE:
+		own_append_done(in->own, event->ref, event->outcome);
+		break;
+	case STEP_RECOVERED:
+		own_recovered(in->own, event->id, event->epoch);
+		break;
+	case STEP_PREPARED:
+		own_prepared(in->own, event->id, event->epoch, event->flag);
+		break;
+	case STEP_SYNC_ASK:
+	case STEP_SYNC_DONE:
+		run_sync(w, event);
+		break;
+	default:
+		g_assert_not_reached();
+	}
+}
+
+static void
+world_run(struct world *w)
+{
+	int64_t served_by = FAULTS_END + SERVED_WITHIN;
+
+	while (w->now < served_by) {
+		struct event event = pop(w);
+
+		if (!w->quiet && event.time >= FAULTS_END) {
+			w->now = FAULTS_END;
+			end_faults(w);
+		}
+		w->now = event.time;
+		run_event(w, &event);
+		w->steps++;
+		check_owners(w);
+		if (w->quiet && event.type == STEP_RECOVERED && all_served(w))
+			return;
+		if (w->quiet && event.type == STEP_TICK && all_served(w))
+			return;
+	}
+	for (unsigned shard = 0; shard < ALL_SHARDS; shard++) {
+		if (!is_served(w, shard)) {
+			w->unserved++;
+			note(w, "no owner within the bound", shard);
+		}
+	}
+}
+
+static void
+world_open(struct world *w, uint64_t seed, enum broken broken)
+{
+	int first;
+
+	memset(w, 0, sizeof(*w));
+	w->seed = seed;
+	w->random = seed * 0x2545f4914f6cdd1dULL;
+	w->broken = broken;
+	/* A larger allowance makes room for more orders that need it. */
+	w->drift_permille = chance(w, 40) ? 10 : 100;
+	w->fault_gap = between(w, 1, 8) * 80 * MS;
+	w->heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+	w->digests = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	w->log = json_array();
+	first = (int)between(w, 2, 3);
+	w->n = first + (int)between(w, 1, 2);
+	for (int i = 0; i < w->n; i++) {
+		struct mem_identity *identity = &w->instances[i].identity;
+
+		(void)g_snprintf(identity->instance, sizeof(identity->instance),
+		    "instance-%d", i);
+		(void)g_snprintf(identity->address, sizeof(identity->address),
+		    "127.0.0.1:%d", 9000 + i);
+		identity->datacentre = i < first ? 0 : 1;
+		identity->weight = (double)between(w, 1, 3);
+		start(w, i);
+	}
+	push(w, between(w, 200 * MS, 400 * MS),
+	    (struct event){.type = STEP_FAULT, .to = -1});
+}
+
+static void
+world_close(struct world *w)
+{
+	for (unsigned i = 0; i < w->heap->len; i++) {
+		struct event *event = heap_at(w, i);
+
+		if (event->type == STEP_LAND)
+			json_decref(event->record);
+	}
+	for (int i = 0; i < w->n; i++) {
+		if (w->instances[i].alive)
+			stop(&w->instances[i]);
+	}
+	g_array_free(w->heap, TRUE);
+	g_array_free(w->digests, TRUE);
+	json_decref(w->log);
+}
+
+struct total {
+	GMutex mutex;
+	uint64_t seed;
+	unsigned orders;
+	unsigned started;
+	enum broken broken;
+	unsigned double_owners; /* orders in which it happened */
+	unsigned different_maps;
+	unsigned unserved;
+	uint64_t takeovers;
+	uint64_t steps;
+	char first[160];
+};
+
+static gpointer
+run_orders(gpointer arg)
+{
+	struct total *total = arg;
+
+	for (;;) {
+		struct world w;
+		unsigned i;
+
+		g_mutex_lock(&total->mutex);
+		i = total->started++;
+		g_mutex_unlock(&total->mutex);
+		if (i >= total->orders)
+			return (NULL);
+		world_open(&w, total->seed + i, total->broken);
+		world_run(&w);
+		world_close(&w);
+		g_mutex_lock(&total->mutex);
+		total->double_owners += w.double_owners > 0;
+		total->different_maps += w.different_maps > 0;
+		total->unserved += w.unserved > 0;
+		total->takeovers += w.takeovers;
+		total->steps += w.steps;
+		if (total->first[0] == '\0' && w.first[0] != '\0')
+			memcpy(total->first, w.first, sizeof(w.first));
+		g_mutex_unlock(&total->mutex);
+	}
+}
+
+static uint64_t
+number_from_environment(const char *name, uint64_t otherwise)
+{
+	const char *text = g_getenv(name);
+
+	return (text != NULL ? g_ascii_strtoull(text, NULL, 10) : otherwise);
+}
+
+static struct total
+run_all(unsigned orders, enum broken broken)
+{
+	struct total total = {.orders = orders,
+	    .broken = broken,
+	    .seed = number_from_environment("SAMPHIRESHED_SEED", 1)};
+	GThread *threads[THREADS];
+
+	g_mutex_init(&total.mutex);
+	for (int i = 0; i < THREADS; i++)
+		threads[i] = g_thread_new("orders", run_orders, &total);
+	for (int i = 0; i < THREADS; i++)
+		(void)g_thread_join(threads[i]);
+	g_mutex_clear(&total.mutex);
+	return (total);
+}
+
+/* Guards against two owners at once, diverging maps and lost shards. */
+static void
+test_orders(void)
+{
+	unsigned orders =
+	    (unsigned)number_from_environment("SAMPHIRESHED_ORDERS", ORDERS);
+	gint64 began = g_get_monotonic_time();
+	struct total total = run_all(orders, BROKEN_NONE);
+	double seconds = (double)(g_get_monotonic_time() - began) / 1e6;
+
+	g_test_message("figure orders=%u violations=%u seed=%" G_GUINT64_FORMAT
+		       " steps=%" G_GUINT64_FORMAT
+		       " takeovers=%" G_GUINT64_FORMAT " seconds=%.1f",
+	    orders, total.double_owners + total.different_maps + total.unserved,
+	    total.seed, total.steps, total.takeovers, seconds);
+	if (total.first[0] != '\0')
+		g_test_message("%s", total.first);
+	g_assert_cmpuint(total.double_owners, ==, 0);
+	g_assert_cmpuint(total.different_maps, ==, 0);
+	g_assert_cmpuint(total.unserved, ==, 0);
+	/* An order without a takeover would prove little. */
+	g_assert_cmpuint(total.takeovers, >, 2 * orders);
+}
+
+/* The check must be able to fail: each rule that is off must show. */
+static void
+test_broken_rules(void)
+{
+	static const char *const names[BROKEN_KINDS] = {
+	    [BROKEN_DRIFT] = "no-drift-allowance",
+	    [BROKEN_WAIT] = "no-wait",
+	    [BROKEN_PENDING] = "pending-claims-not-named",
+	    [BROKEN_POSITION] = "own-claim-not-told"};
+
+	for (int broken = BROKEN_NONE + 1; broken < BROKEN_KINDS; broken++) {
+		struct total total =
+		    run_all(ORDERS_BROKEN, (enum broken)broken);
+
+		g_test_message("figure variant=%s orders=%u violations=%u "
+			       "seed=%" G_GUINT64_FORMAT,
+		    names[broken], total.orders, total.double_owners,
+		    total.seed);
+		g_assert_cmpuint(total.double_owners, >, 0);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/own/orders", test_orders);
+	g_test_add_func("/own/broken-rules", test_broken_rules);
+	return (g_test_run());
+}
