--- a/src/config/cfg.h
+++ b/src/config/cfg.h
@@ -6,15 +6,21 @@
  * only grows and needs no log.  The records are JSON texts:
  *
  *	{"kind":"change","object":"organisation/acme","base":N,"value":{...},
- *	    "actor":"...","session":N,"number":N}
+ *	    "actor":"...","session":"HEX","number":N}
  *	{"kind":"withdraw","key":"ID","actor":"..."}
- *	{"kind":"snapshot","part":I,"parts":N,"frontier":F,"session":N,
+ *	{"kind":"snapshot","part":I,"parts":N,"frontier":F,"session":"HEX",
  *	    "objects":[{"object","version","value","actor"}],"withdrawn":[ID]}
  *
+ * Parts count from 0.  A snapshot holds the state up to and including offset
+ * F, which is below its own offset.  A session may be an integer, too.
+ *
  * A change is valid only if base is the object's current version (0 for an
  * object that never existed) and the value passes the check.  The object's
  * version is then the offset of the change.  A value of null removes the
  * object; its version stays, so that an older change cannot bring it back.
+ * A change is not valid if another object has the same digest (of a key), path
+ * (of a route) or number (of a data centre).  Whether a change is valid never
+ * depends on withdrawals, because readers learn of them at different times.
  *
  * The check of the values must be the same function in all instances that
  * read the log, or they disagree about which changes are valid.
@@ -75,6 +81,7 @@
 	bool is_service; /* a tool service, not a model engine */
 	const char *url;
 	const char *datacentre;
+	const char *service; /* that it serves; "" for a model engine */
 	const char *const *models; /* nil-terminated */
 	bool checks_fencing;
 	unsigned capacity; /* calls at once */
@@ -84,7 +91,7 @@
 struct cfg_route {
 	const char *name;
 	const char *path;
-	const char *service; /* name that upstreams of kind service carry */
+	const char *service; /* as in the upstreams that serve it */
 	bool idempotent;
 	bool open; /* needs no key */
 	const char *const *methods; /* nil-terminated; empty: all */
@@ -140,7 +147,8 @@
 	CFG_INVALID, /* the value or the record is not valid */
 	CFG_DUPLICATE, /* a second copy of a change in force */
 	CFG_SEEN, /* at or below the frontier, nothing done */
-	CFG_HELD /* above a gap; applied when the gap is closed */
+	CFG_HELD, /* above a gap; applied when the gap is closed */
+	CFG_PASSED /* a snapshot, of which nothing was needed */
 };
 
 /* One accepted or rejected change. */
@@ -169,11 +177,28 @@
  *	Apply the record at an offset of the log.  Records may come in any
  *	order and more than once.  A record above a gap is held until the gap
  *	is closed by the missing records, by all parts of a snapshot that is
- *	newer than the gap, or by cfg_import().
+ *	newer than the gap, or by cfg_import().  Of more than max_held records
+ *	the highest are dropped and must be read again.
  */
 enum cfg_outcome
 cfg_apply(struct cfg *cfg, uint64_t offset, const char *text, size_t len);
 
+/*
+ * cfg_apply_json(cfg, offset, record)
+ *	The same for a record that is decoded already; it is borrowed.
+ */
+enum cfg_outcome
+cfg_apply_json(struct cfg *cfg, uint64_t offset, const json_t *record);
+
+/*
+ * cfg_pass(cfg, from, to)
+ *	Say that the offsets from, up to but not including to, hold no record
+ *	that must be applied, e.g. because the reader of the log dropped a
+ *	second copy.  Without this call they count as a gap.  Never to be used
+ *	for records that the log no longer keeps.
+ */
+void cfg_pass(struct cfg *cfg, uint64_t from, uint64_t to);
+
 /*
  * cfg_frontier(cfg)
  *	Return the offset up to which every record is applied.  The next read
@@ -264,7 +289,10 @@
  */
 GPtrArray *cfg_objects(const struct cfg *cfg, enum cfg_kind kind);
 
-/* cfg_watch(cfg, kind, fn, arg): call fn after changes to the kind. */
+/*
+ * cfg_watch(cfg, kind, fn, arg)
+ *	Call fn after changes to the kind.  fn may read but not change cfg.
+ */
 void
 cfg_watch(struct cfg *cfg, enum cfg_kind kind, cfg_on_change *fn, void *arg);
 
@@ -293,7 +321,13 @@
  */
 bool cfg_import(struct cfg *cfg, const char *text, size_t len);
 
-/* cfg_records_since_snapshot(cfg): applied since the last snapshot record. */
+/*
+ * cfg_records_since_snapshot(cfg)
+ *	Return the number of changes and withdrawals in the log, valid or not,
+ *	above the frontier of the last whole snapshot in it.  A snapshot must
+ *	also be repeated before the log's retention time ends, even if this is
+ *	0; without it a fresh instance depends on its peers.
+ */
 uint64_t cfg_records_since_snapshot(const struct cfg *cfg);
 
 /*
