Check withdrawals in the log in the randomised orders

The test now also compares each reader with what the log says up to its frontier, and some changes set a key's state to withdrawn.

--- a/src/config/test_cfg.c
+++ b/src/config/test_cfg.c
@@ -531,6 +531,8 @@
 	uint64_t first; /* lowest offset that is still kept */
 	/* What the log says by rule: version of each object up to an offset. */
 	uint64_t expected[MAX_LOG + 1][OBJECTS];
+	/* Whether the log says up to an offset that a key is withdrawn. */
+	bool expected_withdrawn[MAX_LOG + 1][KEYS];
 	struct reader readers[READERS];
 	unsigned numbers;
 	struct figures *figures;
@@ -542,19 +544,28 @@
 	return (g_rand_int_range(world->rand, 0, n));
 }
 
+/* key is the one that the record withdraws if it is valid, or -1. */
 static void
-append(struct world *world, char *text, int object, uint64_t base)
+append(struct world *world, char *text, int object, uint64_t base, int key)
 {
 	struct entry *entry = &world->log[world->next];
 	uint64_t *expected = world->expected[world->next];
+	bool *withdrawn = world->expected_withdrawn[world->next];
+	bool valid = object < 0;
 
 	entry->record = json_loads(text, 0, NULL);
 	entry->object = object;
 	entry->base = base;
 	memcpy(expected, world->expected[world->next - 1],
 	    sizeof(world->expected[0]));
-	if (object >= 0 && expected[object] == base)
+	memcpy(withdrawn, world->expected_withdrawn[world->next - 1],
+	    sizeof(world->expected_withdrawn[0]));
+	if (object >= 0 && expected[object] == base) {
 		expected[object] = world->next;
+		valid = true;
+	}
+	if (key >= 0 && valid)
+		withdrawn[key] = true;
 	world->next++;
 	g_free(text);
 }
@@ -570,21 +581,24 @@
 
 	while (n-- > 0 && world->next < MAX_LOG) {
 		unsigned number = ++world->numbers;
+		bool remove = pick(world, 8) == 0;
+		bool withdraw =
+		    !remove && object < KEYS && pick(world, 16) == 0;
 		char value[160];
 
 		if (object < KEYS)
 			(void)g_snprintf(value, sizeof(value),
 			    "{\"digest\":\"%02x%s\",\"organisation\":\"x\","
-			    "\"n\":%u}",
-			    (unsigned)object, DIGEST_A + 2, number);
+			    "\"state\":\"%s\",\"n\":%u}",
+			    (unsigned)object, DIGEST_A + 2,
+			    withdraw ? "withdrawn" : "active", number);
 		else
 			(void)g_snprintf(value, sizeof(value),
 			    "{\"rate\":1,\"n\":%u}", number);
 		append(world,
 		    cfg_record_change(object_names[object], base,
-			pick(world, 8) == 0 ? NULL : value, "operator", 1,
-			number),
-		    object, base);
+			remove ? NULL : value, "operator", 1, number),
+		    object, base, withdraw ? object : -1);
 	}
 }
 
@@ -595,10 +609,12 @@
 	const struct reader *reader = &world->readers[pick(world, READERS)];
 	GPtrArray *ids = cfg_withdrawn(reader->cfg, true);
 
-	for (guint i = 0; i < ids->len && world->next < MAX_LOG; i++)
-		append(world,
-		    cfg_record_withdraw(g_ptr_array_index(ids, i), "peer"), -1,
-		    0);
+	for (guint i = 0; i < ids->len && world->next < MAX_LOG; i++) {
+		const char *id = g_ptr_array_index(ids, i);
+
+		append(world, cfg_record_withdraw(id, "peer"), -1, 0,
+		    strcmp(id, key_ids[0]) == 0 ? 0 : 1);
+	}
 	g_ptr_array_unref(ids);
 }
 
@@ -619,7 +635,7 @@
 		for (guint i = 0; i < parts->len; i++) {
 			world->log[world->next].snapshot = frontier;
 			append(world, g_strdup(g_ptr_array_index(parts, i)), -1,
-			    0);
+			    0, -1);
 		}
 		if (pick(world, 2) == 0)
 			world->first = MAX(world->first, frontier + 1);
@@ -640,10 +656,16 @@
 static void
 check_expected(struct world *world, const struct reader *reader)
 {
-	const uint64_t *expected = world->expected[cfg_frontier(reader->cfg)];
+	uint64_t frontier = cfg_frontier(reader->cfg);
+	const uint64_t *expected = world->expected[frontier];
 
 	if (world->without_base)
 		return;
+	for (int i = 0; i < KEYS; i++) {
+		if (world->expected_withdrawn[frontier][i] &&
+		    !cfg_is_withdrawn(reader->cfg, key_ids[i]))
+			violate(world, "a withdrawal in the log is unknown");
+	}
 	for (int i = 0; i < OBJECTS; i++) {
 		if (cfg_version(reader->cfg, object_names[i]) != expected[i])
 			violate(world, "not the state that the log says");
