Add fuzz targets for peer messages and the configuration

Bytes of a peer's connection and records of the configuration log come from outside and must neither crash an instance nor lead to a state that it can't hand on.

'make fuzz' builds fuzz/fuzz_NAME.c with libFuzzer and the sanitizers and tries a fixed number of inputs with seed 1; another target is one file and one line. While writing it, an actor's name that was cut within a UTF-8 character turned out to crash the export; names are now cut between characters, and a test guards it.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #	make lint       run the linter over the tree
 #	make format     format the tree
 #	make capacity   measure the slopes of docs/CAPACITY.md
+#	make fuzz       run the fuzz targets for a fixed number of inputs
 #	make xdr        regenerate the XDR code from src/peer/peer.x
 
 BUILD ?= build
@@ -33,7 +34,7 @@
 BENCH_SRC = $(wildcard bench/*.c)
 ALL_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch]) \
 	$(wildcard fakes/*.[ch]) $(wildcard bench/*.[ch]) \
-	$(wildcard tests/*.[ch]))
+	$(wildcard tests/*.[ch]) $(wildcard fuzz/*.[ch]))
 
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/%.o)
 CLI_OBJ = $(filter-out $(CLI_TESTS:%.c=$(BUILD)/%.o),$(CLI_SRC:%.c=$(BUILD)/%.o))
@@ -101,6 +102,31 @@
 	@$(MAKE) --no-print-directory all
 	@$(BUILD)/bench/slopes
 
+# A fuzz target NAME is the file fuzz/fuzz_NAME.c, its first inputs in
+# fuzz/corpus/NAME and its line here, with the number of inputs to try.
+FUZZ_RUNS_cfg = 40000
+FUZZ_RUNS_peer = 400000
+FUZZ = $(patsubst FUZZ_RUNS_%,%,$(filter FUZZ_RUNS_%,$(.VARIABLES)))
+
+fuzz: deps
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)/fuzz CC=clang WARN=-std=c11 \
+	    SANFLAGS="-fsanitize=fuzzer-no-link,address,undefined \
+	    -fno-sanitize-recover=all -fno-omit-frame-pointer" \
+	    CFLAGS="-O1 -g" $(FUZZ:%=$(BUILD)/fuzz/fuzz_%)
+	@set -e; $(foreach f,$(FUZZ),rm -rf $(BUILD)/fuzz/new/$(f); \
+	    mkdir -p $(BUILD)/fuzz/new/$(f); \
+	    $(BUILD)/fuzz/fuzz_$(f) -runs=$(FUZZ_RUNS_$(f)) -seed=1 \
+	    -max_len=4096 -timeout=5 -print_final_stats=1 \
+	    -artifact_prefix=$(BUILD)/fuzz/fuzz_$(f)- \
+	    $(BUILD)/fuzz/new/$(f) fuzz/corpus/$(f) \
+	    >$(BUILD)/fuzz/fuzz_$(f).log 2>&1 || \
+	    { tail -n 60 $(BUILD)/fuzz/fuzz_$(f).log; exit 1; }; \
+	    echo "fuzz $(f): no crash, seed 1," $$(grep -h \
+	    number_of_executed $(BUILD)/fuzz/fuzz_$(f).log);)
+
+$(BUILD)/fuzz_%: $(BUILD)/fuzz/fuzz_%.o $(BUILD)/libsamphireshed.a
+	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+
 format:
 	clang-format -i $(ALL_SRC)
 
@@ -116,5 +142,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check clean capacity demo deps format format-check lint \
+.PHONY: all check clean capacity demo deps format format-check fuzz lint \
     tests xdr
--- a/src/config/cfg.c
+++ b/src/config/cfg.c
@@ -100,7 +100,7 @@
 	uint64_t offset;
 	const char *object;
 	const json_t *value;
-	char actor[MAX_ACTOR];
+	char *actor;
 	uint64_t base;
 	uint64_t session;
 	uint64_t number;
@@ -172,6 +172,21 @@
 	return (text != NULL ? text : "");
 }
 
+/* A copy of at most max bytes that does not cut a UTF-8 character in two. */
+static char *
+copy_text(const char *text, size_t max)
+{
+	size_t len = strlen(text);
+
+	if (len > max) {
+		len = max;
+		/* 10xxxxxx is not the first byte of a character. */
+		while (len > 0 && ((unsigned char)text[len] & 0xc0) == 0x80)
+			len--;
+	}
+	return (g_strndup(text, len));
+}
+
 static double
 get_number(const json_t *json, const char *key, double fallback)
 {
@@ -600,7 +615,7 @@
 	struct cfg_history_entry *entry = g_new0(struct cfg_history_entry, 1);
 
 	entry->offset = change->offset;
-	entry->object = g_strndup(change->object, MAX_NAME);
+	entry->object = copy_text(change->object, MAX_NAME);
 	entry->actor = g_strdup(change->actor);
 	entry->session = change->session;
 	entry->number = change->number;
@@ -659,29 +674,38 @@
 	return (CFG_ACCEPTED);
 }
 
+static enum cfg_outcome
+apply_on_base(struct cfg *cfg, const struct change *change)
+{
+	const struct object *current =
+	    g_hash_table_lookup(cfg->objects, change->object);
+
+	if (change->base == (current != NULL ? current->version : 0))
+		return (apply_valid_change(cfg, change));
+	if (current != NULL && change->session != 0 && change->number != 0 &&
+	    current->session == change->session &&
+	    current->number == change->number)
+		return (CFG_DUPLICATE);
+	history_add(cfg, change, CFG_LOST, "", current);
+	return (CFG_LOST);
+}
+
 static enum cfg_outcome
 apply_change(struct cfg *cfg, uint64_t offset, const json_t *record)
 {
-	const struct object *current;
+	enum cfg_outcome outcome;
 	struct change change = {.offset = offset,
 	    .object = get_string(record, "object"),
 	    .value = json_object_get(record, "value"),
 	    .session = get_session(record),
 	    .number = (uint64_t)get_integer(record, "number")};
 
-	(void)g_strlcpy(
-	    change.actor, get_string(record, "actor"), sizeof(change.actor));
 	if (change.value == NULL || !get_offset(record, "base", &change.base))
 		return (refuse(cfg, offset, "a change needs value and base"));
-	current = g_hash_table_lookup(cfg->objects, change.object);
-	if (change.base == (current != NULL ? current->version : 0))
-		return (apply_valid_change(cfg, &change));
-	if (current != NULL && change.session != 0 && change.number != 0 &&
-	    current->session == change.session &&
-	    current->number == change.number)
-		return (CFG_DUPLICATE);
-	history_add(cfg, &change, CFG_LOST, "", current);
-	return (CFG_LOST);
+	change.actor = copy_text(get_string(record, "actor"), MAX_ACTOR);
+	outcome = apply_on_base(cfg, &change);
+	g_free(change.actor);
+	return (outcome);
 }
 
 static enum cfg_outcome
@@ -775,7 +799,7 @@
 	if (object == NULL)
 		return (NULL);
 	object->version = version;
-	object->actor = g_strndup(get_string(entry, "actor"), MAX_ACTOR - 1);
+	object->actor = copy_text(get_string(entry, "actor"), MAX_ACTOR);
 	object->session = get_session(entry);
 	object->number = (uint64_t)get_integer(entry, "number");
 	return (object);
--- a/src/config/test_cfg.c
+++ b/src/config/test_cfg.c
@@ -479,6 +479,28 @@
 	cfg_close(cfg);
 }
 
+/* Guards against a text that is cut within a character and not JSON then. */
+static void
+test_long_actor_is_cut(void)
+{
+	struct cfg *cfg = open_cfg();
+	struct cfg *fresh = open_cfg();
+	g_autoptr(GString) actor = g_string_new("x");
+	g_autofree char *text = NULL;
+
+	for (int i = 0; i < 200; i++)
+		g_string_append(actor, "ã");
+	text = cfg_record_change(
+	    "organisation/o", 0, "{\"rate\":1}", actor->str, 1, 1);
+	g_assert_cmpint(apply_text(cfg, 1, text), ==, CFG_ACCEPTED);
+	g_assert_true(g_utf8_validate(cfg_history(cfg, 0)->actor, -1, NULL));
+	g_assert_cmpuint(strlen(cfg_history(cfg, 0)->actor), <, 200);
+	g_assert_true(import_all(fresh, cfg));
+	g_assert_cmpuint(cfg_version(fresh, "organisation/o"), ==, 1);
+	cfg_close(fresh);
+	cfg_close(cfg);
+}
+
 static void
 test_stale(void)
 {
@@ -1029,6 +1051,7 @@
 	ADD("import-never-goes-back", test_import_never_goes_back);
 	ADD("gaps-are-closed", test_gaps_are_closed);
 	ADD("history-is-bounded", test_history_is_bounded);
+	ADD("long-actor-is-cut", test_long_actor_is_cut);
 	ADD("stale", test_stale);
 	ADD("random-orders", test_random_orders);
 	ADD("random-orders-without-base", test_random_orders_without_base);
