Keep busy peer links and let heartbeats overtake

A link was replaced as silent when a call timed out while a large message was on its way, because silence was judged by what arrives only; and a heartbeat waited behind everything queued on its link, which can be 32 MB.

A connection that was full and takes bytes again now counts as alive, the kernel holds at most 128 KB that it can't send yet, and heartbeats and their replies go before all messages that have not begun.

The new test sends two messages of 7 MB through a relay of about 4 MB a second: both arrive over one connection, and the heartbeat is answered before the second.

--- a/src/peer/pr.c
+++ b/src/peer/pr.c
@@ -28,8 +28,13 @@
 #define KEEPALIVE_PROBE_S   5
 #define KEEPALIVE_PROBES    3
 #define TCP_USER_TIMEOUT_MS 20000
-#define ACCEPT_PAUSE_S	    0.1
-#define LISTEN_BACKLOG	    512
+/*
+ * Bytes that the kernel takes before it can send them.  What waits here can be
+ * overtaken by a heartbeat; what the kernel holds can't.
+ */
+#define NOTSENT_BYTES  (128 * 1024)
+#define ACCEPT_PAUSE_S 0.1
+#define LISTEN_BACKLOG 512
 /* The largest plain text of a TLS record. */
 #define TLS_RECORD_SIZE 16384
 /* Bounds the time that one busy connection holds the loop. */
@@ -205,15 +210,21 @@
 	g_free(out);
 }
 
+/* Queue a message; an urgent one goes before all that have not begun. */
 static struct out *
-queue_push(struct out_queue *queue, uint8_t *data, size_t len)
+queue_push(struct out_queue *queue, uint8_t *data, size_t len, bool urgent)
 {
 	struct out *out = g_new0(struct out, 1);
+	const struct out *head = g_queue_peek_head(&queue->outs);
 
 	out->data = data;
 	out->len = len;
 	queue->bytes += len;
-	g_queue_push_tail(&queue->outs, out);
+	if (urgent)
+		g_queue_push_nth(
+		    &queue->outs, out, head != NULL && head->begun ? 1 : 0);
+	else
+		g_queue_push_tail(&queue->outs, out);
 	return (out);
 }
 
@@ -489,7 +500,9 @@
 	while (conn->state == CONN_OPEN &&
 	    (out = g_queue_peek_head(&queue->outs)) != NULL) {
 		ssize_t n = send_part(conn, out);
+		bool was_blocked;
 
+		was_blocked = conn->resend;
 		conn->resend = n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED;
 		if (conn->resend)
 			break;
@@ -497,6 +510,12 @@
 			conn_fail(conn, gnutls_strerror((int)n));
 			return;
 		}
+		/*
+		 * A full connection that takes bytes again is not silent: the
+		 * peer is still receiving a large message.
+		 */
+		if (was_blocked && conn->quiet_since != 0)
+			conn->quiet_since = now_of(conn->pr);
 		out->off += (size_t)n;
 		queue->bytes -= (size_t)n;
 		count(conn->pr->metrics.bytes_out, n);
@@ -521,9 +540,9 @@
 
 /* Send a message of an accepted connection; data is taken over. */
 static void
-conn_send(struct conn *conn, uint8_t *data, size_t len)
+conn_send(struct conn *conn, uint8_t *data, size_t len, bool urgent)
 {
-	(void)queue_push(conn->queue, data, len);
+	(void)queue_push(conn->queue, data, len, urgent);
 	conn_flush(conn);
 }
 
@@ -534,7 +553,7 @@
 	uint8_t *data = pr_msg_refusal_encode(xid, stat, &len);
 
 	if (data != NULL)
-		conn_send(conn, data, len);
+		conn_send(conn, data, len, false);
 }
 
 static void
@@ -781,6 +800,7 @@
 	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PROBE_S},
 	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES},
 	    {IPPROTO_TCP, TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS},
+	    {IPPROTO_TCP, TCP_NOTSENT_LOWAT, NOTSENT_BYTES},
 	};
 
 	/* A socket without one of these still works. */
@@ -1344,7 +1364,8 @@
 		return ("too many bytes queued on the link");
 	}
 	call->link = link;
-	call->out = queue_push(&link->queue, data, len);
+	call->out = queue_push(
+	    &link->queue, data, len, call->procedure == PEER_HEARTBEAT);
 	call->out->call = call;
 	g_hash_table_insert(
 	    link->calls, GUINT_TO_POINTER((uint32_t)call->id), call);
@@ -1452,6 +1473,7 @@
 	struct conn *conn = request->conn;
 	uint8_t *data = NULL;
 	size_t len;
+	bool urgent;
 
 	if (conn == NULL) {
 		request_free(request);
@@ -1464,8 +1486,9 @@
 		pr_reply_error(request);
 		return;
 	}
+	urgent = request->procedure == PEER_HEARTBEAT;
 	request_free(request);
-	conn_send(conn, data, len);
+	conn_send(conn, data, len, urgent);
 }
 
 void
--- a/src/peer/pr.h
+++ b/src/peer/pr.h
@@ -11,7 +11,9 @@
  * There is one outgoing connection for each address called.  It is opened by
  * the first call and kept.  Calls on a link are sent in the order in which
  * they were made and reach the handlers in that order; replies may come in
- * any order.
+ * any order.  Heartbeats and their replies go before all messages that have
+ * not begun, so that a queue of large messages does not look like a dead
+ * peer.
  */
 #ifndef SAMPHIRESHED_PR_H
 #define SAMPHIRESHED_PR_H
--- a/src/peer/test_pr.c
+++ b/src/peer/test_pr.c
@@ -100,6 +100,17 @@
 	g_free(record.payload.payload_val);
 }
 
+static void
+on_heartbeat(struct pr_request *request, const void *args, void *arg)
+{
+	const peer_heartbeat_args *beat = args;
+	peer_heartbeat_reply reply = {
+	    .state = beat->state, .sent_at = beat->sent_at};
+
+	(void)arg;
+	pr_reply(request, &reply);
+}
+
 static struct pr *
 open_pr(struct fixture *f, const char *key, size_t max_message,
     unsigned max_calls, uint16_t port)
@@ -114,6 +125,7 @@
 	    .max_calls = max_calls,
 	    .handlers = {[PEER_CANCEL] = on_cancel,
 		[PEER_FORWARD] = on_forward,
+		[PEER_HEARTBEAT] = on_heartbeat,
 		[PEER_FETCH] = on_fetch},
 	    .arg = f};
 	char *error = NULL;
@@ -378,6 +390,23 @@
 	pr_close(own);
 }
 
+/* Guards against a reply that is too large leaving the caller waiting. */
+static void
+test_oversized_reply_is_an_error(struct fixture *f, gconstpointer unused)
+{
+	peer_fetch_args args = {0};
+	struct outcome o = {.f = f};
+
+	(void)unused;
+	f->fetched = (size_t)8 * 1024 * 1024;
+	(void)pr_call(
+	    f->client, f->address, PEER_FETCH, &args, TIMEOUT, on_fetched, &o);
+	wait_done(&o);
+	g_assert_cmpint(o.sent, ==, PR_MAYBE_SENT);
+	g_assert_false(o.timed_out);
+	g_assert_cmpint(refused(f, "reply_not_encodable"), ==, 1);
+}
+
 static void
 test_short_key_is_an_error(struct fixture *f, gconstpointer unused)
 {
@@ -697,6 +726,7 @@
 		ev_io ios[2];
 	} conns[RELAYED];
 	bool stop_new; /* new connections are silent from the start */
+	bool slow; /* about 4 MB a second from the client */
 };
 
 static int
@@ -733,6 +763,8 @@
 		ev_io_stop(loop, watcher);
 		return;
 	}
+	if (conn->relay->slow && side == 0)
+		g_usleep(1000);
 	n = read(watcher->fd, data, sizeof(data));
 	if (n <= 0) {
 		ev_io_stop(loop, watcher);
@@ -769,6 +801,9 @@
 
 	*relay = (struct relay){.f = f, .target = pr_port(f->server)};
 	relay->fd = loopback_socket(0, true);
+	/* What the relay has not read yet must not hide its slowness. */
+	(void)setsockopt(
+	    relay->fd, SOL_SOCKET, SO_RCVBUF, &(int){64 * 1024}, sizeof(int));
 	(void)getsockname(relay->fd, (struct sockaddr *)&address, &len);
 	(void)g_snprintf(relay->address, sizeof(relay->address), "127.0.0.1:%u",
 	    (unsigned)ntohs(address.sin_port));
@@ -829,6 +864,60 @@
 	relay_close(&relay);
 }
 
+/*
+ * Guards against giving up a connection that is busy with a large message,
+ * and against heartbeats that wait behind all that is queued.
+ */
+static void
+test_busy_connection_is_kept(struct fixture *f, gconstpointer unused)
+{
+	char none[] = "";
+	peer_heartbeat_args beat = {
+	    .state = {.name = none, .datacentre = none, .address = none}};
+	struct outcome large[2];
+	struct outcome small = {.f = f};
+	struct outcome heartbeat = {.f = f};
+	struct outcome unanswered;
+	struct pr_link_info info;
+	struct relay relay;
+	char *direct = f->address;
+	char path[] = "0";
+
+	(void)unused;
+	relay_open(&relay, f);
+	relay.slow = true;
+	f->address = relay.address;
+	(void)start(f, &small, relay.address, 1, TIMEOUT);
+	assert_replied(&small, 1);
+	/* Times out while the large message is on its way. */
+	f->hold = true;
+	(void)start(f, &unanswered, relay.address, 3, 1200);
+	wait_held(f, 1);
+	f->hold = false;
+	start_forward(f, &large[0], (size_t)7 * 1024 * 1024, path);
+	start_forward(f, &large[1], (size_t)7 * 1024 * 1024, path);
+	f->address = direct;
+	run_for(f, 100);
+	(void)pr_call(f->client, relay.address, PEER_HEARTBEAT, &beat,
+	    4 * TIMEOUT, on_reply, &heartbeat);
+	while (!large[0].done && !heartbeat.done) {
+		(void)start(f, &small, relay.address, 2, 200);
+		wait_done(&small);
+		g_assert_cmpint(small.sent, ==, PR_NOT_SENT);
+	}
+	wait_done(&heartbeat);
+	g_assert_true(unanswered.timed_out);
+	g_assert_false(large[1].done);
+	wait_done(&large[0]);
+	wait_done(&large[1]);
+	g_assert_cmpstr(large[0].error, ==, "");
+	g_assert_cmpstr(large[1].error, ==, "");
+	g_assert_true(pr_link_state(f->client, relay.address, &info));
+	g_assert_cmpuint(info.reconnects, ==, 0);
+	answer(f->held[0], 3);
+	relay_close(&relay);
+}
+
 /* Guards against waiting for ever on a peer that accepts and says nothing. */
 static void
 test_silent_handshake_is_not_sent(struct fixture *f, gconstpointer unused)
@@ -925,6 +1014,7 @@
 	ADD("oversized-message-is-refused", test_oversized_message_is_refused);
 	ADD("own-limit-is-not-sent", test_own_limit_is_not_sent);
 	ADD("wrong-key-is-refused", test_wrong_key_is_refused);
+	ADD("oversized-reply-is-an-error", test_oversized_reply_is_an_error);
 	ADD("short-key-is-an-error", test_short_key_is_an_error);
 	ADD("wrong-version-is-refused", test_wrong_version_is_refused);
 	ADD("refused-call-is-not-sent", test_refused_call_is_not_sent);
@@ -939,6 +1029,7 @@
 	    test_unanswered_requests_are_bounded);
 	ADD("silent-connection-is-replaced",
 	    test_silent_connection_is_replaced);
+	ADD("busy-connection-is-kept", test_busy_connection_is_kept);
 	ADD("silent-handshake-is-not-sent", test_silent_handshake_is_not_sent);
 	ADD("reconnect", test_reconnect);
 	ADD("queued-calls-run-at-most-once",
