--- a/src/rate/rat.c
+++ b/src/rate/rat.c
@@ -225,16 +225,14 @@
 	}
 }
 
+/* Refill up to now; the outstanding tokens must be those of the whole time. */
 static void
-bucket_fill(struct bucket *bucket, clk_ms now)
+bucket_refill(struct bucket *bucket, clk_ms now)
 {
 	int64_t cap = bucket_cap(&bucket->limit);
 	int64_t room;
 	__int128 gain;
 
-	bucket_expire(bucket, now);
-	if (bucket->pool > 0 && now >= bucket->pool_expiry)
-		bucket->pool = 0;
 	room = cap - bucket->outstanding * MICRO;
 	if (now > bucket->filled) {
 		/* A rate of n is n millionths of a token a ms. */
@@ -249,6 +247,25 @@
 	}
 }
 
+/*
+ * Bring the bucket up to date.  A full bucket must not refill before a grant
+ * expires, so that the time up to each expiry counts with the tokens that were
+ * outstanding then.
+ */
+static void
+bucket_fill(struct bucket *bucket, clk_ms now)
+{
+	while (bucket->next_expiry <= now) {
+		clk_ms expiry = bucket->next_expiry;
+
+		bucket_refill(bucket, expiry);
+		bucket_expire(bucket, expiry);
+	}
+	bucket_refill(bucket, now);
+	if (bucket->pool > 0 && now >= bucket->pool_expiry)
+		bucket->pool = 0;
+}
+
 /* Take a change of configuration into account. */
 static void
 bucket_limit(struct bucket *bucket, clk_ms now, const struct rat_limit *limit)
@@ -511,14 +528,9 @@
 	bucket->pool_expiry = MIN(bucket->pool_expiry, expiry);
 }
 
-static gboolean
-bucket_is_idle(gpointer key, gpointer value, gpointer data)
+static bool
+bucket_is_idle(struct bucket *bucket, clk_ms now)
 {
-	struct bucket *bucket = value;
-	clk_ms now = *(const clk_ms *)data;
-
-	(void)key;
-	bucket_fill(bucket, now);
 	for (guint i = bucket->sessions->len; i-- > 0;) {
 		struct session *session =
 		    g_ptr_array_index(bucket->sessions, i);
@@ -537,7 +549,21 @@
 void
 rat_coordinator_tick(struct rat_coordinator *coordinator, clk_ms now)
 {
-	g_hash_table_foreach_remove(coordinator->buckets, bucket_is_idle, &now);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, coordinator->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bucket *bucket = value;
+		struct rat_limit limit = {0};
+
+		/* The rate may have been lowered since the last grant. */
+		(void)limit_read(coordinator, bucket->organisation, &limit);
+		bucket_limit(bucket, now, &limit);
+		bucket_fill(bucket, now);
+		if (bucket_is_idle(bucket, now))
+			g_hash_table_iter_remove(&iter);
+	}
 }
 
 size_t
