--- /dev/null
+++ b/src/sched/crash.c
@@ -0,0 +1,159 @@
+#include "sched/crash.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define BLOCK_TIME	 (10 * CLK_MINUTE)
+#define CRASHES_TO_BLOCK 2
+#define MAX_FINGERPRINTS 1024
+#define MAX_OWN		 2048
+
+struct entry {
+	unsigned char fingerprint[SCH_FINGERPRINT_SIZE];
+	char *upstreams[CRASHES_TO_BLOCK];
+	unsigned count; /* of different upstreams */
+	clk_ms last; /* crash */
+	GList *link; /* in table->order */
+};
+
+struct sch_crash_table {
+	GHashTable *entries; /* fingerprint -> struct entry */
+	GQueue order; /* the oldest first */
+	GQueue own; /* struct sch_crash, the oldest first */
+};
+
+static guint
+fingerprint_hash(gconstpointer key)
+{
+	guint hash;
+
+	/* A part of a SHA-256 is a hash already. */
+	memcpy(&hash, key, sizeof(hash));
+	return (hash);
+}
+
+static gboolean
+fingerprint_equal(gconstpointer a, gconstpointer b)
+{
+	return (memcmp(a, b, SCH_FINGERPRINT_SIZE) == 0);
+}
+
+static void
+entry_free(void *data)
+{
+	struct entry *entry = data;
+
+	for (unsigned i = 0; i < entry->count; i++)
+		g_free(entry->upstreams[i]);
+	g_free(entry);
+}
+
+struct sch_crash_table *
+sch_crash_open(void)
+{
+	struct sch_crash_table *table = g_new0(struct sch_crash_table, 1);
+
+	table->entries = g_hash_table_new_full(
+	    fingerprint_hash, fingerprint_equal, NULL, entry_free);
+	return (table);
+}
+
+void
+sch_crash_close(struct sch_crash_table *table)
+{
+	g_hash_table_destroy(table->entries);
+	g_queue_clear(&table->order);
+	g_queue_clear_full(&table->own, g_free);
+	g_free(table);
+}
+
+static void
+drop_entry(struct sch_crash_table *table, struct entry *entry)
+{
+	g_queue_delete_link(&table->order, entry->link);
+	(void)g_hash_table_remove(table->entries, entry->fingerprint);
+}
+
+static struct entry *
+ensure_entry(
+    struct sch_crash_table *table, const unsigned char *fingerprint, clk_ms now)
+{
+	struct entry *entry = g_hash_table_lookup(table->entries, fingerprint);
+
+	if (entry != NULL && now - entry->last >= BLOCK_TIME) {
+		drop_entry(table, entry);
+		entry = NULL;
+	}
+	if (entry != NULL)
+		return (entry);
+	if (table->order.length >= MAX_FINGERPRINTS)
+		drop_entry(table, g_queue_peek_head(&table->order));
+	entry = g_new0(struct entry, 1);
+	memcpy(entry->fingerprint, fingerprint, SCH_FINGERPRINT_SIZE);
+	g_queue_push_tail(&table->order, entry);
+	entry->link = table->order.tail;
+	(void)g_hash_table_insert(table->entries, entry->fingerprint, entry);
+	return (entry);
+}
+
+static void
+add_own(struct sch_crash_table *table, const unsigned char *fingerprint,
+    const char *upstream, clk_ms now)
+{
+	struct sch_crash *crash = g_new0(struct sch_crash, 1);
+
+	memcpy(crash->fingerprint, fingerprint, SCH_FINGERPRINT_SIZE);
+	(void)g_strlcpy(crash->upstream, upstream, sizeof(crash->upstream));
+	crash->time = now;
+	g_queue_push_tail(&table->own, crash);
+	if (table->own.length > MAX_OWN)
+		g_free(g_queue_pop_head(&table->own));
+}
+
+void
+sch_crash_add(struct sch_crash_table *table, const unsigned char *fingerprint,
+    const char *upstream, bool own, clk_ms now)
+{
+	struct entry *entry = ensure_entry(table, fingerprint, now);
+	bool known = false;
+	char name[sizeof(((struct sch_crash *)NULL)->upstream)];
+
+	/* Names are compared as peers tell them, which is cut to a size. */
+	(void)g_strlcpy(name, upstream, sizeof(name));
+	for (unsigned i = 0; i < entry->count; i++)
+		known = known || strcmp(entry->upstreams[i], name) == 0;
+	/* Heartbeats repeat what they told; only a new fact counts. */
+	if (known && !own)
+		return;
+	if (!known && entry->count < CRASHES_TO_BLOCK)
+		entry->upstreams[entry->count++] = g_strdup(name);
+	entry->last = now;
+	if (own)
+		add_own(table, fingerprint, name, now);
+}
+
+bool
+sch_crash_is_blocked(const struct sch_crash_table *table,
+    const unsigned char *fingerprint, clk_ms now)
+{
+	const struct entry *entry =
+	    g_hash_table_lookup(table->entries, fingerprint);
+
+	return (entry != NULL && entry->count >= CRASHES_TO_BLOCK &&
+	    now - entry->last < BLOCK_TIME);
+}
+
+size_t
+sch_crash_list(const struct sch_crash_table *table, clk_ms since,
+    struct sch_crash *crashes, size_t max)
+{
+	size_t n = 0;
+
+	for (GList *l = table->own.head; l != NULL && n < max; l = l->next) {
+		const struct sch_crash *crash = l->data;
+
+		if (crash->time >= since)
+			crashes[n++] = *crash;
+	}
+	return (n);
+}
--- /dev/null
+++ b/src/sched/policy.c
@@ -0,0 +1,199 @@
+#include <glib.h>
+#include <string.h>
+
+#include "sched/sch.h"
+
+/* Locality may not load an upstream above this multiple of its part. */
+#define LOAD_BOUND 1.25
+/* Holders of a program's prefix that are compared. */
+#define MAX_HOLDERS 4
+
+static double
+key_by_program(const struct sch_request *request)
+{
+	return ((double)request->program_started);
+}
+
+static double
+key_by_arrival(const struct sch_request *request)
+{
+	return ((double)request->number);
+}
+
+static bool
+is_same(struct ups_handle a, struct ups_handle b)
+{
+	return (a.index == b.index && a.generation == b.generation);
+}
+
+static bool
+is_avoided(const struct sch_request *request, struct ups_handle handle)
+{
+	return (is_same(request->avoid, handle));
+}
+
+static int64_t
+uncached(const struct sch_request *request, int64_t cached)
+{
+	return (MAX(0, request->prompt_tokens - cached));
+}
+
+/* The holders of the program's prefix that are open; returns their number. */
+static size_t
+open_holders(const struct ups *ups, const struct sch_request *request,
+    struct ups_holder usable[MAX_HOLDERS])
+{
+	struct ups_holder holders[MAX_HOLDERS];
+	size_t count, n = 0;
+
+	if (request->program[0] == '\0')
+		return (0);
+	count =
+	    ups_program_holders(ups, request->program, holders, MAX_HOLDERS);
+	for (size_t i = 0; i < MIN(count, MAX_HOLDERS); i++) {
+		struct ups_handle handle = holders[i].upstream;
+
+		if (holders[i].tokens > 0 && !is_avoided(request, handle) &&
+		    ups_is_open(ups, handle) &&
+		    ups_in_pool(ups, handle, request->pool))
+			usable[n++] = holders[i];
+	}
+	return (n);
+}
+
+/* What the upstream is expected to have of the program's prefix. */
+static void
+set_cached(const struct ups *ups, const struct sch_request *request,
+    struct ups_handle handle, int64_t *cached_tokens)
+{
+	struct ups_holder holders[MAX_HOLDERS];
+	size_t count = 0;
+
+	*cached_tokens = 0;
+	if (request->program[0] != '\0')
+		count = ups_program_holders(
+		    ups, request->program, holders, MAX_HOLDERS);
+	for (size_t i = 0; i < MIN(count, MAX_HOLDERS); i++) {
+		if (is_same(holders[i].upstream, handle))
+			*cached_tokens =
+			    MIN(holders[i].tokens, request->prompt_tokens);
+	}
+}
+
+static struct ups_handle
+choose_bounded(const struct ups *ups, const struct sch_request *request,
+    uint64_t turn, int64_t *cached_tokens)
+{
+	struct ups_holder holders[MAX_HOLDERS];
+	size_t count = open_holders(ups, request, holders);
+	double least, wait;
+	struct ups_handle best = ups_pool_least_wait(
+	    ups, request->pool, request->prompt_tokens, request->avoid, &least);
+
+	(void)turn;
+	for (size_t i = 0; i < count; i++) {
+		struct ups_handle holder = holders[i].upstream;
+
+		if (ups_is_overloaded(ups, holder, request->pool, LOAD_BOUND)) {
+			/*
+			 * Its queue is short because of what it has cached,
+			 * so the rule would bring the call here all the same.
+			 */
+			if (is_same(best, holder))
+				best = ups_pool_least_wait(ups, request->pool,
+				    request->prompt_tokens, holder, &least);
+			continue;
+		}
+		wait =
+		    ups_wait(ups, holder, uncached(request, holders[i].tokens));
+		if (wait > least)
+			continue;
+		least = wait;
+		best = holder;
+	}
+	set_cached(ups, request, best, cached_tokens);
+	return (best);
+}
+
+static struct ups_handle
+choose_unbounded(const struct ups *ups, const struct sch_request *request,
+    uint64_t turn, int64_t *cached_tokens)
+{
+	struct ups_holder holders[MAX_HOLDERS];
+	size_t count = open_holders(ups, request, holders);
+	size_t best = 0;
+	double wait;
+
+	(void)turn;
+	*cached_tokens = 0;
+	if (count == 0)
+		return (ups_pool_least_wait(ups, request->pool,
+		    request->prompt_tokens, request->avoid, &wait));
+	for (size_t i = 1; i < count; i++) {
+		if (holders[i].tokens > holders[best].tokens)
+			best = i;
+	}
+	*cached_tokens = MIN(holders[best].tokens, request->prompt_tokens);
+	return (holders[best].upstream);
+}
+
+static struct ups_handle
+choose_least_outstanding(const struct ups *ups,
+    const struct sch_request *request, uint64_t turn, int64_t *cached_tokens)
+{
+	struct ups_handle handle =
+	    ups_pool_least_outstanding(ups, request->pool, request->avoid);
+
+	(void)turn;
+	set_cached(ups, request, handle, cached_tokens);
+	return (handle);
+}
+
+static struct ups_handle
+choose_in_turn(const struct ups *ups, const struct sch_request *request,
+    uint64_t turn, int64_t *cached_tokens)
+{
+	struct ups_handle handle = ups_pool_rotate(ups, request->pool, turn);
+
+	if (is_avoided(request, handle))
+		handle = ups_pool_rotate(ups, request->pool, turn + 1);
+	set_cached(ups, request, handle, cached_tokens);
+	return (handle);
+}
+
+const struct sch_policy sch_policy_least_program_first = {
+    .name = "least_program_first",
+    .by_urgency = true,
+    .by_organisation = true,
+    .call_key = key_by_program,
+    .choose = choose_bounded};
+
+const struct sch_policy sch_policy_locality_unbounded = {
+    .name = "locality_unbounded",
+    .by_urgency = true,
+    .by_organisation = true,
+    .call_key = key_by_program,
+    .choose = choose_unbounded};
+
+const struct sch_policy sch_policy_least_outstanding = {
+    .name = "least_outstanding",
+    .call_key = key_by_arrival,
+    .choose = choose_least_outstanding};
+
+const struct sch_policy sch_policy_round_robin = {.name = "round_robin",
+    .call_key = key_by_arrival,
+    .choose = choose_in_turn};
+
+const struct sch_policy *
+sch_policy_find(const char *name)
+{
+	static const struct sch_policy *const policies[] = {
+	    &sch_policy_least_program_first, &sch_policy_locality_unbounded,
+	    &sch_policy_least_outstanding, &sch_policy_round_robin};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (strcmp(policies[i]->name, name) == 0)
+			return (policies[i]);
+	}
+	return (NULL);
+}
--- /dev/null
+++ b/src/sched/test_sch.c
@@ -0,0 +1,936 @@
+/*
+ * The scheduler: order, fairness, retries, verdicts and requests that crash
+ * upstreams, and a randomised run with each policy that checks the properties
+ * of all orders.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "sched/sch.h"
+
+struct fixture {
+	struct ups *ups;
+	struct sch *sch;
+};
+
+static struct ups_handle
+add_upstream(struct ups *ups, const char *name, const char *model)
+{
+	const char *models[] = {model, NULL};
+	struct ups_config config = {
+	    .name = name, .datacentre = "d1", .models = models, .speed = 10000};
+
+	return (ups_set(ups, &config));
+}
+
+static void
+setup(struct fixture *f, const struct sch_policy *policy, unsigned window)
+{
+	struct ups_options ups_options = {
+	    .datacentre = "d1", .window_start = window, .window_max = window};
+	struct sch_options options = {.policy = policy};
+
+	f->ups = ups_open(&ups_options);
+	f->sch = sch_open(f->ups, &options);
+}
+
+static void
+teardown(struct fixture *f)
+{
+	sch_close(f->sch);
+	ups_close(f->ups);
+}
+
+static struct sch_call
+make_call(const char *organisation, const char *program)
+{
+	struct sch_call call = {.organisation = organisation,
+	    .program = program,
+	    .kind = UPS_MODEL,
+	    .model = "m",
+	    .urgency = SCH_NORMAL,
+	    .prompt_tokens = 1000,
+	    .max_tokens = 100};
+
+	return (call);
+}
+
+static struct sch_handle
+submit(struct fixture *f, const struct sch_call *call, clk_ms now)
+{
+	struct sch_handle handle = {0};
+	struct vd vd = sch_submit(f->sch, call, now, &handle);
+
+	g_assert_true(vd_is_ok(&vd));
+	g_assert_cmpuint(handle.generation, >, 0);
+	return (handle);
+}
+
+static bool
+is_equal(struct sch_handle a, struct sch_handle b)
+{
+	return (a.index == b.index && a.generation == b.generation);
+}
+
+static struct sch_start
+start_one(struct fixture *f, clk_ms now)
+{
+	struct sch_start start;
+
+	g_assert_cmpuint(sch_next(f->sch, now, &start, 1), ==, 1);
+	return (start);
+}
+
+static enum sch_next_step
+finish(struct fixture *f, struct sch_handle call, enum sch_outcome outcome,
+    bool repeatable, clk_ms now, struct vd *vd)
+{
+	struct sch_result result = {.outcome = outcome,
+	    .repeatable = repeatable,
+	    .reply = {.first_token = 50,
+		.token_gap = 10,
+		.prompt_tokens = 1000,
+		.answer_tokens = 100}};
+
+	return (sch_finished(f->sch, call, &result, now, vd));
+}
+
+static void
+succeed(struct fixture *f, struct sch_handle call, clk_ms now)
+{
+	struct vd vd;
+
+	g_assert_cmpint(
+	    finish(f, call, SCH_SUCCEEDED, true, now, &vd), ==, SCH_DONE);
+	g_assert_true(vd_is_ok(&vd));
+}
+
+/* Guards against urgent calls that wait behind others. */
+static void
+test_urgent_first(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "");
+	struct sch_handle background, normal, urgent;
+
+	setup(&f, NULL, 3);
+	(void)add_upstream(f.ups, "a", "m");
+	call.urgency = SCH_BACKGROUND;
+	background = submit(&f, &call, 0);
+	call.urgency = SCH_NORMAL;
+	normal = submit(&f, &call, 1);
+	call.urgency = SCH_URGENT;
+	urgent = submit(&f, &call, 2);
+	g_assert_true(is_equal(start_one(&f, 3).call, urgent));
+	g_assert_true(is_equal(start_one(&f, 3).call, normal));
+	g_assert_true(is_equal(start_one(&f, 3).call, background));
+	teardown(&f);
+}
+
+/* Ageing: a call moves up a class, and is overdue at last. */
+static void
+test_ageing(void)
+{
+	struct fixture f;
+	struct sch_call old = make_call("o", "");
+	struct sch_call fresh = make_call("o2", "");
+	struct sch_handle first;
+	int before = 0;
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "a", "m");
+	old.urgency = SCH_BACKGROUND;
+	fresh.urgency = SCH_URGENT;
+	first = submit(&f, &old, 0);
+	/* A steady flood of urgent calls of another organisation. */
+	for (clk_ms now = 0; now < 20000; now += 100) {
+		struct sch_start start;
+
+		(void)submit(&f, &fresh, now);
+		start = start_one(&f, now);
+		if (is_equal(start.call, first)) {
+			g_assert_cmpint(now, >=, 4000);
+			g_assert_cmpint(now, <=, 10400);
+			before = 1;
+			break;
+		}
+		succeed(&f, start.call, now);
+	}
+	g_assert_cmpint(before, ==, 1);
+	teardown(&f);
+}
+
+/* Guards against an organisation that gets more by sending more. */
+static void
+test_fair_by_weight(void)
+{
+	struct fixture f;
+	struct sch_call a = make_call("flood", "");
+	struct sch_call b = make_call("small", "");
+	struct sch_call c = make_call("double", "");
+	int served[3] = {0};
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "u", "m");
+	c.weight = 2;
+	a.arg = &served[0];
+	b.arg = &served[1];
+	c.arg = &served[2];
+	for (int i = 0; i < 400; i++) {
+		(void)submit(&f, &a, 0);
+		if (i < 100)
+			(void)submit(&f, &b, 0);
+		if (i < 200)
+			(void)submit(&f, &c, 0);
+	}
+	for (int i = 0; i < 200; i++) {
+		struct sch_start start = start_one(&f, 1);
+
+		(*(int *)start.arg)++;
+		succeed(&f, start.call, 1);
+	}
+	g_assert_cmpint(ABS(served[0] - 50), <=, 2);
+	g_assert_cmpint(ABS(served[1] - 50), <=, 2);
+	g_assert_cmpint(ABS(served[2] - 100), <=, 2);
+	teardown(&f);
+}
+
+/* An organisation that asked for nothing has not saved up any service. */
+static void
+test_idle_saves_nothing(void)
+{
+	struct fixture f;
+	struct sch_call a = make_call("busy", "");
+	struct sch_call b = make_call("late", "");
+	int served[2] = {0};
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "u", "m");
+	a.arg = &served[0];
+	b.arg = &served[1];
+	for (int i = 0; i < 200; i++) {
+		(void)submit(&f, &a, 0);
+		if (i < 100)
+			succeed(&f, start_one(&f, 0).call, 0);
+	}
+	for (int i = 0; i < 100; i++)
+		(void)submit(&f, &b, 0);
+	for (int i = 0; i < 40; i++) {
+		struct sch_start start = start_one(&f, 1);
+
+		(*(int *)start.arg)++;
+		succeed(&f, start.call, 1);
+	}
+	g_assert_cmpint(ABS(served[0] - 20), <=, 2);
+	teardown(&f);
+}
+
+/*
+ * Calls of services have no tokens; guards against one organisation that
+ * gets all of them.
+ */
+static void
+test_fair_without_tokens(void)
+{
+	const char *names[] = {"orders", NULL};
+	struct ups_config config = {.name = "s",
+	    .kind = UPS_SERVICE,
+	    .datacentre = "d1",
+	    .models = names};
+	struct ups_reply none = {.first_token = -1, .token_gap = -1};
+	struct sch_result result = {.outcome = SCH_SUCCEEDED, .reply = none};
+	struct sch_call call = make_call("a", "");
+	struct fixture f;
+	int served[2] = {0};
+
+	setup(&f, NULL, 1);
+	(void)ups_set(f.ups, &config);
+	call.kind = UPS_SERVICE;
+	call.model = "orders";
+	call.prompt_tokens = call.max_tokens = 0;
+	for (int i = 0; i < 100; i++) {
+		call.organisation = "a";
+		call.arg = &served[0];
+		(void)submit(&f, &call, 0);
+		call.organisation = "b";
+		call.arg = &served[1];
+		(void)submit(&f, &call, 0);
+	}
+	for (int i = 0; i < 40; i++) {
+		struct sch_start start = start_one(&f, 1);
+		struct vd vd;
+
+		(*(int *)start.arg)++;
+		(void)sch_finished(f.sch, start.call, &result, 1, &vd);
+	}
+	g_assert_cmpint(ABS(served[0] - served[1]), <=, 2);
+	teardown(&f);
+}
+
+/* Within an organisation the oldest program goes first. */
+static void
+test_oldest_program_first(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "p-young");
+	struct sch_handle old;
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "u", "m");
+	call.program_started = 500;
+	(void)submit(&f, &call, 1000);
+	call.program = "p-old";
+	call.program_started = 100;
+	old = submit(&f, &call, 1001);
+	g_assert_true(is_equal(start_one(&f, 1002).call, old));
+	teardown(&f);
+}
+
+/*
+ * The holder of a prefix is chosen while its load is within the bound; the
+ * policy without the bound piles everything on it.
+ */
+static void
+check_locality(const struct sch_policy *policy, unsigned least, unsigned most)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "p-1");
+	struct ups_handle holder;
+	unsigned at_holder = 0;
+
+	setup(&f, policy, 40);
+	holder = add_upstream(f.ups, "holder", "m");
+	for (int i = 0; i < 9; i++) {
+		g_autofree char *name = g_strdup_printf("other%d", i);
+
+		(void)add_upstream(f.ups, name, "m");
+	}
+	ups_program_cached(f.ups, "p-1", holder, 900);
+	for (int i = 0; i < 40; i++) {
+		struct sch_start start;
+
+		(void)submit(&f, &call, 0);
+		start = start_one(&f, 0);
+		if (start.upstream.index != holder.index)
+			continue;
+		at_holder++;
+		g_assert_cmpint(start.cached_tokens, ==, 900);
+	}
+	g_assert_cmpuint(at_holder, >=, least);
+	g_assert_cmpuint(at_holder, <=, most);
+	teardown(&f);
+}
+
+static void
+test_locality_bound(void)
+{
+	/* 40 calls over 10 upstreams: 1.25 times 4. */
+	check_locality(&sch_policy_least_program_first, 4, 5);
+	check_locality(&sch_policy_locality_unbounded, 40, 40);
+}
+
+/* A fast engine without the prefix is worth more than a slow holder. */
+static void
+test_locality_has_its_price(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "p-1");
+	struct ups_handle holder, other;
+
+	setup(&f, NULL, 10);
+	holder = add_upstream(f.ups, "holder", "m");
+	other = add_upstream(f.ups, "other", "m");
+	/* Other calls of this instance fill the holder's queue. */
+	for (int i = 0; i < 3; i++) {
+		ups_begin(f.ups, holder, 5000);
+		ups_begin(f.ups, other, 0);
+	}
+	ups_program_cached(f.ups, "p-1", holder, 900);
+	(void)submit(&f, &call, 0);
+	g_assert_cmpuint(start_one(&f, 0).upstream.index, ==, other.index);
+	teardown(&f);
+}
+
+/* P10, P11: only what did not run, or may be repeated, runs again. */
+static void
+test_retries(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "");
+	struct sch_handle handle;
+	struct sch_start start;
+	struct vd vd;
+
+	setup(&f, NULL, 4);
+	(void)add_upstream(f.ups, "a", "m");
+	(void)add_upstream(f.ups, "b", "m");
+	handle = submit(&f, &call, 0);
+	start = start_one(&f, 0);
+	g_assert_cmpint(finish(&f, handle, SCH_REFUSED, false, 0, &vd), ==,
+	    SCH_WAITS_AGAIN);
+	/* Again, and at the other upstream. */
+	g_assert_cmpuint(
+	    start_one(&f, 0).upstream.index, !=, start.upstream.index);
+	g_assert_cmpint(
+	    finish(&f, handle, SCH_CRASHED, false, 0, &vd), ==, SCH_DONE);
+	g_assert_cmpint(vd.ran, ==, VD_MAYBE);
+	g_assert_cmpint(vd.code, ==, VD_UPSTREAM_FAILED);
+	ups_tick(f.ups, 1000);
+	handle = submit(&f, &call, 1000);
+	(void)start_one(&f, 1000);
+	g_assert_cmpint(
+	    finish(&f, handle, SCH_TIMED_OUT, false, 1000, &vd), ==, SCH_DONE);
+	g_assert_cmpint(vd.ran, ==, VD_MAYBE);
+	/* A repeatable call that may have run is never called not run. */
+	handle = submit(&f, &call, 1000);
+	(void)start_one(&f, 1000);
+	g_assert_cmpint(finish(&f, handle, SCH_TIMED_OUT, true, 1000, &vd), ==,
+	    SCH_WAITS_AGAIN);
+	while (finish(&f, start_one(&f, 1000).call, SCH_BUSY, false, 1000,
+		   &vd) == SCH_WAITS_AGAIN)
+		;
+	g_assert_cmpint(vd.ran, ==, VD_MAYBE);
+	/* A handle that has ended does nothing any more. */
+	g_assert_cmpint(
+	    finish(&f, handle, SCH_SUCCEEDED, true, 1000, &vd), ==, SCH_DONE);
+	g_assert_false(vd_is_ok(&vd));
+	g_assert_cmpuint(sch_running(f.sch) + sch_waiting(f.sch), ==, 0);
+	teardown(&f);
+}
+
+/* Guards against retries that multiply the load of a failing fleet. */
+static void
+test_retry_budget(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "");
+	unsigned attempts = 0;
+	enum { CALLS = 2000 };
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "a", "m");
+	for (int i = 0; i < CALLS; i++) {
+		struct sch_handle handle = submit(&f, &call, i);
+		struct vd vd;
+
+		do {
+			(void)start_one(&f, i);
+			attempts++;
+		} while (finish(&f, handle, SCH_BUSY, false, i, &vd) ==
+		    SCH_WAITS_AGAIN);
+		g_assert_cmpint(vd.ran, ==, VD_NOT_RUN);
+	}
+	/* One in ten, and the 10 that may be saved up. */
+	g_assert_cmpuint(attempts, <=, CALLS + CALLS / 10 + 10);
+	g_assert_cmpuint(attempts, >, CALLS + CALLS / 20);
+	teardown(&f);
+}
+
+/* A request that crashes what runs it is stopped after two upstreams. */
+static void
+test_crashing_request(void)
+{
+	struct fixture f;
+	unsigned char bad[SCH_FINGERPRINT_SIZE] = "bad";
+	unsigned char other[SCH_FINGERPRINT_SIZE] = "other";
+	struct sch_call call = make_call("o", "");
+	struct sch_handle handle, queued;
+	struct sch_crash crashes[4];
+	struct sch_end ends[4];
+	struct sch_start start;
+	struct vd vd;
+
+	setup(&f, NULL, 1);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *name = g_strdup_printf("u%d", i);
+
+		(void)add_upstream(f.ups, name, "m");
+	}
+	call.fingerprint = bad;
+	handle = submit(&f, &call, 0);
+	(void)start_one(&f, 0);
+	g_assert_cmpint(
+	    finish(&f, handle, SCH_CRASHED, true, 0, &vd), ==, SCH_WAITS_AGAIN);
+	(void)start_one(&f, 0);
+	/* A second copy waits while the first crashes its second upstream. */
+	queued = submit(&f, &call, 0);
+	g_assert_cmpint(
+	    finish(&f, handle, SCH_CRASHED, true, 0, &vd), ==, SCH_DONE);
+	g_assert_cmpint(vd.code, ==, VD_REQUEST_CRASHES_UPSTREAM);
+	g_assert_cmpint(vd.ran, ==, VD_MAYBE);
+	g_assert_cmpuint(sch_next(f.sch, 0, &start, 1), ==, 0);
+	g_assert_cmpuint(sch_expire(f.sch, 0, ends, 4), ==, 1);
+	g_assert_true(is_equal(ends[0].call, queued));
+	g_assert_cmpint(ends[0].vd.code, ==, VD_REQUEST_CRASHES_UPSTREAM);
+	g_assert_cmpint(ends[0].vd.ran, ==, VD_NOT_RUN);
+	vd = sch_submit(f.sch, &call, 599999, &handle);
+	g_assert_cmpint(vd.code, ==, VD_REQUEST_CRASHES_UPSTREAM);
+	/* Other requests are served, and this one again after 10 minutes. */
+	ups_tick(f.ups, 600000);
+	call.fingerprint = other;
+	succeed(&f,
+	    submit(&f, &call, 600000).generation > 0
+		? start_one(&f, 600000).call
+		: (struct sch_handle){0},
+	    600000);
+	g_assert_false(sch_is_blocked(f.sch, bad, 600000));
+	g_assert_cmpuint(sch_crashes(f.sch, 0, crashes, 4), ==, 2);
+	g_assert_cmpuint(sch_crashes(f.sch, 1, crashes, 4), ==, 0);
+	teardown(&f);
+}
+
+/* A crash at the same upstream, told twice, is one crash. */
+static void
+test_crashes_of_peers(void)
+{
+	struct fixture f;
+	unsigned char bad[SCH_FINGERPRINT_SIZE] = "bad";
+	struct sch_crash crashes[4];
+
+	setup(&f, NULL, 1);
+	sch_crash_note(f.sch, bad, "u1", 0);
+	sch_crash_note(f.sch, bad, "u1", 1);
+	g_assert_false(sch_is_blocked(f.sch, bad, 1));
+	sch_crash_note(f.sch, bad, "u2", 2);
+	g_assert_true(sch_is_blocked(f.sch, bad, 2));
+	/* Heartbeats that repeat it don't extend the time. */
+	sch_crash_note(f.sch, bad, "u2", 500000);
+	g_assert_false(sch_is_blocked(f.sch, bad, 600002));
+	/* What peers told is not told back to them. */
+	g_assert_cmpuint(sch_crashes(f.sch, 0, crashes, 4), ==, 0);
+	teardown(&f);
+}
+
+/* Guards against a queue without bound, and against one that one fills. */
+static void
+test_queue_bounds(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("flood", "");
+	struct sch_handle handle;
+	struct vd vd;
+	int accepted = 0;
+
+	setup(&f, NULL, 1);
+	(void)add_upstream(f.ups, "u", "m");
+	for (int i = 0; i < 5000; i++) {
+		vd = sch_submit(f.sch, &call, 0, &handle);
+		accepted += vd_is_ok(&vd);
+	}
+	g_assert_cmpint(accepted, ==, 1024);
+	g_assert_cmpint(vd.ran, ==, VD_NOT_RUN);
+	g_assert_cmpint(vd.code, ==, VD_QUEUE_FULL);
+	g_assert_cmpint(vd.retry_after, >, 0);
+	for (int i = 0; i < 5000; i++) {
+		g_autofree char *name = g_strdup_printf("o%d", i % 100);
+
+		call.organisation = name;
+		vd = sch_submit(f.sch, &call, 0, &handle);
+		accepted += vd_is_ok(&vd);
+	}
+	g_assert_cmpint(accepted, ==, 4096);
+	call.model = "unknown";
+	vd = sch_submit(f.sch, &call, 0, &handle);
+	g_assert_cmpint(vd.code, ==, VD_UNKNOWN_MODEL);
+	g_assert_cmpint(vd.ran, ==, VD_NOT_RUN);
+	teardown(&f);
+}
+
+/* Guards against calls that wait for ever, and start after they ended. */
+static void
+test_deadline_and_cancel(void)
+{
+	struct fixture f;
+	struct sch_call call = make_call("o", "");
+	struct sch_handle late, cancelled, kept;
+	struct sch_start start;
+	struct sch_end ends[4];
+
+	setup(&f, NULL, 4);
+	(void)add_upstream(f.ups, "u", "m");
+	call.deadline = 500;
+	late = submit(&f, &call, 0);
+	call.deadline = 0;
+	cancelled = submit(&f, &call, 0);
+	kept = submit(&f, &call, 0);
+	g_assert_cmpuint(sch_expire(f.sch, 499, ends, 4), ==, 0);
+	g_assert_cmpuint(sch_expire(f.sch, 500, ends, 4), ==, 1);
+	g_assert_true(is_equal(ends[0].call, late));
+	g_assert_cmpint(ends[0].vd.ran, ==, VD_NOT_RUN);
+	g_assert_true(sch_cancel(f.sch, cancelled));
+	g_assert_false(sch_cancel(f.sch, cancelled));
+	g_assert_false(sch_cancel(f.sch, late));
+	g_assert_true(is_equal(start_one(&f, 500).call, kept));
+	g_assert_false(sch_cancel(f.sch, kept));
+	g_assert_cmpuint(sch_next(f.sch, 500, &start, 1), ==, 0);
+	teardown(&f);
+}
+
+/* ---- randomised run ---- */
+
+#define MAX_CALLS     40000
+#define MAX_UPSTREAMS 12
+#define WINDOW	      3
+#define QUEUE	      64
+#define OVERDUE_MS    1000
+#define LONGEST_CALL  100
+/*
+ * The bound on waiting: overdue_ms, and then at most QUEUE calls ahead that
+ * get one start in four.  Each model keeps 2 upstreams with a window of 1 or
+ * more, so there are at least 2 starts in LONGEST_CALL.
+ */
+#define START_BOUND (OVERDUE_MS + QUEUE * 4 * LONGEST_CALL / 2)
+
+enum phase { NEW, QUEUED, STARTED, ENDED };
+
+struct random_call {
+	struct sch_handle handle;
+	enum phase phase;
+	bool repeatable;
+	bool may_have_run;
+	clk_ms submitted;
+	clk_ms deadline;
+	clk_ms ends; /* if started */
+	unsigned upstream; /* if started */
+};
+
+struct random_run {
+	struct fixture f;
+	GRand *rand;
+	struct random_call *calls;
+	unsigned count;
+	GPtrArray *live; /* struct random_call that wait or run */
+	unsigned in_flight[MAX_UPSTREAMS];
+	bool leaving[MAX_UPSTREAMS];
+	clk_ms now;
+	clk_ms longest_wait;
+};
+
+static void
+random_submit(struct random_run *run)
+{
+	g_autofree char *organisation = NULL;
+	g_autofree char *program = NULL;
+	struct random_call *state = &run->calls[run->count];
+	struct sch_call call;
+	struct vd vd;
+	/* One organisation sends half of all calls. */
+	int o =
+	    g_rand_boolean(run->rand) ? 0 : g_rand_int_range(run->rand, 1, 30);
+
+	organisation = g_strdup_printf("o%d", o);
+	program =
+	    g_strdup_printf("p%d-%d", o, g_rand_int_range(run->rand, 0, 9));
+	call = make_call(organisation, program);
+	/* Urgent calls alone are more than what can run. */
+	call.urgency = g_rand_int_range(run->rand, 0, 10) < 8
+	    ? SCH_URGENT
+	    : (enum sch_urgency)g_rand_int_range(run->rand, 1, 3);
+	if (g_rand_int_range(run->rand, 0, 10) == 0)
+		call.deadline = run->now + g_rand_int_range(run->rand, 1, 3000);
+	call.model = g_rand_boolean(run->rand) ? "m" : "m2";
+	call.program_started = run->now - g_rand_int_range(run->rand, 0, 9999);
+	call.weight = g_rand_int_range(run->rand, 1, 4);
+	call.prompt_tokens = g_rand_int_range(run->rand, 1, 4000);
+	call.arg = state;
+	vd = sch_submit(run->f.sch, &call, run->now, &state->handle);
+	if (!vd_is_ok(&vd)) {
+		g_assert_cmpint(vd.code, ==, VD_QUEUE_FULL);
+		return;
+	}
+	state->phase = QUEUED;
+	state->submitted = run->now;
+	state->deadline = call.deadline;
+	state->repeatable = g_rand_boolean(run->rand);
+	g_ptr_array_add(run->live, state);
+	run->count++;
+}
+
+static unsigned
+upstream_number(const struct random_run *run, struct ups_handle handle)
+{
+	struct ups_view view;
+
+	g_assert_true(ups_view(run->f.ups, handle, run->now, &view));
+	return ((unsigned)g_ascii_strtoull(view.name + 1, NULL, 10));
+}
+
+static void
+random_start(struct random_run *run)
+{
+	struct sch_start starts[8];
+	size_t n;
+
+	do {
+		n = sch_next(run->f.sch, run->now, starts, 8);
+		for (size_t i = 0; i < n; i++) {
+			struct random_call *state = starts[i].arg;
+			unsigned u = upstream_number(run, starts[i].upstream);
+
+			/* No call starts twice, or after it has ended. */
+			g_assert_cmpint(state->phase, ==, QUEUED);
+			g_assert_true(is_equal(state->handle, starts[i].call));
+			/* Only what may be repeated runs after it may have. */
+			g_assert_true(
+			    state->repeatable || !state->may_have_run);
+			g_assert_false(run->leaving[u]);
+			run->in_flight[u]++;
+			g_assert_cmpuint(run->in_flight[u], <=, WINDOW);
+			state->phase = STARTED;
+			state->upstream = u;
+			state->ends = run->now +
+			    g_rand_int_range(run->rand, 20, LONGEST_CALL);
+			run->longest_wait =
+			    MAX(run->longest_wait, run->now - state->submitted);
+			if (g_rand_int_range(run->rand, 0, 2) == 0)
+				sch_first_token(run->f.sch, state->handle);
+		}
+	} while (n == 8);
+}
+
+/* End a started call in a random way. */
+static void
+random_finish(struct random_run *run, struct random_call *state)
+{
+	static const enum sch_outcome failures[] = {
+	    SCH_CANCELLED, SCH_REFUSED, SCH_BUSY, SCH_CRASHED, SCH_TIMED_OUT};
+	struct sch_result result = {.outcome = SCH_SUCCEEDED,
+	    .repeatable = state->repeatable,
+	    .reply = {.first_token = g_rand_int_range(run->rand, 1, 300),
+		.token_gap = g_rand_int_range(run->rand, 1, 40),
+		.prompt_tokens = g_rand_int_range(run->rand, 1, 4000),
+		.answer_tokens = g_rand_int_range(run->rand, 1, 200)}};
+	struct vd vd;
+
+	if (g_rand_int_range(run->rand, 0, 50) == 0)
+		result.outcome = failures[g_rand_int_range(
+		    run->rand, 0, G_N_ELEMENTS(failures))];
+	if (result.outcome != SCH_REFUSED && result.outcome != SCH_BUSY)
+		state->may_have_run = true;
+	run->in_flight[state->upstream]--;
+	if (sch_finished(run->f.sch, state->handle, &result, run->now, &vd) ==
+	    SCH_WAITS_AGAIN) {
+		state->phase = QUEUED;
+		state->submitted = run->now;
+		return;
+	}
+	/* P10: "not run" is true. */
+	if (vd.ran == VD_NOT_RUN)
+		g_assert_false(state->may_have_run);
+	state->phase = ENDED;
+}
+
+static void
+random_expire(struct random_run *run)
+{
+	struct sch_end ends[8];
+	size_t n;
+
+	while ((n = sch_expire(run->f.sch, run->now, ends, 8)) > 0) {
+		for (size_t i = 0; i < n; i++) {
+			struct random_call *state = ends[i].arg;
+
+			g_assert_cmpint(state->phase, ==, QUEUED);
+			g_assert_cmpint(state->deadline, >, 0);
+			g_assert_cmpint(state->deadline, <=, run->now);
+			g_assert_cmpint(ends[i].vd.ran, ==,
+			    state->may_have_run ? VD_MAYBE : VD_NOT_RUN);
+			state->phase = ENDED;
+		}
+	}
+}
+
+static void
+random_end_calls(struct random_run *run)
+{
+	for (guint i = 0; i < run->live->len;) {
+		struct random_call *state = g_ptr_array_index(run->live, i);
+
+		if (state->phase == STARTED && state->ends <= run->now)
+			random_finish(run, state);
+		if (state->phase == QUEUED &&
+		    g_rand_int_range(run->rand, 0, 20000) == 0) {
+			g_assert_true(sch_cancel(run->f.sch, state->handle));
+			state->phase = ENDED;
+		}
+		if (state->phase == QUEUED)
+			g_assert_cmpint(
+			    run->now - state->submitted, <=, START_BOUND);
+		if (state->phase == ENDED)
+			(void)g_ptr_array_remove_index_fast(run->live, i);
+		else
+			i++;
+	}
+}
+
+static void
+random_upstreams(struct random_run *run)
+{
+	/* The first two of each model stay, so that calls can start. */
+	unsigned u = (unsigned)g_rand_int_range(run->rand, 4, MAX_UPSTREAMS);
+	g_autofree char *name = g_strdup_printf("u%u", u);
+
+	if (g_rand_int_range(run->rand, 0, 20) != 0)
+		return;
+	run->leaving[u] = !run->leaving[u];
+	ups_hint(run->f.ups, name, run->leaving[u]);
+}
+
+/*
+ * Calls arrive at random for a while, faster than they can run, and then
+ * stop.
+ */
+static void
+random_run(const struct sch_policy *policy, guint32 seed)
+{
+	struct random_run run = {.now = 1000};
+	struct ups_options ups_options = {
+	    .datacentre = "d1", .window_start = WINDOW, .window_max = WINDOW};
+	struct sch_options options = {.policy = policy,
+	    .max_waiting = QUEUE,
+	    .max_waiting_per_organisation = QUEUE * 3 / 4,
+	    .age_ms = OVERDUE_MS / 5,
+	    .overdue_ms = OVERDUE_MS};
+
+	run.f.ups = ups_open(&ups_options);
+	run.f.sch = sch_open(run.f.ups, &options);
+	run.rand = g_rand_new_with_seed(seed);
+	run.calls = g_new0(struct random_call, MAX_CALLS);
+	run.live = g_ptr_array_new();
+	for (unsigned u = 0; u < MAX_UPSTREAMS; u++) {
+		g_autofree char *name = g_strdup_printf("u%u", u);
+
+		(void)add_upstream(run.f.ups, name, u % 2 == 0 ? "m" : "m2");
+	}
+	while (run.now < 30 * CLK_SECOND) {
+		int burst = g_rand_int_range(run.rand, 0, 24);
+
+		for (int i = 0; i < burst && run.count < MAX_CALLS; i++)
+			random_submit(&run);
+		random_upstreams(&run);
+		random_expire(&run);
+		random_start(&run);
+		run.now += 20;
+		random_end_calls(&run);
+		ups_tick(run.f.ups, run.now);
+	}
+	while (run.live->len > 0) {
+		random_expire(&run);
+		random_start(&run);
+		run.now += 20;
+		random_end_calls(&run);
+		ups_tick(run.f.ups, run.now);
+	}
+	g_assert_cmpuint(run.count, >, 1000);
+	g_assert_cmpuint(sch_waiting(run.f.sch), ==, 0);
+	g_assert_cmpuint(sch_running(run.f.sch), ==, 0);
+	for (unsigned u = 0; u < MAX_UPSTREAMS; u++)
+		g_assert_cmpuint(run.in_flight[u], ==, 0);
+	g_test_message("%s seed %u: %u calls, longest wait %" G_GINT64_FORMAT
+		       " ms",
+	    policy->name, seed, run.count, (gint64)run.longest_wait);
+	g_ptr_array_free(run.live, TRUE);
+	g_free(run.calls);
+	g_rand_free(run.rand);
+	teardown(&run.f);
+}
+
+/* Guards against any order of events that breaks a property. */
+static void
+test_random(gconstpointer policy)
+{
+	for (guint32 seed = 1; seed <= 10; seed++)
+		random_run(policy, seed);
+}
+
+/*
+ * The cost of a decision at the target size and at a tenth of it: guards
+ * against decisions that look at all upstreams or all organisations, which
+ * would cost ten times as much.
+ */
+static double
+decision_us(int upstreams, int organisations)
+{
+	enum { DECISIONS = 20000 };
+	struct fixture f;
+	struct sch_options options = {.max_waiting = 1000000};
+	struct ups_options ups_options = {.datacentre = "d1"};
+	struct sch_call call = make_call("", "");
+	gint64 start;
+
+	f.ups = ups_open(&ups_options);
+	f.sch = sch_open(f.ups, &options);
+	for (int i = 0; i < upstreams; i++) {
+		g_autofree char *name = g_strdup_printf("u%d", i);
+		g_autofree char *model = g_strdup_printf("m%d", i % 13);
+
+		(void)add_upstream(f.ups, name, model);
+	}
+	for (int i = 0; i < organisations; i++) {
+		g_autofree char *name = g_strdup_printf("o%d", i);
+		g_autofree char *model = g_strdup_printf("m%d", i % 13);
+
+		call.organisation = name;
+		call.model = model;
+		(void)submit(&f, &call, 0);
+	}
+	start = g_get_monotonic_time();
+	for (int i = 0; i < DECISIONS; i++) {
+		g_autofree char *name =
+		    g_strdup_printf("o%d", (i * 7919) % organisations);
+		g_autofree char *model = g_strdup_printf("m%d", i % 13);
+		struct sch_start one;
+
+		call.organisation = name;
+		call.model = model;
+		(void)submit(&f, &call, 1);
+		one = start_one(&f, 1);
+		succeed(&f, one.call, 2);
+	}
+	start = g_get_monotonic_time() - start;
+	teardown(&f);
+	return ((double)start / DECISIONS);
+}
+
+static void
+test_decision_cost(void)
+{
+	double small = decision_us(1200, 3800);
+	double large = decision_us(12000, 38000);
+
+	g_print("# figure sch decision_us upstreams=1200 organisations=3800 "
+		"%.2f, upstreams=12000 organisations=38000 %.2f\n",
+	    small, large);
+	g_assert_cmpfloat(large, <, 5.0 * small);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sch/urgent-first", test_urgent_first);
+	g_test_add_func("/sch/ageing", test_ageing);
+	g_test_add_func("/sch/fair-by-weight", test_fair_by_weight);
+	g_test_add_func("/sch/idle-saves-nothing", test_idle_saves_nothing);
+	g_test_add_func("/sch/fair-without-tokens", test_fair_without_tokens);
+	g_test_add_func("/sch/oldest-program-first", test_oldest_program_first);
+	g_test_add_func("/sch/locality-bound", test_locality_bound);
+	g_test_add_func(
+	    "/sch/locality-has-its-price", test_locality_has_its_price);
+	g_test_add_func("/sch/retries", test_retries);
+	g_test_add_func("/sch/retry-budget", test_retry_budget);
+	g_test_add_func("/sch/crashing-request", test_crashing_request);
+	g_test_add_func("/sch/crashes-of-peers", test_crashes_of_peers);
+	g_test_add_func("/sch/queue-bounds", test_queue_bounds);
+	g_test_add_func("/sch/deadline-and-cancel", test_deadline_and_cancel);
+	g_test_add_data_func("/sch/random/least-program-first",
+	    &sch_policy_least_program_first, test_random);
+	g_test_add_data_func("/sch/random/locality-unbounded",
+	    &sch_policy_locality_unbounded, test_random);
+	g_test_add_data_func("/sch/random/least-outstanding",
+	    &sch_policy_least_outstanding, test_random);
+	g_test_add_data_func(
+	    "/sch/random/round-robin", &sch_policy_round_robin, test_random);
+	g_test_add_func("/sch/decision-cost", test_decision_cost);
+	return (g_test_run());
+}
--- /dev/null
+++ b/src/upstream/ups.c
@@ -0,0 +1,1101 @@
+#include "upstream/ups.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "upstream/heap.h"
+
+#define REMOTE_PENALTY	    ((clk_ms)20)
+#define FIRST_TOKEN_TARGET  ((clk_ms)800)
+#define TOKEN_GAP_TARGET    ((clk_ms)50)
+#define WINDOW_START	    4
+#define WINDOW_MAX	    64
+#define WINDOW_SHRINK	    0.7
+#define SHRINK_INTERVAL	    CLK_SECOND
+#define SPEED_START	    10000.0
+#define SPEED_SMOOTHING	    0.2
+#define LOAD_VALID	    (5 * CLK_SECOND)
+#define DOWN_FIRST	    CLK_SECOND
+#define DOWN_LONGEST	    (30 * CLK_SECOND)
+#define TIMEOUTS_UNTIL_DOWN 3
+#define TICK_STEPS	    64
+/*
+ * What a call costs besides its uncached tokens, in tokens: without it the
+ * measured speed of short prompts would be close to zero.
+ */
+#define CALL_TOKENS 200.0
+/* Speed classes are powers of two from 2^SLOWEST tokens per second. */
+#define SPEED_CLASSES 16
+#define SLOWEST	      4
+#define LOCAL	      0
+#define REMOTE	      1
+
+struct pool {
+	char *key; /* kind and model */
+	struct ups_heap waits[2][SPEED_CLASSES]; /* open members */
+	struct ups_heap outstanding; /* open members */
+	GPtrArray *open; /* open members, in no order */
+	unsigned active; /* members that are active */
+	unsigned in_flight; /* calls with active members */
+	double speed; /* of all active members */
+};
+
+/* An upstream in one pool. */
+struct member {
+	struct upstream *upstream;
+	struct pool *pool;
+	struct ups_heap_item wait;
+	struct ups_heap_item outstanding;
+	struct ups_heap *waits; /* the heap that wait is in, or nil */
+	guint open_place; /* index + 1 in pool->open; 0: not open */
+	/* What it adds to the sums of the pool. */
+	bool active;
+	unsigned in_flight;
+	double speed;
+};
+
+struct upstream {
+	struct ups_handle handle;
+	char *name;
+	char *url;
+	char *datacentre;
+	GPtrArray *members; /* struct member */
+	guint place; /* in ups->all */
+	enum ups_kind kind;
+	bool checks_fencing;
+	bool config_leaving;
+	bool hint_leaving;
+	bool removed;
+	bool remote;
+	bool down;
+	bool shrunk_before;
+	bool has_load;
+
+	unsigned timeouts; /* since the last reply */
+	clk_ms down_until;
+	clk_ms down_for; /* of the last failure; 0: none since a reply */
+
+	unsigned in_flight;
+	unsigned prefilling; /* of them without a first token yet */
+	double window;
+	clk_ms shrunk; /* when the window shrank last */
+	clk_ms least_gap; /* between tokens; -1: none seen */
+
+	double speed;
+	double prefill; /* tokens of this instance's calls still ahead */
+	double mean_prefill; /* of a call, for what a load report counts */
+
+	struct ups_load load;
+	clk_ms load_time; /* when the reported load was observed */
+
+	int64_t last_event; /* 0: none */
+	uint64_t doubted; /* estimates older than this stamp are halved */
+	uint64_t emptied; /* estimates older than this stamp are zero */
+};
+
+struct slot {
+	struct upstream *upstream; /* nil if free */
+	uint32_t generation;
+};
+
+struct holder {
+	struct ups_handle upstream;
+	int64_t tokens;
+	bool confirmed; /* by a reply; events don't add to it then */
+	uint64_t stamp; /* when it was set, in events of this table */
+};
+
+struct ups {
+	struct ups_options options;
+	char *datacentre;
+	unsigned share;
+	GArray *slots; /* struct slot */
+	GArray *free_slots; /* uint32_t */
+	GPtrArray *all; /* struct upstream */
+	GHashTable *by_name; /* name -> struct upstream */
+	GPtrArray *pools; /* struct pool */
+	GHashTable *by_key; /* key -> number + 1 */
+	GQueue down; /* struct upstream */
+	guint tick_place;
+	GHashTable *programs; /* id -> GArray of struct holder */
+	uint64_t stamp;
+};
+
+static struct upstream *
+upstream_get(const struct ups *ups, struct ups_handle handle)
+{
+	const struct slot *slot;
+
+	if (handle.generation == 0 || handle.index >= ups->slots->len)
+		return (NULL);
+	slot = &g_array_index(ups->slots, struct slot, handle.index);
+	return (slot->generation == handle.generation ? slot->upstream : NULL);
+}
+
+static struct pool *
+pool_get(const struct ups *ups, uint32_t pool)
+{
+	return (pool < ups->pools->len ? g_ptr_array_index(ups->pools, pool)
+				       : NULL);
+}
+
+static struct member *
+member_at(const struct upstream *upstream, guint i)
+{
+	return (g_ptr_array_index(upstream->members, i));
+}
+
+static bool
+is_same(struct ups_handle a, struct ups_handle b)
+{
+	return (a.index == b.index && a.generation == b.generation);
+}
+
+/* ---- state ---- */
+
+static enum ups_state
+state_of(const struct upstream *upstream)
+{
+	if (upstream->removed || upstream->config_leaving ||
+	    upstream->hint_leaving)
+		return (UPS_LEAVING);
+	return (upstream->down ? UPS_DOWN : UPS_ACTIVE);
+}
+
+static double
+window_max(const struct ups *ups, const struct upstream *upstream)
+{
+	unsigned part;
+
+	if (!upstream->has_load || upstream->load.capacity == 0)
+		return (ups->options.window_max);
+	/* Rounded down: together the instances must not exceed the capacity. */
+	part = upstream->load.capacity / ups->share;
+	return (MAX(part, 1));
+}
+
+static bool
+is_open(const struct ups *ups, const struct upstream *upstream)
+{
+	double window = MIN(upstream->window, window_max(ups, upstream));
+
+	return (state_of(upstream) == UPS_ACTIVE &&
+	    upstream->in_flight < (unsigned)MAX(window, 1.0));
+}
+
+static double
+queue_tokens(const struct upstream *upstream)
+{
+	double others = 0.0;
+
+	/* This instance's own calls are a part of what is reported. */
+	if (upstream->has_load && upstream->load.waiting > upstream->prefilling)
+		others =
+		    (double)(upstream->load.waiting - upstream->prefilling) *
+		    upstream->mean_prefill;
+	return (upstream->prefill + others);
+}
+
+static double
+wait_of(const struct ups *ups, const struct upstream *upstream, double tokens)
+{
+	double wait = (queue_tokens(upstream) + tokens + CALL_TOKENS) /
+	    upstream->speed * (double)CLK_SECOND;
+
+	return (upstream->remote ? wait + (double)ups->options.remote_penalty
+				 : wait);
+}
+
+static unsigned
+speed_class(double speed)
+{
+	int class = ilogb(speed) - SLOWEST;
+
+	return ((unsigned)CLAMP(class, 0, SPEED_CLASSES - 1));
+}
+
+static void
+member_close(struct member *member)
+{
+	struct pool *pool = member->pool;
+	struct member *last;
+
+	if (member->open_place == 0)
+		return;
+	ups_heap_remove(member->waits, &member->wait);
+	ups_heap_remove(&pool->outstanding, &member->outstanding);
+	last = g_ptr_array_index(pool->open, pool->open->len - 1);
+	g_ptr_array_index(pool->open, member->open_place - 1) = last;
+	last->open_place = member->open_place;
+	g_ptr_array_set_size(pool->open, (gint)pool->open->len - 1);
+	member->open_place = 0;
+	member->waits = NULL;
+}
+
+static void
+member_open(struct member *member)
+{
+	const struct upstream *upstream = member->upstream;
+	struct pool *pool = member->pool;
+	struct ups_heap *waits = &pool->waits[upstream->remote ? REMOTE : LOCAL]
+					     [speed_class(upstream->speed)];
+	double key = queue_tokens(upstream) / upstream->speed;
+
+	if (member->open_place == 0) {
+		g_ptr_array_add(pool->open, member);
+		member->open_place = pool->open->len;
+		ups_heap_push(&pool->outstanding, &member->outstanding,
+		    upstream->in_flight);
+	} else {
+		ups_heap_rekey(&pool->outstanding, &member->outstanding,
+		    upstream->in_flight);
+	}
+	if (member->waits == waits) {
+		ups_heap_rekey(waits, &member->wait, key);
+		return;
+	}
+	if (member->waits != NULL)
+		ups_heap_remove(member->waits, &member->wait);
+	member->waits = waits;
+	ups_heap_push(waits, &member->wait, key);
+}
+
+static void
+member_count(struct member *member, bool active)
+{
+	const struct upstream *upstream = member->upstream;
+	struct pool *pool = member->pool;
+
+	if (member->active) {
+		pool->active--;
+		pool->in_flight -= member->in_flight;
+		pool->speed -= member->speed;
+	}
+	/* The difference of many sums would leave a remainder. */
+	if (pool->active == 0)
+		pool->speed = 0.0;
+	member->active = active;
+	member->in_flight = upstream->in_flight;
+	member->speed = upstream->speed;
+	if (active) {
+		pool->active++;
+		pool->in_flight += member->in_flight;
+		pool->speed += member->speed;
+	}
+}
+
+/* Bring the pools up to date with a change of the upstream. */
+static void
+upstream_refresh(const struct ups *ups, struct upstream *upstream)
+{
+	bool open = is_open(ups, upstream);
+	bool active = state_of(upstream) == UPS_ACTIVE;
+
+	for (guint i = 0; i < upstream->members->len; i++) {
+		struct member *member = member_at(upstream, i);
+
+		member_count(member, active);
+		if (open)
+			member_open(member);
+		else
+			member_close(member);
+	}
+}
+
+/* ---- configuration ---- */
+
+struct ups *
+ups_open(const struct ups_options *options)
+{
+	struct ups *ups = g_new0(struct ups, 1);
+	struct ups_options *o = &ups->options;
+
+	*o = *options;
+	ups->datacentre =
+	    g_strdup(options->datacentre != NULL ? options->datacentre : "");
+	o->datacentre = ups->datacentre;
+	if (o->remote_penalty == 0)
+		o->remote_penalty = REMOTE_PENALTY;
+	if (o->first_token_target == 0)
+		o->first_token_target = FIRST_TOKEN_TARGET;
+	if (o->token_gap_target == 0)
+		o->token_gap_target = TOKEN_GAP_TARGET;
+	if (o->window_start == 0)
+		o->window_start = WINDOW_START;
+	if (o->window_max == 0)
+		o->window_max = WINDOW_MAX;
+	ups->share = 1;
+	ups->slots = g_array_new(FALSE, FALSE, sizeof(struct slot));
+	ups->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	ups->all = g_ptr_array_new();
+	ups->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	ups->pools = g_ptr_array_new();
+	ups->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	ups->programs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+	return (ups);
+}
+
+static struct pool *
+pool_ensure(struct ups *ups, enum ups_kind kind, const char *model)
+{
+	char *key = g_strdup_printf("%d %s", (int)kind, model);
+	guint number = GPOINTER_TO_UINT(g_hash_table_lookup(ups->by_key, key));
+	struct pool *pool;
+
+	if (number > 0) {
+		g_free(key);
+		return (pool_get(ups, number - 1));
+	}
+	pool = g_new0(struct pool, 1);
+	pool->key = key;
+	for (int remote = 0; remote < 2; remote++) {
+		for (int class = 0; class < SPEED_CLASSES; class ++)
+			ups_heap_init(&pool->waits[remote][class]);
+	}
+	ups_heap_init(&pool->outstanding);
+	pool->open = g_ptr_array_new();
+	g_ptr_array_add(ups->pools, pool);
+	(void)g_hash_table_insert(
+	    ups->by_key, pool->key, GUINT_TO_POINTER(ups->pools->len));
+	return (pool);
+}
+
+static void
+pool_free(struct pool *pool)
+{
+	for (int remote = 0; remote < 2; remote++) {
+		for (int class = 0; class < SPEED_CLASSES; class ++)
+			ups_heap_clear(&pool->waits[remote][class]);
+	}
+	ups_heap_clear(&pool->outstanding);
+	g_ptr_array_free(pool->open, TRUE);
+	g_free(pool->key);
+	g_free(pool);
+}
+
+static void
+drop_members(struct upstream *upstream)
+{
+	for (guint i = 0; i < upstream->members->len; i++) {
+		struct member *member = member_at(upstream, i);
+
+		member_close(member);
+		member_count(member, false);
+		g_free(member);
+	}
+	g_ptr_array_set_size(upstream->members, 0);
+}
+
+static void
+upstream_free(struct upstream *upstream)
+{
+	drop_members(upstream);
+	g_ptr_array_free(upstream->members, TRUE);
+	g_free(upstream->name);
+	g_free(upstream->url);
+	g_free(upstream->datacentre);
+	g_free(upstream);
+}
+
+void
+ups_close(struct ups *ups)
+{
+	if (ups == NULL)
+		return;
+	for (guint i = 0; i < ups->all->len; i++)
+		upstream_free(g_ptr_array_index(ups->all, i));
+	for (guint i = 0; i < ups->pools->len; i++)
+		pool_free(g_ptr_array_index(ups->pools, i));
+	g_ptr_array_free(ups->all, TRUE);
+	g_ptr_array_free(ups->pools, TRUE);
+	g_array_free(ups->slots, TRUE);
+	g_array_free(ups->free_slots, TRUE);
+	g_hash_table_destroy(ups->by_name);
+	g_hash_table_destroy(ups->by_key);
+	g_hash_table_destroy(ups->programs);
+	g_queue_clear(&ups->down);
+	g_free(ups->datacentre);
+	g_free(ups);
+}
+
+static void
+take_slot(struct ups *ups, struct upstream *upstream)
+{
+	struct slot fresh = {.upstream = NULL, .generation = 0};
+	struct slot *slot;
+	guint count = ups->free_slots->len;
+	uint32_t index = ups->slots->len;
+
+	if (count > 0) {
+		index = g_array_index(ups->free_slots, uint32_t, count - 1);
+		g_array_set_size(ups->free_slots, count - 1);
+	} else {
+		g_array_append_val(ups->slots, fresh);
+	}
+	slot = &g_array_index(ups->slots, struct slot, index);
+	slot->generation++;
+	slot->upstream = upstream;
+	upstream->handle.index = index;
+	upstream->handle.generation = slot->generation;
+	upstream->place = ups->all->len;
+	g_ptr_array_add(ups->all, upstream);
+}
+
+static struct upstream *
+upstream_new(struct ups *ups, const struct ups_config *config)
+{
+	struct upstream *upstream = g_new0(struct upstream, 1);
+
+	upstream->name = g_strdup(config->name);
+	upstream->kind = config->kind;
+	upstream->members = g_ptr_array_new();
+	upstream->window = ups->options.window_start;
+	upstream->least_gap = -1;
+	upstream->speed = config->speed > 0 ? config->speed : SPEED_START;
+	upstream->mean_prefill = CALL_TOKENS;
+	take_slot(ups, upstream);
+	(void)g_hash_table_insert(ups->by_name, upstream->name, upstream);
+	return (upstream);
+}
+
+struct ups_handle
+ups_set(struct ups *ups, const struct ups_config *config)
+{
+	struct upstream *upstream =
+	    g_hash_table_lookup(ups->by_name, config->name);
+
+	if (upstream == NULL)
+		upstream = upstream_new(ups, config);
+	g_free(upstream->url);
+	g_free(upstream->datacentre);
+	upstream->url = g_strdup(config->url != NULL ? config->url : "");
+	upstream->datacentre =
+	    g_strdup(config->datacentre != NULL ? config->datacentre : "");
+	upstream->checks_fencing = config->checks_fencing;
+	upstream->config_leaving = config->leaving;
+	upstream->removed = false;
+	upstream->remote = strcmp(upstream->datacentre, ups->datacentre) != 0;
+	drop_members(upstream);
+	for (const char *const *model = config->models;
+	     model != NULL && *model != NULL; model++) {
+		struct member *member = g_new0(struct member, 1);
+
+		member->upstream = upstream;
+		member->pool = pool_ensure(ups, upstream->kind, *model);
+		member->wait.tie = upstream->handle.index;
+		member->outstanding.tie = upstream->handle.index;
+		g_ptr_array_add(upstream->members, member);
+	}
+	upstream_refresh(ups, upstream);
+	return (upstream->handle);
+}
+
+static void
+delete_upstream(struct ups *ups, struct upstream *upstream)
+{
+	struct slot *slot =
+	    &g_array_index(ups->slots, struct slot, upstream->handle.index);
+	struct upstream *last = g_ptr_array_index(ups->all, ups->all->len - 1);
+
+	slot->upstream = NULL;
+	g_array_append_val(ups->free_slots, upstream->handle.index);
+	g_ptr_array_index(ups->all, upstream->place) = last;
+	last->place = upstream->place;
+	g_ptr_array_set_size(ups->all, (gint)ups->all->len - 1);
+	(void)g_hash_table_remove(ups->by_name, upstream->name);
+	(void)g_queue_remove(&ups->down, upstream);
+	upstream_free(upstream);
+}
+
+void
+ups_remove(struct ups *ups, const char *name)
+{
+	struct upstream *upstream = g_hash_table_lookup(ups->by_name, name);
+
+	if (upstream == NULL)
+		return;
+	upstream->removed = true;
+	if (upstream->in_flight == 0)
+		delete_upstream(ups, upstream);
+	else
+		upstream_refresh(ups, upstream);
+}
+
+void
+ups_hint(struct ups *ups, const char *name, bool leaving)
+{
+	struct upstream *upstream = g_hash_table_lookup(ups->by_name, name);
+
+	if (upstream == NULL || upstream->hint_leaving == leaving)
+		return;
+	upstream->hint_leaving = leaving;
+	upstream_refresh(ups, upstream);
+}
+
+void
+ups_share_set(struct ups *ups, unsigned instances)
+{
+	if (ups->share == MAX(instances, 1))
+		return;
+	ups->share = MAX(instances, 1);
+	for (guint i = 0; i < ups->all->len; i++)
+		upstream_refresh(ups, g_ptr_array_index(ups->all, i));
+}
+
+void
+ups_load_set(struct ups *ups, struct ups_handle handle,
+    const struct ups_load *load, clk_ms now)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+
+	if (upstream == NULL || load->age > LOAD_VALID)
+		return;
+	/* Reports may overtake each other. */
+	if (upstream->has_load && now - load->age < upstream->load_time)
+		return;
+	upstream->has_load = true;
+	upstream->load = *load;
+	upstream->load_time = now - load->age;
+	upstream_refresh(ups, upstream);
+}
+
+static void
+bring_back(struct ups *ups, clk_ms now)
+{
+	guint count = MIN(ups->down.length, TICK_STEPS);
+
+	for (; count > 0; count--) {
+		struct upstream *upstream = g_queue_pop_head(&ups->down);
+
+		if (now < upstream->down_until) {
+			g_queue_push_tail(&ups->down, upstream);
+			continue;
+		}
+		upstream->down = false;
+		upstream->window = 1.0;
+		upstream_refresh(ups, upstream);
+	}
+}
+
+void
+ups_tick(struct ups *ups, clk_ms now)
+{
+	guint count = MIN(ups->all->len, TICK_STEPS);
+
+	bring_back(ups, now);
+	for (; count > 0; count--) {
+		struct upstream *upstream;
+
+		ups->tick_place = (ups->tick_place + 1) % ups->all->len;
+		upstream = g_ptr_array_index(ups->all, ups->tick_place);
+		if (!upstream->has_load ||
+		    now - upstream->load_time <= LOAD_VALID)
+			continue;
+		upstream->has_load = false;
+		upstream_refresh(ups, upstream);
+	}
+}
+
+/* ---- questions ---- */
+
+struct ups_handle
+ups_find(const struct ups *ups, const char *name)
+{
+	const struct upstream *upstream =
+	    g_hash_table_lookup(ups->by_name, name);
+	struct ups_handle none = {0};
+
+	return (upstream != NULL ? upstream->handle : none);
+}
+
+unsigned
+ups_count(const struct ups *ups)
+{
+	return (ups->all->len);
+}
+
+struct ups_handle
+ups_at(const struct ups *ups, unsigned i)
+{
+	const struct upstream *upstream = g_ptr_array_index(ups->all, i);
+
+	return (upstream->handle);
+}
+
+bool
+ups_view(const struct ups *ups, struct ups_handle handle, clk_ms now,
+    struct ups_view *view)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+
+	if (upstream == NULL)
+		return (false);
+	view->name = upstream->name;
+	view->url = upstream->url;
+	view->datacentre = upstream->datacentre;
+	view->kind = upstream->kind;
+	view->state = state_of(upstream);
+	view->checks_fencing = upstream->checks_fencing;
+	view->removed = upstream->removed;
+	view->in_flight = upstream->in_flight;
+	view->window = MIN(upstream->window, window_max(ups, upstream));
+	view->speed = upstream->speed;
+	view->queue_tokens = queue_tokens(upstream);
+	view->load_age = upstream->has_load ? now - upstream->load_time : -1;
+	return (true);
+}
+
+bool
+ups_is_open(const struct ups *ups, struct ups_handle handle)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+
+	return (upstream != NULL && is_open(ups, upstream));
+}
+
+bool
+ups_in_pool(const struct ups *ups, struct ups_handle handle, uint32_t pool)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+	const struct pool *wanted = pool_get(ups, pool);
+
+	for (guint i = 0; upstream != NULL && i < upstream->members->len; i++) {
+		if (member_at(upstream, i)->pool == wanted)
+			return (true);
+	}
+	return (false);
+}
+
+uint32_t
+ups_pool_find(const struct ups *ups, enum ups_kind kind, const char *model)
+{
+	g_autofree char *key = g_strdup_printf("%d %s", (int)kind, model);
+	guint number = GPOINTER_TO_UINT(g_hash_table_lookup(ups->by_key, key));
+
+	return (number > 0 ? number - 1 : UPS_NO_POOL);
+}
+
+uint32_t
+ups_pool_count(const struct ups *ups)
+{
+	return (ups->pools->len);
+}
+
+unsigned
+ups_pool_members(const struct ups *ups, uint32_t pool)
+{
+	const struct pool *p = pool_get(ups, pool);
+
+	return (p != NULL ? p->active : 0);
+}
+
+unsigned
+ups_pool_open(const struct ups *ups, uint32_t pool)
+{
+	const struct pool *p = pool_get(ups, pool);
+
+	return (p != NULL ? p->open->len : 0);
+}
+
+struct ups_handle
+ups_pool_rotate(const struct ups *ups, uint32_t pool, uint64_t turn)
+{
+	const struct pool *p = pool_get(ups, pool);
+	struct ups_handle none = {0};
+	const struct member *member;
+
+	if (p == NULL || p->open->len == 0)
+		return (none);
+	member = g_ptr_array_index(p->open, (guint)(turn % p->open->len));
+	return (member->upstream->handle);
+}
+
+struct ups_handle
+ups_pool_least_outstanding(
+    const struct ups *ups, uint32_t pool, struct ups_handle avoid)
+{
+	const struct pool *p = pool_get(ups, pool);
+	struct ups_heap_item *item = NULL;
+	struct ups_handle none = {0};
+	struct ups_handle handle;
+
+	if (p != NULL)
+		item = ups_heap_top(&p->outstanding);
+	if (item == NULL)
+		return (none);
+	handle =
+	    UPS_HEAP_OWNER(item, struct member, outstanding)->upstream->handle;
+	if (!is_same(handle, avoid))
+		return (handle);
+	item = ups_heap_second(&p->outstanding);
+	if (item == NULL)
+		return (handle);
+	return (
+	    UPS_HEAP_OWNER(item, struct member, outstanding)->upstream->handle);
+}
+
+/* Compare with the best so far; what is to be avoided counts as worst. */
+static void
+compare_wait(const struct ups *ups, struct ups_heap_item *item, double tokens,
+    struct ups_handle avoid, const struct upstream **best, double *best_wait)
+{
+	const struct upstream *upstream;
+	double wait;
+
+	if (item == NULL)
+		return;
+	upstream = UPS_HEAP_OWNER(item, struct member, wait)->upstream;
+	wait = wait_of(ups, upstream, tokens);
+	if (*best != NULL && is_same(upstream->handle, avoid))
+		return;
+	if (*best == NULL || is_same((*best)->handle, avoid) ||
+	    wait < *best_wait) {
+		*best = upstream;
+		*best_wait = wait;
+	}
+}
+
+struct ups_handle
+ups_pool_least_wait(const struct ups *ups, uint32_t pool, int64_t tokens,
+    struct ups_handle avoid, double *wait)
+{
+	const struct pool *p = pool_get(ups, pool);
+	const struct upstream *best = NULL;
+	struct ups_handle none = {0};
+
+	*wait = 0.0;
+	if (p == NULL || p->open->len == 0)
+		return (none);
+	for (int remote = 0; remote < 2; remote++) {
+		for (int class = 0; class < SPEED_CLASSES; class ++) {
+			const struct ups_heap *heap = &p->waits[remote][class];
+
+			compare_wait(ups, ups_heap_top(heap), (double)tokens,
+			    avoid, &best, wait);
+			compare_wait(ups, ups_heap_second(heap), (double)tokens,
+			    avoid, &best, wait);
+		}
+	}
+	return (best->handle);
+}
+
+double
+ups_wait(const struct ups *ups, struct ups_handle handle, int64_t tokens)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+
+	return (upstream != NULL ? wait_of(ups, upstream, (double)tokens)
+				 : INFINITY);
+}
+
+double
+ups_queue_tokens(const struct ups *ups, struct ups_handle handle)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+
+	return (upstream != NULL ? queue_tokens(upstream) : 0.0);
+}
+
+bool
+ups_is_overloaded(const struct ups *ups, struct ups_handle handle,
+    uint32_t pool, double factor)
+{
+	const struct upstream *upstream = upstream_get(ups, handle);
+	const struct pool *p = pool_get(ups, pool);
+	double part;
+
+	if (upstream == NULL || p == NULL || p->speed <= 0.0)
+		return (true);
+	part = (double)(p->in_flight + 1) * upstream->speed / p->speed;
+	/* Rounded up, so that few calls can be placed at all. */
+	return (upstream->in_flight + 1 > (unsigned)ceil(part * factor));
+}
+
+/* ---- calls ---- */
+
+void
+ups_begin(struct ups *ups, struct ups_handle handle, int64_t uncached_tokens)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+
+	if (upstream == NULL)
+		return;
+	upstream->in_flight++;
+	upstream->prefilling++;
+	upstream->prefill += (double)uncached_tokens + CALL_TOKENS;
+	upstream_refresh(ups, upstream);
+}
+
+void
+ups_prefilled(
+    struct ups *ups, struct ups_handle handle, int64_t uncached_tokens)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+	double tokens = (double)uncached_tokens + CALL_TOKENS;
+
+	if (upstream == NULL || upstream->prefilling == 0)
+		return;
+	upstream->prefilling--;
+	upstream->prefill = MAX(0.0, upstream->prefill - tokens);
+	upstream->mean_prefill +=
+	    (tokens - upstream->mean_prefill) * SPEED_SMOOTHING;
+	upstream_refresh(ups, upstream);
+}
+
+/* The call is over; the upstream may be freed by this. */
+static void
+leave(struct ups *ups, struct upstream *upstream)
+{
+	if (upstream->in_flight > 0)
+		upstream->in_flight--;
+	if (upstream->removed && upstream->in_flight == 0)
+		delete_upstream(ups, upstream);
+	else
+		upstream_refresh(ups, upstream);
+}
+
+static void
+shrink(struct upstream *upstream, double factor, clk_ms now)
+{
+	/* Calls of one bad period fail together and count once. */
+	if (upstream->shrunk_before && now - upstream->shrunk < SHRINK_INTERVAL)
+		return;
+	upstream->window = MAX(1.0, upstream->window * factor);
+	upstream->shrunk = now;
+	upstream->shrunk_before = true;
+}
+
+static void
+measure_speed(struct upstream *upstream, double work, clk_ms first_token)
+{
+	double speed;
+
+	if (first_token < 0)
+		return;
+	speed = work * (double)CLK_SECOND / (double)MAX(first_token, 1);
+	upstream->speed += (speed - upstream->speed) * SPEED_SMOOTHING;
+	upstream->speed = MAX(upstream->speed, 1.0);
+}
+
+static bool
+is_late(const struct ups *ups, struct upstream *upstream, double uncached,
+    const struct ups_reply *reply)
+{
+	double allowed = (double)ups->options.first_token_target +
+	    (uncached + CALL_TOKENS) / upstream->speed * (double)CLK_SECOND;
+	clk_ms gap = ups->options.token_gap_target;
+
+	if (reply->token_gap >= 0) {
+		if (upstream->least_gap < 0 ||
+		    reply->token_gap < upstream->least_gap)
+			upstream->least_gap = reply->token_gap;
+		/* A slow engine misses the target even with a single call. */
+		gap = MAX(gap, upstream->least_gap * 3 / 2);
+	}
+	return ((double)reply->first_token > allowed || reply->token_gap > gap);
+}
+
+void
+ups_end(struct ups *ups, struct ups_handle handle, double queue_tokens_before,
+    const struct ups_reply *reply, clk_ms now)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+	double uncached;
+
+	if (upstream == NULL)
+		return;
+	uncached = (double)MAX(0, reply->prompt_tokens - reply->cached_tokens);
+	upstream->down_for = 0;
+	upstream->timeouts = 0;
+	if (is_late(ups, upstream, uncached, reply))
+		shrink(upstream, WINDOW_SHRINK, now);
+	else if (upstream->window < window_max(ups, upstream))
+		upstream->window += 1.0 / upstream->window;
+	measure_speed(upstream, queue_tokens_before + uncached + CALL_TOKENS,
+	    reply->first_token);
+	leave(ups, upstream);
+}
+
+void
+ups_cancelled(struct ups *ups, struct ups_handle handle)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+
+	if (upstream != NULL)
+		leave(ups, upstream);
+}
+
+static void
+put_down(struct ups *ups, struct upstream *upstream, clk_ms now)
+{
+	/* The calls in progress all fail with the upstream. */
+	if (upstream->down)
+		return;
+	upstream->down = true;
+	upstream->down_for = upstream->down_for == 0
+	    ? DOWN_FIRST
+	    : MIN(upstream->down_for * 2, DOWN_LONGEST);
+	upstream->down_until = now + upstream->down_for;
+	upstream->timeouts = 0;
+	g_queue_push_tail(&ups->down, upstream);
+}
+
+void
+ups_fail(struct ups *ups, struct ups_handle handle, enum ups_failure failure,
+    clk_ms now)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+
+	if (upstream == NULL)
+		return;
+	switch (failure) {
+	case UPS_REFUSED:
+	case UPS_CRASHED:
+		upstream->emptied = ++ups->stamp;
+		put_down(ups, upstream, now);
+		break;
+	case UPS_TIMED_OUT:
+		shrink(upstream, 0.5, now);
+		if (++upstream->timeouts >= TIMEOUTS_UNTIL_DOWN)
+			put_down(ups, upstream, now);
+		break;
+	case UPS_BUSY:
+		shrink(upstream, 0.5, now);
+		break;
+	}
+	leave(ups, upstream);
+}
+
+/* ---- prefix index ---- */
+
+static struct holder *
+holder_find(
+    const struct ups *ups, const char *program, struct ups_handle handle)
+{
+	GArray *holders = g_hash_table_lookup(ups->programs, program);
+
+	for (guint i = 0; holders != NULL && i < holders->len; i++) {
+		struct holder *holder =
+		    &g_array_index(holders, struct holder, i);
+
+		if (is_same(holder->upstream, handle))
+			return (holder);
+	}
+	return (NULL);
+}
+
+/* Find or add a holder, and make it the newest. */
+static struct holder *
+holder_ensure(struct ups *ups, const char *program, struct ups_handle handle)
+{
+	GArray *holders = g_hash_table_lookup(ups->programs, program);
+	struct holder holder = {.upstream = handle, .stamp = ++ups->stamp};
+	struct holder *known;
+
+	if (holders == NULL) {
+		holders = g_array_new(FALSE, FALSE, sizeof(struct holder));
+		(void)g_hash_table_insert(
+		    ups->programs, g_strdup(program), holders);
+	}
+	known = holder_find(ups, program, handle);
+	if (known != NULL) {
+		holder = *known;
+		g_array_remove_index(
+		    holders, (guint)(known - (struct holder *)holders->data));
+	}
+	g_array_append_val(holders, holder);
+	return (&g_array_index(holders, struct holder, holders->len - 1));
+}
+
+void
+ups_program_hold(struct ups *ups, const char *program, struct ups_handle handle)
+{
+	if (upstream_get(ups, handle) != NULL)
+		(void)holder_ensure(ups, program, handle);
+}
+
+void
+ups_program_cached(struct ups *ups, const char *program,
+    struct ups_handle handle, int64_t tokens)
+{
+	struct holder *holder;
+
+	if (upstream_get(ups, handle) == NULL)
+		return;
+	holder = holder_ensure(ups, program, handle);
+	holder->tokens = tokens;
+	holder->confirmed = true;
+	holder->stamp = ++ups->stamp;
+}
+
+static int64_t
+estimate(const struct ups *ups, const struct holder *holder)
+{
+	const struct upstream *upstream = upstream_get(ups, holder->upstream);
+
+	if (upstream == NULL || holder->stamp < upstream->emptied)
+		return (0);
+	return (holder->stamp < upstream->doubted ? holder->tokens / 2
+						  : holder->tokens);
+}
+
+size_t
+ups_program_holders(const struct ups *ups, const char *program,
+    struct ups_holder *holders, size_t max)
+{
+	GArray *known = g_hash_table_lookup(ups->programs, program);
+	guint count = known != NULL ? known->len : 0;
+	size_t n = 0; /* written */
+
+	for (guint i = 0; i < count; i++) {
+		const struct holder *holder =
+		    &g_array_index(known, struct holder, count - 1 - i);
+		struct ups_holder one = {.upstream = holder->upstream,
+		    .tokens = estimate(ups, holder)};
+		size_t place = n;
+
+		while (place > 0 && holders[place - 1].tokens < one.tokens)
+			place--;
+		if (place == max)
+			continue;
+		n = MIN(n + 1, max);
+		memmove(&holders[place + 1], &holders[place],
+		    (n - 1 - place) * sizeof(*holders));
+		holders[place] = one;
+	}
+	return (count);
+}
+
+void
+ups_program_forget(struct ups *ups, const char *program)
+{
+	(void)g_hash_table_remove(ups->programs, program);
+}
+
+void
+ups_cache_event(struct ups *ups, struct ups_handle handle, int64_t number,
+    bool insert, const char *program, int64_t tokens)
+{
+	struct upstream *upstream = upstream_get(ups, handle);
+	struct holder *holder;
+
+	if (upstream == NULL)
+		return;
+	if (upstream->last_event != 0 && number != upstream->last_event + 1)
+		upstream->doubted = ++ups->stamp;
+	upstream->last_event = number;
+	holder = holder_find(ups, program, handle);
+	if (holder == NULL)
+		return;
+	if (holder->stamp < upstream->emptied) {
+		holder->tokens = 0;
+		holder->confirmed = false;
+		holder->stamp = ++ups->stamp;
+	}
+	if (!insert)
+		holder->tokens = MAX(0, holder->tokens - tokens);
+	else if (!holder->confirmed)
+		holder->tokens += tokens;
+}
--- a/src/upstream/ups.h
+++ b/src/upstream/ups.h
@@ -138,7 +138,8 @@
 /*
  * ups_share_set(ups, instances)
  *	The number of instances that share the upstreams: a window is at most
- *	the reported capacity divided by it, and at least 1.
+ *	the reported capacity divided by it, and at least 1.  A change looks at
+ *	all upstreams; to be called when the membership changes.
  */
 void ups_share_set(struct ups *ups, unsigned instances);
 
@@ -232,6 +233,9 @@
 double
 ups_wait(const struct ups *ups, struct ups_handle handle, int64_t tokens);
 
+/* ups_queue_tokens(ups, handle): the prefill ahead of a new call, in tokens. */
+double ups_queue_tokens(const struct ups *ups, struct ups_handle handle);
+
 /*
  * ups_is_overloaded(ups, handle, pool, factor)
  *	Whether one more call would put the upstream above factor times its
@@ -278,10 +282,10 @@
 /*
  * ups_fail(ups, handle, failure, now)
  *	A call failed.  After UPS_REFUSED and UPS_CRASHED the upstream is down
- *	for 1 s, doubled with each further failure up to 30 s, and is then
- *	probed with a window of 1.  After UPS_TIMED_OUT and UPS_BUSY the window
- *	is halved; 3 timeouts without a reply in between put it down too.
- *	After UPS_CRASHED its prefix cache counts as empty.  O(m log n).
+ *	for 1 s, doubled with each failure after it came back up to 30 s, and
+ *	is then probed with a window of 1.  After UPS_TIMED_OUT and UPS_BUSY the
+ *window is halved; 3 timeouts without a reply in between put it down too. After
+ *UPS_REFUSED and UPS_CRASHED its prefix cache counts as empty. O(m log n).
  */
 void ups_fail(struct ups *ups, struct ups_handle handle,
     enum ups_failure failure, clk_ms now);
@@ -313,7 +317,8 @@
 
 /*
  * ups_program_holders(ups, program, holders, max)
- *	Write up to max holders of a program, the newest first.
+ *	Write up to max holders of a program, those with the most tokens first,
+ *	among equals the newest.  O(holders * max).
  * RETURN VALUES
  *	How many there are, which may be more than max.
  */
