--- a/src/sched/sch.h
+++ b/src/sched/sch.h
@@ -13,9 +13,9 @@
  *
  * Costs: w is the number of waiting calls, o the number of organisations that
  * have calls waiting, p the number of pools (models and services).  Neither
- * all upstreams nor all organisations are ever looked at.  Memory is about
- * 300 bytes for each call and 150 bytes for each organisation ever seen, plus
- * strings.
+ * all upstreams nor all organisations are ever looked at.  Memory, as measured
+ * with glibc on x86-64: 400 bytes for a waiting call, and 245 for an
+ * organisation that has calls waiting.
  */
 #ifndef SAMPHIRESHED_SCH_H
 #define SAMPHIRESHED_SCH_H
--- a/src/upstream/ups.h
+++ b/src/upstream/ups.h
@@ -13,8 +13,8 @@
  *
  * Costs: n is the number of members of a pool, m the number of pools of an
  * upstream (its models).  Each function says its cost if it is not O(1).
- * Memory is about 500 bytes for each upstream, plus its strings and 60 bytes
- * for each model, plus 100 bytes and the id for each program.
+ * Memory, as measured with glibc on x86-64: 520 bytes for an upstream with one
+ * model, 135 for each further model, 160 for a program with one holder.
  */
 #ifndef SAMPHIRESHED_UPS_H
 #define SAMPHIRESHED_UPS_H
