Add single cases and the target size to the ownership test

Cause: the cases of the design that the random orders mix were not shown one by one, and the cost at the target size was not measured. Change: eleven cases in test_own.c; broken variants stop at the first find.

--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -27,7 +27,7 @@
 #define MAX_NAMED     ALL_SHARDS
 #define THREADS	      4
 #define ORDERS	      20000
-#define ORDERS_BROKEN 4000
+#define ORDERS_BROKEN 20000 /* at most; a variant stops when it is found */
 
 #define TAKEOVER       300
 #define TAKEOVER_OTHER 900
@@ -1087,10 +1087,14 @@
 		unsigned i;
 
 		g_mutex_lock(&total->mutex);
+		if (total->started >= total->orders ||
+		    (total->broken != BROKEN_NONE &&
+			total->double_owners > 0)) {
+			g_mutex_unlock(&total->mutex);
+			return (NULL);
+		}
 		i = total->started++;
 		g_mutex_unlock(&total->mutex);
-		if (i >= total->orders)
-			return (NULL);
 		world_open(&w, total->seed + i, total->broken);
 		world_run(&w);
 		world_close(&w);
@@ -1171,16 +1175,554 @@
 
 		g_test_message("figure variant=%s orders=%u violations=%u "
 			       "seed=%" G_GUINT64_FORMAT,
-		    names[broken], total.orders, total.double_owners,
+		    names[broken], total.started, total.double_owners,
 		    total.seed);
 		g_assert_cmpuint(total.double_owners, >, 0);
 	}
 }
 
+/* Single cases, with a map of 1 data centre and 4 shards. */
+
+#define A 0xaULL
+#define B 0xbULL
+#define C 0xcULL
+
+struct single {
+	struct own *own;
+	struct mem *mem;
+	int64_t offset;
+};
+
+static const struct own_shard_id shard0 = {0, 0};
+
+static struct mem_identity
+identity_of(uint64_t session)
+{
+	struct mem_identity identity = {.session = session, .weight = 1.0};
+
+	(void)g_snprintf(
+	    identity.instance, sizeof(identity.instance), "i%d", (int)session);
+	(void)g_snprintf(identity.address, sizeof(identity.address),
+	    "127.0.0.1:%d", (int)session);
+	return (identity);
+}
+
+static void
+single_open(struct single *x, uint64_t self, unsigned shards)
+{
+	struct own_settings settings = {.datacentres = 1,
+	    .shards = shards,
+	    .stagger_ms = 1,
+	    .settle_ms = 1};
+	struct mem_settings times = {0};
+	struct mem_identity identity = identity_of(self);
+
+	x->own = own_open(&settings, &identity);
+	x->mem = mem_open(&times, &identity);
+	x->offset = 0;
+}
+
+static void
+single_close(struct single *x)
+{
+	own_close(x->own);
+	mem_close(x->mem);
+}
+
+static enum own_applied
+apply(struct single *x, json_t *record, clk_ms now)
+{
+	enum own_applied applied = own_apply(x->own, x->offset++, record, now);
+
+	if (applied == OWN_APPLIED)
+		mem_apply(x->mem, record, now);
+	json_decref(record);
+	return (applied);
+}
+
+static void
+open_session(struct single *x, uint64_t session, clk_ms now)
+{
+	struct mem_identity identity = identity_of(session);
+
+	g_assert_cmpint(
+	    apply(x, mem_record_open(&identity), now), ==, OWN_APPLIED);
+}
+
+static json_t *
+record_of(const char *kind, uint64_t by, uint64_t epoch, const char *holder)
+{
+	char text[PLG_SESSION_SIZE];
+	json_t *record = json_pack("{s:s, s:s, s:[{s:i, s:i, s:I, s:[]}]}",
+	    "kind", kind, "session", plg_session_format(text, by), "shards",
+	    "datacentre", 0, "shard", 0, "epoch", (json_int_t)epoch, "holders");
+	json_t *entry = json_array_get(json_object_get(record, "shards"), 0);
+
+	if (holder != NULL)
+		(void)json_array_append_new(
+		    json_object_get(entry, "holders"), json_string(holder));
+	return (record);
+}
+
+static json_t *
+handover_of(uint64_t by, uint64_t epoch, uint64_t to)
+{
+	json_t *record = record_of("handover", by, epoch, NULL);
+	char text[PLG_SESSION_SIZE];
+
+	(void)json_object_set_new(
+	    json_array_get(json_object_get(record, "shards"), 0), "to",
+	    json_string(plg_session_format(text, to)));
+	return (record);
+}
+
+static struct own_shard
+shard_of(const struct single *x)
+{
+	struct own_shard shard;
+
+	g_assert_true(own_shard_get(x->own, shard0, &shard));
+	return (shard);
+}
+
+/* A and B are open, A owns shard 0, and B is its replica holder. */
+static void
+give_to_a(struct single *x)
+{
+	open_session(x, A, 0);
+	open_session(x, B, 0);
+	g_assert_cmpint(
+	    apply(x, record_of("claim", A, 0, "000000000000000b"), 0), ==,
+	    OWN_APPLIED);
+}
+
+static void
+decide_and_drop(struct single *x, clk_ms now)
+{
+	struct own_action actions[16];
+	size_t n =
+	    own_decide(x->own, x->mem, now, actions, G_N_ELEMENTS(actions));
+
+	for (size_t i = 0; i < n; i++) {
+		if (actions[i].act == OWN_ACT_RECOVER)
+			own_recovered(x->own, actions[i].id, actions[i].epoch);
+		if (actions[i].act == OWN_ACT_APPEND)
+			json_decref(actions[i].record);
+	}
+}
+
+/* An owner that wakes after its horizon must refuse before anything else. */
+static void
+test_horizon(void)
+{
+	struct single x;
+	struct own_pending none = {.claimed_at = -1};
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	g_assert_false(own_may_act(x.own, shard0, 0));
+	own_log_read(x.own, 1000);
+	/* 3 s less 1%. */
+	g_assert_cmpint(own_horizon(x.own, shard0, 1000), ==, 1000 + 2970);
+	g_assert_true(own_may_act(x.own, shard0, 3969));
+	g_assert_false(own_may_act(x.own, shard0, 3970));
+	/* Without the log the holder's answers carry it on ... */
+	own_heartbeat_answered(x.own, B, 5000, &none);
+	g_assert_cmpint(own_horizon(x.own, shard0, 5000), ==, 5000 + 2970);
+	/* ... a late one does not set it back ... */
+	own_heartbeat_answered(x.own, B, 2000, &none);
+	g_assert_cmpint(own_horizon(x.own, shard0, 5000), ==, 5000 + 2970);
+	/* ... until any unknown session may have claimed. */
+	own_heartbeat_answered(x.own, B, 2000000, &none);
+	g_assert_cmpint(own_horizon(x.own, shard0, 5000), ==, 1000 + 594000);
+	/* A stopped process has the same horizon when it wakes. */
+	g_assert_false(own_may_act(x.own, shard0, 595000));
+	single_close(&x);
+}
+
+/* Guards against an answer that counts although it proves nothing. */
+static void
+test_answer_without_proof(void)
+{
+	struct single x;
+	struct own_pending pending = {
+	    .claimed_at = -1, .n = 1, .shards = {{0, 0}}};
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	own_log_read(x.own, 1000);
+	/* The holder has a claim against this shard under way. */
+	own_heartbeat_answered(x.own, B, 3000, &pending);
+	g_assert_cmpint(own_horizon(x.own, shard0, 3000), ==, 3970);
+	/* It has a valid claim that this session has not read. */
+	pending.n = 0;
+	pending.claimed_at = own_next(x.own);
+	own_heartbeat_answered(x.own, B, 3000, &pending);
+	g_assert_cmpint(own_horizon(x.own, shard0, 3000), ==, 3970);
+	/* Its list is not complete. */
+	pending.claimed_at = -1;
+	pending.more = true;
+	own_heartbeat_answered(x.own, B, 3000, &pending);
+	g_assert_cmpint(own_horizon(x.own, shard0, 3000), ==, 3970);
+	single_close(&x);
+}
+
+/* A peer's read is as old as the peer says, and drift makes it older. */
+static void
+test_peer_read(void)
+{
+	struct single x;
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	own_peer_read(x.own, 10000, 1000);
+	g_assert_cmpint(
+	    own_horizon(x.own, shard0, 10000), <=, 10000 - 1021 + 2970);
+	g_assert_cmpint(
+	    own_horizon(x.own, shard0, 10000), >=, 10000 - 1030 + 2970);
+	single_close(&x);
+}
+
+/* Of a claim and a handover on one epoch, the first in the log wins. */
+static void
+test_claim_and_handover_race(void)
+{
+	struct single x;
+
+	single_open(&x, C, 4);
+	give_to_a(&x);
+	open_session(&x, C, 0);
+	g_assert_cmpint(apply(&x, handover_of(A, 1, C), 0), ==, OWN_APPLIED);
+	g_assert_cmpint(
+	    apply(&x, record_of("claim", B, 1, NULL), 0), ==, OWN_NOT_VALID);
+	g_assert_cmphex(shard_of(&x).owner, ==, C);
+	g_assert_cmpint(shard_of(&x).phase, ==, OWN_SERVING);
+	g_assert_cmpint(
+	    apply(&x, record_of("claim", B, 2, NULL), 0), ==, OWN_APPLIED);
+	g_assert_cmpint(apply(&x, handover_of(C, 2, A), 0), ==, OWN_NOT_VALID);
+	g_assert_cmphex(shard_of(&x).owner, ==, B);
+	/* Only the owner hands over. */
+	g_assert_cmpint(apply(&x, handover_of(A, 3, C), 0), ==, OWN_NOT_VALID);
+	single_close(&x);
+}
+
+static uint64_t
+claim_ref(struct single *x, clk_ms now)
+{
+	struct own_action actions[16];
+	size_t n =
+	    own_decide(x->own, x->mem, now, actions, G_N_ELEMENTS(actions));
+	uint64_t ref = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (actions[i].act != OWN_ACT_APPEND)
+			continue;
+		if (strcmp(json_string_value(
+			       json_object_get(actions[i].record, "kind")),
+			"claim") == 0)
+			ref = actions[i].ref;
+		json_decref(actions[i].record);
+	}
+	return (ref);
+}
+
+/*
+ * Guards against a claim with a lost reply that is forgotten, although it may
+ * still appear in the log, and against one that counts before it is read.
+ */
+static void
+test_claim_with_lost_reply(void)
+{
+	struct single x;
+	struct own_pending pending;
+	uint64_t ref;
+
+	single_open(&x, B, 1);
+	give_to_a(&x);
+	/* A was never heard of again. */
+	mem_session_remove(x.mem, A, 100);
+	own_log_read(x.own, 100);
+	(void)claim_ref(&x, 100);
+	own_log_read(x.own, 200);
+	own_pending_get(x.own, &pending);
+	if (pending.n == 0)
+		(void)claim_ref(&x, 200);
+	own_pending_get(x.own, &pending);
+	g_assert_cmpuint(pending.n, ==, 1);
+	/* Refs count from 1; an unknown outcome keeps the claim pending. */
+	own_append_done(x.own, 1, OWN_UNKNOWN);
+	own_pending_get(x.own, &pending);
+	g_assert_cmpuint(pending.n, ==, 1);
+	/* Even if the second copy is refused, the first may be there. */
+	own_log_read(x.own, 10000);
+	ref = claim_ref(&x, 10000);
+	g_assert_cmpuint(ref, ==, 2);
+	own_append_done(x.own, ref, OWN_REFUSED);
+	own_pending_get(x.own, &pending);
+	g_assert_cmpuint(pending.n, ==, 1);
+	/* It is read: W counts from now on, 3 s and 1%. */
+	g_assert_cmpint(
+	    apply(&x, record_of("claim", B, 1, NULL), 20000), ==, OWN_APPLIED);
+	own_pending_get(x.own, &pending);
+	g_assert_cmpuint(pending.n, ==, 0);
+	g_assert_cmpint(pending.claimed_at, ==, x.offset - 1);
+	own_log_read(x.own, 23000);
+	decide_and_drop(&x, 23030);
+	g_assert_false(own_may_act(x.own, shard0, 23030));
+	decide_and_drop(&x, 23031);
+	g_assert_true(own_may_act(x.own, shard0, 23031));
+	single_close(&x);
+}
+
+/* A restarted instance owns nothing of its former session. */
+static void
+test_restart(void)
+{
+	struct single x;
+
+	single_open(&x, C, 4);
+	give_to_a(&x);
+	open_session(&x, C, 0);
+	own_log_read(x.own, 1000);
+	g_assert_cmphex(shard_of(&x).owner, ==, A);
+	g_assert_cmpuint(own_owned(x.own), ==, 0);
+	g_assert_false(own_may_act(x.own, shard0, 1000));
+	single_close(&x);
+}
+
+/* A planned stop during an outage of the log gives up without the log. */
+static void
+test_stop_during_outage(void)
+{
+	struct single x;
+	struct own_pending none = {.claimed_at = -1};
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	own_log_read(x.own, 1000);
+	own_stop(x.own);
+	g_assert_true(own_may_act(x.own, shard0, 1000));
+	g_assert_false(own_may_begin(x.own, shard0, 1000));
+	own_leave(x.own);
+	own_heartbeat_answered(x.own, B, 1100, &none);
+	own_log_read(x.own, 1100);
+	g_assert_false(own_may_act(x.own, shard0, 1100));
+	single_close(&x);
+}
+
+/* A session closed by others must not go on as if nothing had happened. */
+static void
+test_closed_by_others(void)
+{
+	struct single x;
+	json_t *record = own_record_close(A);
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	own_log_read(x.own, 1000);
+	(void)json_object_set_new(
+	    record, "session", json_string("000000000000000b"));
+	g_assert_cmpint(apply(&x, record, 1000), ==, OWN_APPLIED);
+	g_assert_true(own_is_stopped(x.own));
+	g_assert_false(own_may_act(x.own, shard0, 1000));
+	single_close(&x);
+}
+
+/* Random changes to the fields of a record. */
+static json_t *
+damage(struct world *w, json_t *record)
+{
+	static const char *const keys[] = {"kind", "session", "shards",
+	    "closes", "datacentre", "lost", "base", "weight", "instance",
+	    "epoch", "shard", "holders", "to", "revision", "through", "parts",
+	    "part", "sessions"};
+	json_t *target = record;
+	json_t *inner = json_array_get(json_object_get(record, "shards"), 0);
+
+	if (inner != NULL && chance(w, 50))
+		target = inner;
+	for (int i = (int)between(w, 1, 3); i > 0; i--) {
+		const char *key = keys[between(w, 0, G_N_ELEMENTS(keys) - 1)];
+		json_t *values[] = {json_integer(between(w, -3, 3)),
+		    json_integer(INT64_MAX), json_null(), json_string("x"),
+		    json_pack("[{}]"), json_pack("[s]", "zz"), json_object(),
+		    json_real(1e300), json_true(), json_string("map")};
+		size_t chosen = (size_t)between(w, 0, G_N_ELEMENTS(values) - 1);
+
+		(void)json_object_set(target, key, values[chosen]);
+		for (size_t k = 0; k < G_N_ELEMENTS(values); k++)
+			json_decref(values[k]);
+	}
+	return (record);
+}
+
+/* Guards against a record that stops every reader or is half applied. */
+static void
+test_undecodable(void)
+{
+	struct single x;
+	struct world w = {.random = 7};
+	struct mem_identity c = identity_of(C);
+	unsigned counted;
+
+	single_open(&x, B, 4);
+	give_to_a(&x);
+	g_assert_cmpint(apply(&x, json_pack("[i]", 1), 0), ==, OWN_UNDECODABLE);
+	g_assert_cmpint(apply(&x, json_pack("{s:s}", "kind", "claim"), 0), ==,
+	    OWN_UNDECODABLE);
+	g_assert_cmpint(
+	    apply(&x, json_pack("{s:s}", "kind", "other"), 0), ==, OWN_OTHER);
+	g_assert_cmpuint(own_undecodable(x.own), ==, 2);
+	for (int i = 0; i < 50000; i++) {
+		json_t *records[] = {
+		    record_of("claim", B, shard_of(&x).epoch, NULL),
+		    record_of("holders", A, 1, "000000000000000b"),
+		    handover_of(A, shard_of(&x).epoch, B), own_record_close(C),
+		    mem_record_open(&c),
+		    own_record_datacentre_lost(x.own, 0, true)};
+		size_t chosen =
+		    (size_t)between(&w, 0, G_N_ELEMENTS(records) - 1);
+
+		(void)apply(&x, damage(&w, json_incref(records[chosen])), i);
+		for (size_t k = 0; k < G_N_ELEMENTS(records); k++)
+			json_decref(records[k]);
+	}
+	counted = (unsigned)own_undecodable(x.own);
+	g_assert_cmpuint(counted, >, 1000);
+	g_test_message(
+	    "figure damaged_records=50000 undecodable=%u seed=7", counted);
+	single_close(&x);
+}
+
+/* A late second copy of session_open must not open a closed session. */
+static void
+test_second_copy_of_open(void)
+{
+	struct single x;
+	struct mem_identity c = identity_of(C);
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	open_session(&x, C, 0);
+	g_assert_cmpint(apply(&x, own_record_close(C), 0), ==, OWN_APPLIED);
+	g_assert_cmpint(apply(&x, mem_record_open(&c), 0), ==, OWN_NOT_VALID);
+	g_assert_cmpint(mem_state(x.mem, C), ==, MEM_UNKNOWN);
+	single_close(&x);
+}
+
+/*
+ * Guards against costs that grow with the fleet: 6 data centres of 1,024
+ * shards and 400 sessions.  The times are printed; the bound is on the size
+ * of a snapshot, which has to pass through the log.
+ */
+static void
+test_target_size(void)
+{
+	struct own_settings settings = {.datacentres = 6, .shards = 1024};
+	struct mem_settings times = {0};
+	struct mem_identity self = identity_of(1000);
+	struct own_action actions[64];
+	struct own *own = own_open(&settings, &self);
+	struct own *copy = own_open(&settings, &self);
+	struct mem *mem = mem_open(&times, &self);
+	gint64 began;
+	gint64 applied;
+	gint64 decided;
+	gint64 copied;
+	int64_t offset = 0;
+	json_t *parts;
+	size_t bytes = 0;
+
+	for (unsigned i = 0; i < 400; i++) {
+		struct mem_identity identity = identity_of(1000 + i);
+		json_t *record;
+
+		identity.datacentre = i % 6;
+		record = mem_record_open(&identity);
+		(void)own_apply(own, offset++, record, 0);
+		mem_apply(mem, record, 0);
+		json_decref(record);
+	}
+	began = g_get_monotonic_time();
+	for (int d = 0; d < 6; d++) {
+		for (int s = 0; s < 1024; s++) {
+			uint64_t by =
+			    1000 + (uint64_t)d + 6 * (uint64_t)(s % 66);
+			json_t *record =
+			    record_of("claim", by, 0, "0000000000000578");
+			json_t *entry = json_array_get(
+			    json_object_get(record, "shards"), 0);
+
+			(void)json_object_set_new(
+			    entry, "datacentre", json_integer(d));
+			(void)json_object_set_new(
+			    entry, "shard", json_integer(s));
+			g_assert_cmpint(own_apply(own, offset++, record, 0), ==,
+			    OWN_APPLIED);
+			json_decref(record);
+		}
+	}
+	applied = g_get_monotonic_time();
+	for (int i = 0; i < 100; i++) {
+		size_t n;
+
+		own_log_read(own, i * 250);
+		mem_update(mem, i * 250);
+		n = own_decide(own, mem, i * 250, actions, 64);
+		for (size_t k = 0; k < n; k++) {
+			if (actions[k].act == OWN_ACT_APPEND)
+				json_decref(actions[k].record);
+		}
+	}
+	decided = g_get_monotonic_time();
+	parts = own_snapshot(own, 100000);
+	own_gap(copy, offset);
+	for (size_t i = 0; i < json_array_size(parts); i++) {
+		char *text = json_dumps(json_array_get(parts, i), JSON_COMPACT);
+
+		bytes = MAX(bytes, strlen(text));
+		free(text);
+		(void)own_restore(copy, json_array_get(parts, i), 100000);
+	}
+	copied = g_get_monotonic_time();
+	g_assert_true(own_is_complete(copy));
+	g_assert_cmpint(own_next(copy), ==, offset);
+	g_assert_cmphex(own_digest(copy), ==, own_digest(own));
+	/* A part has to fit into one record of the log. */
+	g_assert_cmpuint(bytes, <, 256 * 1024);
+	g_test_message("figure target apply_us=%.1f decide_us=%.0f "
+		       "snapshot_ms=%.1f parts=%zu largest_part=%zu",
+	    (double)(applied - began) / 6144.0,
+	    (double)(decided - applied) / 100.0,
+	    (double)(copied - decided) / 1000.0, json_array_size(parts), bytes);
+	json_decref(parts);
+	own_close(copy);
+	own_close(own);
+	mem_close(mem);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/own/horizon", test_horizon);
+	g_test_add_func("/own/answer-without-proof", test_answer_without_proof);
+	g_test_add_func("/own/peer-read", test_peer_read);
+	g_test_add_func(
+	    "/own/claim-and-handover-race", test_claim_and_handover_race);
+	g_test_add_func(
+	    "/own/claim-with-lost-reply", test_claim_with_lost_reply);
+	g_test_add_func("/own/restart", test_restart);
+	g_test_add_func("/own/stop-during-outage", test_stop_during_outage);
+	g_test_add_func("/own/closed-by-others", test_closed_by_others);
+	g_test_add_func("/own/undecodable", test_undecodable);
+	g_test_add_func("/own/second-copy-of-open", test_second_copy_of_open);
+	g_test_add_func("/own/target-size", test_target_size);
 	g_test_add_func("/own/orders", test_orders);
 	g_test_add_func("/own/broken-rules", test_broken_rules);
 	return (g_test_run());
