Match an own record that failed to its submission

Cause: a handover to a session that had closed landed twice. The owner read the first copy as not valid, began another handover, and took the second copy for the failure of that one; it acted again while the second handover stood in the log. Change: records carry the number of the submission (ref), and only the record of the last one ends it. A claim that was not valid stays pending until the epoch changes.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -285,6 +285,15 @@
 
 /* Ownership of this session. */
 
+static void
+mark_unknown(struct submitted *submitted)
+{
+	if (submitted->ref != 0) {
+		submitted->unknown = true;
+		submitted->repeat = true;
+	}
+}
+
 static void
 add_candidate(struct mine *mine, const struct candidate *old, unsigned n_old,
     uint64_t session)
@@ -599,21 +608,24 @@
 	return (e->revision == sh->revision);
 }
 
-/* An own record was read that is not valid: it has no effect. */
+/*
+ * An own record was read that is not valid.  Only the record of the last
+ * submission counts: a second copy of an earlier one says nothing about it.
+ */
 static void
-own_entry_failed(struct own *own, enum kind kind, const struct entry *e)
+own_entry_failed(
+    struct own *own, enum kind kind, uint64_t ref, const struct entry *e)
 {
 	struct shard *sh = find_shard(own, e->id);
 
 	if (e->epoch != sh->epoch)
 		return;
-	if (kind == KIND_CLAIM && sh->claim != NULL) {
-		sh->claim->submitted.repeat = true;
-		if (!sh->claim->submitted.unknown)
-			drop_claim(own, sh);
-	}
+	/* Another copy may be valid once the data centre is declared lost, so
+	 * the claim stays pending until the epoch changes. */
+	if (kind == KIND_CLAIM && sh->claim != NULL)
+		mark_unknown(&sh->claim->submitted);
 	if (kind == KIND_HANDOVER && sh->mine != NULL &&
-	    sh->mine->handover.ref != 0) {
+	    sh->mine->handover.ref == ref) {
 		if (sh->mine->handover.unknown) {
 			sh->mine->handover.repeat = true;
 			return;
@@ -633,7 +645,10 @@
 	enum own_applied applied = OWN_NOT_VALID;
 	const struct session *by;
 	uint64_t session;
+	uint64_t ref;
 
+	if (!get_number(record, "ref", INT64_MAX - 1, &ref))
+		ref = 0;
 	if (!get_session(record, "session", &session) || !json_is_array(list) ||
 	    n > OWN_RECORD_SHARDS)
 		return (OWN_UNDECODABLE);
@@ -648,7 +663,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (!entry_is_valid(own, kind, by, &entries[i])) {
 			if (session == own->self.session)
-				own_entry_failed(own, kind, &entries[i]);
+				own_entry_failed(own, kind, ref, &entries[i]);
 			continue;
 		}
 		applied = OWN_APPLIED;
@@ -1047,15 +1062,6 @@
 	return (true);
 }
 
-static void
-mark_unknown(struct submitted *submitted)
-{
-	if (submitted->ref != 0) {
-		submitted->unknown = true;
-		submitted->repeat = true;
-	}
-}
-
 /* The results of outstanding appends may be among the records not read. */
 static void
 restore_outstanding(struct own *own)
@@ -1455,6 +1461,8 @@
 	}
 	action->record = record;
 	action->ref = ++out->own->last_ref;
+	(void)json_object_set_new(
+	    record, "ref", json_integer((json_int_t)action->ref));
 	submitted->ref = action->ref;
 	submitted->repeat = false;
 	submitted->at = out->now;
@@ -1637,6 +1645,7 @@
 
 	if (sh->claim != NULL) {
 		if (is_due(out, &sh->claim->submitted) &&
+		    claim_position(out, index) != UINT_MAX &&
 		    refresh_rank(out, index))
 			claim_add(out, batch, index);
 		return;
