fakes: Set the signal handlers before printing the port

Cause: the stand-ins printed their port before they had set their signal handlers, and a SIGTERM in between ended them with the default action. With 8 copies of test_fakes at once, 6 failed in /stops-by-itself.

Change: the port is printed last.

Conclusion: a test may stop a stand-in as soon as it has read the port.

--- a/fakes/common.c
+++ b/fakes/common.c
@@ -92,16 +92,17 @@
 void
 sti_run(struct sti *sti, unsigned port, unsigned control_port)
 {
-	(void)printf("listening %u\n", port);
-	if (control_port != 0)
-		(void)printf("control %u\n", control_port);
-	(void)fflush(stdout);
 	ev_timer_init(&sti->end, on_end, (double)sti->max_seconds, 0.0);
 	ev_timer_start(sti->loop, &sti->end);
 	ev_signal_init(&sti->term, on_signal, SIGTERM);
 	ev_signal_start(sti->loop, &sti->term);
 	ev_signal_init(&sti->interrupt, on_signal, SIGINT);
 	ev_signal_start(sti->loop, &sti->interrupt);
+	/* Whoever reads this may send a signal at once. */
+	(void)printf("listening %u\n", port);
+	if (control_port != 0)
+		(void)printf("control %u\n", control_port);
+	(void)fflush(stdout);
 	ev_run(sti->loop, 0);
 	/* Nothing is kept, so the requests in progress need no ending. */
 	_exit(0);
