Watch the owners and holders in other data centres

Cause: a session of another data centre that gets no heartbeats counts as live for ever. A shard that had been handed to such a session, which was dead, got no new owner. Change: own_watched() names the sessions whose state matters; sessions that were open when their data centre was declared lost count as dead.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -1600,6 +1600,17 @@
 	claim->submitted = submitted;
 }
 
+/* The operator vouches for the sessions that were open then, not for later
+ * ones. */
+static bool
+is_declared_lost(const struct own *own, const struct session *s)
+{
+	unsigned datacentre = s->identity.datacentre;
+
+	return (
+	    own->lost[datacentre] && s->opened < own->lost_offset[datacentre]);
+}
+
 /*
  * After how many times stagger_ms this session may claim a shard without a
  * live owner; UINT_MAX if never.
@@ -1632,7 +1643,9 @@
 static bool
 has_live_owner(const struct out *out, const struct shard *sh)
 {
-	return (sh->owner != 0 && find_session(out->own, sh->owner) != NULL &&
+	const struct session *owner = find_session(out->own, sh->owner);
+
+	return (owner != NULL && !is_declared_lost(out->own, owner) &&
 	    mem_state(out->mem, sh->owner) == MEM_LIVE);
 }
 
@@ -2026,6 +2039,49 @@
 	return (out.n);
 }
 
+static size_t
+watch(const struct own *own, uint64_t session, uint64_t *sessions, size_t n,
+    size_t max)
+{
+	const struct session *s = find_session(own, session);
+
+	if (s == NULL || s->identity.datacentre == own->self.datacentre ||
+	    n >= max)
+		return (n);
+	for (size_t i = 0; i < n; i++) {
+		if (sessions[i] == session)
+			return (n);
+	}
+	sessions[n] = session;
+	return (n + 1);
+}
+
+size_t
+own_watched(const struct own *own, uint64_t *sessions, size_t max)
+{
+	size_t n = 0;
+
+	for (unsigned i = 0; i < own->mine->len; i++) {
+		const struct mine *mine = g_ptr_array_index(own->mine, i);
+
+		for (unsigned k = 0; k < mine->n_candidates; k++)
+			n = watch(
+			    own, mine->candidates[k].session, sessions, n, max);
+	}
+	for (unsigned i = 0; i < own->n_shards; i++) {
+		const struct shard *sh = &own->shards[i];
+		unsigned datacentre = i / own->settings.shards;
+
+		/* For a lost data centre, those who would claim it. */
+		if (datacentre == own->self.datacentre ||
+		    (own->lost[datacentre] &&
+			(is_holder(sh, own->self.session) ||
+			    sh->rank_other == own->self.session)))
+			n = watch(own, sh->owner, sessions, n, max);
+	}
+	return (n);
+}
+
 /* Returns whether the submission is certain to have had no effect. */
 static bool
 submitted_done(
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -42,7 +42,8 @@
  * record O(1) on average; own_may_act(), own_horizon(), own_shard_get(),
  * own_holds() O(1); own_heartbeat_answered() and own_log_read() O(P);
  * own_decide() O(N) cheap steps and at most OWN_RANKS_PER_CALL rankings of
- * O(S); own_snapshot() and own_restore() O(D * N + S).
+ * O(S); own_watched() O(D * N);
+ * own_snapshot() and own_restore() O(D * N + S).
  */
 #ifndef SAMPHIRESHED_OWN_H
 #define SAMPHIRESHED_OWN_H
@@ -347,6 +348,17 @@
 size_t own_decide(struct own *own, const struct mem *mem, clk_ms now,
     struct own_action *actions, size_t max);
 
+/*
+ * own_watched(own, sessions, max)
+ *	Return the sessions of other data centres whose state this session has
+ *	to know, for mem_watch(): owners of shards that it may claim, and
+ *	replica holders of shards that it owns.  To be passed on every second;
+ *	a session that gets no heartbeats counts as live for ever.
+ * RETURN VALUES
+ *	The number of sessions.
+ */
+size_t own_watched(const struct own *own, uint64_t *sessions, size_t max);
+
 enum own_append {
 	OWN_APPENDED,
 	OWN_REFUSED, /* certain: the record is not and will not be in the log */
--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -540,6 +540,7 @@
 {
 	struct instance *in = &w->instances[slot];
 	struct own_action actions[16];
+	uint64_t watched[MAX_INSTANCES];
 	clk_ms now = clock_of(w, in);
 	size_t n;
 
@@ -556,6 +557,8 @@
 		in->open_sent_at = w->now;
 		append(w, slot, mem_record_open(&in->identity), 0);
 	}
+	mem_watch(in->mem, watched,
+	    own_watched(in->own, watched, G_N_ELEMENTS(watched)));
 	send_pings(w, slot);
 	n = own_decide(in->own, in->mem, now, actions, G_N_ELEMENTS(actions));
 	check_owners(w);
