Leave sessions of a lost data centre out of the rankings

Cause: a shard of a lost data centre was handed back to one of its dead sessions, which got no heartbeats and so counted as live, and claimed again, over and over. Change: rankings and replica holders leave out sessions that were open when their data centre was declared lost.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -763,6 +763,9 @@
 		return (OWN_NOT_VALID);
 	own->lost[datacentre] = json_is_true(lost);
 	own->lost_offset[datacentre] = offset;
+	/* The rankings leave out lost sessions. */
+	for (unsigned i = 0; i < own->n_shards; i++)
+		own->shards[i].rank_generation = 0;
 	return (OWN_APPLIED);
 }
 
@@ -1098,6 +1101,8 @@
 	if (opened_at >= 0)
 		own->opened_at = opened_at;
 	restore_outstanding(own);
+	for (unsigned i = 0; i < own->n_shards; i++)
+		own->shards[i].rank_generation = 0;
 	own->next = restore->through;
 	own->incomplete = false;
 	return (true);
@@ -1517,6 +1522,36 @@
 		out->now - submitted->at >= out->own->settings.repeat_ms));
 }
 
+/* The operator vouches for the sessions that were open then, not for later
+ * ones. */
+static bool
+is_declared_lost(const struct own *own, const struct session *s)
+{
+	unsigned datacentre = s->identity.datacentre;
+
+	return (
+	    own->lost[datacentre] && s->opened < own->lost_offset[datacentre]);
+}
+
+/* The ranking without sessions that the operator declared lost, to which the
+ * member table may send no heartbeats. */
+static size_t
+rank(const struct out *out, struct own_shard_id id, bool within,
+    uint64_t *sessions)
+{
+	size_t n = mem_rank(
+	    out->mem, id.datacentre, id.shard, within, sessions, MAX_RANK);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct session *s = find_session(out->own, sessions[i]);
+
+		if (s != NULL && !is_declared_lost(out->own, s))
+			sessions[kept++] = sessions[i];
+	}
+	return (kept);
+}
+
 static unsigned
 position_of(uint64_t session, const uint64_t *sessions, size_t n)
 {
@@ -1542,13 +1577,11 @@
 	if (out->ranks == 0)
 		return (false);
 	out->ranks--;
-	n = mem_rank(
-	    out->mem, id.datacentre, id.shard, true, sessions, MAX_RANK);
+	n = rank(out, id, true, sessions);
 	sh->rank[0] = n > 0 ? sessions[0] : 0;
 	sh->rank[1] = n > 1 ? sessions[1] : 0;
 	sh->self_position = position_of(out->own->self.session, sessions, n);
-	n = mem_rank(
-	    out->mem, id.datacentre, id.shard, false, sessions, MAX_RANK);
+	n = rank(out, id, false, sessions);
 	sh->rank_other = n > 0 ? sessions[0] : 0;
 	if (out->own->self.datacentre != id.datacentre)
 		sh->self_position =
@@ -1600,17 +1633,6 @@
 	claim->submitted = submitted;
 }
 
-/* The operator vouches for the sessions that were open then, not for later
- * ones. */
-static bool
-is_declared_lost(const struct own *own, const struct session *s)
-{
-	unsigned datacentre = s->identity.datacentre;
-
-	return (
-	    own->lost[datacentre] && s->opened < own->lost_offset[datacentre]);
-}
-
 /*
  * After how many times stagger_ms this session may claim a shard without a
  * live owner; UINT_MAX if never.
@@ -1707,10 +1729,11 @@
 static bool
 is_usable(const struct out *out, uint64_t session)
 {
+	const struct session *s = find_session(out->own, session);
 	struct mem_info info;
 
-	if (session == 0 || session == out->own->self.session ||
-	    find_session(out->own, session) == NULL ||
+	if (s == NULL || session == out->own->self.session ||
+	    is_declared_lost(out->own, s) ||
 	    !mem_info(out->mem, session, &info))
 		return (false);
 	return (info.state == MEM_LIVE ||
