--- a/src/program/cpy.c
+++ b/src/program/cpy.c
@@ -4,6 +4,7 @@
 
 struct replica {
 	uint64_t fence; /* newest epoch known; older ones are refused */
+	uint64_t fetched; /* epoch of the last owner that fetched the state */
 	struct tbl *tbl; /* nil: nothing is held */
 };
 
@@ -102,6 +103,11 @@
 		const struct prg_record *record = g_ptr_array_index(records, i);
 		enum tbl_result applied = TBL_BAD;
 
+		if (record->kind == PRG_HEAD && replica->tbl->epoch > 0 &&
+		    replica->tbl->epoch < epoch && replica->fetched != epoch) {
+			result.outcome = CPY_FETCH_FIRST;
+			break;
+		}
 		if (record->epoch == epoch)
 			applied = tbl_apply(replica->tbl, record);
 		if (applied == TBL_GAP) {
@@ -133,6 +139,7 @@
 	if (epoch < replica->fence)
 		return (false);
 	replica->fence = epoch;
+	replica->fetched = epoch;
 	if (replica->tbl != NULL) {
 		*records = tbl_export(replica->tbl);
 		return (true);
--- a/src/program/cpy.h
+++ b/src/program/cpy.h
@@ -17,6 +17,11 @@
 enum cpy_outcome {
 	CPY_ACCEPTED, /* all records up to seq are held */
 	CPY_REFUSED, /* an older epoch: the sender is no longer the owner */
+	/*
+	 * The holder has state of an older epoch that the owner may lack, and
+	 * an export would overwrite it: fetch it first.
+	 */
+	CPY_FETCH_FIRST,
 	CPY_GAP, /* records are missing after seq: send a full export */
 	CPY_BAD /* a malformed record; what came before it is held */
 };
--- a/src/program/prg.c
+++ b/src/program/prg.c
@@ -50,6 +50,7 @@
 	clk_ms last_use;
 	clk_ms release_at;
 	clk_ms release_pause;
+	int64_t base_spent; /* tokens spent in the recovered state */
 	bool unproven;
 	bool touched; /* changed by this owner since the recovery */
 	bool closing;
@@ -64,6 +65,7 @@
 	bool unproven;
 	uint64_t base_epoch; /* of the state that recovery started from */
 	uint64_t base_seq;
+	uint64_t base_proof;
 	uint64_t acked; /* records up to here are held by the replicas */
 	struct tbl *tbl;
 	struct tbl *late; /* an export that arrives after the recovery */
@@ -460,9 +462,46 @@
 		((struct tbl_intent *)value)->since = now;
 }
 
+static void
+state_engines_add(json_t *state, const json_t *other)
+{
+	json_t *engines = json_object_get(state, "en"), *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(other, "en"), i, item)
+	{
+		if (json_array_size(engines) < TBL_ENGINES_MAX)
+			json_array_append(engines, item);
+		else
+			json_array_set_new(engines, 0, json_string("*"));
+	}
+}
+
+/*
+ * A program that was closed since the recovery: engines that only the late
+ * export knows have to release it too.
+ */
+static json_t *
+merge_closed(const struct tbl_program *ours, const struct tbl_program *late)
+{
+	json_t *state = tbl_state(late), *other;
+
+	json_object_set_new(state, "x", json_true());
+	json_object_del(state, "m");
+	json_object_del(state, "in");
+	json_object_del(state, "l");
+	json_object_del(state, "n");
+	if (ours == NULL)
+		return (state);
+	other = tbl_state(ours);
+	state_engines_add(state, other);
+	json_decref(other);
+	return (state);
+}
+
 /*
  * Add to a program that has changed since the recovery what only the late
- * export knows: intents, spending, and that it was closed.
+ * export knows: intents, engines and spending.
  */
 static json_t *
 merge_changed(const struct tbl_program *ours, const struct tbl_program *late)
@@ -479,9 +518,11 @@
 		if (!g_hash_table_contains(ours->intents, key))
 			json_array_append(intents, item);
 	}
+	state_engines_add(state, other);
 	json_decref(other);
-	if (late->spent > ours->spent)
-		json_object_set_new(state, "s", json_integer(late->spent));
+	/* What both have spent, without counting the recovered state twice. */
+	json_object_set_new(state, "s",
+	    json_integer(late->spent + ours->spent - run_of(ours)->base_spent));
 	return (state);
 }
 
@@ -527,13 +568,19 @@
 
 	state_end_lost(late);
 	if (ours == NULL) {
-		if (g_hash_table_contains(shard->gone, late->id))
+		if (g_hash_table_contains(shard->gone, late->id)) {
+			if (late->engines->len > 0)
+				state_emit(shard, late->id,
+				    merge_closed(NULL, late), now);
 			return;
+		}
 		state_emit(shard, late->id, tbl_state(late), now);
 		merge_parent(shard, late);
 	} else if (!run_of(ours)->touched) {
 		state_emit(shard, late->id, tbl_state(late), now);
-	} else if (!ours->closed) {
+	} else if (ours->closed) {
+		state_emit(shard, late->id, merge_closed(ours, late), now);
+	} else {
 		state_emit(shard, late->id, merge_changed(ours, late), now);
 	}
 }
@@ -550,6 +597,7 @@
 		return;
 	shard->base_epoch = late->epoch;
 	shard->base_seq = late->seq;
+	shard->base_proof = MAX(shard->base_proof, late->proof);
 	g_hash_table_iter_init(&iter, late->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		merge_program(shard, value, now);
@@ -562,11 +610,14 @@
 	struct tbl *late;
 	enum tbl_result result;
 
-	if (shard == NULL || record->epoch >= shard->epoch ||
+	if (shard == NULL || record->epoch > shard->epoch ||
 	    record->datacentre != prg->options.datacentre)
 		return (false);
 	if (record->kind != PRG_HEAD && record->kind != PRG_STATE)
 		return (false);
+	/* The holder has this owner's own state already. */
+	if (record->epoch == shard->epoch)
+		return (true);
 	if (!shard->recovered) {
 		result = tbl_apply(shard->tbl, record);
 		return (result == TBL_OK || result == TBL_OLD);
@@ -589,6 +640,7 @@
 	GHashTableIter iter;
 	void *value;
 
+	emit(shard, PRG_PROVEN, "", json_object());
 	shard->unproven = false;
 	g_hash_table_remove_all(shard->gone);
 	tbl_free(shard->late);
@@ -619,9 +671,10 @@
 	shard->unproven = !proven;
 	shard->base_epoch = shard->tbl->epoch;
 	shard->base_seq = shard->tbl->seq;
+	shard->base_proof = shard->tbl->proof;
 	emit(shard, PRG_RECOVER, "",
-	    json_pack("{s:I,s:I}", "epoch", (json_int_t)shard->base_epoch,
-		"seq", (json_int_t)shard->base_seq));
+	    json_pack("{s:I,s:I,s:b}", "epoch", (json_int_t)shard->base_epoch,
+		"seq", (json_int_t)shard->base_seq, "proven", proven));
 	lost = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -635,11 +688,24 @@
 		end_lost(shard, g_ptr_array_index(lost, i));
 	g_ptr_array_unref(lost);
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		intents_date(value, now);
+		run_of(value)->base_spent =
+		    ((struct tbl_program *)value)->spent;
+	}
 	shard->acked = shard->base_seq;
 }
 
+uint64_t
+prg_state_epoch(const struct prg *prg, uint16_t number)
+{
+	const struct shard *shard = shard_find(prg, number);
+
+	if (shard == NULL)
+		return (0);
+	return (shard->recovered ? shard->base_proof : shard->tbl->proof);
+}
+
 /* Stopping. */
 
 static void
@@ -833,6 +899,9 @@
 	    strcmp(organisation, run->program->organisation) != 0)
 		return (vd_make(VD_NOT_RUN, VD_FORBIDDEN,
 		    "the program belongs to another organisation"));
+	if (run->program->implicit)
+		return (vd_make(VD_NOT_RUN, VD_BAD_REQUEST,
+		    "the record of a single call closes by its age"));
 	if (!run->program->closed && !run->closing)
 		run_close(run);
 	events_run(prg);
@@ -852,6 +921,7 @@
 create(struct shard *shard, clk_ms now, const char *id,
     const struct prg_new_program *program, bool implicit)
 {
+	struct run *run;
 	json_t *payload = json_pack("{s:s,s:s,s:I}", "o", program->organisation,
 	    "u", program->urgency != NULL ? program->urgency : "", "b",
 	    (json_int_t)program->budget);
@@ -861,7 +931,10 @@
 	if (implicit)
 		json_object_set_new(payload, "i", json_true());
 	emit(shard, PRG_CREATE, id, payload);
-	run_new(shard, tbl_find(shard->tbl, id), now)->touched = true;
+	run = run_new(shard, tbl_find(shard->tbl, id), now);
+	run->touched = true;
+	/* The id of an implicit program may have been in use before. */
+	run->unproven = implicit && shard->unproven;
 }
 
 static struct vd
@@ -1156,8 +1229,12 @@
 static bool
 unproven_refuses(const struct run *run, const struct prg_call *call)
 {
-	return (
-	    run->unproven && (call->kind == PRG_CALL_ONCE || call->turn == 0));
+	if (!run->unproven)
+		return (false);
+	if (call->kind == PRG_CALL_MODEL &&
+	    !run->shard->prg->options.unproven_spend)
+		return (true);
+	return (call->kind == PRG_CALL_ONCE || call->turn == 0);
 }
 
 static struct call *
@@ -1528,10 +1605,11 @@
 	if (program->closed || run->closing || run->current != NULL ||
 	    program->children > 0 || run->waiting.length > 0)
 		return (false);
-	if (program->limit > 0 && tbl_left(program) <= 0)
-		return (unused >= MIN(SPENT_GRACE, prg->options.idle));
-	if (!program->implicit)
+	if (!program->implicit) {
+		if (program->limit > 0 && tbl_left(program) <= 0)
+			return (unused >= MIN(SPENT_GRACE, prg->options.idle));
 		return (unused >= prg->options.idle);
+	}
 	/* An outcome that is unknown stays on record for good. */
 	g_hash_table_iter_init(&iter, program->intents);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/program/prg.h
+++ b/src/program/prg.h
@@ -88,7 +88,8 @@
 	PRG_FORGET, /* a stored reply was dropped because of its age */
 	PRG_RELEASED, /* an engine confirmed that it released the prefix */
 	PRG_HEAD, /* start of an export: number of state records */
-	PRG_STATE /* compact state of one program */
+	PRG_STATE, /* compact state of one program */
+	PRG_PROVEN /* the owner has recovered all there is to recover */
 };
 
 /*
@@ -102,7 +103,7 @@
 	uint64_t epoch;
 	uint64_t seq;
 	enum prg_kind kind;
-	char program[PRG_ID_SIZE]; /* "" for PRG_RECOVER and PRG_HEAD */
+	char program[PRG_ID_SIZE]; /* "" for a record of the whole shard */
 	const char *payload; /* compact JSON text */
 	size_t payload_len;
 };
@@ -161,6 +162,12 @@
 	clk_ms idle; /* 0: 30 min; close a program unused for so long */
 	clk_ms keep; /* 0: 24 h; age limit of stored replies */
 	clk_ms release_retry; /* 0: 2 s; doubles up to 32 times this */
+	/*
+	 * Run model calls of an unproven program if the caller states the
+	 * turn.  The budget may then be exceeded by what calls used that only
+	 * a lost owner and a lost holder knew; without it they are refused.
+	 */
+	bool unproven_spend;
 	uint32_t turn_limit; /* 0: PRG_TURN_LIMIT */
 };
 
@@ -178,13 +185,19 @@
  *	with the largest (epoch, seq) is kept, whole.  An export that arrives
  *	after prg_recovered(proven = false) and is newer than the one that was
  *	used is merged into programs that have changed since (unknown intents
- *	are added, spending takes the larger value) and replaces the others.
- * prg_recovered(prg, now, shard, proven)
- *	End the recovery: emit PRG_RECOVER, and an end record for each begin
- *	without one: a model call's reserve stays spent, a non-idempotent
- *	call's outcome is unknown for good.  proven: every holder of the last
- *	valid claim has answered, or the shard is new, or an operator accepts
- *	the loss.  May be called again with proven = true later.
+ *	are added, spending takes the larger value) and replaces the others. The
+ *daemon fetches from a holder before it sends an export to it
+ *(CPY_FETCH_FIRST). prg_recovered(prg, now, shard, proven) End the recovery:
+ *emit PRG_RECOVER, and an end record for each begin without one: a model call's
+ *reserve stays spent, a non-idempotent call's outcome is unknown for good.
+ *proven: the shard is new, or an operator accepts the loss, or every holder
+ *named by each valid claim from the epoch prg_state_epoch() on has answered.
+ *(The holders of the last claim alone are not enough: they may answer before
+ *its owner sent them anything.)  May be called again with proven = true later.
+ * prg_state_epoch(prg, shard)
+ *	The epoch of the last owner with a proven state from which the recovered
+ *	state comes; 0 for none.  It is replicated with the state, so that the
+ *	state of an unproven owner is not proven for its successors either.
  * RETURN VALUES
  *	prg_apply() returns false, and changes nothing, for a record that is
  *	malformed, out of place or of a shard that is not open.
@@ -192,6 +205,7 @@
 void prg_shard_open(struct prg *prg, uint16_t shard, uint64_t epoch);
 bool prg_apply(struct prg *prg, clk_ms now, const struct prg_record *record);
 void prg_recovered(struct prg *prg, clk_ms now, uint16_t shard, bool proven);
+uint64_t prg_state_epoch(const struct prg *prg, uint16_t shard);
 
 /*
  * prg_shard_close(prg, shard)
@@ -378,7 +392,9 @@
  *	progress may end, what is left of the budget goes back to the parent.
  *	If the owner is lost before that end, the program is open again at the
  *	next owner and closes when it has been idle.
- *	organisation nil: by an operator.  Returns vd_ok() or a refusal.
+ *	organisation nil: by an operator.  Returns vd_ok() or a refusal.  An
+ *	implicit program is refused: a repeat of its key would run again.  It
+ *	closes after options.keep without use, unless an outcome is unknown.
  */
 struct vd prg_close(
     struct prg *prg, clk_ms now, const char *organisation, const char *program);
--- a/src/program/rec.c
+++ b/src/program/rec.c
@@ -134,7 +134,7 @@
 
 	if (len < head || bytes[0] != RECORD_VERSION)
 		return (false);
-	if (bytes[1] < PRG_RECOVER || bytes[1] > PRG_STATE)
+	if (bytes[1] < PRG_RECOVER || bytes[1] > PRG_PROVEN)
 		return (false);
 	read.kind = (enum prg_kind)bytes[1];
 	read.datacentre = bytes[2];
@@ -147,7 +147,8 @@
 	    len != head + id_len + read.payload_len)
 		return (false);
 	memcpy(read.program, bytes + head, id_len);
-	if (read.kind == PRG_RECOVER || read.kind == PRG_HEAD) {
+	if (read.kind == PRG_RECOVER || read.kind == PRG_HEAD ||
+	    read.kind == PRG_PROVEN) {
 		if (id_len != 0)
 			return (false);
 	} else if (strlen(read.program) != id_len ||
--- a/src/program/tbl.c
+++ b/src/program/tbl.c
@@ -759,6 +759,7 @@
 	tbl->bytes = staged->bytes;
 	tbl->epoch = staged->epoch;
 	tbl->seq = staged->seq;
+	tbl->proof = staged->proof;
 	g_free(staged);
 }
 
@@ -772,10 +773,11 @@
 apply_head(
     struct tbl *tbl, const struct prg_record *record, const json_t *payload)
 {
-	int64_t count;
+	int64_t count, proof;
 
 	if (json_object_get(payload, "n") == NULL ||
-	    !get_int(payload, "n", INT32_MAX, &count))
+	    !get_int(payload, "n", INT32_MAX, &count) ||
+	    !get_int(payload, "p", INT64_MAX, &proof))
 		return (TBL_BAD);
 	if (!is_newer(tbl, record->epoch, record->seq))
 		return (TBL_OLD);
@@ -783,6 +785,7 @@
 	tbl->staged = tbl_new(tbl->datacentre, tbl->shard, NULL);
 	tbl->staged->epoch = record->epoch;
 	tbl->staged->seq = record->seq;
+	tbl->staged->proof = (uint64_t)proof;
 	tbl->missing = (uint64_t)count;
 	if (tbl->missing == 0)
 		staged_take(tbl);
@@ -822,6 +825,8 @@
 		return (TBL_GAP);
 	tbl->epoch = record->epoch;
 	tbl->seq = record->seq;
+	if (json_is_true(json_object_get(payload, "proven")))
+		tbl->proof = tbl->epoch;
 	return (TBL_OK);
 }
 
@@ -844,6 +849,9 @@
 		return (apply_released(tbl, record, payload));
 	case PRG_STATE:
 		return (apply_state(tbl, record, payload));
+	case PRG_PROVEN:
+		tbl->proof = tbl->epoch;
+		return (TBL_OK);
 	default:
 		return (TBL_BAD);
 	}
@@ -1002,8 +1010,8 @@
 	void *value;
 
 	export_add(tbl, records, PRG_HEAD, "",
-	    json_pack(
-		"{s:I}", "n", (json_int_t)g_hash_table_size(tbl->programs)));
+	    json_pack("{s:I,s:I}", "p", (json_int_t)tbl->proof, "n",
+		(json_int_t)g_hash_table_size(tbl->programs)));
 	g_hash_table_iter_init(&iter, tbl->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct tbl_program *program = value;
--- a/src/program/tbl.h
+++ b/src/program/tbl.h
@@ -64,6 +64,7 @@
 	uint16_t shard;
 	uint64_t epoch;
 	uint64_t seq;
+	uint64_t proof; /* epoch of the last owner with a proven state */
 	GHashTable *programs; /* id -> struct tbl_program */
 	size_t bytes;
 	struct tbl *staged; /* an export that is not complete yet */
--- /dev/null
+++ b/src/program/test_prg.c
@@ -0,0 +1,1205 @@
+/*
+ * Programs: unit cases, and random orders of events over three instances that
+ * own one shard in turn, with replicas that lag, get lost or are cut off,
+ * owners that die, pause or hand over, cut streams, lost replies, repeated
+ * keys and sub-agents.  What upstreams ran and what callers were told is
+ * counted apart from the module.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "program/cpy.h"
+#include "program/prg.h"
+
+#define DATACENTRE 3
+#define SHARDS	   64
+#define SHARD	   5
+#define INSTANCES  3
+#define PROGRAMS   12
+#define KEYS	   24
+#define CALLS	   96
+#define EPOCHS	   64
+#define TURNS	   64
+
+/* Faults of the driver that each remove one protection. */
+enum variant {
+	PROTECTED,
+	NO_BEGIN_WAIT, /* an upstream is called before begin is acknowledged */
+	NO_END_WAIT, /* the caller is told before end is acknowledged */
+	ALWAYS_PROVEN, /* a state counts as proven whoever answered */
+	LAST_CLAIM_ONLY, /* only the last claim's holders have to answer */
+	NO_FETCH, /* an export overwrites a state that was not fetched */
+	CUT_IS_NOT_RUN /* a cut call is reported as not run */
+};
+
+enum phase { FREE, QUEUED, JOINED, BEGINNING, RUNNING, ENDING };
+
+/* What the reference knows of a program. */
+struct ref_program {
+	char id[PRG_ID_SIZE];
+	int parent; /* or -1 */
+	bool implicit;
+	bool known; /* the caller has the id */
+	int64_t limit;
+	int64_t used; /* by upstreams, with sub-agents */
+	unsigned answered[TURNS]; /* uids of model turns told to the caller */
+	unsigned answered_count;
+	uint32_t last_turn; /* the last turn that the caller was told of */
+	unsigned last_uid; /* last one sent in last_epoch */
+	uint64_t last_epoch;
+	bool engine;
+	bool released;
+};
+
+struct ref_key {
+	enum prg_call_kind kind;
+	int program;
+	unsigned sends;
+	unsigned possible; /* sends not reported as not run */
+};
+
+struct ref_call {
+	enum phase phase;
+	unsigned uid;
+	int instance;
+	prg_handle handle;
+	int program;
+	int key; /* or -1 */
+	enum prg_call_kind kind;
+	bool sent;
+	int64_t reserve;
+	struct vd vd; /* as reported to prg_finish() */
+};
+
+struct link {
+	bool connected;
+	guint next; /* record to deliver */
+	uint64_t acked;
+};
+
+struct instance {
+	struct sim *sim;
+	int number;
+	uint64_t session;
+	struct prg *prg;
+	struct cpy *cpy;
+	bool paused;
+	uint64_t epoch; /* of its ownership; 0: none */
+	GPtrArray *log; /* records of this epoch */
+	struct link links[INSTANCES];
+};
+
+struct sim {
+	GRand *rand;
+	enum variant variant;
+	clk_ms now;
+	struct instance instances[INSTANCES];
+	int owner;
+	uint64_t epoch;
+	bool proven;
+	uint64_t answered[INSTANCES]; /* sessions that the owner fetched from */
+	/* Sessions of the holders that each claim names. */
+	uint64_t claims[EPOCHS][INSTANCES];
+	uint64_t sessions;
+	struct ref_program programs[PROGRAMS];
+	int program_count;
+	struct ref_key keys[KEYS];
+	int key_count;
+	struct ref_call calls[CALLS];
+	unsigned uid;
+	bool uid_ran[4096]; /* finished with VD_RAN */
+	int uid_key[4096];
+	bool final; /* all events are answered well from now on */
+	unsigned violations;
+	unsigned sends;
+	unsigned takeovers;
+	unsigned unproven;
+	const char *first;
+};
+
+static void
+violation(struct sim *sim, const char *what)
+{
+	sim->violations++;
+	if (sim->first == NULL)
+		sim->first = what;
+}
+
+#define CHECK(sim, condition) \
+	do { \
+		if (!(condition)) \
+			violation(sim, #condition); \
+	} while (0)
+
+static int
+chance(struct sim *sim, int percent)
+{
+	return (g_rand_int_range(sim->rand, 0, 100) < percent);
+}
+
+static int
+below(struct sim *sim, int bound)
+{
+	return (g_rand_int_range(sim->rand, 0, bound));
+}
+
+static struct ref_call *
+call_find(struct sim *sim, int instance, prg_handle handle)
+{
+	for (int i = 0; i < CALLS; i++) {
+		struct ref_call *call = &sim->calls[i];
+
+		if (call->phase != FREE && call->instance == instance &&
+		    call->handle == handle)
+			return (call);
+	}
+	return (NULL);
+}
+
+/* The caller of a call gets its answer. */
+static void
+call_answered(
+    struct sim *sim, struct ref_call *call, const struct prg_answer *answer)
+{
+	struct ref_program *program = &sim->programs[call->program];
+	const struct ref_key *key =
+	    call->key >= 0 ? &sim->keys[call->key] : NULL;
+
+	call->phase = FREE;
+	if (answer->vd.ran == VD_NOT_RUN) {
+		CHECK(sim, !call->sent || call->vd.ran == VD_NOT_RUN);
+		if (key != NULL && key->kind == PRG_CALL_ONCE &&
+		    answer->vd.code != VD_NOT_OWNER &&
+		    answer->vd.code != VD_KEY_REUSED)
+			CHECK(sim, key->possible == 0);
+	}
+	if (!vd_is_ok(&answer->vd))
+		return;
+	if (answer->reply_len > 1 && answer->reply[0] == 'R') {
+		char *reply = g_strndup(answer->reply, answer->reply_len);
+		unsigned uid = (unsigned)atoi(reply + 1);
+
+		CHECK(sim, key != NULL && sim->uid_key[uid] == call->key);
+		CHECK(sim, sim->uid_ran[uid]);
+		g_free(reply);
+	}
+	if (answer->turn > program->last_turn)
+		program->last_turn = answer->turn;
+}
+
+static void
+on_record(const struct prg_record *record, void *arg)
+{
+	struct instance *instance = arg;
+
+	prg_records_add(instance->log, record);
+}
+
+static void
+on_start(prg_handle handle, void *arg)
+{
+	struct instance *instance = arg;
+	struct ref_call *call =
+	    call_find(instance->sim, instance->number, handle);
+
+	g_assert_nonnull(call);
+	/* A joined call starts if the one before it was cancelled. */
+	g_assert_true(call->phase == QUEUED || call->phase == JOINED);
+	call->phase = BEGINNING;
+}
+
+static void
+on_answer(prg_handle handle, const struct prg_answer *answer, void *arg)
+{
+	struct instance *instance = arg;
+	struct ref_call *call =
+	    call_find(instance->sim, instance->number, handle);
+
+	g_assert_nonnull(call);
+	call_answered(instance->sim, call, answer);
+}
+
+static void
+on_release(const char *program, const char *engine, void *arg)
+{
+	struct instance *instance = arg;
+	struct sim *sim = instance->sim;
+
+	(void)engine;
+	for (int i = 0; i < sim->program_count; i++) {
+		if (strcmp(sim->programs[i].id, program) == 0)
+			sim->programs[i].released = true;
+	}
+}
+
+static void
+on_random(void *buf, size_t len, void *arg)
+{
+	struct instance *instance = arg;
+	uint8_t *bytes = buf;
+
+	for (size_t i = 0; i < len; i++)
+		bytes[i] = (uint8_t)below(instance->sim, 256);
+}
+
+static void
+instance_start(struct instance *instance)
+{
+	struct prg_options options = {.datacentre = DATACENTRE};
+	struct prg_hooks hooks = {.on_record = on_record,
+	    .on_start = on_start,
+	    .on_answer = on_answer,
+	    .on_release = on_release,
+	    .random = on_random,
+	    .arg = instance};
+
+	instance->session = ++instance->sim->sessions;
+	instance->prg = prg_new(&options, &hooks);
+	instance->cpy = cpy_new();
+	instance->log = prg_records_new();
+	instance->epoch = 0;
+	instance->paused = false;
+}
+
+static void
+instance_stop(struct instance *instance)
+{
+	prg_free(instance->prg);
+	cpy_free(instance->cpy);
+	g_ptr_array_unref(instance->log);
+}
+
+/* An upstream has used tokens for a call. */
+static void
+upstream_used(struct sim *sim, int program, int64_t tokens)
+{
+	for (; program >= 0; program = sim->programs[program].parent) {
+		struct ref_program *ref = &sim->programs[program];
+
+		ref->used += tokens;
+		CHECK(sim, ref->limit == 0 || ref->used <= ref->limit);
+	}
+}
+
+/* The caller's instance is gone: the upstream may run the call to its end. */
+static void
+call_lost(struct sim *sim, struct ref_call *call)
+{
+	sim->programs[call->program].engine |=
+	    call->phase == RUNNING && call->kind == PRG_CALL_MODEL;
+	if (call->phase == RUNNING && call->kind == PRG_CALL_MODEL)
+		upstream_used(sim, call->program,
+		    g_rand_int_range(sim->rand, 0, (gint32)call->reserve + 1));
+	call->phase = FREE;
+}
+
+static void
+calls_lost(struct sim *sim, int instance)
+{
+	for (int i = 0; i < CALLS; i++) {
+		if (sim->calls[i].phase != FREE &&
+		    sim->calls[i].instance == instance)
+			call_lost(sim, &sim->calls[i]);
+	}
+}
+
+/*
+ * The messages sent to an engine must be those of the program's committed
+ * turns in order, with all turns that the caller was told of.
+ */
+static void
+messages_check(
+    struct sim *sim, const struct ref_call *call, const json_t *messages)
+{
+	const struct ref_program *program = &sim->programs[call->program];
+	size_t size = json_array_size(messages);
+	unsigned told = 0, last = 0;
+
+	CHECK(sim, size % 2 == 1);
+	for (size_t i = 0; i < size; i++) {
+		const char *text = json_string_value(
+		    json_object_get(json_array_get(messages, i), "content"));
+		unsigned owner, uid;
+
+		g_assert_nonnull(text);
+		g_assert_cmpint(
+		    sscanf(text + 1, "%u U%u", &owner, &uid), ==, 2);
+		CHECK(sim, (int)owner == call->program);
+		CHECK(sim, text[0] == (i % 2 == 0 ? 'P' : 'A'));
+		if (i + 1 == size) {
+			CHECK(sim, uid == call->uid);
+		} else if (i % 2 == 0) {
+			CHECK(sim, uid > last);
+			CHECK(sim, sim->uid_ran[uid]);
+			last = uid;
+			if (told < program->answered_count &&
+			    program->answered[told] == uid)
+				told++;
+		} else {
+			CHECK(sim, uid == last);
+		}
+	}
+	CHECK(sim, told == program->answered_count);
+}
+
+static void
+upstream_send(struct sim *sim, struct instance *instance, struct ref_call *call)
+{
+	struct ref_program *program = &sim->programs[call->program];
+	struct prg_call_info info;
+	json_t *messages;
+
+	g_assert_true(prg_call_get(instance->prg, call->handle, &info));
+	sim->sends++;
+	call->phase = RUNNING;
+	call->sent = true;
+	call->reserve = info.reserve;
+	for (int i = 0; i < CALLS; i++) {
+		const struct ref_call *other = &sim->calls[i];
+
+		CHECK(sim,
+		    other == call || other->phase != RUNNING ||
+			other->instance != call->instance ||
+			other->program != call->program);
+	}
+	CHECK(sim,
+	    program->last_epoch != info.epoch || program->last_uid < call->uid);
+	program->last_epoch = info.epoch;
+	program->last_uid = call->uid;
+	if (call->key >= 0) {
+		struct ref_key *key = &sim->keys[call->key];
+
+		key->sends++;
+		key->possible++;
+		if (key->kind == PRG_CALL_ONCE)
+			CHECK(sim, key->possible == 1);
+	}
+	if (call->kind != PRG_CALL_MODEL)
+		return;
+	messages = prg_messages(instance->prg, call->handle);
+	messages_check(sim, call, messages);
+	json_decref(messages);
+}
+
+/*
+ * Whether the daemon may count records up to seq as acknowledged: by every
+ * holder in the map that is connected, and by at least one.
+ */
+static bool
+is_acked(const struct instance *instance, uint64_t seq)
+{
+	const struct sim *sim = instance->sim;
+	unsigned holders = 0;
+
+	for (int i = 0; i < INSTANCES; i++) {
+		const struct link *link = &instance->links[i];
+
+		if (i == instance->number || !link->connected ||
+		    sim->claims[instance->epoch][i] !=
+			sim->instances[i].session)
+			continue;
+		if (link->acked < seq)
+			return (false);
+		holders++;
+	}
+	return (holders > 0);
+}
+
+static uint64_t
+call_seq(const struct instance *instance, const struct ref_call *call)
+{
+	struct prg_call_info info;
+
+	g_assert_true(prg_call_get(instance->prg, call->handle, &info));
+	return (info.seq);
+}
+
+static void
+call_finish(struct sim *sim, struct instance *instance, struct ref_call *call)
+{
+	struct prg_result result = {.vd = vd_ok(),
+	    .engine = "e1",
+	    .status = 200,
+	    .content_type = "text/plain"};
+	char reply[32], text[48];
+	int64_t used = 0;
+	int outcome = sim->final ? 0 : below(sim, 10);
+
+	if (call->kind == PRG_CALL_MODEL)
+		used =
+		    g_rand_int_range(sim->rand, 0, (gint32)call->reserve + 1);
+	result.tokens = used;
+	result.context_tokens = 5;
+	(void)g_snprintf(reply, sizeof(reply), "R%u", call->uid);
+	(void)g_snprintf(
+	    text, sizeof(text), "A%d U%u", call->program, call->uid);
+	if (outcome == 0) {
+		/* The connection was refused. */
+		result.vd = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM, "refused");
+		used = 0;
+		if (call->key >= 0)
+			sim->keys[call->key].possible--;
+		call->vd = result.vd;
+	} else if (outcome <= 3) {
+		/* The stream was cut, or the reply lost. */
+		result.vd = vd_make(VD_MAYBE, VD_UPSTREAM_FAILED, "cut");
+		if (chance(sim, 50))
+			result.tokens = -1;
+		if (sim->variant == CUT_IS_NOT_RUN)
+			result.vd.ran = VD_NOT_RUN;
+	} else {
+		result.reply = reply;
+		result.reply_len = strlen(reply);
+		if (call->kind == PRG_CALL_MODEL)
+			result.messages = json_pack("[{s:s,s:s}]", "role",
+			    "assistant", "content", text);
+		sim->uid_ran[call->uid] = true;
+	}
+	sim->programs[call->program].engine |=
+	    call->kind == PRG_CALL_MODEL && outcome != 0;
+	upstream_used(sim, call->program, used);
+	call->vd = result.vd;
+	g_assert_true(
+	    prg_finish(instance->prg, sim->now, call->handle, &result));
+	json_decref(result.messages);
+	call->phase = ENDING;
+}
+
+static void
+call_end(struct sim *sim, struct instance *instance, struct ref_call *call,
+    bool acked)
+{
+	struct ref_program *program = &sim->programs[call->program];
+	struct prg_answer answer = {.vd = call->vd, .content_type = ""};
+	struct prg_call_info info;
+	prg_handle handle = call->handle;
+
+	g_assert_true(prg_call_get(instance->prg, handle, &info));
+	if (acked && vd_is_ok(&call->vd)) {
+		answer.turn = info.turn;
+		if (call->kind == PRG_CALL_MODEL &&
+		    program->answered_count < TURNS)
+			program->answered[program->answered_count++] =
+			    call->uid;
+	} else if (!acked) {
+		answer.vd.code = VD_COPIES_UNAVAILABLE;
+		if (answer.vd.ran != VD_NOT_RUN)
+			answer.vd.ran = VD_MAYBE;
+	}
+	call_answered(sim, call, &answer);
+	prg_ended(instance->prg, sim->now, handle, acked);
+}
+
+static void
+call_advance(struct sim *sim, struct instance *instance, struct ref_call *call)
+{
+	struct prg_answer answer = {.content_type = ""};
+	prg_handle handle = call->handle;
+	bool acked, late = !sim->final && chance(sim, 5);
+
+	switch (call->phase) {
+	case QUEUED:
+	case JOINED:
+		if (!sim->final && chance(sim, 5) &&
+		    prg_cancel(instance->prg, handle))
+			call->phase = FREE;
+		return;
+	case BEGINNING:
+		acked = is_acked(instance, call_seq(instance, call)) ||
+		    sim->variant == NO_BEGIN_WAIT;
+		if (!acked && !late)
+			return;
+		answer.vd = prg_begun(instance->prg, sim->now, handle, acked);
+		if (vd_is_ok(&answer.vd))
+			upstream_send(sim, instance, call);
+		else
+			call_answered(sim, call, &answer);
+		return;
+	case RUNNING:
+		if (chance(sim, 60))
+			call_finish(sim, instance, call);
+		return;
+	case ENDING:
+		acked = is_acked(instance, call_seq(instance, call)) ||
+		    sim->variant == NO_END_WAIT;
+		if (acked || late)
+			call_end(sim, instance, call, acked);
+		return;
+	default:
+		return;
+	}
+}
+
+/* Everybody whom the claims from the epoch of the state on name. */
+static bool
+state_is_proven(const struct sim *sim, const struct instance *owner)
+{
+	uint64_t from = prg_state_epoch(owner->prg, SHARD);
+
+	if (sim->variant == ALWAYS_PROVEN)
+		return (true);
+	if (sim->variant == LAST_CLAIM_ONLY && owner->epoch > 0)
+		from = owner->epoch - 1;
+	for (uint64_t epoch = MAX(from, 1); epoch < owner->epoch; epoch++) {
+		for (int i = 0; i < INSTANCES; i++) {
+			uint64_t session = sim->claims[epoch][i];
+
+			if (session != 0 && sim->answered[i] != session)
+				return (false);
+		}
+	}
+	return (true);
+}
+
+static bool
+fetch(struct sim *sim, struct instance *owner, int number)
+{
+	struct instance *holder = &sim->instances[number];
+	GPtrArray *records;
+
+	if (holder->paused ||
+	    !cpy_fetch(holder->cpy, DATACENTRE, SHARD, owner->epoch, &records))
+		return (false);
+	for (guint i = 0; i < records->len; i++)
+		g_assert_true(prg_apply(
+		    owner->prg, sim->now, g_ptr_array_index(records, i)));
+	g_ptr_array_unref(records);
+	sim->answered[number] = holder->session;
+	return (true);
+}
+
+/* Deliver some records of an owner to one holder. */
+static void
+link_deliver(struct sim *sim, struct instance *from, int number)
+{
+	struct link *link = &from->links[number];
+	struct instance *to = &sim->instances[number];
+	GPtrArray *records;
+	struct cpy_result result;
+	guint until;
+
+	if (number == from->number || !link->connected || to->paused)
+		return;
+	if (!sim->final && link->next > 0 && chance(sim, 5))
+		link->next--; /* a duplicate */
+	if (!sim->final && link->next < from->log->len && chance(sim, 3))
+		link->next++; /* a lost record */
+	/* What is not acknowledged after the last record is sent again. */
+	if (link->next == from->log->len &&
+	    link->acked < prg_shard_seq(from->prg, SHARD))
+		link->next = 0;
+	until = link->next + 1 + (guint)below(sim, 4);
+	if (sim->final || until > from->log->len)
+		until = from->log->len;
+	records = g_ptr_array_new();
+	for (guint i = link->next; i < until; i++)
+		g_ptr_array_add(records, g_ptr_array_index(from->log, i));
+	result = cpy_put(to->cpy, DATACENTRE, SHARD, from->epoch, records);
+	g_ptr_array_unref(records);
+	if (result.outcome == CPY_GAP) {
+		records = prg_export(from->prg, SHARD);
+		result =
+		    cpy_put(to->cpy, DATACENTRE, SHARD, from->epoch, records);
+		g_ptr_array_unref(records);
+		until = from->log->len;
+	}
+	if (result.outcome == CPY_FETCH_FIRST) {
+		if (sim->variant != NO_FETCH)
+			(void)fetch(sim, from, number);
+		else
+			cpy_drop(to->cpy, DATACENTRE, SHARD);
+		records = prg_export(from->prg, SHARD);
+		result =
+		    cpy_put(to->cpy, DATACENTRE, SHARD, from->epoch, records);
+		g_ptr_array_unref(records);
+		until = from->log->len;
+	}
+	if (result.outcome == CPY_FETCH_FIRST || result.outcome == CPY_GAP)
+		return;
+	if (result.outcome == CPY_REFUSED) {
+		link->connected = false;
+		return;
+	}
+	g_assert_cmpint(result.outcome, ==, CPY_ACCEPTED);
+	link->next = until;
+	if (result.epoch == from->epoch && (sim->final || !chance(sim, 10)))
+		link->acked = MAX(link->acked, result.seq);
+}
+
+static void
+own(struct sim *sim, struct instance *owner)
+{
+	memset(sim->answered, 0, sizeof(sim->answered));
+	sim->owner = owner->number;
+	owner->epoch = ++sim->epoch;
+	g_ptr_array_set_size(owner->log, 0);
+	for (int i = 0; i < INSTANCES; i++) {
+		owner->links[i] =
+		    (struct link){.connected = !sim->instances[i].paused &&
+			    (sim->final || chance(sim, 85))};
+		/* A claim names holders whether they can be reached or not. */
+		sim->claims[owner->epoch][i] =
+		    i != owner->number ? sim->instances[i].session : 0;
+	}
+	prg_shard_open(owner->prg, SHARD, owner->epoch);
+}
+
+static void
+takeover(struct sim *sim, struct instance *owner)
+{
+	sim->takeovers++;
+	own(sim, owner);
+	for (int i = 0; i < INSTANCES; i++) {
+		if (i == owner->number || sim->final || chance(sim, 85))
+			(void)fetch(sim, owner, i);
+	}
+	sim->proven = state_is_proven(sim, owner);
+	sim->unproven += !sim->proven;
+	prg_recovered(owner->prg, sim->now, SHARD, sim->proven);
+}
+
+/* The owner gives the shard up to another instance. */
+static void
+handover(struct sim *sim, struct instance *from)
+{
+	struct instance *to =
+	    &sim->instances[(from->number + 1 + below(sim, 2)) % INSTANCES];
+	GPtrArray *records;
+
+	if (to->paused)
+		return;
+	prg_shard_drain(from->prg, SHARD);
+	if (prg_shard_busy(from->prg, SHARD) > 0)
+		return;
+	records = prg_export(from->prg, SHARD);
+	prg_shard_close(from->prg, SHARD);
+	from->epoch = 0;
+	own(sim, to);
+	for (guint i = 0; i < records->len; i++)
+		g_assert_true(prg_apply(
+		    to->prg, sim->now, g_ptr_array_index(records, i)));
+	g_ptr_array_unref(records);
+	prg_recovered(to->prg, sim->now, SHARD, sim->proven);
+}
+
+static void
+owner_fail(struct sim *sim)
+{
+	struct instance *owner = &sim->instances[sim->owner];
+	struct instance *next =
+	    &sim->instances[(sim->owner + 1 + below(sim, 2)) % INSTANCES];
+
+	if (next->paused || sim->epoch + 2 >= EPOCHS)
+		return;
+	if (chance(sim, 50)) {
+		/* It dies; its successor in place is a new session. */
+		calls_lost(sim, owner->number);
+		instance_stop(owner);
+		instance_start(owner);
+	} else {
+		owner->paused = true;
+	}
+	takeover(sim, next);
+}
+
+/* A paused instance finds its horizon in the past before anything else. */
+static void
+instance_wake(struct sim *sim, struct instance *instance)
+{
+	instance->paused = false;
+	if (instance->epoch == 0 || instance->number == sim->owner)
+		return;
+	/* Calls at upstreams end there; the daemon drops their answers. */
+	for (int i = 0; i < CALLS; i++) {
+		struct ref_call *call = &sim->calls[i];
+
+		if (call->phase == RUNNING &&
+		    call->instance == instance->number)
+			upstream_used(sim, call->program, call->reserve / 2);
+	}
+	prg_shard_close(instance->prg, SHARD);
+	instance->epoch = 0;
+	for (int i = 0; i < CALLS; i++)
+		g_assert_true(sim->calls[i].phase == FREE ||
+		    sim->calls[i].instance != instance->number);
+}
+
+static void
+holder_fail(struct sim *sim)
+{
+	struct instance *holder =
+	    &sim->instances[(sim->owner + 1 + below(sim, 2)) % INSTANCES];
+
+	if (holder->epoch != 0)
+		return;
+	instance_stop(holder);
+	instance_start(holder);
+	sim->instances[sim->owner].links[holder->number].connected = false;
+}
+
+/* The owner names the holders that are up to date, by a record in the log. */
+static void
+holders_rename(struct sim *sim, const struct instance *owner)
+{
+	uint64_t named[INSTANCES] = {0};
+	unsigned count = 0;
+
+	for (int i = 0; i < INSTANCES; i++) {
+		const struct link *link = &owner->links[i];
+
+		if (i == owner->number || !link->connected ||
+		    link->acked < prg_shard_seq(owner->prg, SHARD))
+			continue;
+		named[i] = sim->instances[i].session;
+		count++;
+	}
+	if (count > 0)
+		memcpy(sim->claims[sim->epoch], named, sizeof(named));
+}
+
+static void
+link_change(struct sim *sim, struct instance *owner)
+{
+	int number = (owner->number + 1 + below(sim, 2)) % INSTANCES;
+	struct link *link = &owner->links[number];
+
+	if (sim->instances[number].paused)
+		link->connected = false;
+	else
+		link->connected = !link->connected;
+}
+
+/* Holders that did not answer answer now. */
+static void
+late_answers(struct sim *sim, struct instance *owner)
+{
+	for (int i = 0; i < INSTANCES; i++) {
+		if (sim->answered[i] != sim->instances[i].session)
+			(void)fetch(sim, owner, i);
+	}
+	if (sim->proven || !state_is_proven(sim, owner))
+		return;
+	sim->proven = true;
+	prg_recovered(owner->prg, sim->now, SHARD, true);
+}
+
+static void
+program_add(struct sim *sim, struct instance *owner)
+{
+	struct ref_program *ref = &sim->programs[sim->program_count];
+	struct prg_new_program program = {.organisation = "pinhao",
+	    .urgency = "urgent",
+	    .shard = SHARD,
+	    .budget = g_rand_int_range(sim->rand, 20, 600)};
+	int parent = -1;
+	struct vd vd;
+
+	if (sim->program_count == PROGRAMS)
+		return;
+	if (sim->program_count > 0 && chance(sim, 50)) {
+		parent = below(sim, sim->program_count);
+		program.parent = sim->programs[parent].id;
+		program.budget = g_rand_int_range(sim->rand, 10, 200);
+	}
+	vd = prg_create(owner->prg, sim->now, &program, ref->id);
+	if (!vd_is_ok(&vd)) {
+		CHECK(sim, vd.ran == VD_NOT_RUN);
+		return;
+	}
+	ref->parent = parent;
+	ref->limit = program.budget;
+	sim->program_count++;
+}
+
+static int
+key_choose(struct sim *sim, int program, enum prg_call_kind kind)
+{
+	struct ref_key *key;
+
+	if (kind == PRG_CALL_MODEL && chance(sim, 60))
+		return (-1);
+	if (chance(sim, 60)) {
+		for (int i = below(sim, KEYS); i < sim->key_count; i++) {
+			if (sim->keys[i].program == program &&
+			    sim->keys[i].kind == kind)
+				return (i);
+		}
+	}
+	if (sim->key_count == KEYS)
+		return (-1);
+	key = &sim->keys[sim->key_count];
+	key->kind = kind;
+	key->program = program;
+	return (sim->key_count++);
+}
+
+static int
+implicit_program(struct sim *sim, int key)
+{
+	struct ref_program *ref;
+	struct prg_id id;
+	char name[16];
+
+	if (sim->keys[key].program >= 0)
+		return (sim->keys[key].program);
+	if (sim->program_count == PROGRAMS)
+		return (-1);
+	ref = &sim->programs[sim->program_count];
+	(void)g_snprintf(name, sizeof(name), "k%d", key);
+	prg_id_derive(DATACENTRE, SHARDS, "pinhao", name, &id);
+	id.shard = SHARD;
+	prg_id_format(&id, ref->id);
+	ref->parent = -1;
+	ref->implicit = true;
+	sim->keys[key].program = sim->program_count;
+	return (sim->program_count++);
+}
+
+static struct ref_call *
+call_slot(struct sim *sim)
+{
+	for (int i = 0; i < CALLS; i++) {
+		if (sim->calls[i].phase == FREE)
+			return (&sim->calls[i]);
+	}
+	return (NULL);
+}
+
+static bool
+program_is_busy(const struct sim *sim, int program)
+{
+	for (int i = 0; i < CALLS; i++) {
+		if (sim->calls[i].phase != FREE &&
+		    sim->calls[i].program == program)
+			return (true);
+	}
+	return (false);
+}
+
+/* A joined call has the messages of the call that came first. */
+static unsigned
+joined_uid(const struct sim *sim, const struct ref_call *call)
+{
+	for (int i = 0; i < CALLS; i++) {
+		const struct ref_call *other = &sim->calls[i];
+
+		if (other != call && other->phase != FREE &&
+		    other->key == call->key &&
+		    other->instance == call->instance)
+			return (other->uid);
+	}
+	g_assert_not_reached();
+}
+
+static void
+call_submit(struct sim *sim, struct instance *owner)
+{
+	struct ref_call *ref = call_slot(sim);
+	struct prg_call call = {.organisation = "pinhao"};
+	struct prg_answer answer;
+	char name[16], text[48];
+	enum prg_outcome outcome;
+	bool reused = false;
+
+	if (ref == NULL || sim->uid + 1 >= G_N_ELEMENTS(sim->uid_ran))
+		return;
+	call.kind = (enum prg_call_kind)below(sim, 3);
+	*ref = (struct ref_call){.kind = call.kind};
+	if (call.kind == PRG_CALL_ONCE && chance(sim, 30)) {
+		call.implicit = true;
+		ref->key = key_choose(sim, -1, call.kind);
+		if (ref->key < 0)
+			return;
+		ref->program = implicit_program(sim, ref->key);
+		if (ref->program < 0) {
+			sim->key_count--;
+			return;
+		}
+	} else {
+		if (sim->program_count == 0)
+			return;
+		ref->program = below(sim, sim->program_count);
+		call.implicit = sim->programs[ref->program].implicit;
+		ref->key = key_choose(sim, ref->program, call.kind);
+		if (call.implicit && ref->key < 0)
+			return;
+	}
+	if (call.kind == PRG_CALL_ONCE && ref->key < 0)
+		return;
+	ref->uid = ++sim->uid;
+	sim->uid_key[ref->uid] = ref->key;
+	call.program = sim->programs[ref->program].id;
+	if (ref->key >= 0) {
+		(void)g_snprintf(name, sizeof(name), "k%d", ref->key);
+		call.key = name;
+		call.digest[0] = (uint8_t)ref->key;
+		if (chance(sim, 3)) {
+			call.digest[1] = 1;
+			reused = true;
+		}
+	}
+	if (!program_is_busy(sim, ref->program) && chance(sim, 60))
+		call.turn = sim->programs[ref->program].last_turn + 1;
+	if (call.kind == PRG_CALL_MODEL) {
+		call.prompt_tokens = below(sim, 20);
+		call.answer_tokens = below(sim, 40);
+		(void)g_snprintf(
+		    text, sizeof(text), "P%d U%u", ref->program, ref->uid);
+		call.messages =
+		    json_pack("[{s:s,s:s}]", "role", "user", "content", text);
+	}
+	if (reused && ref->key >= 0 && sim->keys[ref->key].sends == 0) {
+		/* Not used before: the first body counts. */
+		json_decref(call.messages);
+		return;
+	}
+	ref->instance = owner->number;
+	outcome =
+	    prg_submit(owner->prg, sim->now, &call, &ref->handle, &answer);
+	json_decref(call.messages);
+	switch (outcome) {
+	case PRG_START:
+		CHECK(sim,
+		    !reused || call.kind != PRG_CALL_ONCE ||
+			sim->keys[ref->key].possible == 0);
+		ref->phase = BEGINNING;
+		break;
+	case PRG_QUEUED:
+		ref->phase = QUEUED;
+		break;
+	case PRG_JOIN:
+		ref->phase = JOINED;
+		ref->uid = joined_uid(sim, ref);
+		break;
+	default:
+		call_answered(sim, ref, &answer);
+	}
+}
+
+static void
+step(struct sim *sim)
+{
+	struct instance *owner = &sim->instances[sim->owner];
+	int event = below(sim, 100);
+
+	sim->now += below(sim, 300);
+	if (event < 30) {
+		if (!owner->paused)
+			call_submit(sim, owner);
+	} else if (event < 80) {
+		if (owner->paused)
+			return;
+		link_deliver(sim, owner, below(sim, INSTANCES));
+		for (int i = 0; i < CALLS; i++) {
+			if (sim->calls[i].phase != FREE &&
+			    sim->calls[i].instance == owner->number)
+				call_advance(sim, owner, &sim->calls[i]);
+		}
+	} else if (event < 85) {
+		program_add(sim, owner);
+	} else if (event < 88) {
+		if (sim->program_count > 0 && chance(sim, 30))
+			(void)prg_close(owner->prg, sim->now, NULL,
+			    sim->programs[below(sim, sim->program_count)].id);
+		if (chance(sim, 20))
+			sim->now += below(sim, 40) * CLK_MINUTE;
+		prg_tick(owner->prg, sim->now);
+	} else if (event < 91) {
+		link_change(sim, owner);
+	} else if (event < 94) {
+		owner_fail(sim);
+	} else if (event < 95) {
+		handover(sim, owner);
+	} else if (event < 96) {
+		holder_fail(sim);
+	} else if (event < 98) {
+		holders_rename(sim, owner);
+	} else if (event < 99) {
+		late_answers(sim, owner);
+	} else {
+		for (int i = 0; i < INSTANCES; i++)
+			instance_wake(sim, &sim->instances[i]);
+	}
+}
+
+/* Let everything end well; then close all and wait for the releases. */
+static void
+finish(struct sim *sim)
+{
+	struct instance *owner;
+	struct prg_counts counts;
+	unsigned implicit = 0;
+
+	sim->final = true;
+	for (int i = 0; i < INSTANCES; i++)
+		instance_wake(sim, &sim->instances[i]);
+	owner = &sim->instances[sim->owner];
+	if (!sim->proven)
+		late_answers(sim, owner);
+	for (int round = 0; round < 200; round++) {
+		bool busy = false;
+
+		for (int i = 0; i < INSTANCES; i++) {
+			owner->links[i].connected = true;
+			link_deliver(sim, owner, i);
+		}
+		holders_rename(sim, owner);
+		for (int i = 0; i < CALLS; i++) {
+			if (sim->calls[i].phase == FREE)
+				continue;
+			busy = true;
+			call_advance(sim, owner, &sim->calls[i]);
+		}
+		if (!busy)
+			break;
+	}
+	prg_count(owner->prg, &counts);
+	CHECK(sim, counts.queued == 0 && counts.in_progress == 0);
+	for (int i = 0; i < sim->program_count; i++)
+		(void)prg_close(
+		    owner->prg, sim->now, NULL, sim->programs[i].id);
+	for (int i = 0; i < sim->program_count; i++) {
+		if (sim->programs[i].implicit)
+			implicit++;
+	}
+	for (int round = 0; round < 3; round++) {
+		sim->now += CLK_MINUTE;
+		prg_tick(owner->prg, sim->now);
+		for (int i = 0; i < sim->program_count; i++) {
+			if (round > 0 || chance(sim, 50)) {
+				prg_released(
+				    owner->prg, sim->programs[i].id, "e1");
+				prg_released(
+				    owner->prg, sim->programs[i].id, "*");
+			}
+		}
+	}
+	prg_count(owner->prg, &counts);
+	/* Implicit programs stay: a repeat of their keys must be known. */
+	CHECK(sim, counts.programs <= implicit && counts.releases == 0);
+	for (int i = 0; i < sim->program_count && sim->proven; i++)
+		CHECK(
+		    sim, !sim->programs[i].engine || sim->programs[i].released);
+	for (int i = 0; i < INSTANCES; i++)
+		link_deliver(sim, owner, i);
+	for (int i = 0; i < INSTANCES; i++) {
+		if (i != owner->number)
+			CHECK(sim,
+			    cpy_programs(sim->instances[i].cpy) ==
+				counts.programs);
+	}
+}
+
+struct totals {
+	unsigned violations;
+	unsigned orders_violated;
+	uint64_t sends;
+	uint64_t takeovers;
+	uint64_t unproven;
+};
+
+static void
+run_orders(
+    uint32_t seed, unsigned orders, enum variant variant, struct totals *totals)
+{
+	struct sim *sim = g_new(struct sim, 1);
+
+	*totals = (struct totals){0};
+	for (unsigned order = 0; order < orders; order++) {
+		memset(sim, 0, sizeof(*sim));
+		sim->rand = g_rand_new_with_seed(seed + order);
+		sim->variant = variant;
+		sim->proven = true;
+		for (int i = 0; i < INSTANCES; i++) {
+			sim->instances[i].sim = sim;
+			sim->instances[i].number = i;
+			instance_start(&sim->instances[i]);
+		}
+		own(sim, &sim->instances[0]);
+		prg_recovered(sim->instances[0].prg, 0, SHARD, true);
+		for (int i = 0; i < 70; i++)
+			step(sim);
+		finish(sim);
+		if (sim->violations > 0 && variant == PROTECTED)
+			g_test_message("order with seed %u: %u violations, "
+				       "first: %s",
+			    seed + order, sim->violations, sim->first);
+		totals->violations += sim->violations;
+		totals->orders_violated += sim->violations > 0;
+		totals->sends += sim->sends;
+		totals->takeovers += sim->takeovers;
+		totals->unproven += sim->unproven;
+		for (int i = 0; i < INSTANCES; i++)
+			instance_stop(&sim->instances[i]);
+		g_rand_free(sim->rand);
+	}
+	g_free(sim);
+}
+
+static uint32_t
+test_seed(void)
+{
+	const char *text = g_getenv("SAMPHIRESHED_SEED");
+
+	return (text != NULL ? (uint32_t)g_ascii_strtoull(text, NULL, 10)
+			     : 20260801);
+}
+
+/* Guards against a break of P1, P2, P3, P4, P10 or P11 in any order. */
+static void
+test_orders(void)
+{
+	struct totals totals;
+	uint32_t seed = test_seed();
+	unsigned orders = 20000;
+
+	run_orders(seed, orders, PROTECTED, &totals);
+	g_print("# figure programs orders=%u violations=%u seed=%u "
+		"sends=%" G_GUINT64_FORMAT " takeovers=%" G_GUINT64_FORMAT
+		" unproven=%" G_GUINT64_FORMAT "\n",
+	    orders, totals.violations, seed, totals.sends, totals.takeovers,
+	    totals.unproven);
+	g_assert_cmpuint(totals.violations, ==, 0);
+	g_assert_cmpuint(totals.sends, >, orders);
+	g_assert_cmpuint(totals.takeovers, >, orders / 2);
+	g_assert_cmpuint(totals.unproven, >, 0);
+}
+
+/* Guards against a check that passes whatever happens. */
+static void
+test_variants(void)
+{
+	static const struct {
+		enum variant variant;
+		const char *name;
+	} variants[] = {
+	    {NO_BEGIN_WAIT, "begin_wait"},
+	    {NO_END_WAIT, "end_wait"},
+	    {ALWAYS_PROVEN, "proof"},
+	    {LAST_CLAIM_ONLY, "older_claims"},
+	    {NO_FETCH, "fetch_first"},
+	    {CUT_IS_NOT_RUN, "maybe"},
+	};
+	uint32_t seed = test_seed();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		struct totals totals;
+
+		run_orders(seed, 1000, variants[i].variant, &totals);
+		g_print("# figure programs_without_%s orders=1000 "
+			"orders_violated=%u seed=%u\n",
+		    variants[i].name, totals.orders_violated, seed);
+		g_assert_cmpuint(totals.orders_violated, >, 0);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/prg/variants", test_variants);
+	g_test_add_func("/prg/orders", test_orders);
+	return (g_test_run());
+}
