Keep intents of closed implicit programs; merge exports by change

Cause: random orders showed two ways in which an engine was never asked to release a prefix: an implicit program held it for as long as its key, and a late export of an older epoch was ignored although the state of an unproven owner lacked it. Change: an implicit program closes like others but keeps its intents. The table records up to where the last proven epoch is included; exports that it may lack are merged program by program, the later change wins. While a program is unproven it is not closed.

--- a/src/program/prg.c
+++ b/src/program/prg.c
@@ -50,9 +50,7 @@
 	clk_ms last_use;
 	clk_ms release_at;
 	clk_ms release_pause;
-	int64_t base_spent; /* tokens spent in the recovered state */
 	bool unproven;
-	bool touched; /* changed by this owner since the recovery */
 	bool closing;
 };
 
@@ -63,13 +61,11 @@
 	bool recovered;
 	bool draining;
 	bool unproven;
-	uint64_t base_epoch; /* of the state that recovery started from */
-	uint64_t base_seq;
-	uint64_t base_proof;
+	uint64_t proof; /* as tbl->proof, with what was merged */
 	uint64_t acked; /* records up to here are held by the replicas */
 	struct tbl *tbl;
-	struct tbl *late; /* an export that arrives after the recovery */
-	GHashTable *gone; /* ids removed while the shard was unproven */
+	struct tbl *late; /* an export that is arriving */
+	GPtrArray *answers; /* exports of holders, before the recovery */
 };
 
 struct slot {
@@ -344,7 +340,7 @@
 
 	tbl_free(shard->tbl);
 	tbl_free(shard->late);
-	g_hash_table_unref(shard->gone);
+	g_ptr_array_unref(shard->answers);
 	g_free(shard);
 }
 
@@ -404,8 +400,8 @@
 	shard->number = number;
 	shard->epoch = epoch;
 	shard->tbl = tbl_new(prg->options.datacentre, number, run_free);
-	shard->gone =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	shard->answers =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)tbl_free);
 	g_hash_table_insert(prg->shards, GUINT_TO_POINTER(number), shard);
 }
 
@@ -419,8 +415,8 @@
 static void
 end_lost(struct shard *shard, const struct tbl_program *program)
 {
-	json_t *payload = json_pack(
-	    "{s:s,s:I}", "o", "maybe", "s", (json_int_t)program->call_reserve);
+	json_t *payload = json_pack("{s:s,s:b,s:I}", "o", "maybe", "lost", 1,
+	    "s", (json_int_t)program->call_reserve);
 	const char *engine = result_name(program);
 
 	if (engine != NULL)
@@ -462,67 +458,51 @@
 		((struct tbl_intent *)value)->since = now;
 }
 
-static void
-state_engines_add(json_t *state, const json_t *other)
+static bool
+is_later(const struct tbl_program *program, const struct tbl_program *other)
 {
-	json_t *engines = json_object_get(state, "en"), *item;
-	size_t i;
-
-	json_array_foreach(json_object_get(other, "en"), i, item)
-	{
-		if (json_array_size(engines) < TBL_ENGINES_MAX)
-			json_array_append(engines, item);
-		else
-			json_array_set_new(engines, 0, json_string("*"));
-	}
-}
-
-/*
- * A program that was closed since the recovery: engines that only the late
- * export knows have to release it too.
- */
-static json_t *
-merge_closed(const struct tbl_program *ours, const struct tbl_program *late)
-{
-	json_t *state = tbl_state(late), *other;
-
-	json_object_set_new(state, "x", json_true());
-	json_object_del(state, "m");
-	json_object_del(state, "in");
-	json_object_del(state, "l");
-	json_object_del(state, "n");
-	if (ours == NULL)
-		return (state);
-	other = tbl_state(ours);
-	state_engines_add(state, other);
-	json_decref(other);
-	return (state);
+	if (program->changed_epoch != other->changed_epoch)
+		return (program->changed_epoch > other->changed_epoch);
+	return (program->changed > other->changed);
 }
 
 /*
- * Add to a program that has changed since the recovery what only the late
- * export knows: intents, engines and spending.
+ * The state of a program that two exports know in different states, of which
+ * neither may include the other.  The history is that of the later change.
+ * Intents of the other are added, so that no call runs twice; those of calls
+ * that may be repeated only if all is set.
  */
 static json_t *
-merge_changed(const struct tbl_program *ours, const struct tbl_program *late)
+merge_states(
+    const struct tbl_program *later, const struct tbl_program *other, bool all)
 {
-	json_t *state = tbl_state(ours), *other = tbl_state(late);
-	json_t *intents = json_object_get(state, "in"), *item;
+	json_t *state = tbl_state(later), *rest = tbl_state(other), *item;
+	json_t *intents = json_object_get(state, "in");
+	json_t *engines = json_object_get(state, "en");
 	size_t i;
 
-	json_array_foreach(json_object_get(other, "in"), i, item)
+	json_array_foreach(json_object_get(rest, "in"), i, item)
 	{
 		const char *key =
 		    json_string_value(json_object_get(item, "key"));
+		const struct tbl_intent *intent =
+		    g_hash_table_lookup(other->intents, key);
 
-		if (!g_hash_table_contains(ours->intents, key))
+		if (!later->closed &&
+		    !g_hash_table_contains(later->intents, key) &&
+		    (all || intent->kind == PRG_CALL_ONCE))
 			json_array_append(intents, item);
 	}
-	state_engines_add(state, other);
-	json_decref(other);
-	/* What both have spent, without counting the recovered state twice. */
-	json_object_set_new(state, "s",
-	    json_integer(late->spent + ours->spent - run_of(ours)->base_spent));
+	json_array_foreach(json_object_get(rest, "en"), i, item)
+	{
+		if (json_array_size(engines) < TBL_ENGINES_MAX)
+			json_array_append(engines, item);
+		else
+			json_array_set_new(engines, 0, json_string("*"));
+	}
+	json_decref(rest);
+	json_object_set_new(
+	    state, "s", json_integer(MAX(later->spent, other->spent)));
 	return (state);
 }
 
@@ -543,71 +523,67 @@
 	intents_date(program, run_of(program)->last_use);
 }
 
-/* A sub-agent that only the late export knows counts against its parent. */
+/*
+ * A sub-agent that only the late export knows counts against its parent, if
+ * the parent's state is not that of the late export.
+ */
 static void
-merge_parent(struct shard *shard, const struct tbl_program *late)
+merge_parent(struct shard *shard, const struct tbl *late,
+    const struct tbl_program *child, clk_ms now)
 {
-	struct tbl_program *parent = tbl_find(shard->tbl, late->parent);
+	const struct tbl_program *parent = tbl_find(shard->tbl, child->parent);
+	const struct tbl_program *other = tbl_find(late, child->parent);
 	json_t *state;
 
-	if (parent == NULL || parent->closed || late->closed ||
-	    !run_of(parent)->touched)
+	if (parent == NULL || parent->closed || child->closed ||
+	    other == NULL || !is_later(parent, other))
 		return;
 	state = tbl_state(parent);
 	json_object_set_new(
-	    state, "l", json_integer(parent->lent + late->limit));
+	    state, "l", json_integer(parent->lent + child->limit));
 	json_object_set_new(
 	    state, "n", json_integer((json_int_t)parent->children + 1));
-	state_emit(shard, late->parent, state, 0);
+	state_emit(shard, child->parent, state, now);
 }
 
 static void
-merge_program(struct shard *shard, struct tbl_program *late, clk_ms now)
+merge_program(struct shard *shard, const struct tbl *late,
+    struct tbl_program *program, clk_ms now)
 {
-	struct tbl_program *ours = tbl_find(shard->tbl, late->id);
+	struct tbl_program *ours = tbl_find(shard->tbl, program->id);
 
-	state_end_lost(late);
+	state_end_lost(program);
 	if (ours == NULL) {
-		if (g_hash_table_contains(shard->gone, late->id)) {
-			if (late->engines->len > 0)
-				state_emit(shard, late->id,
-				    merge_closed(NULL, late), now);
-			return;
-		}
-		state_emit(shard, late->id, tbl_state(late), now);
-		merge_parent(shard, late);
-	} else if (!run_of(ours)->touched) {
-		state_emit(shard, late->id, tbl_state(late), now);
-	} else if (ours->closed) {
-		state_emit(shard, late->id, merge_closed(ours, late), now);
-	} else {
-		state_emit(shard, late->id, merge_changed(ours, late), now);
+		state_emit(shard, program->id, tbl_state(program), now);
+		merge_parent(shard, late, program, now);
+	} else if (is_later(program, ours)) {
+		state_emit(shard, program->id,
+		    merge_states(program, ours, false), now);
+	} else if (is_later(ours, program)) {
+		state_emit(
+		    shard, program->id, merge_states(ours, program, true), now);
 	}
 }
 
+/* Take over what an export holds and the state does not. */
 static void
-merge_late(struct shard *shard, clk_ms now)
+merge(struct shard *shard, const struct tbl *late, clk_ms now)
 {
-	struct tbl *late = shard->late;
 	GHashTableIter iter;
 	void *value;
 
-	if (late->epoch < shard->base_epoch ||
-	    (late->epoch == shard->base_epoch && late->seq <= shard->base_seq))
+	if (tbl_includes(shard->tbl, late))
 		return;
-	shard->base_epoch = late->epoch;
-	shard->base_seq = late->seq;
-	shard->base_proof = MAX(shard->base_proof, late->proof);
 	g_hash_table_iter_init(&iter, late->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		merge_program(shard, value, now);
+		merge_program(shard, late, value, now);
+	shard->proof = MAX(shard->proof, late->proof);
 }
 
 bool
 prg_apply(struct prg *prg, clk_ms now, const struct prg_record *record)
 {
 	struct shard *shard = shard_find(prg, record->shard);
-	struct tbl *late;
 	enum tbl_result result;
 
 	if (shard == NULL || record->epoch > shard->epoch ||
@@ -618,20 +594,58 @@
 	/* The holder has this owner's own state already. */
 	if (record->epoch == shard->epoch)
 		return (true);
-	if (!shard->recovered) {
-		result = tbl_apply(shard->tbl, record);
-		return (result == TBL_OK || result == TBL_OLD);
-	}
-	if (!shard->unproven)
+	if (shard->recovered && !shard->unproven)
 		return (true);
-	if (shard->late == NULL)
+	if (record->kind == PRG_HEAD) {
+		tbl_free(shard->late);
 		shard->late =
-		    tbl_new(prg->options.datacentre, record->shard, NULL);
-	late = shard->late;
-	result = tbl_apply(late, record);
-	if (result == TBL_OK && late->staged == NULL)
-		merge_late(shard, now);
-	return (result == TBL_OK || result == TBL_OLD);
+		    tbl_new(prg->options.datacentre, record->shard, run_free);
+	}
+	if (shard->late == NULL)
+		return (false);
+	result = tbl_apply(shard->late, record);
+	if (result != TBL_OK && result != TBL_OLD)
+		return (false);
+	if (shard->late->staged != NULL)
+		return (true);
+	if (shard->recovered) {
+		merge(shard, shard->late, now);
+		tbl_free(shard->late);
+	} else {
+		g_ptr_array_add(shard->answers, shard->late);
+	}
+	shard->late = NULL;
+	return (true);
+}
+
+/* The newest of the exports, or an empty table. */
+static const struct tbl *
+answers_best(const struct shard *shard)
+{
+	const struct tbl *best = shard->tbl;
+
+	for (guint i = 0; i < shard->answers->len; i++) {
+		const struct tbl *answer = g_ptr_array_index(shard->answers, i);
+
+		if (answer->epoch > best->epoch ||
+		    (answer->epoch == best->epoch && answer->seq > best->seq))
+			best = answer;
+	}
+	return (best);
+}
+
+/* Start from the newest export; the others stay in shard->answers. */
+static void
+answers_take(struct shard *shard)
+{
+	const struct tbl *best = answers_best(shard);
+	guint index;
+
+	if (best == shard->tbl)
+		return;
+	tbl_free(shard->tbl);
+	g_ptr_array_find(shard->answers, best, &index);
+	shard->tbl = g_ptr_array_steal_index(shard->answers, index);
 }
 
 static void
@@ -642,7 +656,7 @@
 
 	emit(shard, PRG_PROVEN, "", json_object());
 	shard->unproven = false;
-	g_hash_table_remove_all(shard->gone);
+	shard->proof = shard->epoch;
 	tbl_free(shard->late);
 	shard->late = NULL;
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
@@ -650,11 +664,29 @@
 		run_of(value)->unproven = false;
 }
 
+/* End the calls of the former owner that have no end record. */
+static void
+calls_end_lost(struct shard *shard)
+{
+	GPtrArray *lost = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct tbl_program *)value)->active)
+			g_ptr_array_add(lost, value);
+	}
+	for (guint i = 0; i < lost->len; i++)
+		end_lost(shard, g_ptr_array_index(lost, i));
+	g_ptr_array_unref(lost);
+}
+
 void
 prg_recovered(struct prg *prg, clk_ms now, uint16_t number, bool proven)
 {
 	struct shard *shard = shard_find(prg, number);
-	GPtrArray *lost;
+	bool whole = true;
 	GHashTableIter iter;
 	void *value;
 
@@ -665,35 +697,31 @@
 			shard_prove(shard);
 		return;
 	}
-	tbl_free(shard->tbl->staged);
-	shard->tbl->staged = NULL;
+	answers_take(shard);
+	for (guint i = 0; i < shard->answers->len; i++)
+		whole &= tbl_includes(
+		    shard->tbl, g_ptr_array_index(shard->answers, i));
 	shard->recovered = true;
-	shard->unproven = !proven;
-	shard->base_epoch = shard->tbl->epoch;
-	shard->base_seq = shard->tbl->seq;
-	shard->base_proof = shard->tbl->proof;
+	shard->unproven = !proven || !whole;
+	shard->proof = shard->tbl->proof;
+	shard->acked = shard->tbl->seq;
+	/* Until the other exports are merged the state is not proven. */
 	emit(shard, PRG_RECOVER, "",
-	    json_pack("{s:I,s:I,s:b}", "epoch", (json_int_t)shard->base_epoch,
-		"seq", (json_int_t)shard->base_seq, "proven", proven));
-	lost = g_ptr_array_new();
+	    json_pack("{s:I,s:I,s:b}", "epoch", (json_int_t)shard->tbl->epoch,
+		"seq", (json_int_t)shard->tbl->seq, "proven",
+		!shard->unproven));
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct tbl_program *program = value;
-
-		run_new(shard, program, now)->unproven = !proven;
-		if (program->active)
-			g_ptr_array_add(lost, program);
-	}
-	for (guint i = 0; i < lost->len; i++)
-		end_lost(shard, g_ptr_array_index(lost, i));
-	g_ptr_array_unref(lost);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_new(shard, value, now)->unproven = shard->unproven;
+	calls_end_lost(shard);
 	g_hash_table_iter_init(&iter, shard->tbl->programs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value))
 		intents_date(value, now);
-		run_of(value)->base_spent =
-		    ((struct tbl_program *)value)->spent;
-	}
-	shard->acked = shard->base_seq;
+	for (guint i = 0; i < shard->answers->len; i++)
+		merge(shard, g_ptr_array_index(shard->answers, i), now);
+	g_ptr_array_set_size(shard->answers, 0);
+	if (proven && shard->unproven)
+		shard_prove(shard);
 }
 
 uint64_t
@@ -703,7 +731,7 @@
 
 	if (shard == NULL)
 		return (0);
-	return (shard->recovered ? shard->base_proof : shard->tbl->proof);
+	return (shard->recovered ? shard->proof : answers_best(shard)->proof);
 }
 
 /* Stopping. */
@@ -809,6 +837,20 @@
 	return (shard != NULL ? shard->tbl->seq : 0);
 }
 
+/*
+ * While it is unproven, a program is not closed and its stored replies are
+ * kept: a late export must find nothing changed but calls.
+ */
+static struct vd
+history_unproven(void)
+{
+	struct vd vd = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
+	    "the latest turn of the program is not known for certain");
+
+	vd.retry_after = RETRY_AFTER;
+	return (vd);
+}
+
 /* Closing. */
 
 static void
@@ -822,14 +864,10 @@
 	    !g_queue_is_empty(&run->waiting) || program->children > 0)
 		return;
 	g_strlcpy(parent_id, program->parent, sizeof(parent_id));
-	if (shard->unproven)
-		g_hash_table_add(shard->gone, g_strdup(program->id));
-	run->touched = true;
 	emit(shard, PRG_CLOSE, program->id, json_object());
 	parent = tbl_find(shard->tbl, parent_id);
 	if (parent == NULL)
 		return;
-	run_of(parent)->touched = true;
 	run_try_close(run_of(parent));
 }
 
@@ -899,9 +937,8 @@
 	    strcmp(organisation, run->program->organisation) != 0)
 		return (vd_make(VD_NOT_RUN, VD_FORBIDDEN,
 		    "the program belongs to another organisation"));
-	if (run->program->implicit)
-		return (vd_make(VD_NOT_RUN, VD_BAD_REQUEST,
-		    "the record of a single call closes by its age"));
+	if (run->unproven)
+		return (history_unproven());
 	if (!run->program->closed && !run->closing)
 		run_close(run);
 	events_run(prg);
@@ -932,7 +969,6 @@
 		json_object_set_new(payload, "i", json_true());
 	emit(shard, PRG_CREATE, id, payload);
 	run = run_new(shard, tbl_find(shard->tbl, id), now);
-	run->touched = true;
 	/* The id of an implicit program may have been in use before. */
 	run->unproven = implicit && shard->unproven;
 }
@@ -987,7 +1023,6 @@
 		if (!vd_is_ok(&vd))
 			return (vd);
 		parent->last_use = now;
-		parent->touched = true;
 		fresh.shard = parent->shard->number;
 	}
 	shard = shard_find(prg, fresh.shard);
@@ -1048,7 +1083,6 @@
 	}
 	call->seq = emit(run->shard, PRG_BEGIN, program->id, payload);
 	call->state = CALL_BEGINNING;
-	run->touched = true;
 	run->current = call;
 	return (vd_ok());
 }
@@ -1322,19 +1356,20 @@
 		if (intent != NULL)
 			return (replay(prg, run, intent, asked, answer));
 	}
-	if (run->program->closed)
-		return (refuse_unknown_key(answer, asked,
-		    vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
-			"the program has been closed")));
+	if (run->program->closed) {
+		vd = vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
+		    "the program has been closed");
+		/* Only an implicit program keeps its intents. */
+		if (!run->program->implicit || run->unproven)
+			return (refuse_unknown_key(answer, asked, vd));
+		return (refuse(answer, vd));
+	}
 	if (run->closing)
 		return (refuse(answer,
 		    vd_make(VD_NOT_RUN, VD_PROGRAM_CLOSED,
 			"the program has been closed")));
 	if (unproven_refuses(run, asked)) {
-		vd = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
-		    "the latest turn of the program is not known for certain");
-		vd.retry_after = RETRY_AFTER;
-		return (refuse_unknown_key(answer, asked, vd));
+		return (refuse_unknown_key(answer, asked, history_unproven()));
 	}
 	return (submit_new(prg, run, asked, handle, answer));
 }
@@ -1599,30 +1634,22 @@
 {
 	const struct tbl_program *program = run->program;
 	clk_ms unused = now - run->last_use;
-	GHashTableIter iter;
-	void *value;
 
-	if (program->closed || run->closing || run->current != NULL ||
-	    program->children > 0 || run->waiting.length > 0)
+	if (program->closed || run->closing || run->unproven ||
+	    run->current != NULL || program->children > 0 ||
+	    run->waiting.length > 0)
 		return (false);
-	if (!program->implicit) {
-		if (program->limit > 0 && tbl_left(program) <= 0)
-			return (unused >= MIN(SPENT_GRACE, prg->options.idle));
-		return (unused >= prg->options.idle);
-	}
-	/* An outcome that is unknown stays on record for good. */
-	g_hash_table_iter_init(&iter, program->intents);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((struct tbl_intent *)value)->state == TBL_MAYBE)
-			return (false);
-	}
-	return (unused >= prg->options.keep);
+	if (program->limit > 0 && tbl_left(program) <= 0)
+		return (unused >= MIN(SPENT_GRACE, prg->options.idle));
+	return (unused >= prg->options.idle);
 }
 
 static void
 replies_age(struct run *run, clk_ms now)
 {
 	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	struct shard *shard = run->shard;
+	char id[PRG_ID_SIZE];
 	clk_ms keep = run->shard->prg->options.keep;
 	GHashTableIter iter;
 	void *value;
@@ -1632,11 +1659,14 @@
 		struct tbl_intent *intent = value;
 
 		if (intent->state == TBL_RAN && now - intent->since >= keep &&
-		    (intent->reply != NULL || intent->kind != PRG_CALL_ONCE))
+		    (intent->reply != NULL || intent->kind != PRG_CALL_ONCE ||
+			run->program->closed))
 			g_ptr_array_add(keys, g_strdup(intent->key));
 	}
+	/* The last record may remove the program and with it run. */
+	g_strlcpy(id, run->program->id, sizeof(id));
 	for (guint i = 0; i < keys->len; i++)
-		emit(run->shard, PRG_FORGET, run->program->id,
+		emit(shard, PRG_FORGET, id,
 		    json_pack("{s:s}", "key",
 			(const char *)g_ptr_array_index(keys, i)));
 	g_ptr_array_unref(keys);
@@ -1688,11 +1718,15 @@
 
 		if (program == NULL)
 			continue;
-		if (program->closed) {
+		if (program->closed && program->engines->len > 0)
 			release_ask(shard->prg, run_of(program), now);
+		if (run_of(program)->unproven)
 			continue;
-		}
+		/* This may remove a program that has been closed. */
 		replies_age(run_of(program), now);
+		program = tbl_find(shard->tbl, g_ptr_array_index(ids, i));
+		if (program == NULL)
+			continue;
 		if (program_due(shard->prg, run_of(program), now))
 			run_close(run_of(program));
 	}
@@ -1829,10 +1863,9 @@
 			const struct tbl_program *program = item;
 			const struct run *run = program->run;
 
-			if (program->closed)
-				counts->releases++;
-			else
-				counts->programs++;
+			counts->releases +=
+			    program->closed && program->engines->len > 0;
+			counts->programs += !program->closed;
 			if (run == NULL)
 				continue;
 			counts->queued += run->waiting.length;
--- a/src/program/prg.h
+++ b/src/program/prg.h
@@ -22,7 +22,8 @@
  *
  * on_start and on_answer are called as the last step of a public function and
  * may call any function of this module except prg_free() and
- * prg_shard_close().  on_record must not call this module.
+ * prg_shard_close().  on_record and on_release must not call
+ * this module.
  */
 #ifndef SAMPHIRESHED_PRG_H
 #define SAMPHIRESHED_PRG_H
@@ -181,19 +182,23 @@
  *	Opening an open shard at a newer epoch closes it first.
  * prg_apply(prg, now, record)
  *	Give a record of a former owner: PRG_HEAD with its PRG_STATE records,
- *	as returned by cpy_fetch() or prg_export().  Of several exports the one
- *	with the largest (epoch, seq) is kept, whole.  An export that arrives
- *	after prg_recovered(proven = false) and is newer than the one that was
- *	used is merged into programs that have changed since (unknown intents
- *	are added, spending takes the larger value) and replaces the others. The
- *daemon fetches from a holder before it sends an export to it
- *(CPY_FETCH_FIRST). prg_recovered(prg, now, shard, proven) End the recovery:
- *emit PRG_RECOVER, and an end record for each begin without one: a model call's
- *reserve stays spent, a non-idempotent call's outcome is unknown for good.
- *proven: the shard is new, or an operator accepts the loss, or every holder
- *named by each valid claim from the epoch prg_state_epoch() on has answered.
- *(The holders of the last claim alone are not enough: they may answer before
- *its owner sent them anything.)  May be called again with proven = true later.
+ *	as returned by cpy_fetch() or prg_export(), one export after the other.
+ *	The one with the largest (epoch, seq) is the state; another is merged
+ *	into it if the state may lack some of it: the later history of each
+ *	program counts, unknown intents are added, and spending takes the
+ *	larger value.  Exports may arrive after prg_recovered(proven = false)
+ *	too.  The daemon fetches from a holder before it sends an export to it
+ *	(CPY_FETCH_FIRST).
+ *
+ * prg_recovered(prg, now, shard, proven)
+ *	End the recovery: emit PRG_RECOVER, and an end record for each begin
+ *	without one: a model call's reserve stays spent, a non-idempotent
+ *	call's outcome is unknown for good.  proven: the shard is new, or an
+ *	operator accepts the loss, or every holder named by each valid claim
+ *	from the epoch prg_state_epoch() on has answered.  The holders of the
+ *	last claim alone are not enough: they may answer before its owner sent
+ *	them anything.  May be called again with proven = true later.
+ *
  * prg_state_epoch(prg, shard)
  *	The epoch of the last owner with a proven state from which the recovered
  *	state comes; 0 for none.  It is replicated with the state, so that the
@@ -393,8 +398,9 @@
  *	If the owner is lost before that end, the program is open again at the
  *	next owner and closes when it has been idle.
  *	organisation nil: by an operator.  Returns vd_ok() or a refusal.  An
- *	implicit program is refused: a repeat of its key would run again.  It
- *	closes after options.keep without use, unless an outcome is unknown.
+ *	unproven program is refused (VD_HISTORY_UNPROVEN).  A closed implicit
+ *	program still answers repeats of its key, for options.keep, or for good
+ *	if the outcome is unknown.
  */
 struct vd prg_close(
     struct prg *prg, clk_ms now, const char *organisation, const char *program);
--- a/src/program/tbl.c
+++ b/src/program/tbl.c
@@ -76,6 +76,13 @@
 	program->bytes = bytes;
 }
 
+static void
+program_stamp(struct tbl_program *program, const struct prg_record *record)
+{
+	program->changed_epoch = record->epoch;
+	program->changed = record->seq;
+}
+
 static void
 program_remove(struct tbl *tbl, struct tbl_program *program)
 {
@@ -125,6 +132,16 @@
 	g_free(tbl);
 }
 
+bool
+tbl_includes(const struct tbl *tbl, const struct tbl *other)
+{
+	if (other->epoch == tbl->epoch)
+		return (other->seq <= tbl->seq);
+	if (other->epoch == tbl->proof)
+		return (other->seq <= tbl->proof_seq);
+	return (other->epoch < tbl->proof);
+}
+
 struct tbl_program *
 tbl_find(const struct tbl *tbl, const char *id)
 {
@@ -345,7 +362,7 @@
 			return (TBL_BAD);
 		parent->lent += budget;
 		parent->children++;
-		parent->changed = record->seq;
+		program_stamp(parent, record);
 	}
 	program = program_new(record->program);
 	program->organisation = g_strdup(organisation);
@@ -354,7 +371,7 @@
 		g_strlcpy(program->parent, parent_id, sizeof(program->parent));
 	program->limit = budget;
 	program->implicit = json_is_true(json_object_get(payload, "i"));
-	program->changed = record->seq;
+	program_stamp(program, record);
 	g_hash_table_insert(tbl->programs, program->id, program);
 	program_count(tbl, program);
 	return (TBL_OK);
@@ -407,7 +424,7 @@
 	program->call_turn = (uint32_t)turn;
 	program->call_reserve = reserve;
 	program->call_key = g_strdup(key);
-	program->changed = record->seq;
+	program_stamp(program, record);
 	program_count(tbl, program);
 	return (TBL_OK);
 }
@@ -516,11 +533,23 @@
 	program->active = false;
 	program->call_reserve = 0;
 	g_clear_pointer(&program->call_key, g_free);
-	program->changed = record->seq;
+	if (!json_is_true(json_object_get(payload, "lost")))
+		program_stamp(program, record);
 	program_count(tbl, program);
 	return (TBL_OK);
 }
 
+/* Remove a closed program of which nothing is left to be kept. */
+static void
+program_settle(struct tbl *tbl, struct tbl_program *program)
+{
+	if (program->closed && program->engines->len == 0 &&
+	    g_hash_table_size(program->intents) == 0)
+		program_remove(tbl, program);
+	else
+		program_count(tbl, program);
+}
+
 static enum tbl_result
 apply_close(struct tbl *tbl, const struct prg_record *record)
 {
@@ -535,19 +564,18 @@
 		parent->children--;
 		parent->lent -= program->limit;
 		parent->spent += program->spent;
-		parent->changed = record->seq;
-	}
-	if (program->engines->len == 0) {
-		program_remove(tbl, program);
-		return (TBL_OK);
+		program_stamp(parent, record);
 	}
 	program->closed = true;
 	g_string_free(program->history, TRUE);
 	program->history = g_string_new(NULL);
-	g_hash_table_remove_all(program->intents);
-	program->reply_bytes = 0;
-	program->changed = record->seq;
-	program_count(tbl, program);
+	/* A repeat of an implicit program's key must still be known. */
+	if (!program->implicit) {
+		g_hash_table_remove_all(program->intents);
+		program->reply_bytes = 0;
+	}
+	program_stamp(program, record);
+	program_settle(tbl, program);
 	return (TBL_OK);
 }
 
@@ -566,10 +594,9 @@
 	if (intent == NULL || intent->state != TBL_RAN)
 		return (TBL_BAD);
 	reply_drop(program, intent);
-	if (intent->kind != PRG_CALL_ONCE)
+	if (intent->kind != PRG_CALL_ONCE || program->closed)
 		g_hash_table_remove(program->intents, key);
-	program->changed = record->seq;
-	program_count(tbl, program);
+	program_settle(tbl, program);
 	return (TBL_OK);
 }
 
@@ -587,10 +614,7 @@
 		if (strcmp(g_ptr_array_index(program->engines, i), engine) != 0)
 			continue;
 		g_ptr_array_remove_index(program->engines, i);
-		program->changed = record->seq;
-		program_count(tbl, program);
-		if (program->engines->len == 0)
-			program_remove(tbl, program);
+		program_settle(tbl, program);
 		return (TBL_OK);
 	}
 	return (TBL_BAD);
@@ -689,7 +713,7 @@
 	struct tbl_program *program;
 	const json_t *messages = json_object_get(payload, "m");
 	const char *organisation, *urgency, *parent;
-	int64_t children, turn, changed;
+	int64_t children, turn, changed, epoch;
 
 	if (!id_valid(tbl, id))
 		return (NULL);
@@ -704,6 +728,7 @@
 	    !get_int(payload, "n", UINT32_MAX, &children) ||
 	    !get_int(payload, "t", UINT32_MAX, &turn) ||
 	    !get_int(payload, "q", INT64_MAX, &changed) ||
+	    !get_int(payload, "qe", INT64_MAX, &epoch) ||
 	    !messages_valid(messages) || !read_lists(program, payload) ||
 	    !read_call(program, json_object_get(payload, "call"))) {
 		program_free(program);
@@ -716,6 +741,7 @@
 	program->children = (uint32_t)children;
 	program->turn = (uint32_t)turn;
 	program->changed = (uint64_t)changed;
+	program->changed_epoch = (uint64_t)epoch;
 	program->implicit = json_is_true(json_object_get(payload, "i"));
 	program->closed = json_is_true(json_object_get(payload, "x"));
 	messages_append(program->history, messages);
@@ -744,7 +770,6 @@
 		program->run = g_steal_pointer(&old->run);
 		program_remove(tbl, old);
 	}
-	program->changed = record->seq;
 	program_insert(tbl, program);
 	return (TBL_OK);
 }
@@ -760,6 +785,7 @@
 	tbl->epoch = staged->epoch;
 	tbl->seq = staged->seq;
 	tbl->proof = staged->proof;
+	tbl->proof_seq = staged->proof_seq;
 	g_free(staged);
 }
 
@@ -773,11 +799,12 @@
 apply_head(
     struct tbl *tbl, const struct prg_record *record, const json_t *payload)
 {
-	int64_t count, proof;
+	int64_t count, proof, proof_seq;
 
 	if (json_object_get(payload, "n") == NULL ||
 	    !get_int(payload, "n", INT32_MAX, &count) ||
-	    !get_int(payload, "p", INT64_MAX, &proof))
+	    !get_int(payload, "p", INT64_MAX, &proof) ||
+	    !get_int(payload, "ps", INT64_MAX, &proof_seq))
 		return (TBL_BAD);
 	if (!is_newer(tbl, record->epoch, record->seq))
 		return (TBL_OLD);
@@ -786,6 +813,7 @@
 	tbl->staged->epoch = record->epoch;
 	tbl->staged->seq = record->seq;
 	tbl->staged->proof = (uint64_t)proof;
+	tbl->staged->proof_seq = (uint64_t)proof_seq;
 	tbl->missing = (uint64_t)count;
 	if (tbl->missing == 0)
 		staged_take(tbl);
@@ -823,6 +851,8 @@
 	if (record->epoch <= tbl->epoch || tbl->epoch != (uint64_t)epoch ||
 	    tbl->seq != (uint64_t)seq || record->seq != tbl->seq + 1)
 		return (TBL_GAP);
+	if (tbl->proof == tbl->epoch)
+		tbl->proof_seq = tbl->seq;
 	tbl->epoch = record->epoch;
 	tbl->seq = record->seq;
 	if (json_is_true(json_object_get(payload, "proven")))
@@ -961,6 +991,7 @@
 	int_set(state, "t", program->turn);
 	int_set(state, "c", program->context);
 	int_set(state, "q", (int64_t)program->changed);
+	int_set(state, "qe", (int64_t)program->changed_epoch);
 	json_object_set_new(state, "m", messages_array(program));
 	g_hash_table_iter_init(&iter, program->intents);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -1010,7 +1041,8 @@
 	void *value;
 
 	export_add(tbl, records, PRG_HEAD, "",
-	    json_pack("{s:I,s:I}", "p", (json_int_t)tbl->proof, "n",
+	    json_pack("{s:I,s:I,s:I}", "p", (json_int_t)tbl->proof, "ps",
+		(json_int_t)tbl->proof_seq, "n",
 		(json_int_t)g_hash_table_size(tbl->programs)));
 	g_hash_table_iter_init(&iter, tbl->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/program/tbl.h
+++ b/src/program/tbl.h
@@ -48,7 +48,8 @@
 	GString *history; /* messages as JSON, separated by commas */
 	GHashTable *intents; /* key -> struct tbl_intent */
 	GPtrArray *engines; /* that may hold the prefix */
-	uint64_t changed; /* number of the last record */
+	uint64_t changed_epoch; /* of the last record that changed it */
+	uint64_t changed;
 	size_t reply_bytes;
 	size_t bytes; /* counted memory */
 	bool active; /* a call is in progress: */
@@ -64,7 +65,13 @@
 	uint16_t shard;
 	uint64_t epoch;
 	uint64_t seq;
-	uint64_t proof; /* epoch of the last owner with a proven state */
+	/*
+	 * The table holds all records of the epoch proof, whose owner had a
+	 * proven state, up to proof_seq; only the table of a later owner that
+	 * was unproven may lack others.
+	 */
+	uint64_t proof;
+	uint64_t proof_seq;
 	GHashTable *programs; /* id -> struct tbl_program */
 	size_t bytes;
 	struct tbl *staged; /* an export that is not complete yet */
@@ -98,6 +105,12 @@
 enum tbl_result tbl_apply_json(
     struct tbl *tbl, const struct prg_record *record, const json_t *payload);
 
+/*
+ * tbl_includes(tbl, other)
+ *	Whether all that other holds is known to be in tbl.
+ */
+bool tbl_includes(const struct tbl *tbl, const struct tbl *other);
+
 /* tbl_find(tbl, id): the program, or nil. */
 struct tbl_program *tbl_find(const struct tbl *tbl, const char *id);
 
