Wire the modules into a daemon and show the whole path

Cause: the modules for ownership, programs, rates, configuration and upstreams stood alone; no request could be served.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,13 +1,14 @@
 #!/bin/sh
 # Install the Debian packages that the build and the tests need, if any is
-# missing.  "install-deps.sh lint" also installs the formatter and linter.
+# missing.  "install-deps.sh lint" also installs the formatter, the linter and
+# the fuzzer.
 set -eu
 
 packages="gcc make pkg-config libev-dev libmicrohttpd-dev \
 libcurl4-gnutls-dev libglib2.0-dev libyaml-dev libtirpc-dev libjansson-dev \
 libgnutls28-dev libsodium-dev curl"
 if [ "${1:-}" = lint ]; then
-	packages="$packages clang-format clang-tidy cppcheck"
+	packages="$packages clang-format clang-tidy clang libclang-rt-14-dev"
 fi
 
 missing=""
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,23 +1,33 @@
-#!/bin/sh
-# Run each test program given as an argument with TAP output, show the lines
-# of failures, and close with the total count.  A program that crashes or
-# times out counts as one failed test.
+#!/bin/bash
+# Run each test program given as an argument with TAP output, up to
+# TEST_JOBS at a time, show the output of failures, and close with the total
+# count.  A program that crashes, times out or runs no test counts as one
+# failed test.
 set -u
 
+logs=$(mktemp -d)
+trap 'rm -rf "$logs"' EXIT
+
+run_one() {
+	local log
+	log=$logs/$(basename "$1")
+	timeout "${TEST_TIMEOUT_S:-600}" "$1" --tap >"$log" 2>&1
+	echo $? >"$log.status"
+}
+export -f run_one
+export logs
+
+printf '%s\0' "$@" |
+    xargs -0 -P "${TEST_JOBS:-4}" -I '{}' bash -c 'run_one "$1"' _ '{}'
+
 passed=0
 failed=0
-log=$(mktemp)
-trap 'rm -f "$log"' EXIT
 for program in "$@"; do
-	timeout "${TEST_TIMEOUT_S:-300}" "$program" --tap >"$log" 2>&1
-	status=$?
+	log=$logs/$(basename "$program")
+	status=$(cat "$log.status")
 	ok=$(grep -c '^ok ' "$log")
 	bad=$(grep -c '^not ok ' "$log")
-	if [ $status -ne 0 ] && [ "$bad" -eq 0 ]; then
-		bad=1
-	fi
-	if [ "$ok" -eq 0 ] && [ "$bad" -eq 0 ]; then
-		echo "$program: no test ran"
+	if [ "$bad" -eq 0 ] && { [ "$status" -ne 0 ] || [ "$ok" -eq 0 ]; }; then
 		bad=1
 	fi
 	if [ "$bad" -ne 0 ]; then
--- a/src/daemon/cnf.h
+++ b/src/daemon/cnf.h
@@ -5,6 +5,7 @@
 #define SAMPHIRESHED_CNF_H
 
 #include "daemon/state.h"
+#include "lib/vd.h"
 
 struct cnf *cnf_open(struct dmn *dmn);
 void cnf_close(struct cnf *cnf);
@@ -42,8 +43,8 @@
  *	read back from the log: with its outcome and offset; or with a verdict
  *	other than VD_OK if it was refused or its fate is not known.
  */
-typedef void cnf_on_done(const struct vd *vd,
-    const struct cfg_history_entry *entry, void *arg);
+typedef void cnf_on_done(
+    const struct vd *vd, const struct cfg_history_entry *entry, void *arg);
 void cnf_change(struct cnf *cnf, const char *object, uint64_t base,
     const json_t *value, const char *actor, cnf_on_done *on_done, void *arg);
 
--- a/src/daemon/flt.c
+++ b/src/daemon/flt.c
@@ -5,14 +5,15 @@
 
 #include "daemon/cnf.h"
 #include "daemon/rpl.h"
-#include "lib/vd.h"
+#include "sched/sch.h"
+#include "upstream/upd.h"
 
-#define STREAM		 "fleet"
-#define TICK_S		 0.05
-#define DECIDE_MS	 100
-#define LIST_MS		 1000
+#define STREAM		  "fleet"
+#define TICK_S		  0.05
+#define DECIDE_MS	  100
+#define LIST_MS		  1000
 #define HEARTBEAT_TIMEOUT (2 * CLK_SECOND)
-#define SYNC_TIMEOUT	 (2 * CLK_SECOND)
+#define SYNC_TIMEOUT	  (2 * CLK_SECOND)
 /* Records kept to be passed on to peers that can't reach the log. */
 #define KEPT_RECORDS 2048
 /* Another snapshot of the map after so many records, or after this time. */
@@ -24,6 +25,7 @@
 #define STOP_LOG_AWAY (3 * CLK_SECOND)
 
 #define MAX_PINGS   64
+#define MAX_CRASHES 64
 #define MAX_ACTIONS 64
 
 struct kept_record {
@@ -44,7 +46,11 @@
 	clk_ms snapshot_at;
 	unsigned since_snapshot;
 	clk_ms stop_at; /* 0: no planned stop */
+	clk_ms leave_at; /* 0: not left yet */
+	bool left; /* the record of the close has been answered */
 	struct hcl_call *list_call;
+	struct sch_crash crashes[MAX_CRASHES];
+	struct peer_fingerprint fingerprints[MAX_CRASHES];
 	GPtrArray *withdrawn; /* ids named by the last flt_state() */
 	json_t *snapshot; /* answered to peers in parts */
 	GArray *sync_records; /* struct peer_log_record of the last reply */
@@ -85,8 +91,8 @@
 	}
 	cnt_add(flt->records, 1);
 	flt->since_snapshot++;
-	if (g_strcmp0(json_string_value(json_object_get(record, "kind")),
-		"map") == 0)
+	if (g_strcmp0(
+		json_string_value(json_object_get(record, "kind")), "map") == 0)
 		flt->since_snapshot = 0;
 	text = json_dumps(record, JSON_COMPACT);
 	kept = g_new0(struct kept_record, 1);
@@ -134,12 +140,19 @@
 	}
 }
 
+/* The next offset to read; offsets of the log start at 1. */
+static int64_t
+fleet_next(const struct flt *flt)
+{
+	return (MAX(own_next(flt->dmn->own), 1));
+}
+
 static void
 on_tail(int64_t next, clk_ms started_at, void *arg)
 {
 	struct flt *flt = arg;
 
-	if (own_next(flt->dmn->own) >= next)
+	if (fleet_next(flt) >= next)
 		own_log_read(flt->dmn->own, started_at);
 }
 
@@ -149,8 +162,8 @@
 	struct flt *flt = arg;
 
 	lg_event(flt->dmn->lg, LG_WARNING, "fleet_log_gap",
-	    "from=%lld first=%lld next=%lld", (long long)from,
-	    (long long)first, (long long)next);
+	    "from=%lld first=%lld next=%lld", (long long)from, (long long)first,
+	    (long long)next);
 	own_gap(flt->dmn->own, first);
 }
 
@@ -175,9 +188,9 @@
 	if (flt->open_sent || flt->stop_at != 0 ||
 	    own_log_age(dmn->own, dmn_now(dmn)) < 0)
 		return;
-	flt->open_sent = plg_append(dmn->plg, STREAM,
-			     mem_record_open(&dmn->identity), on_opened,
-			     flt) > 0;
+	flt->open_sent =
+	    plg_append(dmn->plg, STREAM, mem_record_open(&dmn->identity),
+		on_opened, flt) > 0;
 }
 
 struct pending_append {
@@ -254,6 +267,46 @@
 	return (age < 0 ? G_MAXINT32 : age);
 }
 
+/* Requests that crashed upstreams of late, so that no other runs them. */
+static void
+fingerprints_fill(struct flt *flt, struct peer_state *state)
+{
+	struct dmn *dmn = flt->dmn;
+	size_t n;
+
+	if (dmn->upd == NULL)
+		return;
+	n = upd_crashes(dmn->upd, flt->crashes, MAX_CRASHES);
+	for (size_t i = 0; i < n; i++) {
+		struct peer_fingerprint *out = &flt->fingerprints[i];
+
+		memcpy(out->hash, flt->crashes[i].fingerprint,
+		    PEER_FINGERPRINT_SIZE);
+		out->upstream = flt->crashes[i].upstream;
+		out->age_ms =
+		    (u_int)MAX(dmn_now(dmn) - flt->crashes[i].time, 0);
+	}
+	state->fingerprints.fingerprints_len = (u_int)n;
+	state->fingerprints.fingerprints_val = flt->fingerprints;
+}
+
+static void
+fingerprints_take(struct flt *flt, const struct peer_state *state)
+{
+	struct dmn *dmn = flt->dmn;
+	clk_ms now = dmn_now(dmn);
+
+	if (dmn->sch == NULL)
+		return;
+	for (u_int i = 0; i < state->fingerprints.fingerprints_len; i++) {
+		const struct peer_fingerprint *in =
+		    &state->fingerprints.fingerprints_val[i];
+
+		sch_crash_note(dmn->sch, (const unsigned char *)in->hash,
+		    in->upstream, now - (clk_ms)in->age_ms);
+	}
+}
+
 void
 flt_state(struct flt *flt, struct peer_state *state)
 {
@@ -268,12 +321,13 @@
 	state->address = dmn->address;
 	state->config_position = cfg_frontier(dmn->cfg);
 	state->fleet_position = (uint64_t)own_next(dmn->own);
-	state->log_age_ms = (uint64_t)MAX(
-	    age_of(own_log_age(dmn->own, dmn_now(dmn))),
-	    age_of(cnf_age(dmn->cnf)));
+	state->log_age_ms =
+	    (uint64_t)MAX(age_of(own_log_age(dmn->own, dmn_now(dmn))),
+		age_of(cnf_age(dmn->cnf)));
 	state->draining = flt->stop_at != 0;
-	state->withdrawn.withdrawn_len = MIN(flt->withdrawn->len,
-	    PEER_MAX_WITHDRAWN);
+	fingerprints_fill(flt, state);
+	state->withdrawn.withdrawn_len =
+	    MIN(flt->withdrawn->len, PEER_MAX_WITHDRAWN);
 	state->withdrawn.withdrawn_val = (peer_key_id *)flt->withdrawn->pdata;
 }
 
@@ -301,8 +355,9 @@
 	report_of(&args->state, &report);
 	mem_heard(dmn->mem, args->state.session, false, &report, dmn_now(dmn));
 	for (u_int i = 0; i < args->state.withdrawn.withdrawn_len; i++)
-		(void)cfg_withdraw(dmn->cfg,
-		    args->state.withdrawn.withdrawn_val[i]);
+		(void)cfg_withdraw(
+		    dmn->cfg, args->state.withdrawn.withdrawn_val[i]);
+	fingerprints_take(flt, &args->state);
 	flt_state(flt, &reply.state);
 	reply.sent_at = args->sent_at;
 	own_pending_get(dmn->own, &pending);
@@ -324,15 +379,15 @@
 };
 
 static void
-pending_of(const struct peer_heartbeat_reply *reply,
-    struct own_pending *pending)
+pending_of(
+    const struct peer_heartbeat_reply *reply, struct own_pending *pending)
 {
 	memset(pending, 0, sizeof(*pending));
 	pending->claimed_at = reply->claimed_at;
-	pending->more = reply->more ||
-	    reply->claims.claims_len > OWN_PENDING_MAX;
-	for (u_int i = 0;
-	    i < reply->claims.claims_len && i < OWN_PENDING_MAX; i++) {
+	pending->more =
+	    reply->more || reply->claims.claims_len > OWN_PENDING_MAX;
+	for (u_int i = 0; i < reply->claims.claims_len && i < OWN_PENDING_MAX;
+	     i++) {
 		const struct peer_claim *claim = &reply->claims.claims_val[i];
 
 		pending->shards[pending->n++] = (struct own_shard_id){
@@ -360,8 +415,9 @@
 	report_of(&reply->state, &report);
 	mem_heard(dmn->mem, ping->session, true, &report, dmn_now(dmn));
 	pending_of(reply, &pending);
-	own_heartbeat_answered(dmn->own, ping->session, ping->sent_at,
-	    &pending);
+	own_heartbeat_answered(
+	    dmn->own, ping->session, ping->sent_at, &pending);
+	fingerprints_take(ping->flt, &reply->state);
 	cnf_heard(dmn->cnf, ping->sent_at, &reply->state);
 	g_free(ping);
 }
@@ -407,11 +463,12 @@
 	list = json_loadb(result->body, result->body_len, 0, NULL);
 	members = g_new0(struct mem_member,
 	    json_array_size(json_object_get(list, "instances")) + 1);
-	json_array_foreach(json_object_get(list, "instances"), i, entry) {
-		const char *name = json_string_value(
-		    json_object_get(entry, "name"));
-		const char *state = json_string_value(
-		    json_object_get(entry, "state"));
+	json_array_foreach(json_object_get(list, "instances"), i, entry)
+	{
+		const char *name =
+		    json_string_value(json_object_get(entry, "name"));
+		const char *state =
+		    json_string_value(json_object_get(entry, "state"));
 
 		if (name == NULL)
 			continue;
@@ -421,10 +478,20 @@
 		    : MEM_LISTED_LIVE;
 		n++;
 	}
+	json_array_foreach(json_object_get(list, "upstreams"), i, entry)
+	{
+		const char *name =
+		    json_string_value(json_object_get(entry, "name"));
+
+		if (name != NULL && flt->dmn->upd != NULL)
+			upd_hint(flt->dmn->upd, name,
+			    g_strcmp0(json_string_value(
+					  json_object_get(entry, "state")),
+				"leaving") == 0);
+	}
 	/* An empty list says nothing: the service may have just started. */
 	if (n > 0)
-		mem_member_list(flt->dmn->mem, members, n,
-		    dmn_now(flt->dmn));
+		mem_member_list(flt->dmn->mem, members, n, dmn_now(flt->dmn));
 	g_free(members);
 	json_decref(list);
 }
@@ -433,8 +500,10 @@
 read_list(struct flt *flt, clk_ms now)
 {
 	g_autofree char *url = NULL;
-	struct hcl_request request = {.method = "GET", .timeout = LIST_MS,
-	    .on_done = on_list, .arg = flt};
+	struct hcl_request request = {.method = "GET",
+	    .timeout = LIST_MS,
+	    .on_done = on_list,
+	    .arg = flt};
 
 	if (flt->dmn->set->members_url == NULL || flt->list_call != NULL ||
 	    now - flt->listed_at < LIST_MS)
@@ -470,16 +539,14 @@
 	size_t i;
 
 	if (flt->since_snapshot < SNAPSHOT_RECORDS &&
-	    (flt->since_snapshot == 0 ||
-		now - flt->snapshot_at < SNAPSHOT_MS))
+	    (flt->since_snapshot == 0 || now - flt->snapshot_at < SNAPSHOT_MS))
 		return;
 	flt->snapshot_at = now;
 	if (!is_first_session(flt))
 		return;
 	parts = own_snapshot(dmn->own, now);
-	json_array_foreach(parts, i, part)
-		(void)plg_append(dmn->plg, STREAM, json_incref(part), NULL,
-		    NULL);
+	json_array_foreach(parts, i, part)(void)
+	    plg_append(dmn->plg, STREAM, json_incref(part), NULL, NULL);
 	lg_event(dmn->lg, LG_INFO, "fleet_snapshot", "parts=%zu",
 	    json_array_size(parts));
 	json_decref(parts);
@@ -508,8 +575,8 @@
 	for (u_int i = 0; i < reply->records.records_len; i++) {
 		const struct peer_log_record *record =
 		    &reply->records.records_val[i];
-		json_t *data = json_loadb(record->data.data_val,
-		    record->data.data_len, 0, NULL);
+		json_t *data = json_loadb(
+		    record->data.data_val, record->data.data_len, 0, NULL);
 
 		if (data != NULL && reply->parts > 0)
 			restored = map_restore(flt, data) || restored;
@@ -524,8 +591,8 @@
 	}
 	if (own_is_complete(dmn->own) && reply->read_age_ms < G_MAXINT32 &&
 	    (uint64_t)own_next(dmn->own) >= reply->next)
-		own_peer_read(dmn->own, sync->asked_at,
-		    (clk_ms)reply->read_age_ms);
+		own_peer_read(
+		    dmn->own, sync->asked_at, (clk_ms)reply->read_age_ms);
 	if (plg_follow_next(flt->follow) < own_next(dmn->own))
 		plg_follow_seek(flt->follow, own_next(dmn->own));
 out:
@@ -539,8 +606,8 @@
 	struct dmn *dmn = flt->dmn;
 	struct peer_sync_args args = {.session = dmn->session,
 	    .stream = (char *)(uintptr_t)STREAM,
-	    .from = own_is_complete(dmn->own) ? (uint64_t)own_next(dmn->own)
-					      : 0,
+	    .from =
+		own_is_complete(dmn->own) ? (uint64_t)own_next(dmn->own) : 0,
 	    .part = part};
 	struct sync *sync = g_new0(struct sync, 1);
 
@@ -638,8 +705,8 @@
 	g_ptr_array_set_size(flt->sync_texts, 0);
 	reply->session = dmn->session;
 	reply->next = (uint64_t)own_next(dmn->own);
-	reply->read_age_ms = (uint64_t)age_of(
-	    own_log_age(dmn->own, dmn_now(dmn)));
+	reply->read_age_ms =
+	    (uint64_t)age_of(own_log_age(dmn->own, dmn_now(dmn)));
 	if (args->from > 0 && head != NULL &&
 	    (int64_t)args->from >= head->offset) {
 		reply->first = args->from;
@@ -662,13 +729,13 @@
 		}
 		reply->parts = (u_int)json_array_size(flt->snapshot);
 		reply->first = args->part;
-		text = json_dumps(json_array_get(flt->snapshot, args->part),
-		    JSON_COMPACT);
+		text = json_dumps(
+		    json_array_get(flt->snapshot, args->part), JSON_COMPACT);
 		if (text != NULL) {
 			g_ptr_array_add(flt->sync_texts, g_strdup(text));
 			record.offset = args->part;
-			record.data.data_val = g_ptr_array_index(
-			    flt->sync_texts, 0);
+			record.data.data_val =
+			    g_ptr_array_index(flt->sync_texts, 0);
 			record.data.data_len = (u_int)strlen(text);
 			g_array_append_val(flt->sync_records, record);
 		}
@@ -682,13 +749,11 @@
 static void
 follow_start(struct flt *flt)
 {
-	struct plg_follow_events events = {.record = on_record,
-	    .tail = on_tail,
-	    .gap = on_gap,
-	    .arg = flt};
+	struct plg_follow_events events = {
+	    .record = on_record, .tail = on_tail, .gap = on_gap, .arg = flt};
 
-	flt->follow = plg_follow(flt->dmn->plg, STREAM,
-	    own_next(flt->dmn->own), &events);
+	flt->follow =
+	    plg_follow(flt->dmn->plg, STREAM, fleet_next(flt), &events);
 }
 
 struct flt *
@@ -699,16 +764,16 @@
 	flt->dmn = dmn;
 	flt->kept = g_queue_new();
 	flt->withdrawn = g_ptr_array_new();
-	flt->sync_records = g_array_new(FALSE, FALSE,
-	    sizeof(struct peer_log_record));
+	flt->sync_records =
+	    g_array_new(FALSE, FALSE, sizeof(struct peer_log_record));
 	flt->sync_texts = g_ptr_array_new_with_free_func(g_free);
 	flt->owned = cnt_gauge(dmn->cnt, "shards_owned",
 	    "Shards that this instance owns.", NULL, NULL);
-	flt->heartbeats = cnt_counter(dmn->cnt, "heartbeats_total",
-	    "Heartbeats sent.", NULL, NULL);
-	flt->heartbeats_failed = cnt_counter(dmn->cnt,
-	    "heartbeats_failed_total", "Heartbeats without an answer.", NULL,
-	    NULL);
+	flt->heartbeats = cnt_counter(
+	    dmn->cnt, "heartbeats_total", "Heartbeats sent.", NULL, NULL);
+	flt->heartbeats_failed =
+	    cnt_counter(dmn->cnt, "heartbeats_failed_total",
+		"Heartbeats without an answer.", NULL, NULL);
 	flt->records = cnt_counter(dmn->cnt, "fleet_records_total",
 	    "Records of the stream fleet applied.", NULL, NULL);
 	flt->snapshot_at = dmn_now(dmn);
@@ -752,14 +817,61 @@
 	own_stop(flt->dmn->own);
 }
 
+static void
+on_closed(enum plg_outcome outcome, int64_t offset, void *arg)
+{
+	struct flt *flt = arg;
+
+	(void)outcome;
+	(void)offset;
+	flt->left = true;
+}
+
+/* Whether another session of the data centre could take the shards over. */
+static bool
+has_successor(const struct flt *flt)
+{
+	uint64_t first[2];
+	size_t n = mem_rank(
+	    flt->dmn->mem, flt->dmn->set->datacentre_number, 0, true, first, 2);
+
+	for (size_t i = 0; i < n; i++) {
+		if (first[i] != flt->dmn->session)
+			return (true);
+	}
+	return (false);
+}
+
 bool
 flt_is_stopped(const struct flt *flt)
 {
 	struct dmn *dmn = flt->dmn;
 	clk_ms now = dmn_now(dmn);
+	bool log_away;
+
+	if (flt->left || own_is_stopped(dmn->own))
+		return (true);
+	if (flt->stop_at == 0)
+		return (false);
+	log_away = own_log_age(dmn->own, now) < 0 ||
+	    own_log_age(dmn->own, now) > STOP_LOG_AWAY;
+	return (now - flt->stop_at > STOP_LOG_AWAY &&
+	    (log_away || !has_successor(flt)));
+}
+
+bool
+flt_leave(struct flt *flt)
+{
+	struct dmn *dmn = flt->dmn;
 
-	if (own_is_stopped(dmn->own))
+	if (flt->left || own_is_stopped(dmn->own))
 		return (true);
-	return (flt->stop_at != 0 && now - flt->stop_at > STOP_LOG_AWAY &&
-	    own_log_age(dmn->own, now) > STOP_LOG_AWAY);
+	if (flt->leave_at == 0) {
+		flt->leave_at = dmn_now(dmn);
+		own_leave(dmn->own);
+		if (plg_append(dmn->plg, STREAM, own_record_close(dmn->session),
+			on_closed, flt) == 0)
+			flt->left = true;
+	}
+	return (flt->left || dmn_now(dmn) - flt->leave_at > STOP_LOG_AWAY);
 }
--- a/src/daemon/flt.h
+++ b/src/daemon/flt.h
@@ -24,10 +24,17 @@
 /*
  * flt_is_stopped(flt)
  *	Whether this session has no shard left, or cannot hand over what is
- *	left because the log has been away since flt_stop().
+ *	left: the log is away, or no other session of the data centre is live.
  */
 bool flt_is_stopped(const struct flt *flt);
 
+/*
+ * flt_leave(flt)
+ *	After flt_is_stopped() and the end of all calls: give up what is left
+ *	and close the session in the log.  To be called until it returns true.
+ */
+bool flt_leave(struct flt *flt);
+
 /*
  * flt_state(flt, state)
  *	Fill in what this instance says about itself in a heartbeat.  The
--- /dev/null
+++ b/src/daemon/grn.h
@@ -0,0 +1,34 @@
+/*
+ * grn: driver of the organisations' rates.
+ *
+ * Carries the requests and answers of module rat between holders and
+ * coordinators, and lets a call wait for its token.
+ */
+#ifndef SAMPHIRESHED_GRN_H
+#define SAMPHIRESHED_GRN_H
+
+#include "daemon/state.h"
+#include "lib/vd.h"
+
+struct grn *grn_open(struct dmn *dmn);
+void grn_close(struct grn *grn);
+
+/*
+ * grn_take(grn, organisation, on_taken, waiter)
+ *	Take a token of the organisation's rate for one request.
+ * RETURN VALUES
+ *	VD_OK: taken.  VD_RATE_EXCEEDED with Retry-After: refused.  Otherwise
+ *	(ran == VD_MAYBE) on_taken(vd, waiter) follows with one of the two.
+ */
+typedef void grn_on_taken(const struct vd *vd, void *waiter);
+struct vd grn_take(struct grn *grn, const char *organisation,
+    grn_on_taken *on_taken, void *waiter);
+
+/* grn_cancel(grn, organisation, waiter): the waiting request has gone. */
+void grn_cancel(struct grn *grn, const char *organisation, void *waiter);
+
+/* grn_handler(grn, request, args): handler of GRANT. */
+void grn_handler(struct grn *grn, struct pr_request *request,
+    const struct peer_grant_args *args);
+
+#endif
--- a/src/daemon/state.h
+++ b/src/daemon/state.h
@@ -23,7 +23,9 @@
 #include "plog/plg.h"
 #include "settings/set.h"
 
+struct call_set;
 struct cnf;
+struct dfr;
 struct flt;
 struct fwd;
 struct gate;
@@ -47,16 +49,20 @@
 	struct hcl *hcl;
 	struct plg *plg;
 	struct pr *pr;
+	struct dfr *dfr;
 	uint64_t session;
 	char address[MEM_ADDRESS_SIZE]; /* of the peer port, "IP:port" */
 	struct mem_identity identity;
+	char peer_address[MEM_ADDRESS_SIZE]; /* result of dmn_address() */
 
 	struct cfg *cfg; /* driver cnf */
 	struct cnf *cnf;
 	struct mem *mem; /* driver flt */
 	struct own *own;
 	struct flt *flt;
-	struct prg *prg; /* driver rpl for records, gate for calls */
+	/* One for each data centre, by its number; used by rpl and gate. */
+	struct prg *prg[OWN_MAX_DATACENTRES];
+	unsigned n_datacentres;
 	struct cpy *cpy;
 	struct rpl *rpl;
 	struct rat *rat; /* driver grn */
@@ -64,6 +70,7 @@
 	struct ups *ups; /* driver upd */
 	struct sch *sch;
 	struct upd *upd;
+	struct call_set *calls;
 	struct fwd *fwd;
 	struct gate *gate;
 	struct ops *ops;
--- /dev/null
+++ b/src/gate/call.h
@@ -0,0 +1,91 @@
+/*
+ * call: runs one caller's request at the owner of its program.
+ *
+ * A call is submitted to module prg, waits for its turn, has its begin
+ * acknowledged by the replica holders, runs at an upstream, has its end
+ * acknowledged, and only then shows its end to the sink.  A call without a
+ * program and without a key (an idempotent service call) skips prg.
+ */
+#ifndef SAMPHIRESHED_CALL_H
+#define SAMPHIRESHED_CALL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "daemon/state.h"
+#include "lib/vd.h"
+#include "program/prg.h"
+
+struct call;
+
+enum call_kind {
+	CALL_CHAT, /* POST /v1/chat/completions */
+	CALL_SERVICE, /* a route to a service */
+	CALL_PROGRAM_CREATE, /* POST /v1/programs */
+	CALL_PROGRAM_SHOW, /* GET /v1/programs/ID */
+	CALL_PROGRAM_CLOSE /* DELETE /v1/programs/ID */
+};
+
+/* A request; strings and body are copied. */
+struct call_request {
+	enum call_kind kind;
+	/* Shard of the program; not used by a call without a program. */
+	struct own_shard_id shard;
+	bool has_shard;
+	const char *organisation;
+	const char *key_id;
+	const char *request_id;
+	const char *traceparent; /* "" if none */
+	const char *method;
+	const char *path; /* with the query string */
+	const char *program; /* id; "": a new or implicit program */
+	const char *idempotency_key; /* "" if none */
+	const char *content_type;
+	const void *body;
+	size_t body_len;
+};
+
+/*
+ * Where the answer goes.  head comes at most once and before data; end comes
+ * exactly once and last, unless the call is cancelled.  An end without a head
+ * is an error to be shown as an error body.
+ */
+struct call_sink {
+	void (*head)(int status, const char *content_type, const char *program,
+	    unsigned turn, void *arg);
+	void (*data)(const void *data, size_t len, void *arg);
+	void (*end)(const struct vd *vd, void *arg);
+};
+
+struct call_set; /* the calls of one instance */
+
+struct call_set *call_set_open(struct dmn *dmn);
+void call_set_close(struct call_set *calls);
+
+/* call_set_count(calls): the number of calls not yet ended. */
+unsigned call_set_count(const struct call_set *calls);
+
+/*
+ * call_start(calls, request, sink, arg)
+ *	Run a request.  The sink is never called from within call_start().
+ * RETURN VALUES
+ *	A handle, valid until sink->end returns or call_cancel().
+ */
+struct call *
+call_start(struct call_set *calls, const struct call_request *request,
+    const struct call_sink *sink, void *arg);
+
+/*
+ * call_cancel(call)
+ *	The caller has gone.  A call that has not begun is dropped; a model
+ *	call in progress is cancelled at its engine; a non-idempotent call goes
+ *	on, so that its outcome is known when the caller repeats it.
+ */
+void call_cancel(struct call *call);
+
+/* Hooks of module prg. */
+void call_on_start(prg_handle handle, struct prg *prg, struct call_set *calls);
+void call_on_answer(prg_handle handle, const struct prg_answer *answer,
+    struct prg *prg, struct call_set *calls);
+
+#endif
--- a/src/lib/web.c
+++ b/src/lib/web.c
@@ -40,6 +40,7 @@
 	enum phase phase;
 	char *method;
 	char *path;
+	char *query; /* nil if none */
 	GString *body;
 	bool too_large;
 	bool suspended;
@@ -63,6 +64,7 @@
 		MHD_destroy_response(req->response);
 	g_free(req->method);
 	g_free(req->path);
+	g_free(req->query);
 	g_string_free(req->body, TRUE);
 	g_ptr_array_free(req->headers, TRUE);
 	g_byte_array_free(req->out, TRUE);
@@ -122,21 +124,30 @@
 }
 
 static struct web_req *
-req_new(struct web *web, struct MHD_Connection *connection, const char *url,
-    const char *method)
+req_new(struct web *web, struct MHD_Connection *connection)
 {
 	struct web_req *req = g_new0(struct web_req, 1);
 
 	req->web = web;
 	req->connection = connection;
-	req->method = g_strdup(method);
-	req->path = g_strdup(url);
 	req->body = g_string_new(NULL);
 	req->headers = g_ptr_array_new_with_free_func(g_free);
 	req->out = g_byte_array_new();
 	return (req);
 }
 
+/* Called before the request line is decoded. */
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
+{
+	struct web_req *req = req_new(cls, connection);
+	const char *query = strchr(uri, '?');
+
+	if (query != NULL)
+		req->query = g_strdup(query + 1);
+	return (req);
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *upload_data,
@@ -146,8 +157,9 @@
 	struct web_req *req = *con_cls;
 
 	(void)version;
-	if (req == NULL) {
-		*con_cls = req_new(web, connection, url, method);
+	if (req->method == NULL) {
+		req->method = g_strdup(method);
+		req->path = g_strdup(url);
 		return (MHD_YES);
 	}
 	if (*upload_size > 0) {
@@ -330,8 +342,9 @@
 		    (void *)(uintptr_t)options->tls_key};
 	}
 	return (MHD_start_daemon(flags, options->port, NULL, NULL, on_access,
-	    web, MHD_OPTION_NOTIFY_COMPLETED, on_completed, web,
-	    MHD_OPTION_ARRAY, items, MHD_OPTION_END));
+	    web, MHD_OPTION_URI_LOG_CALLBACK, on_uri, web,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, web, MHD_OPTION_ARRAY,
+	    items, MHD_OPTION_END));
 }
 
 struct web *
@@ -444,6 +457,12 @@
 	    req->connection, MHD_GET_ARGUMENT_KIND, name));
 }
 
+const char *
+web_query_string(const struct web_req *req)
+{
+	return (req->query);
+}
+
 const char *
 web_body(const struct web_req *req, size_t *len)
 {
--- a/src/lib/web.h
+++ b/src/lib/web.h
@@ -72,6 +72,9 @@
 const char *web_header(struct web_req *req, const char *name);
 const char *web_query(struct web_req *req, const char *name);
 
+/* web_query_string(req): what follows the "?", undecoded; nil if none. */
+const char *web_query_string(const struct web_req *req);
+
 /* web_body(req, len): the body, followed by a zero byte that len leaves out. */
 const char *web_body(const struct web_req *req, size_t *len);
 
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -33,10 +33,10 @@
 	unsigned hyper retry_after_ms;
 };
 
-/* A request that crashed upstreams; age_ms is the age of the last crash. */
+/* A request that crashed an upstream; age_ms is the age of the crash. */
 struct peer_fingerprint {
 	opaque hash[PEER_FINGERPRINT_SIZE];
-	unsigned int crashes;
+	string upstream<PEER_MAX_NAME>;
 	unsigned int age_ms;
 };
 
@@ -138,16 +138,16 @@
 };
 
 /*
- * call_id is unique within the session.  address is where STREAM messages of
+ * call_id is unique within the session, kind an enum call_kind.  address is where STREAM messages of
  * the answer go.  The caller's key is never part of it.
  */
 struct peer_forward_args {
 	unsigned hyper session;
 	string address<PEER_MAX_ADDRESS>;
 	unsigned hyper call_id;
+	unsigned int kind;
 	unsigned int datacentre;
 	unsigned int shard;
-	unsigned hyper epoch;
 	string organisation<PEER_MAX_NAME>;
 	string key_id<PEER_MAX_NAME>;
 	string request_id<PEER_MAX_NAME>;
@@ -215,10 +215,12 @@
 	peer_stream_status status;
 };
 
-/* epoch is that of the grants that used and returned speak of. */
+/* A struct rat_request of module rat. */
 struct peer_grant_wish {
 	string organisation<PEER_MAX_NAME>;
-	unsigned hyper epoch;
+	unsigned int shard;
+	unsigned hyper serial;
+	bool borrow;
 	unsigned int wanted;
 	unsigned int used;
 	unsigned int returned;
@@ -234,10 +236,11 @@
 	PEER_GRANT_NOT_COORDINATOR = 1
 };
 
+/* A struct rat_reply; serial is that of the wish. */
 struct peer_grant {
 	peer_grant_status status;
 	string organisation<PEER_MAX_NAME>;
-	unsigned hyper epoch;
+	unsigned hyper serial;
 	unsigned int tokens;
 	unsigned int lifetime_ms;
 	unsigned int retry_after_ms;
--- a/src/peer/peer_xdr.c
+++ b/src/peer/peer_xdr.c
@@ -51,7 +51,7 @@
 	int i;
 	 if (!xdr_opaque (xdrs, objp->hash, PEER_FINGERPRINT_SIZE))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->crashes))
+	 if (!xdr_string (xdrs, &objp->upstream, PEER_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
@@ -250,18 +250,105 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->address, PEER_MAX_ADDRESS))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->call_id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->datacentre))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shard))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->datacentre);
+		IXDR_PUT_U_LONG(buf, objp->shard);
+		}
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->key_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->traceparent, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->method, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->path, PEER_MAX_PATH))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->program_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->idempotency_key, PEER_MAX_KEY))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->content_type, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_DATA))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->address, PEER_MAX_ADDRESS))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->call_id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->datacentre))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shard))
+				 return FALSE;
+
+		} else {
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->datacentre = IXDR_GET_U_LONG(buf);
+		objp->shard = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->key_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->traceparent, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->method, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->path, PEER_MAX_PATH))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->program_id, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->idempotency_key, PEER_MAX_KEY))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->content_type, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_DATA))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->session))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->address, PEER_MAX_ADDRESS))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->call_id))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->datacentre))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->shard))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->key_id, PEER_MAX_NAME))
@@ -399,9 +486,64 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->shard))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->serial))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->borrow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wanted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->borrow);
+			IXDR_PUT_U_LONG(buf, objp->wanted);
+			IXDR_PUT_U_LONG(buf, objp->used);
+			IXDR_PUT_U_LONG(buf, objp->returned);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->shard))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->serial))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->borrow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wanted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+		} else {
+			objp->borrow = IXDR_GET_BOOL(buf);
+			objp->wanted = IXDR_GET_U_LONG(buf);
+			objp->used = IXDR_GET_U_LONG(buf);
+			objp->returned = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_u_int (xdrs, &objp->shard))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->serial))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->borrow))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wanted))
 		 return FALSE;
@@ -444,7 +586,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->organisation, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_u_quad_t (xdrs, &objp->serial))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->tokens))
 		 return FALSE;
--- a/src/peer/peer_xdr.h
+++ b/src/peer/peer_xdr.h
@@ -42,7 +42,7 @@
 
 struct peer_fingerprint {
 	char hash[PEER_FINGERPRINT_SIZE];
-	u_int crashes;
+	char *upstream;
 	u_int age_ms;
 };
 typedef struct peer_fingerprint peer_fingerprint;
@@ -164,9 +164,9 @@
 	u_quad_t session;
 	char *address;
 	u_quad_t call_id;
+	u_int kind;
 	u_int datacentre;
 	u_int shard;
-	u_quad_t epoch;
 	char *organisation;
 	char *key_id;
 	char *request_id;
@@ -248,7 +248,9 @@
 
 struct peer_grant_wish {
 	char *organisation;
-	u_quad_t epoch;
+	u_int shard;
+	u_quad_t serial;
+	bool_t borrow;
 	u_int wanted;
 	u_int used;
 	u_int returned;
@@ -273,7 +275,7 @@
 struct peer_grant {
 	peer_grant_status status;
 	char *organisation;
-	u_quad_t epoch;
+	u_quad_t serial;
 	u_int tokens;
 	u_int lifetime_ms;
 	u_int retry_after_ms;
