Send a new replica holder the state even if no record waits

Cause: after one death the demo showed up to 18 shards recovered unproven. A holder that was named after the shard's first record had been trimmed got nothing until the next record, so it answered FETCH with "none". Change: rpl compares the holder's acknowledged number with the shard's; unanswered sources of a recovery are logged with their last status.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -159,6 +159,12 @@
 [ "$again" = 200 ] && [ "$second" = 200 ] || fail "$(cat "$OUT/order.txt")"
 turn 6 atl-2-2 "Thanks."
 
+# One death must leave a proven state: a holder that never got the state of a
+# shard without calls made its recovery unproven.
+if grep -h 'event=shard_recovered.* proven=0' "$OUT"/*.log; then
+	fail "a shard was recovered without proof after one death"
+fi
+
 echo "== ten programs at once, through every data centre"
 run_program() {
 	local program number entry
--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -44,7 +44,6 @@
 	clk_ms retry_at;
 	GPtrArray *export; /* whole state being sent; nil: none */
 	guint export_next;
-	uint64_t export_seq;
 };
 
 struct source {
@@ -54,6 +53,7 @@
 	clk_ms retry_at;
 	uint64_t cursor;
 	GPtrArray *records; /* parts of its answer so far */
+	int status; /* of its last answer; -1: none */
 };
 
 /* A shard that this instance owns. */
@@ -259,6 +259,13 @@
 	}
 }
 
+static uint64_t
+shard_seq(const struct shard *shard)
+{
+	return (prg_shard_seq(
+	    shard->rpl->dmn->prg[shard->id.datacentre], shard->id.shard));
+}
+
 /* Start sending the whole state to a target. */
 static void
 export_start(struct target *target)
@@ -271,7 +278,6 @@
 		g_ptr_array_unref(target->export);
 	target->export = prg_export(prg, shard->id.shard);
 	target->export_next = 0;
-	target->export_seq = prg_shard_seq(prg, shard->id.shard);
 	cnt_add(shard->rpl->exports, 1);
 }
 
@@ -432,8 +438,8 @@
 	    (target->down && now < target->retry_at))
 		return;
 	/* Records that the target still needs were trimmed away. */
-	if (target->export == NULL && head != NULL &&
-	    target->acked + 1 < head->seq)
+	if (target->export == NULL && target->acked < shard_seq(shard) &&
+	    (head == NULL || target->acked + 1 < head->seq))
 		export_start(target);
 	wire = g_array_new(FALSE, FALSE, sizeof(struct peer_record));
 	if (batch_fill(target, wire) == 0 && !target->down)
@@ -574,6 +580,24 @@
 	source->answered = true;
 }
 
+/* Say which sources have not answered. */
+static void
+missing_log(const struct shard *shard)
+{
+	for (unsigned i = 0; i < shard->n_sources; i++) {
+		const struct source *source = &shard->sources[i];
+
+		if (!source->answered)
+			lg_event(shard->rpl->dmn->lg, LG_WARNING,
+			    "recovery_source_missing",
+			    "datacentre=%u shard=%u source=%016llx status=%d",
+			    (unsigned)shard->id.datacentre,
+			    (unsigned)shard->id.shard,
+			    (unsigned long long)source->session,
+			    source->status);
+	}
+}
+
 static void
 recovery_check(struct shard *shard, clk_ms now)
 {
@@ -594,8 +618,10 @@
 	    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
 	    (unsigned long long)shard->epoch, (int)all,
 	    (long long)(now - shard->opened_at));
-	if (!all)
+	if (!all) {
 		cnt_add(rpl->unproven, 1);
+		missing_log(shard);
+	}
 	if (!shard->recovered) {
 		shard->recovered = true;
 		cnt_add(rpl->recoveries, 1);
@@ -664,9 +690,11 @@
 		goto out;
 	source->in_flight = false;
 	source->retry_at = now + FETCH_RETRY;
-	if (result->sent == PR_REPLIED && reply->session == source->session &&
-	    reply->status == PEER_FETCH_OK)
-		source_take(shard, source, reply);
+	if (result->sent == PR_REPLIED && reply->session == source->session) {
+		source->status = (int)reply->status;
+		if (reply->status == PEER_FETCH_OK)
+			source_take(shard, source, reply);
+	}
 	recovery_check(shard, now);
 out:
 	g_free(fetch);
@@ -735,6 +763,7 @@
 			continue;
 		source = &shard->sources[shard->n_sources++];
 		source->session = sources[i];
+		source->status = -1;
 		if (sources[i] == dmn->session)
 			fetch_local(shard, source);
 		else
@@ -801,7 +830,7 @@
 	target = target_find(shard, shard->successor);
 	ready = target != NULL && !target->down && target->export == NULL &&
 	    prg_shard_busy(prg, shard->id.shard) == 0 &&
-	    target->acked >= prg_shard_seq(prg, shard->id.shard);
+	    target->acked >= shard_seq(shard);
 	if (!ready && now < shard->prepare_deadline)
 		return;
 	shard->successor = 0;
