Say which replica holders a call waited for in vain

Change: rpl logs each holder of a shard when a wait for its acknowledgement times out, and each gap that a holder reports. Conclusion: the next occurrence names the holder.

--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -244,6 +244,32 @@
 	return (false);
 }
 
+/* Say which holders a call waited for in vain. */
+static void
+timeout_log(const struct shard *shard, const struct waiter *waiter)
+{
+	struct own_shard info;
+
+	(void)own_shard_get(shard->rpl->dmn->own, shard->id, &info);
+	for (int i = 0; i < OWN_HOLDERS; i++) {
+		const struct target *target = shard->targets[i];
+
+		lg_event(shard->rpl->dmn->lg, LG_WARNING, "replication_timeout",
+		    "datacentre=%u shard=%u epoch=%llu seq=%llu "
+		    "map_holder=%016llx holder=%016llx held=%lld down=%d "
+		    "in_flight=%d exporting=%d",
+		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
+		    (unsigned long long)shard->epoch,
+		    (unsigned long long)waiter->seq,
+		    (unsigned long long)info.holders[i],
+		    (unsigned long long)(target != NULL ? target->session : 0),
+		    (long long)(target != NULL ? (int64_t)target->acked : -1),
+		    target != NULL && target->down,
+		    target != NULL && target->in_flight,
+		    target != NULL && target->export != NULL);
+	}
+}
+
 static void
 waiters_check(struct shard *shard, clk_ms now)
 {
@@ -255,6 +281,8 @@
 		if (!acked && !is_deposed(shard) && now < waiter->deadline)
 			break;
 		(void)g_queue_pop_head(shard->waiters);
+		if (!acked)
+			timeout_log(shard, waiter);
 		waiter_end(shard->rpl, waiter, acked);
 	}
 }
@@ -384,6 +412,12 @@
 		    (unsigned long long)reply->epoch);
 		break;
 	default:
+		lg_event(shard->rpl->dmn->lg, LG_INFO, "replica_gap",
+		    "datacentre=%u shard=%u holder=%016llx held=%llu seq=%llu",
+		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
+		    (unsigned long long)target->session,
+		    (unsigned long long)reply->acked_seq,
+		    (unsigned long long)shard_seq(shard));
 		export_start(target);
 		break;
 	}
