Document the record formats of ownership

Cause: the formats stood only in the code. Change: own.h lists the records of the stream fleet; an unused field goes. Conclusion: other writers of the stream have a page to follow.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -73,7 +73,6 @@
 struct claim {
 	unsigned index;
 	uint64_t epoch;
-	uint64_t holders[OWN_HOLDERS];
 	struct submitted submitted;
 };
 
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -37,6 +37,24 @@
  *
  * All instances must use the same takeover and drift settings.
  *
+ * Records of the stream "fleet".  Sessions are 16 hex digits; plg_append()
+ * adds "session" and "number" to each:
+ *
+ *   {"kind":"session_open", "instance", "datacentre", "address", "weight"}
+ *   {"kind":"session_close", "closes":SESSION}
+ *   {"kind":"claim", "ref", "shards":[ENTRY...]}
+ *   {"kind":"handover", "ref", "shards":[ENTRY with "to":SESSION]}
+ *   {"kind":"holders", "ref", "shards":[ENTRY with "revision"...]}
+ *   {"kind":"datacentre_lost", "datacentre", "lost":bool, "base":OFFSET}
+ *   {"kind":"map", "through", "part", "parts", "sessions", "closed", "lost",
+ *       "shards"}
+ *
+ * ENTRY is {"datacentre", "shard", "epoch", "holders":[SESSION...]}; epoch and
+ * revision are those that the record is based on, and each entry of a record
+ * is valid or not by itself.  A session_close is voluntary if "session" is the
+ * one that it closes.  "base" is the offset of the last valid datacentre_lost
+ * record of the data centre, or -1.
+ *
  * Costs, with D data centres, N shards in each, S sessions, and P the shards
  * that this session owns: own_apply() O(shards in the record), for a session
  * record O(1) on average; own_may_act(), own_horizon(), own_shard_get(),
