Find a successor in another data centre after a handover was given up

Cause: an owner outside of a lost data centre had given up a shard by a handover to a session that then closed. It repeated that handover for ever, because it looked for a successor in the lost data centre only and, when stopping, at the best of the others, which was itself. Change: the second of the other data centres' ranking is kept; a shard that was given up may go to another data centre; a stopping session does not wait for a handover that nobody can take. A session that gave up a shard while it is the only one alive anywhere waits until another opens.

--- a/src/own/own_decide.c
+++ b/src/own/own_decide.c
@@ -180,7 +180,8 @@
 	sh->rank[1] = n > 1 ? sessions[1] : 0;
 	sh->self_position = position_of(out->own->self.session, sessions, n);
 	n = rank(out, id, false, sessions);
-	sh->rank_other = n > 0 ? sessions[0] : 0;
+	sh->rank_other[0] = n > 0 ? sessions[0] : 0;
+	sh->rank_other[1] = n > 1 ? sessions[1] : 0;
 	if (out->own->self.datacentre != id.datacentre)
 		sh->self_position =
 		    position_of(out->own->self.session, sessions, n);
@@ -200,7 +201,8 @@
 static uint64_t
 best_other(const struct shard *sh, uint64_t owner)
 {
-	return (sh->rank_other != owner ? sh->rank_other : 0);
+	return (
+	    sh->rank_other[0] != owner ? sh->rank_other[0] : sh->rank_other[1]);
 }
 
 static void
@@ -420,10 +422,11 @@
 	const struct shard *sh = &own->shards[mine->index];
 	uint64_t best = sh->rank[0];
 
-	if (own->stopping || mine->phase == OWN_GIVEN_UP)
+	if (own->stopping || mine->phase == OWN_GIVEN_UP) {
 		best = best_inside(sh, own->self.session);
-	if (best == 0 && own->stopping)
-		best = best_other(sh, own->self.session);
+		if (best == 0)
+			best = best_other(sh, own->self.session);
+	}
 	if (best == own->self.session || own_session_find(own, best) == NULL)
 		return (0);
 	return (best);
@@ -489,6 +492,8 @@
 			return;
 		if (successor(out, mine) != 0)
 			mine->successor = successor(out, mine);
+		if (own_session_find(own, mine->successor) == NULL)
+			return;
 	} else if (mine->phase != OWN_PREPARING || !mine->ready) {
 		return;
 	} else if (mem_state(out->mem, mine->successor) != MEM_LIVE ||
@@ -548,9 +553,11 @@
 	for (unsigned i = 0; i < own->mine->len; i++) {
 		struct mine *mine = g_ptr_array_index(own->mine, i);
 
-		if (mine->phase == OWN_PREPARING || mine->phase == OWN_GIVEN_UP)
+		if (mine->phase == OWN_PREPARING ||
+		    (mine->phase == OWN_GIVEN_UP && !mine->handover.repeat))
 			return (true);
-		if (mine->phase == OWN_SERVING &&
+		if ((mine->phase == OWN_SERVING ||
+			mine->phase == OWN_GIVEN_UP) &&
 		    (!refresh_rank(out, mine->index) ||
 			successor(out, mine) != 0))
 			return (true);
@@ -697,7 +704,7 @@
 		if (datacentre == own->self.datacentre ||
 		    (own->lost[datacentre] &&
 			(own_is_holder(sh, own->self.session) ||
-			    sh->rank_other == own->self.session)))
+			    sh->rank_other[0] == own->self.session)))
 			n = watch(own, sh->owner, sessions, n, max);
 	}
 	return (n);
--- a/src/own/own_impl.h
+++ b/src/own/own_impl.h
@@ -73,7 +73,7 @@
 	struct claim *claim;
 	uint64_t rank_generation;
 	uint64_t rank[2]; /* the best two of the data centre */
-	uint64_t rank_other; /* the best of the other data centres */
+	uint64_t rank_other[2]; /* the best two of the other data centres */
 	/* Among those of its side; a large number: not among the first. */
 	unsigned self_position;
 	clk_ms rank_since; /* when the best one changed last */
