Keep the orders that once failed

Cause: the faults of the ownership module were found by single orders out of hundreds of thousands, which a normal run does not repeat.

--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -1192,6 +1192,23 @@
 	g_assert_cmpuint(total.takeovers, >, 2 * orders);
 }
 
+/* Orders that once failed: each is named in the history of this module. */
+static void
+test_found_orders(void)
+{
+	static const uint64_t seeds[] = {
+	    33, 96, 247, 1060184, 1095986, 1110591, 5161891};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+		struct world w;
+
+		world_open(&w, seeds[i], BROKEN_NONE);
+		world_run(&w);
+		world_close(&w);
+		g_assert_cmpstr(w.first, ==, "");
+	}
+}
+
 /* The check must be able to fail: each rule that is off must show. */
 static void
 test_broken_rules(void)
@@ -1510,6 +1527,85 @@
 	single_close(&x);
 }
 
+/* Decide until a handover is to be appended; returns its record. */
+static json_t *
+handover_record(struct single *x, clk_ms now)
+{
+	struct own_action actions[16];
+	json_t *record = NULL;
+
+	for (int round = 0; round < 4 && record == NULL; round++) {
+		size_t n = own_decide(
+		    x->own, x->mem, now, actions, G_N_ELEMENTS(actions));
+
+		for (size_t i = 0; i < n; i++) {
+			if (actions[i].act == OWN_ACT_PREPARE)
+				own_prepared(x->own, actions[i].id,
+				    actions[i].epoch, true);
+			if (actions[i].act != OWN_ACT_APPEND)
+				continue;
+			own_append_done(x->own, actions[i].ref, OWN_APPENDED);
+			g_assert_null(record);
+			record = actions[i].record;
+		}
+	}
+	g_assert_nonnull(record);
+	g_assert_cmpstr(
+	    json_string_value(json_object_get(record, "kind")), ==, "handover");
+	return (record);
+}
+
+static uint64_t
+successor_of(const json_t *record)
+{
+	uint64_t to = 0;
+
+	g_assert_true(plg_session_parse(
+	    json_string_value(json_object_get(
+		json_array_get(json_object_get(record, "shards"), 0), "to")),
+	    &to));
+	return (to);
+}
+
+/*
+ * Guards against an owner that acts again while a handover stands in the log,
+ * because it took a second copy of an earlier one for its failure.
+ */
+static void
+test_second_copy_of_handover(void)
+{
+	struct single x;
+	json_t *first;
+	json_t *second;
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	open_session(&x, C, 0);
+	decide_and_drop(&x, 0);
+	first = record_of("holders", A, 1, "000000000000000b");
+	(void)json_object_set_new(
+	    json_array_get(json_object_get(first, "shards"), 0), "revision",
+	    json_integer(1));
+	g_assert_cmpint(apply(&x, first, 0), ==, OWN_APPLIED);
+	own_stop(x.own);
+	own_log_read(x.own, 1000);
+	first = handover_record(&x, 1000);
+	g_assert_cmpint(shard_of(&x).phase, ==, OWN_GIVEN_UP);
+	g_assert_false(own_may_act(x.own, shard0, 1000));
+	g_assert_cmpint(apply(&x, own_record_close(successor_of(first)), 1000),
+	    ==, OWN_APPLIED);
+	g_assert_cmpint(apply(&x, json_incref(first), 1000), ==, OWN_NOT_VALID);
+	g_assert_cmpint(shard_of(&x).phase, ==, OWN_SERVING);
+	second = handover_record(&x, 1000);
+	g_assert_cmphex(successor_of(second), !=, successor_of(first));
+	g_assert_cmpint(apply(&x, first, 1000), ==, OWN_NOT_VALID);
+	g_assert_cmpint(shard_of(&x).phase, ==, OWN_GIVEN_UP);
+	g_assert_false(own_may_act(x.own, shard0, 1000));
+	g_assert_cmpint(apply(&x, second, 1000), ==, OWN_APPLIED);
+	g_assert_cmpuint(own_owned(x.own), ==, 0);
+	single_close(&x);
+}
+
 /* A restarted instance owns nothing of its former session. */
 static void
 test_restart(void)
@@ -1750,12 +1846,15 @@
 	    "/own/claim-and-handover-race", test_claim_and_handover_race);
 	g_test_add_func(
 	    "/own/claim-with-lost-reply", test_claim_with_lost_reply);
+	g_test_add_func(
+	    "/own/second-copy-of-handover", test_second_copy_of_handover);
 	g_test_add_func("/own/restart", test_restart);
 	g_test_add_func("/own/stop-during-outage", test_stop_during_outage);
 	g_test_add_func("/own/closed-by-others", test_closed_by_others);
 	g_test_add_func("/own/undecodable", test_undecodable);
 	g_test_add_func("/own/second-copy-of-open", test_second_copy_of_open);
 	g_test_add_func("/own/target-size", test_target_size);
+	g_test_add_func("/own/found-orders", test_found_orders);
 	g_test_add_func("/own/orders", test_orders);
 	g_test_add_func("/own/broken-rules", test_broken_rules);
 	return (g_test_run());
