Let a reader move past second copies at the tail

Cause: the log client drops a second copy of a record, so own_next() stays behind the tail until the next record, and readers that did and did not drop it disagree. Change: own_advance(), to be called for each tail event; a case for it. Conclusion: the position that peers compare is the same for all readers.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -692,6 +692,13 @@
 	return (own->next);
 }
 
+void
+own_advance(struct own *own, int64_t next)
+{
+	if (!own->incomplete)
+		own->next = MAX(own->next, next);
+}
+
 void
 own_log_read(struct own *own, clk_ms started_at)
 {
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -145,6 +145,15 @@
 /* own_next(own): the offset of the next record to be applied. */
 int64_t own_next(const struct own *own);
 
+/*
+ * own_advance(own, next)
+ *	Every record before the offset next that was not passed to own_apply()
+ *	was a second copy, which plg drops.  To be called for each tail event
+ *	before own_log_read(), so that readers that dropped such a record and
+ *	readers that did not agree on own_next().
+ */
+void own_advance(struct own *own, int64_t next);
+
 /*
  * own_log_read(own, started_at)
  *	Every record that stood in the log at the time started_at has been
--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -1690,6 +1690,27 @@
 	return (record);
 }
 
+/* The last record was a second copy that the client of the log dropped. */
+static void
+test_advance(void)
+{
+	struct single x;
+	struct own_pending answer = {.claimed_at = 3};
+
+	single_open(&x, A, 4);
+	give_to_a(&x);
+	decide_and_drop(&x, 0);
+	own_log_read(x.own, 1000);
+	own_heartbeat_answered(x.own, B, 2000, &answer);
+	g_assert_cmpint(own_horizon(x.own, shard0, 2000), ==, 3970);
+	own_advance(x.own, 4);
+	own_heartbeat_answered(x.own, B, 2000, &answer);
+	g_assert_cmpint(own_horizon(x.own, shard0, 2000), ==, 4970);
+	own_advance(x.own, 2);
+	g_assert_cmpint(own_next(x.own), ==, 4);
+	single_close(&x);
+}
+
 /* Guards against a record that stops every reader or is half applied. */
 static void
 test_undecodable(void)
@@ -1851,6 +1872,7 @@
 	g_test_add_func("/own/restart", test_restart);
 	g_test_add_func("/own/stop-during-outage", test_stop_during_outage);
 	g_test_add_func("/own/closed-by-others", test_closed_by_others);
+	g_test_add_func("/own/advance", test_advance);
 	g_test_add_func("/own/undecodable", test_undecodable);
 	g_test_add_func("/own/second-copy-of-open", test_second_copy_of_open);
 	g_test_add_func("/own/target-size", test_target_size);
--- a/src/plog/plg.h
+++ b/src/plog/plg.h
@@ -62,7 +62,8 @@
 	/*
 	 * Every record that stood in the stream at the time started_at (the
 	 * client's clock before the request was sent) has been passed to
-	 * record().
+	 * record(), except second copies, so the offset of the last one may
+	 * be less than next - 1.
 	 */
 	void (*tail)(int64_t next, clk_ms started_at, void *arg);
 	/*
