Test replicas by random orders; count sub-agents again after a merge

Change: a broken-off export is dropped once the records have come as far; a merge ends by counting the open sub-agents of each program.

--- a/src/program/prg.c
+++ b/src/program/prg.c
@@ -458,6 +458,20 @@
 		((struct tbl_intent *)value)->since = now;
 }
 
+/* The ids of a shard's programs: the table may change while they are used. */
+static GPtrArray *
+shard_ids(const struct shard *shard)
+{
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, shard->tbl->programs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_ptr_array_add(ids, g_strdup(key));
+	return (ids);
+}
+
 static bool
 is_later(const struct tbl_program *program, const struct tbl_program *other)
 {
@@ -524,38 +538,49 @@
 }
 
 /*
- * A sub-agent that only the late export knows counts against its parent, if
- * the parent's state is not that of the late export.
+ * After a merge, parent and sub-agent may come from different exports: count
+ * the open sub-agents of each program again.
  */
 static void
-merge_parent(struct shard *shard, const struct tbl *late,
-    const struct tbl_program *child, clk_ms now)
+merge_children(struct shard *shard, clk_ms now)
 {
-	const struct tbl_program *parent = tbl_find(shard->tbl, child->parent);
-	const struct tbl_program *other = tbl_find(late, child->parent);
-	json_t *state;
+	GPtrArray *ids = shard_ids(shard);
 
-	if (parent == NULL || parent->closed || child->closed ||
-	    other == NULL || !is_later(parent, other))
-		return;
-	state = tbl_state(parent);
-	json_object_set_new(
-	    state, "l", json_integer(parent->lent + child->limit));
-	json_object_set_new(
-	    state, "n", json_integer((json_int_t)parent->children + 1));
-	state_emit(shard, child->parent, state, now);
+	for (guint i = 0; i < ids->len; i++) {
+		const struct tbl_program *parent =
+		    tbl_find(shard->tbl, g_ptr_array_index(ids, i));
+		int64_t lent = 0, children = 0;
+		json_t *state;
+
+		for (guint j = 0; j < ids->len; j++) {
+			const struct tbl_program *child =
+			    tbl_find(shard->tbl, g_ptr_array_index(ids, j));
+
+			if (child->closed ||
+			    strcmp(child->parent, parent->id) != 0)
+				continue;
+			lent += child->limit;
+			children++;
+		}
+		if (parent->closed ||
+		    (lent == parent->lent && children == parent->children))
+			continue;
+		state = tbl_state(parent);
+		json_object_set_new(state, "l", json_integer(lent));
+		json_object_set_new(state, "n", json_integer(children));
+		state_emit(shard, parent->id, state, now);
+	}
+	g_ptr_array_unref(ids);
 }
 
 static void
-merge_program(struct shard *shard, const struct tbl *late,
-    struct tbl_program *program, clk_ms now)
+merge_program(struct shard *shard, struct tbl_program *program, clk_ms now)
 {
 	struct tbl_program *ours = tbl_find(shard->tbl, program->id);
 
 	state_end_lost(program);
 	if (ours == NULL) {
 		state_emit(shard, program->id, tbl_state(program), now);
-		merge_parent(shard, late, program, now);
 	} else if (is_later(program, ours)) {
 		state_emit(shard, program->id,
 		    merge_states(program, ours, false), now);
@@ -576,7 +601,8 @@
 		return;
 	g_hash_table_iter_init(&iter, late->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		merge_program(shard, late, value, now);
+		merge_program(shard, value, now);
+	merge_children(shard, now);
 	shard->proof = MAX(shard->proof, late->proof);
 }
 
@@ -1690,20 +1716,6 @@
 		    g_ptr_array_index(program->engines, i), prg->hooks.arg);
 }
 
-/* The ids of a shard's programs: the table may change while they are used. */
-static GPtrArray *
-shard_ids(const struct shard *shard)
-{
-	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-	GHashTableIter iter;
-	void *key;
-
-	g_hash_table_iter_init(&iter, shard->tbl->programs);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		g_ptr_array_add(ids, g_strdup(key));
-	return (ids);
-}
-
 static void
 shard_tick(struct shard *shard, clk_ms now)
 {
--- a/src/program/tbl.c
+++ b/src/program/tbl.c
@@ -795,6 +795,17 @@
 	return (epoch > tbl->epoch || (epoch == tbl->epoch && seq > tbl->seq));
 }
 
+/* Drop an export that broke off once the records have come as far. */
+static void
+staged_check(struct tbl *tbl)
+{
+	if (tbl->staged == NULL ||
+	    is_newer(tbl, tbl->staged->epoch, tbl->staged->seq))
+		return;
+	tbl_free(tbl->staged);
+	tbl->staged = NULL;
+}
+
 static enum tbl_result
 apply_head(
     struct tbl *tbl, const struct prg_record *record, const json_t *payload)
@@ -857,6 +868,7 @@
 	tbl->seq = record->seq;
 	if (json_is_true(json_object_get(payload, "proven")))
 		tbl->proof = tbl->epoch;
+	staged_check(tbl);
 	return (TBL_OK);
 }
 
@@ -909,8 +921,10 @@
 	if (record->epoch != tbl->epoch || record->seq != tbl->seq + 1)
 		return (TBL_GAP);
 	result = apply_change(tbl, record, payload);
-	if (result == TBL_OK)
-		tbl->seq = record->seq;
+	if (result != TBL_OK)
+		return (result);
+	tbl->seq = record->seq;
+	staged_check(tbl);
 	return (result);
 }
 
--- /dev/null
+++ b/src/program/test_cpy.c
@@ -0,0 +1,675 @@
+/*
+ * Replicas: gaps, epochs, exports in parts and memory, and random orders of
+ * the messages of an owner and its successors to one holder, whose state is
+ * compared with the owner's after each step.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "program/cpy.h"
+#include "program/prg.h"
+
+#define DATACENTRE 1
+#define SHARD	   9
+#define PROGRAMS   6
+
+enum variant {
+	PROTECTED,
+	OLD_EPOCH_RELABELLED, /* a former owner's records pass as new ones */
+	GAP_IGNORED /* a record is acknowledged although one is missing */
+};
+
+struct sim {
+	GRand *rand;
+	enum variant variant;
+	struct prg *prg;
+	uint64_t epoch;
+	GPtrArray *log; /* records of this epoch */
+	GPtrArray *old; /* records of former epochs */
+	guint next;
+	struct cpy *cpy;
+	char programs[PROGRAMS][PRG_ID_SIZE];
+	int program_count;
+	unsigned calls;
+	clk_ms now;
+	uint64_t checked_epoch; /* state that was compared last */
+	uint64_t checked;
+	unsigned violations;
+};
+
+static void
+on_record(const struct prg_record *record, void *arg)
+{
+	struct sim *sim = arg;
+
+	prg_records_add(sim->log, record);
+}
+
+static void
+on_start(prg_handle handle, void *arg)
+{
+	(void)handle;
+	(void)arg;
+}
+
+static void
+on_answer(prg_handle handle, const struct prg_answer *answer, void *arg)
+{
+	(void)handle;
+	(void)answer;
+	(void)arg;
+}
+
+static void
+on_release(const char *program, const char *engine, void *arg)
+{
+	(void)program;
+	(void)engine;
+	(void)arg;
+}
+
+static void
+on_random(void *buf, size_t len, void *arg)
+{
+	struct sim *sim = arg;
+	uint8_t *bytes = buf;
+
+	for (size_t i = 0; i < len; i++)
+		bytes[i] = (uint8_t)g_rand_int_range(sim->rand, 0, 256);
+}
+
+static int
+compare_records(gconstpointer a, gconstpointer b)
+{
+	return (strcmp((*(const struct prg_record *const *)a)->program,
+	    (*(const struct prg_record *const *)b)->program));
+}
+
+/* The export as one text: equal for equal states. */
+static char *
+export_text(GPtrArray *records)
+{
+	GString *text = g_string_new(NULL);
+
+	g_ptr_array_sort(records, compare_records);
+	for (guint i = 0; i < records->len; i++) {
+		const struct prg_record *record = g_ptr_array_index(records, i);
+		json_t *payload =
+		    json_loadb(record->payload, record->payload_len, 0, NULL);
+		json_t *intents = json_object_get(payload, "in");
+		json_t *by_key = json_object(), *item;
+		char *dump;
+		size_t j;
+
+		/* The order of a hash table is no part of the state. */
+		json_array_foreach(intents, j, item) json_object_set(by_key,
+		    json_string_value(json_object_get(item, "key")), item);
+		json_object_set_new(payload, "in", by_key);
+		dump = json_dumps(payload, JSON_SORT_KEYS);
+		g_string_append_printf(text, "%d %s %" G_GUINT64_FORMAT " %s\n",
+		    record->kind, record->program, record->seq, dump);
+		free(dump);
+		json_decref(payload);
+	}
+	g_ptr_array_unref(records);
+	return (g_string_free(text, FALSE));
+}
+
+static void
+owner_open(struct sim *sim, GPtrArray *state)
+{
+	struct prg_options options = {.datacentre = DATACENTRE};
+	struct prg_hooks hooks = {.on_record = on_record,
+	    .on_start = on_start,
+	    .on_answer = on_answer,
+	    .on_release = on_release,
+	    .random = on_random,
+	    .arg = sim};
+
+	sim->prg = prg_new(&options, &hooks);
+	prg_shard_open(sim->prg, SHARD, ++sim->epoch);
+	for (guint i = 0; state != NULL && i < state->len; i++)
+		g_assert_true(
+		    prg_apply(sim->prg, sim->now, g_ptr_array_index(state, i)));
+	prg_recovered(sim->prg, sim->now, SHARD, true);
+	sim->next = 0;
+}
+
+static void
+sim_open(struct sim *sim, uint32_t seed, enum variant variant)
+{
+	memset(sim, 0, sizeof(*sim));
+	sim->rand = g_rand_new_with_seed(seed);
+	sim->variant = variant;
+	sim->log = prg_records_new();
+	sim->old = prg_records_new();
+	sim->cpy = cpy_new();
+	owner_open(sim, NULL);
+}
+
+static void
+sim_close(struct sim *sim)
+{
+	prg_free(sim->prg);
+	cpy_free(sim->cpy);
+	g_ptr_array_unref(sim->log);
+	g_ptr_array_unref(sim->old);
+	g_rand_free(sim->rand);
+}
+
+static int
+below(struct sim *sim, int bound)
+{
+	return (g_rand_int_range(sim->rand, 0, bound));
+}
+
+/* One whole call, so that the owner emits a begin and an end record. */
+static void
+owner_call(struct sim *sim)
+{
+	struct prg_call call = {.organisation = "peachline",
+	    .kind = (enum prg_call_kind)below(sim, 3),
+	    .prompt_tokens = 3,
+	    .answer_tokens = 5};
+	struct prg_result result = {.vd = vd_ok(),
+	    .tokens = 4,
+	    .engine = "e1",
+	    .status = 200,
+	    .content_type = "text/plain",
+	    .reply = "\xff\x00\x01",
+	    .reply_len = 3};
+	struct prg_answer answer;
+	prg_handle handle;
+	char key[16];
+
+	if (sim->program_count == 0)
+		return;
+	call.program = sim->programs[below(sim, sim->program_count)];
+	(void)g_snprintf(key, sizeof(key), "k%u", ++sim->calls);
+	if (call.kind == PRG_CALL_ONCE || below(sim, 2) == 0)
+		call.key = key;
+	if (call.kind == PRG_CALL_MODEL)
+		call.messages =
+		    json_pack("[{s:s,s:s}]", "role", "user", "content", key);
+	if (prg_submit(sim->prg, sim->now, &call, &handle, &answer) ==
+	    PRG_START) {
+		if (below(sim, 3) == 0)
+			result.vd =
+			    vd_make(VD_MAYBE, VD_UPSTREAM_FAILED, "cut");
+		(void)prg_begun(sim->prg, sim->now, handle, true);
+		/* Some calls stay in progress until their owner is lost. */
+		if (below(sim, 4) > 0) {
+			(void)prg_finish(sim->prg, sim->now, handle, &result);
+			prg_ended(sim->prg, sim->now, handle, true);
+		}
+	}
+	json_decref(call.messages);
+}
+
+static void
+owner_change(struct sim *sim)
+{
+	struct prg_new_program program = {
+	    .organisation = "peachline", .shard = SHARD, .budget = 500};
+	int number = below(sim, PROGRAMS);
+	struct vd vd;
+
+	sim->now += below(sim, 1000);
+	switch (below(sim, 6)) {
+	case 0:
+		if (sim->program_count == PROGRAMS)
+			return;
+		if (sim->program_count > 0 && below(sim, 2) == 0) {
+			program.parent = sim->programs[0];
+			program.budget = 20;
+		}
+		vd = prg_create(sim->prg, sim->now, &program,
+		    sim->programs[sim->program_count]);
+		if (vd_is_ok(&vd))
+			sim->program_count++;
+		return;
+	case 1:
+		if (number < sim->program_count && below(sim, 4) == 0)
+			(void)prg_close(
+			    sim->prg, sim->now, NULL, sim->programs[number]);
+		if (number < sim->program_count)
+			prg_released(sim->prg, sim->programs[number], "e1");
+		return;
+	default:
+		owner_call(sim);
+	}
+}
+
+/* The successor starts from the owner's own state, or from the holder's. */
+static void
+owner_replace(struct sim *sim)
+{
+	GPtrArray *state = NULL;
+
+	if (below(sim, 2) == 0)
+		state = prg_export(sim->prg, SHARD);
+	else if (!cpy_holds(sim->cpy, DATACENTRE, SHARD))
+		return;
+	prg_free(sim->prg);
+	if (state == NULL)
+		g_assert_true(cpy_fetch(
+		    sim->cpy, DATACENTRE, SHARD, sim->epoch + 1, &state));
+	for (guint i = 0; i < sim->log->len; i++)
+		prg_records_add(sim->old, g_ptr_array_index(sim->log, i));
+	g_ptr_array_set_size(sim->log, 0);
+	owner_open(sim, state);
+	g_ptr_array_unref(state);
+}
+
+static struct cpy_result
+put(struct sim *sim, GPtrArray *all, guint from, guint to, uint64_t epoch)
+{
+	GPtrArray *part = g_ptr_array_new();
+	struct cpy_result result;
+
+	for (guint i = from; i < to; i++)
+		g_ptr_array_add(part, g_ptr_array_index(all, i));
+	result = cpy_put(sim->cpy, DATACENTRE, SHARD, epoch, part);
+	g_ptr_array_unref(part);
+	return (result);
+}
+
+static void
+send_export(struct sim *sim)
+{
+	GPtrArray *all = prg_export(sim->prg, SHARD);
+	struct cpy_result result = {.outcome = CPY_ACCEPTED};
+	guint from = 0;
+
+	/* In parts, as the limit of a message requires; it may break off. */
+	while (from < all->len && below(sim, 12) > 0) {
+		guint to = from + 1 + (guint)below(sim, 3);
+
+		if (to > all->len)
+			to = all->len;
+		result = put(sim, all, from, to, sim->epoch);
+		if (result.outcome == CPY_FETCH_FIRST) {
+			GPtrArray *held;
+
+			g_assert_true(cpy_fetch(
+			    sim->cpy, DATACENTRE, SHARD, sim->epoch, &held));
+			g_ptr_array_unref(held);
+			continue;
+		}
+		if (result.outcome != CPY_ACCEPTED) {
+			sim->violations++;
+			break;
+		}
+		from = to;
+	}
+	if (from == all->len)
+		sim->next = sim->log->len;
+	g_ptr_array_unref(all);
+}
+
+static void
+send_records(struct sim *sim)
+{
+	guint from = sim->next, to;
+	struct cpy_result result;
+
+	if (from > 0 && below(sim, 5) == 0)
+		from -= 1 + (guint)below(sim, (gint32)from); /* duplicates */
+	if (from < sim->log->len && below(sim, 8) == 0)
+		from++; /* a lost record */
+	to = from + (guint)below(sim, 4);
+	if (to > sim->log->len)
+		to = sim->log->len;
+	result = put(sim, sim->log, from, to, sim->epoch);
+	if (result.outcome == CPY_GAP) {
+		if (sim->variant == GAP_IGNORED)
+			sim->next = to;
+		else
+			send_export(sim);
+		return;
+	}
+	if (result.outcome != CPY_ACCEPTED) {
+		sim->violations++;
+		return;
+	}
+	if (result.epoch == sim->epoch)
+		sim->next = MAX(sim->next, to);
+}
+
+/* A former owner that does not know it has been replaced. */
+static void
+send_old(struct sim *sim)
+{
+	const struct prg_record *last;
+	struct prg_record record;
+	struct cpy_result result;
+	GPtrArray *one;
+
+	if (sim->old->len == 0)
+		return;
+	last = g_ptr_array_index(
+	    sim->old, (guint)below(sim, (gint32)sim->old->len));
+	record = *last;
+	record.seq += (uint64_t)below(sim, 3);
+	if (sim->variant == OLD_EPOCH_RELABELLED) {
+		record.epoch = sim->epoch;
+		record.seq = prg_shard_seq(sim->prg, SHARD) + 1;
+	}
+	one = g_ptr_array_new();
+	g_ptr_array_add(one, &record);
+	result = cpy_put(sim->cpy, DATACENTRE, SHARD, record.epoch, one);
+	g_ptr_array_unref(one);
+	if (sim->variant == PROTECTED &&
+	    cpy_holds(sim->cpy, DATACENTRE, SHARD) &&
+	    result.epoch == sim->epoch && result.outcome != CPY_REFUSED)
+		sim->violations++;
+}
+
+/*
+ * If the holder says that it holds all records of this epoch, its state must
+ * be the owner's, and the figures must be those of the state.
+ */
+static void
+check(struct sim *sim)
+{
+	GPtrArray *none = g_ptr_array_new(), *held;
+	struct cpy_result result;
+	char *ours, *theirs;
+	guint programs;
+
+	result = cpy_put(sim->cpy, DATACENTRE, SHARD, sim->epoch, none);
+	g_ptr_array_unref(none);
+	if (result.outcome != CPY_ACCEPTED || result.epoch != sim->epoch ||
+	    result.seq != prg_shard_seq(sim->prg, SHARD)) {
+		/* All was sent and acknowledged, and yet it is not held. */
+		if (sim->variant == GAP_IGNORED && sim->log->len > 0 &&
+		    sim->next == sim->log->len)
+			sim->violations++;
+		return;
+	}
+	if (sim->checked_epoch == sim->epoch && sim->checked == result.seq)
+		return;
+	sim->checked_epoch = sim->epoch;
+	sim->checked = result.seq;
+	g_assert_true(
+	    cpy_fetch(sim->cpy, DATACENTRE, SHARD, sim->epoch, &held));
+	programs = held->len - 1;
+	ours = export_text(prg_export(sim->prg, SHARD));
+	theirs = export_text(held);
+	if (strcmp(ours, theirs) != 0)
+		sim->violations++;
+	if (cpy_programs(sim->cpy) != programs ||
+	    (programs == 0) != (cpy_bytes(sim->cpy) == 0))
+		sim->violations++;
+	g_free(ours);
+	g_free(theirs);
+}
+
+struct totals {
+	unsigned violations;
+	unsigned orders_violated;
+	uint64_t records;
+};
+
+static void
+run_orders(uint32_t seed, unsigned orders, int steps, enum variant variant,
+    struct totals *totals)
+{
+	struct sim sim;
+
+	*totals = (struct totals){0};
+	for (unsigned order = 0; order < orders; order++) {
+		sim_open(&sim, seed + order, variant);
+		for (int i = 0; i < steps; i++) {
+			int event = below(&sim, 100);
+
+			if (event < 45)
+				owner_change(&sim);
+			else if (event < 80)
+				send_records(&sim);
+			else if (event < 85)
+				send_export(&sim);
+			else if (event < 92)
+				send_old(&sim);
+			else if (event < 97)
+				owner_replace(&sim);
+			else if (event < 98)
+				cpy_drop(sim.cpy, DATACENTRE, SHARD);
+			check(&sim);
+		}
+		if (sim.violations > 0 && variant == PROTECTED)
+			g_test_message("order with seed %u: %u violations",
+			    seed + order, sim.violations);
+		totals->violations += sim.violations;
+		totals->orders_violated += sim.violations > 0;
+		totals->records += sim.log->len + sim.old->len;
+		sim_close(&sim);
+	}
+}
+
+static uint32_t
+test_seed(void)
+{
+	const char *text = g_getenv("SAMPHIRESHED_SEED");
+
+	return (text != NULL ? (uint32_t)g_ascii_strtoull(text, NULL, 10)
+			     : 20260801);
+}
+
+/* Guards against a replica that says it is complete and differs. */
+static void
+test_orders(void)
+{
+	struct totals totals;
+	uint32_t seed = test_seed();
+	unsigned orders = 20000;
+
+	run_orders(seed, orders, 18, PROTECTED, &totals);
+	g_print("# figure replicas orders=%u violations=%u seed=%u "
+		"records=%" G_GUINT64_FORMAT "\n",
+	    orders, totals.violations, seed, totals.records);
+	g_assert_cmpuint(totals.violations, ==, 0);
+	g_assert_cmpuint(totals.records, >, orders);
+}
+
+/* Guards against a check that passes whatever happens. */
+static void
+test_variants(void)
+{
+	static const struct {
+		enum variant variant;
+		const char *name;
+	} variants[] = {
+	    {OLD_EPOCH_RELABELLED, "epoch"},
+	    {GAP_IGNORED, "gap_check"},
+	};
+	uint32_t seed = test_seed();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		struct totals totals;
+
+		run_orders(seed, 1000, 40, variants[i].variant, &totals);
+		g_print("# figure replicas_without_%s orders=1000 "
+			"orders_violated=%u seed=%u\n",
+		    variants[i].name, totals.orders_violated, seed);
+		g_assert_cmpuint(totals.orders_violated, >, 0);
+	}
+}
+
+/* Guards against an export that overwrites a state nobody has read. */
+static void
+test_fetch_first(void)
+{
+	struct sim sim;
+	GPtrArray *held;
+
+	sim_open(&sim, 1, PROTECTED);
+	for (int i = 0; i < 20; i++)
+		owner_change(&sim);
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 1).outcome, ==, CPY_ACCEPTED);
+	prg_free(sim.prg);
+	g_ptr_array_set_size(sim.log, 0);
+	owner_open(&sim, NULL);
+	held = prg_export(sim.prg, SHARD);
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 2).outcome, ==, CPY_GAP);
+	g_assert_cmpint(
+	    put(&sim, held, 0, held->len, 2).outcome, ==, CPY_FETCH_FIRST);
+	g_ptr_array_unref(held);
+	g_assert_true(cpy_fetch(sim.cpy, DATACENTRE, SHARD, 2, &held));
+	g_assert_cmpuint(held->len, >, 1);
+	g_ptr_array_unref(held);
+	held = prg_export(sim.prg, SHARD);
+	g_assert_cmpint(
+	    put(&sim, held, 0, held->len, 2).outcome, ==, CPY_ACCEPTED);
+	g_ptr_array_unref(held);
+	sim_close(&sim);
+}
+
+/* Guards against a former owner that is let in after the state was dropped. */
+static void
+test_drop(void)
+{
+	struct sim sim;
+	GPtrArray *held;
+
+	sim_open(&sim, 2, PROTECTED);
+	for (int i = 0; i < 20; i++)
+		owner_change(&sim);
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 1).outcome, ==, CPY_ACCEPTED);
+	g_assert_cmpuint(cpy_bytes(sim.cpy), >, 0);
+	g_assert_true(cpy_fetch(sim.cpy, DATACENTRE, SHARD, 5, &held));
+	g_ptr_array_unref(held);
+	g_assert_false(cpy_fetch(sim.cpy, DATACENTRE, SHARD, 4, &held));
+	cpy_drop(sim.cpy, DATACENTRE, SHARD);
+	g_assert_cmpuint(cpy_bytes(sim.cpy), ==, 0);
+	g_assert_cmpuint(cpy_programs(sim.cpy), ==, 0);
+	g_assert_false(cpy_holds(sim.cpy, DATACENTRE, SHARD));
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 1).outcome, ==, CPY_REFUSED);
+	sim_close(&sim);
+}
+
+/*
+ * Guards against a decoder that reads outside its input, and against a
+ * malformed record that changes the state.
+ */
+static void
+test_malformed(void)
+{
+	struct sim sim;
+	char *before, *after;
+	GPtrArray *held;
+
+	sim_open(&sim, 3, PROTECTED);
+	for (int i = 0; i < 40; i++)
+		owner_change(&sim);
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 1).outcome, ==, CPY_ACCEPTED);
+	g_assert_true(cpy_fetch(sim.cpy, DATACENTRE, SHARD, 1, &held));
+	before = export_text(held);
+	for (unsigned i = 0; i < 20000; i++) {
+		const struct prg_record *record = g_ptr_array_index(
+		    sim.log, (guint)below(&sim, (gint32)sim.log->len));
+		GByteArray *bytes = prg_record_encode(record);
+		struct prg_record read;
+		uint8_t *copy;
+		guint len = bytes->len;
+
+		for (int j = below(&sim, 4); j >= 0; j--)
+			bytes->data[below(&sim, (gint32)len)] =
+			    (uint8_t)below(&sim, 256);
+		if (below(&sim, 3) == 0)
+			len = (guint)below(&sim, (gint32)len);
+		/* A copy of the exact size, for the address sanitizer. */
+		copy = g_memdup2(bytes->data, len);
+		if (prg_record_decode(copy, len, &read) &&
+		    read.seq != prg_shard_seq(sim.prg, SHARD) + 1 &&
+		    read.kind != PRG_HEAD && read.kind != PRG_RECOVER) {
+			GPtrArray *one = g_ptr_array_new();
+
+			g_ptr_array_add(one, &read);
+			(void)cpy_put(sim.cpy, DATACENTRE, SHARD, 1, one);
+			g_ptr_array_unref(one);
+		}
+		g_free(copy);
+		g_byte_array_unref(bytes);
+	}
+	g_assert_true(cpy_fetch(sim.cpy, DATACENTRE, SHARD, 1, &held));
+	after = export_text(held);
+	g_assert_cmpstr(before, ==, after);
+	g_free(before);
+	g_free(after);
+	sim_close(&sim);
+}
+
+/* Guards against payloads that are accepted although they do not fit. */
+static void
+test_payloads(void)
+{
+	static const struct {
+		enum prg_kind kind;
+		const char *program;
+		const char *payload;
+	} bad[] = {
+	    {PRG_CREATE, "p-01-0009-00000000000000000000", "{}"},
+	    {PRG_CREATE, "p-01-0009-00000000000000000000", "["},
+	    {PRG_CREATE, "p-01-0009-00000000000000000000",
+		"{\"o\":\"a\",\"u\":\"\",\"b\":-1}"},
+	    {PRG_CREATE, "p-01-0008-00000000000000000000",
+		"{\"o\":\"a\",\"u\":\"\",\"b\":1}"},
+	    {PRG_CREATE, "p-01-0009-00000000000000000000",
+		"{\"o\":\"a\",\"u\":\"\",\"b\":1,\"p\":\"none\"}"},
+	    {PRG_BEGIN, "p-01-0009-00000000000000000000", "{\"t\":1}"},
+	    {PRG_END, "p-01-0009-00000000000000000000", "{\"o\":\"ran\"}"},
+	    {PRG_CLOSE, "p-01-0009-00000000000000000000", "{}"},
+	    {PRG_STATE, "p-01-0009-00000000000000000000",
+		"{\"o\":\"a\",\"u\":\"\",\"m\":[1]}"},
+	    {PRG_STATE, "p-01-0009-00000000000000000000",
+		"{\"o\":\"a\",\"u\":\"\",\"in\":[{\"key\":1}]}"},
+	    {PRG_HEAD, "", "{\"n\":\"x\"}"},
+	    {PRG_FORGET, "p-01-0009-00000000000000000000", "{\"key\":\"k\"}"},
+	    {PRG_RELEASED, "p-01-0009-00000000000000000000", "{\"e\":\"e\"}"},
+	};
+	struct sim sim;
+
+	sim_open(&sim, 4, PROTECTED);
+	g_assert_cmpint(
+	    put(&sim, sim.log, 0, sim.log->len, 1).outcome, ==, CPY_ACCEPTED);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct prg_record record = {.datacentre = DATACENTRE,
+		    .shard = SHARD,
+		    .epoch = 1,
+		    .seq = 2,
+		    .kind = bad[i].kind,
+		    .payload = bad[i].payload,
+		    .payload_len = strlen(bad[i].payload)};
+		GPtrArray *one = g_ptr_array_new();
+		struct cpy_result result;
+
+		g_strlcpy(
+		    record.program, bad[i].program, sizeof(record.program));
+		g_ptr_array_add(one, &record);
+		result = cpy_put(sim.cpy, DATACENTRE, SHARD, 1, one);
+		g_ptr_array_unref(one);
+		g_assert_cmpint(result.outcome, ==, CPY_BAD);
+		g_assert_cmpuint(result.seq, ==, 1);
+	}
+	sim_close(&sim);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cpy/fetch-first", test_fetch_first);
+	g_test_add_func("/cpy/drop", test_drop);
+	g_test_add_func("/cpy/malformed", test_malformed);
+	g_test_add_func("/cpy/payloads", test_payloads);
+	g_test_add_func("/cpy/variants", test_variants);
+	g_test_add_func("/cpy/orders", test_orders);
+	return (g_test_run());
+}
--- a/src/program/test_prg.c
+++ b/src/program/test_prg.c
@@ -1102,8 +1102,8 @@
 };
 
 static void
-run_orders(
-    uint32_t seed, unsigned orders, enum variant variant, struct totals *totals)
+run_orders(uint32_t seed, unsigned orders, int steps, enum variant variant,
+    struct totals *totals)
 {
 	struct sim *sim = g_new(struct sim, 1);
 
@@ -1120,7 +1120,7 @@
 		}
 		own(sim, &sim->instances[0]);
 		prg_recovered(sim->instances[0].prg, 0, SHARD, true);
-		for (int i = 0; i < 50; i++)
+		for (int i = 0; i < steps; i++)
 			step(sim);
 		finish(sim);
 		if (sim->violations > 0 && variant == PROTECTED)
@@ -1156,7 +1156,7 @@
 	uint32_t seed = test_seed();
 	unsigned orders = 20000;
 
-	run_orders(seed, orders, PROTECTED, &totals);
+	run_orders(seed, orders, 50, PROTECTED, &totals);
 	g_print("# figure programs orders=%u violations=%u seed=%u "
 		"sends=%" G_GUINT64_FORMAT " takeovers=%" G_GUINT64_FORMAT
 		" unproven=%" G_GUINT64_FORMAT "\n",
@@ -1188,7 +1188,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
 		struct totals totals;
 
-		run_orders(seed, 1000, variants[i].variant, &totals);
+		run_orders(seed, 1000, 120, variants[i].variant, &totals);
 		g_print("# figure programs_without_%s orders=1000 "
 			"orders_violated=%u seed=%u\n",
 		    variants[i].name, totals.orders_violated, seed);
