--- a/src/program/test_prg.c
+++ b/src/program/test_prg.c
@@ -792,7 +792,8 @@
 	struct prg_new_program program = {.organisation = "pinhao",
 	    .urgency = "urgent",
 	    .shard = SHARD,
-	    .budget = g_rand_int_range(sim->rand, 20, 600)};
+	    .budget =
+		g_rand_int_range(sim->rand, 20, chance(sim, 50) ? 600 : 80)};
 	int parent = -1;
 	struct vd vd;
 
@@ -1188,18 +1189,616 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
 		struct totals totals;
 
-		run_orders(seed, 1000, 120, variants[i].variant, &totals);
-		g_print("# figure programs_without_%s orders=1000 "
+		run_orders(seed, 2000, 120, variants[i].variant, &totals);
+		g_print("# figure programs_without_%s orders=2000 "
 			"orders_violated=%u seed=%u\n",
 		    variants[i].name, totals.orders_violated, seed);
 		g_assert_cmpuint(totals.orders_violated, >, 0);
 	}
 }
 
+/*
+ * Unit cases, with one owner whose records are all acknowledged at once.
+ */
+struct unit {
+	struct prg *prg;
+	GPtrArray *log;
+	prg_handle started;
+	unsigned answers;
+	struct vd answer_vd;
+	char *answer_reply;
+	unsigned releases;
+	uint8_t random;
+	char id[PRG_ID_SIZE];
+};
+
+static void
+unit_record(const struct prg_record *record, void *arg)
+{
+	struct unit *unit = arg;
+
+	prg_records_add(unit->log, record);
+}
+
+static void
+unit_start(prg_handle handle, void *arg)
+{
+	struct unit *unit = arg;
+
+	unit->started = handle;
+}
+
+static void
+unit_answer(prg_handle handle, const struct prg_answer *answer, void *arg)
+{
+	struct unit *unit = arg;
+
+	(void)handle;
+	unit->answers++;
+	unit->answer_vd = answer->vd;
+	g_free(unit->answer_reply);
+	unit->answer_reply = g_strndup(answer->reply, answer->reply_len);
+}
+
+static void
+unit_release(const char *program, const char *engine, void *arg)
+{
+	struct unit *unit = arg;
+
+	g_assert_cmpstr(program, ==, unit->id);
+	g_assert_cmpstr(engine, ==, "e1");
+	unit->releases++;
+}
+
+static void
+unit_random(void *buf, size_t len, void *arg)
+{
+	struct unit *unit = arg;
+
+	memset(buf, ++unit->random, len);
+}
+
+static void
+unit_open(struct unit *unit, int64_t budget)
+{
+	struct prg_options options = {
+	    .datacentre = DATACENTRE, .turn_limit = 20};
+	struct prg_hooks hooks = {.on_record = unit_record,
+	    .on_start = unit_start,
+	    .on_answer = unit_answer,
+	    .on_release = unit_release,
+	    .random = unit_random,
+	    .arg = unit};
+	struct prg_new_program program = {
+	    .organisation = "pinhao", .shard = SHARD, .budget = budget};
+	struct vd vd;
+
+	memset(unit, 0, sizeof(*unit));
+	unit->log = prg_records_new();
+	unit->prg = prg_new(&options, &hooks);
+	vd = prg_create(unit->prg, 0, &program, unit->id);
+	g_assert_cmpint(vd.code, ==, VD_NOT_OWNER);
+	prg_shard_open(unit->prg, SHARD, 1);
+	prg_recovered(unit->prg, 0, SHARD, true);
+	vd = prg_create(unit->prg, 0, &program, unit->id);
+	g_assert_true(vd_is_ok(&vd));
+}
+
+static void
+unit_close(struct unit *unit)
+{
+	prg_free(unit->prg);
+	g_ptr_array_unref(unit->log);
+	g_free(unit->answer_reply);
+}
+
+static struct prg_call
+unit_call(const struct unit *unit, enum prg_call_kind kind, const char *key)
+{
+	return ((struct prg_call){.program = unit->id,
+	    .organisation = "pinhao",
+	    .kind = kind,
+	    .key = key,
+	    .prompt_tokens = 10,
+	    .answer_tokens = 20});
+}
+
+static enum vd_code
+unit_refusal(struct unit *unit, const struct prg_call *call, enum vd_ran ran)
+{
+	struct prg_answer answer;
+	prg_handle handle;
+
+	g_assert_cmpint(
+	    prg_submit(unit->prg, 0, call, &handle, &answer), ==, PRG_REFUSED);
+	g_assert_cmpuint(handle, ==, 0);
+	g_assert_cmpint(answer.vd.ran, ==, ran);
+	return (answer.vd.code);
+}
+
+static prg_handle
+unit_begin(struct unit *unit, const struct prg_call *call)
+{
+	struct prg_answer answer;
+	struct vd vd;
+	prg_handle handle;
+
+	g_assert_cmpint(
+	    prg_submit(unit->prg, 0, call, &handle, &answer), ==, PRG_START);
+	vd = prg_begun(unit->prg, 0, handle, true);
+	g_assert_true(vd_is_ok(&vd));
+	return (handle);
+}
+
+static void
+unit_end(struct unit *unit, prg_handle handle, struct vd vd, const char *reply,
+    size_t len)
+{
+	struct prg_result result = {.vd = vd,
+	    .tokens = 15,
+	    .engine = "e1",
+	    .status = 200,
+	    .content_type = "application/json",
+	    .reply = reply,
+	    .reply_len = len};
+
+	g_assert_true(prg_finish(unit->prg, 0, handle, &result));
+	prg_ended(unit->prg, 0, handle, true);
+}
+
+/* Guards against ids that do not survive being written and read. */
+static void
+test_ids(void)
+{
+	static const char *const bad[] = {"", "p-", "p-03-0005-",
+	    "p-03-0005-0000000000000000000", "p-03-0005-0000000000000000000G",
+	    "p-03-0005-0000000000000000000A", "x-03-0005-00000000000000000000",
+	    "p-03+0005-00000000000000000000",
+	    "p-03-0005-000000000000000000000"};
+	struct prg_id id = {.datacentre = 0xab, .shard = 0x12cd}, read, other;
+	char text[PRG_ID_SIZE];
+
+	memset(id.random, 0x5e, sizeof(id.random));
+	prg_id_format(&id, text);
+	g_assert_cmpstr(text, ==, "p-ab-12cd-5e5e5e5e5e5e5e5e5e5e");
+	g_assert_true(prg_id_parse(text, &read));
+	g_assert_cmpmem(&id, sizeof(id), &read, sizeof(read));
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_false(prg_id_parse(bad[i], &read));
+	g_assert_false(prg_id_parse(NULL, &read));
+	prg_id_derive(3, 64, "ab", "c", &id);
+	prg_id_derive(3, 64, "ab", "c", &read);
+	prg_id_derive(3, 64, "a", "bc", &other);
+	g_assert_cmpuint(id.shard, <, 64);
+	g_assert_cmpmem(&id, sizeof(id), &read, sizeof(read));
+	g_assert_cmpint(memcmp(id.random, other.random, 10), !=, 0);
+}
+
+/* Guards against a lost or mixed field between owner and holder. */
+static void
+test_records(void)
+{
+	struct prg_record record = {.datacentre = 3,
+	    .shard = 0x1234,
+	    .epoch = G_GUINT64_CONSTANT(0x123456789abcdef0),
+	    .seq = 77,
+	    .kind = PRG_END,
+	    .program = "p-03-1234-00000000000000000001",
+	    .payload = "{\"o\":\"no\"}",
+	    .payload_len = 10};
+	GByteArray *bytes = prg_record_encode(&record);
+	struct prg_record read;
+
+	g_assert_true(prg_record_decode(bytes->data, bytes->len, &read));
+	g_assert_cmpuint(read.shard, ==, record.shard);
+	g_assert_cmpuint(read.epoch, ==, record.epoch);
+	g_assert_cmpuint(read.seq, ==, record.seq);
+	g_assert_cmpint(read.kind, ==, record.kind);
+	g_assert_cmpstr(read.program, ==, record.program);
+	g_assert_cmpmem(read.payload, read.payload_len, record.payload, 10);
+	for (guint i = 0; i < bytes->len; i++)
+		g_assert_false(prg_record_decode(bytes->data, i, &read));
+	bytes->data[1] = PRG_HEAD;
+	g_assert_false(prg_record_decode(bytes->data, bytes->len, &read));
+	g_byte_array_unref(bytes);
+}
+
+/* Guards against a second run, and a wrong answer, for a repeated key. */
+static void
+test_keys(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_answer answer;
+	prg_handle first, second;
+	char *large = g_malloc0(PRG_REPLY_MAX + 1);
+
+	unit_open(&unit, 1000);
+	call = unit_call(&unit, PRG_CALL_ONCE, NULL);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_KEY_REQUIRED);
+	call.key = "order-1";
+	first = unit_begin(&unit, &call);
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &second, &answer), ==, PRG_JOIN);
+	call.digest[0] = 1;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_KEY_REUSED);
+	call.digest[0] = 0;
+	unit_end(&unit, first, vd_ok(), "a\0b", 3);
+	g_assert_cmpuint(unit.answers, ==, 1);
+	g_assert_true(vd_is_ok(&unit.answer_vd));
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &second, &answer), ==, PRG_REPLAY);
+	g_assert_cmpmem(answer.reply, answer.reply_len, "a\0b", 3);
+	g_assert_cmpint(answer.status, ==, 200);
+	g_assert_cmpuint(answer.turn, ==, 1);
+	call.digest[0] = 1;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_KEY_REUSED);
+	call.digest[0] = 0;
+
+	call.key = "order-2";
+	first = unit_begin(&unit, &call);
+	unit_end(&unit, first, vd_make(VD_MAYBE, VD_UPSTREAM_FAILED, "cut"),
+	    NULL, 0);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_MAYBE), ==, VD_OUTCOME_UNKNOWN);
+	prg_tick(unit.prg, 25 * CLK_MINUTE);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_MAYBE), ==, VD_OUTCOME_UNKNOWN);
+
+	call.key = "order-3";
+	first = unit_begin(&unit, &call);
+	unit_end(
+	    &unit, first, vd_make(VD_NOT_RUN, VD_NO_UPSTREAM, "none"), NULL, 0);
+	first = unit_begin(&unit, &call);
+	unit_end(&unit, first, vd_ok(), large, PRG_REPLY_MAX + 1);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_RAN), ==, VD_OUTCOME_UNKNOWN);
+	g_free(large);
+
+	/* After the close it is not known whether the key was used. */
+	(void)prg_close(unit.prg, 0, NULL, unit.id);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_MAYBE), ==, VD_UNKNOWN_PROGRAM);
+	unit_close(&unit);
+}
+
+/* Guards against a reply that is shown before it is replicated. */
+static void
+test_unacknowledged(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_result result = {
+	    .vd = vd_ok(), .reply = "r", .reply_len = 1, .status = 200};
+	struct prg_answer answer;
+	prg_handle handle, joined;
+	struct vd vd;
+
+	unit_open(&unit, 1000);
+	call = unit_call(&unit, PRG_CALL_ONCE, "k1");
+	handle = unit_begin(&unit, &call);
+	g_assert_true(prg_finish(unit.prg, 0, handle, &result));
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &joined, &answer), ==, PRG_JOIN);
+	prg_ended(unit.prg, 0, handle, false);
+	g_assert_cmpint(unit.answer_vd.code, ==, VD_COPIES_UNAVAILABLE);
+	g_assert_cmpint(unit.answer_vd.ran, ==, VD_MAYBE);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_MAYBE), ==, VD_COPIES_UNAVAILABLE);
+
+	call = unit_call(&unit, PRG_CALL_ONCE, "k2");
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &handle, &answer), ==, PRG_START);
+	vd = prg_begun(unit.prg, 0, handle, false);
+	g_assert_cmpint(vd.ran, ==, VD_NOT_RUN);
+	vd = prg_begun(unit.prg, 0, handle, true);
+	g_assert_false(vd_is_ok(&vd));
+	handle = unit_begin(&unit, &call);
+	unit_end(&unit, handle, vd_ok(), "r2", 2);
+	call.key = "k1";
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &joined, &answer), ==, PRG_REPLAY);
+	unit_close(&unit);
+}
+
+/* Guards against calls out of order, and against a queue without a bound. */
+static void
+test_queue(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_answer answer;
+	prg_handle first, handles[PRG_QUEUE_MAX], joined;
+
+	unit_open(&unit, 100000);
+	call = unit_call(&unit, PRG_CALL_MODEL, NULL);
+	call.turn = 2;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_TURN_MISMATCH);
+	call.turn = 1;
+	first = unit_begin(&unit, &call);
+	call.turn = 0;
+	for (int i = 0; i < PRG_QUEUE_MAX; i++) {
+		call.key = i == 0 ? "k" : NULL;
+		call.turn = i == 1 ? 3 : 0;
+		g_assert_cmpint(
+		    prg_submit(unit.prg, 0, &call, &handles[i], &answer), ==,
+		    PRG_QUEUED);
+	}
+	call.turn = 0;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_QUEUE_FULL);
+	call.key = "k";
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &joined, &answer), ==, PRG_JOIN);
+	/* The call that was joined passes to the caller that is left. */
+	g_assert_true(prg_cancel(unit.prg, handles[0]));
+	g_assert_false(prg_cancel(unit.prg, first));
+	unit_end(&unit, first, vd_ok(), NULL, 0);
+	g_assert_cmpuint(unit.started, ==, joined);
+	(void)prg_begun(unit.prg, 0, joined, true);
+	/* It makes no turn, so that the call for turn 3 does not fit. */
+	unit_end(&unit, joined, vd_make(VD_NOT_RUN, VD_NO_UPSTREAM, "none"),
+	    NULL, 0);
+	g_assert_cmpuint(unit.answers, ==, 1);
+	g_assert_cmpint(unit.answer_vd.code, ==, VD_TURN_MISMATCH);
+	g_assert_cmpuint(unit.started, ==, handles[2]);
+	(void)prg_close(unit.prg, 0, "pinhao", unit.id);
+	g_assert_cmpuint(unit.answers, ==, 14);
+	g_assert_cmpint(unit.answer_vd.code, ==, VD_PROGRAM_CLOSED);
+	unit_close(&unit);
+}
+
+/* Guards against a budget that sub-agents or lost calls exceed. */
+static void
+test_budget(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_new_program child = {.organisation = "pinhao", .budget = 60};
+	char id[PRG_ID_SIZE];
+	prg_handle handle;
+	struct vd vd;
+
+	unit_open(&unit, 100);
+	child.parent = unit.id;
+	vd = prg_create(unit.prg, 0, &child, id);
+	g_assert_true(vd_is_ok(&vd));
+	vd = prg_create(unit.prg, 0, &child, id);
+	g_assert_cmpint(vd.code, ==, VD_BUDGET_EXCEEDED);
+	call = unit_call(&unit, PRG_CALL_MODEL, NULL);
+	call.answer_tokens = 31;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_BUDGET_EXCEEDED);
+	call.answer_tokens = 30;
+	handle = unit_begin(&unit, &call);
+	unit_end(&unit, handle, vd_ok(), NULL, 0);
+	/* 15 tokens were used: 25 are left, and 60 with the sub-agent. */
+	vd = prg_close(unit.prg, 0, NULL, id);
+	g_assert_true(vd_is_ok(&vd));
+	child.budget = 86;
+	vd = prg_create(unit.prg, 0, &child, id);
+	g_assert_cmpint(vd.code, ==, VD_BUDGET_EXCEEDED);
+	child.budget = 85;
+	vd = prg_create(unit.prg, 0, &child, id);
+	g_assert_true(vd_is_ok(&vd));
+	child.organisation = "other";
+	vd = prg_create(unit.prg, 0, &child, id);
+	g_assert_cmpint(vd.code, ==, VD_FORBIDDEN);
+	call.organisation = "other";
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_FORBIDDEN);
+	unit_close(&unit);
+}
+
+/* Guards against programs that stay, and prefixes that are not released. */
+static void
+test_release(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_counts counts;
+	prg_handle handle;
+
+	unit_open(&unit, 1000);
+	call = unit_call(&unit, PRG_CALL_MODEL, "k");
+	handle = unit_begin(&unit, &call);
+	unit_end(&unit, handle, vd_ok(), "r", 1);
+	prg_tick(unit.prg, 29 * CLK_MINUTE);
+	prg_count(unit.prg, &counts);
+	g_assert_cmpuint(counts.programs, ==, 1);
+	prg_tick(unit.prg, 30 * CLK_MINUTE);
+	prg_count(unit.prg, &counts);
+	g_assert_cmpuint(counts.programs, ==, 0);
+	g_assert_cmpuint(counts.releases, ==, 1);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_PROGRAM_CLOSED);
+	prg_tick(unit.prg, 31 * CLK_MINUTE);
+	prg_tick(unit.prg, 32 * CLK_MINUTE);
+	g_assert_cmpuint(unit.releases, >=, 2);
+	prg_released(unit.prg, unit.id, "e2");
+	prg_count(unit.prg, &counts);
+	g_assert_cmpuint(counts.releases, ==, 1);
+	prg_released(unit.prg, unit.id, "e1");
+	prg_count(unit.prg, &counts);
+	g_assert_cmpuint(counts.releases, ==, 0);
+	g_assert_cmpuint(counts.bytes, ==, 0);
+	unit_close(&unit);
+}
+
+static void
+unit_copy(struct unit *to, struct unit *from)
+{
+	GPtrArray *state = prg_export(from->prg, SHARD);
+
+	prg_shard_open(to->prg, SHARD, 2);
+	for (guint i = 0; i < state->len; i++)
+		g_assert_true(
+		    prg_apply(to->prg, 0, g_ptr_array_index(state, i)));
+	g_ptr_array_unref(state);
+	memcpy(to->id, from->id, sizeof(to->id));
+}
+
+/*
+ * Guards against spending twice what only a lost owner and a lost holder
+ * knew, and against a new call while the latest turn is not known.
+ */
+static void
+test_unproven(void)
+{
+	struct unit old, unit;
+	struct prg_call call, once;
+	struct prg_counts counts;
+	GPtrArray *late;
+	struct vd vd;
+
+	unit_open(&old, 100);
+	unit_open(&unit, 100);
+	unit_copy(&unit, &old);
+	call = unit_call(&old, PRG_CALL_MODEL, NULL);
+	call.answer_tokens = 50;
+	(void)unit_begin(&old, &call);
+	late = prg_export(old.prg, SHARD);
+
+	prg_recovered(unit.prg, 0, SHARD, false);
+	call.turn = 1;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_HISTORY_UNPROVEN);
+	once = unit_call(&unit, PRG_CALL_ONCE, "k");
+	once.turn = 1;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &once, VD_MAYBE), ==, VD_HISTORY_UNPROVEN);
+	once.kind = PRG_CALL_IDEMPOTENT;
+	once.turn = 0;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &once, VD_NOT_RUN), ==, VD_HISTORY_UNPROVEN);
+	once.turn = 2;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &once, VD_NOT_RUN), ==, VD_TURN_MISMATCH);
+	vd = prg_close(unit.prg, 0, NULL, unit.id);
+	g_assert_cmpint(vd.code, ==, VD_HISTORY_UNPROVEN);
+	prg_tick(unit.prg, CLK_HOUR);
+	prg_count(unit.prg, &counts);
+	g_assert_cmpuint(counts.programs, ==, 1);
+
+	/* The late answer shows that 60 of the 100 tokens may be spent. */
+	for (guint i = 0; i < late->len; i++)
+		g_assert_true(
+		    prg_apply(unit.prg, 0, g_ptr_array_index(late, i)));
+	g_ptr_array_unref(late);
+	prg_recovered(unit.prg, 0, SHARD, true);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_BUDGET_EXCEEDED);
+	call.answer_tokens = 30;
+	(void)unit_begin(&unit, &call);
+	unit_close(&old);
+	unit_close(&unit);
+}
+
+/* Guards against a loop without end. */
+static void
+test_turn_limit(void)
+{
+	struct unit unit;
+	struct prg_call call;
+
+	unit_open(&unit, 100000);
+	call = unit_call(&unit, PRG_CALL_IDEMPOTENT, NULL);
+	for (int i = 0; i < 20; i++)
+		unit_end(&unit, unit_begin(&unit, &call), vd_ok(), NULL, 0);
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_NOT_RUN), ==, VD_TURN_LIMIT);
+	unit_close(&unit);
+}
+
+/* Guards against the key or the content in what operators list. */
+static void
+test_list(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	json_t *list, *show;
+	char *text;
+
+	unit_open(&unit, 1000);
+	call = unit_call(&unit, PRG_CALL_MODEL, "secret-key");
+	call.messages =
+	    json_pack("[{s:s,s:s}]", "role", "user", "content", "private");
+	unit_end(&unit, unit_begin(&unit, &call), vd_ok(), "private", 7);
+	json_decref(call.messages);
+	list = prg_list(unit.prg, "pinhao", NULL, 10);
+	g_assert_cmpuint(json_array_size(list), ==, 1);
+	text = json_dumps(list, 0);
+	g_assert_null(strstr(text, "secret-key"));
+	g_assert_null(strstr(text, "private"));
+	free(text);
+	json_decref(list);
+	list = prg_list(unit.prg, "pinhao", unit.id, 10);
+	g_assert_cmpuint(json_array_size(list), ==, 0);
+	json_decref(list);
+	list = prg_list(unit.prg, "other", NULL, 10);
+	g_assert_cmpuint(json_array_size(list), ==, 0);
+	json_decref(list);
+	show = prg_show(unit.prg, unit.id);
+	text = json_dumps(show, 0);
+	g_assert_null(strstr(text, "secret-key"));
+	g_assert_nonnull(strstr(text, "private"));
+	free(text);
+	json_decref(show);
+	unit_close(&unit);
+}
+
+/* Guards against an implicit program whose key runs again after its close. */
+static void
+test_implicit(void)
+{
+	struct unit unit;
+	struct prg_call call;
+	struct prg_answer answer;
+	struct prg_id id;
+	char text[PRG_ID_SIZE];
+	prg_handle handle;
+
+	unit_open(&unit, 1000);
+	prg_id_derive(DATACENTRE, SHARDS, "pinhao", "k", &id);
+	prg_shard_open(unit.prg, id.shard, 1);
+	prg_recovered(unit.prg, 0, id.shard, true);
+	prg_id_format(&id, text);
+	call = unit_call(&unit, PRG_CALL_ONCE, "k");
+	call.program = text;
+	call.prompt_tokens = call.answer_tokens = 0;
+	g_assert_cmpint(
+	    unit_refusal(&unit, &call, VD_MAYBE), ==, VD_UNKNOWN_PROGRAM);
+	call.implicit = true;
+	handle = unit_begin(&unit, &call);
+	unit_end(&unit, handle, vd_ok(), "r", 1);
+	prg_tick(unit.prg, CLK_HOUR);
+	g_assert_cmpint(
+	    prg_submit(unit.prg, 0, &call, &handle, &answer), ==, PRG_REPLAY);
+	prg_tick(unit.prg, 25 * CLK_HOUR);
+	prg_tick(unit.prg, 25 * CLK_HOUR);
+	g_assert_null(prg_show(unit.prg, text));
+	unit_close(&unit);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/prg/ids", test_ids);
+	g_test_add_func("/prg/records", test_records);
+	g_test_add_func("/prg/keys", test_keys);
+	g_test_add_func("/prg/unacknowledged", test_unacknowledged);
+	g_test_add_func("/prg/queue", test_queue);
+	g_test_add_func("/prg/budget", test_budget);
+	g_test_add_func("/prg/release", test_release);
+	g_test_add_func("/prg/unproven", test_unproven);
+	g_test_add_func("/prg/turn-limit", test_turn_limit);
+	g_test_add_func("/prg/list", test_list);
+	g_test_add_func("/prg/implicit", test_implicit);
 	g_test_add_func("/prg/variants", test_variants);
 	g_test_add_func("/prg/orders", test_orders);
 	return (g_test_run());
