Ask for one organisation's tokens without a pass over the others

Cause: a waiting request had to call rat_request_list(), which passes over all active organisations. Change: rat_request_now() asks for one organisation. The headers say which holders count for an acknowledgement and what to do after CPY_BAD.

--- a/src/program/cpy.h
+++ b/src/program/cpy.h
@@ -23,7 +23,11 @@
 	 */
 	CPY_FETCH_FIRST,
 	CPY_GAP, /* records are missing after seq: send a full export */
-	CPY_BAD /* a malformed record; what came before it is held */
+	/*
+	 * A record is malformed or does not fit the state.  What came before
+	 * it is held; drop the state and ask for a full export.
+	 */
+	CPY_BAD
 };
 
 struct cpy_result {
@@ -40,7 +44,9 @@
  *	new epoch starts with its PRG_RECOVER record, which is accepted if the
  *	state held is the one it continues; otherwise the result is CPY_GAP.
  *	The owner counts records up to seq as acknowledged only if outcome is
- *	CPY_ACCEPTED and epoch is its own.
+ *	CPY_ACCEPTED and epoch is its own, and waits only for holders that the
+ *	shard map names.  What is not acknowledged when a link breaks is sent
+ *	again.  A holder is named in the map after it holds the whole state.
  */
 struct cpy_result cpy_put(struct cpy *cpy, uint8_t datacentre, uint16_t shard,
     uint64_t epoch, const GPtrArray *records);
--- a/src/program/prg.h
+++ b/src/program/prg.h
@@ -180,6 +180,7 @@
  * prg_shard_open(prg, shard, epoch)
  *	Start owning a shard.  It serves no call until prg_recovered().
  *	Opening an open shard at a newer epoch closes it first.
+ *
  * prg_apply(prg, now, record)
  *	Give a record of a former owner: PRG_HEAD with its PRG_STATE records,
  *	as returned by cpy_fetch() or prg_export(), one export after the other.
@@ -203,6 +204,7 @@
  *	The epoch of the last owner with a proven state from which the recovered
  *	state comes; 0 for none.  It is replicated with the state, so that the
  *	state of an unproven owner is not proven for its successors either.
+ *
  * RETURN VALUES
  *	prg_apply() returns false, and changes nothing, for a record that is
  *	malformed, out of place or of a shard that is not open.
--- a/src/rate/rat.c
+++ b/src/rate/rat.c
@@ -846,6 +846,40 @@
 		request->wanted > 0));
 }
 
+/* Give the account's request to each(), if one is due. */
+static void
+account_ask(struct rat_holder *holder, struct account *account, clk_ms now,
+    rat_each_request *each, void *arg)
+{
+	struct rat_request request = {
+	    .organisation = account->organisation,
+	    .shard = account->shard,
+	};
+
+	account_period(account, now);
+	if (!account_request(account, now, &request))
+		return;
+	request.serial = ++holder->serial;
+	/* A report that is lost is not repeated: see rat.h. */
+	account_give_back(account, request.returned);
+	account->used = 0;
+	account->serial = request.serial;
+	account->sent = now;
+	account->last_request = now;
+	each(&request, arg);
+}
+
+void
+rat_request_now(struct rat_holder *holder, clk_ms now, const char *organisation,
+    rat_each_request *each, void *arg)
+{
+	struct account *account =
+	    g_hash_table_lookup(holder->accounts, organisation);
+
+	if (account != NULL)
+		account_ask(holder, account, now, each, arg);
+}
+
 void
 rat_request_list(
     struct rat_holder *holder, clk_ms now, rat_each_request *each, void *arg)
@@ -854,25 +888,8 @@
 	void *value;
 
 	g_hash_table_iter_init(&iter, holder->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct account *account = value;
-		struct rat_request request = {
-		    .organisation = account->organisation,
-		    .shard = account->shard,
-		};
-
-		account_period(account, now);
-		if (!account_request(account, now, &request))
-			continue;
-		request.serial = ++holder->serial;
-		/* A report that is lost is not repeated: see rat.h. */
-		account_give_back(account, request.returned);
-		account->used = 0;
-		account->serial = request.serial;
-		account->sent = now;
-		account->last_request = now;
-		each(&request, arg);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		account_ask(holder, value, now, each, arg);
 }
 
 static void
--- a/src/rate/rat.h
+++ b/src/rate/rat.h
@@ -176,13 +176,16 @@
 
 /*
  * rat_request_list(holder, now, each, arg)
- *	Call each() for every organisation for which a request is due now: one
- *	that waits for tokens and has no request under way, or one that has
- *	used or has spare tokens to report, at most every 50 ms.  To be called
- *	right after a rat_take() that returned RAT_WAITING and every 25 ms.  The
- *	daemon sends the requests at once; now counts as the send time.
- *	Costs O(organisations that were active in the last few seconds).  each
+ * rat_request_now(holder, now, organisation, each, arg)
+ *	Call each() for every organisation, or for one, for which a request is
+ *	due now: one that waits for tokens and has no request under way, or one
+ *	that has used or has spare tokens to report, at most every 50 ms.  The
+ *	daemon sends the requests at once; now counts as the send time.  each
  *	must not call functions of the holder.
+ *	rat_request_list() is to be called every 25 ms and costs
+ *	O(organisations that were active in the last few seconds).
+ *	rat_request_now() is to be called after a rat_take() that returned
+ *	RAT_WAITING and costs one hash look-up.
  * rat_granted(holder, now, organisation, serial, reply)
  *	The answer to the request with that serial number; reply nil if it
  *	failed or was refused.  Waiting requests are served in order.  A late
@@ -195,6 +198,8 @@
  */
 void rat_request_list(
     struct rat_holder *holder, clk_ms now, rat_each_request *each, void *arg);
+void rat_request_now(struct rat_holder *holder, clk_ms now,
+    const char *organisation, rat_each_request *each, void *arg);
 void rat_granted(struct rat_holder *holder, clk_ms now,
     const char *organisation, uint64_t serial, const struct rat_reply *reply);
 void rat_holder_tick(struct rat_holder *holder, clk_ms now);
--- a/src/rate/test_rat.c
+++ b/src/rate/test_rat.c
@@ -434,7 +434,7 @@
 			g_assert_cmpint(retry_after, >, 0);
 		}
 	}
-	rat_request_list(node->holder, now, send_request, node);
+	rat_request_now(node->holder, now, ORGANISATION, send_request, node);
 }
 
 static void
@@ -860,8 +860,8 @@
 			if (rat_take(direct.holder, direct.now, ORGANISATION,
 				&direct, &retry_after) == RAT_TAKEN)
 				direct.taken++;
-			rat_request_list(
-			    direct.holder, direct.now, direct_send, &direct);
+			rat_request_now(direct.holder, direct.now, ORGANISATION,
+			    direct_send, &direct);
 		}
 		if (direct.now % 25 == 0) {
 			rat_holder_tick(direct.holder, direct.now);
