Test a fleet of real processes through kills, pauses and lost replies

Cause: the modules had tests of their own, but no test ran the daemon with processes that die or pause.

Change: tests/fleet.c starts stand-ins and instances by posix_spawn, with a proxy before the log of each data centre, and ends every process also after a failed assertion. Every test checks at its end that no upstream saw an Authorization header and that no log contains a key or a sanitizer's report. Tests: owner killed twice between turns, reply lost after the effect, owner paused past its lease, bad input.

--- a/Makefile
+++ b/Makefile
@@ -68,8 +68,13 @@
 	cd src/peer && rpcgen -c peer.x | \
 	    sed 's|"peer.h"|"peer/peer_xdr.h"|' >peer_xdr.c
 
+# What the test programs of tests/ share.
+HARNESS_OBJ = $(patsubst %.c,$(BUILD)/%.o,\
+	$(filter-out $(wildcard tests/test_*.c),$(wildcard tests/*.c)))
+
 define test_rule
 $(BUILD)/tests/$(notdir $(basename $(1))): $(1:%.c=$(BUILD)/%.o) \
+    $(if $(filter tests/%,$(1)),$(HARNESS_OBJ)) \
     $(filter-out $(BUILD)/src/cli/main.o,$(CLI_OBJ)) \
     $(BUILD)/libsamphireshed.a
 	@mkdir -p $$(dir $$@)
