--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -288,13 +288,21 @@
 	call->done = true;
 }
 
-struct fleet_call *
-fleet_http(
+static struct fleet_call *
+plain_start(
     struct fleet *fleet, const char *method, const char *url, json_t *body)
 {
 	static const char *const headers[] = {
 	    "Content-Type: application/json", NULL};
-	struct fleet_call *call = call_start(fleet, method, url, headers, body);
+
+	return (call_start(fleet, method, url, headers, body));
+}
+
+struct fleet_call *
+fleet_http(
+    struct fleet *fleet, const char *method, const char *url, json_t *body)
+{
+	struct fleet_call *call = plain_start(fleet, method, url, body);
 
 	fleet_wait(call);
 	return (call);
@@ -314,7 +322,10 @@
 fleet_object(struct fleet *fleet, unsigned instance, const char *object,
     json_int_t base, json_t *value)
 {
-	return (fleet_ctl(fleet, instance, "POST", "/ctl/objects",
+	g_autofree char *url = g_strconcat(
+	    fleet->instances[instance].operators, "/ctl/objects", NULL);
+
+	return (plain_start(fleet, "POST", url,
 	    json_pack("{s:s,s:I,s:o,s:s}", "object", object, "base", base,
 		"value", value, "by", "test")));
 }
@@ -535,6 +546,7 @@
 {
 	struct fleet_call *call = fleet_object(fleet, 0, object, 0, value);
 
+	fleet_wait(call);
 	if (call->status != 200)
 		g_test_message("%s: %s", object, call->body->str);
 	g_assert_cmpint(call->status, ==, 200);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -144,7 +144,10 @@
 struct fleet_call *fleet_ctl(struct fleet *fleet, unsigned instance,
     const char *method, const char *path, json_t *body);
 
-/* fleet_object(fleet, instance, object, base, value): change one object. */
+/*
+ * fleet_object(fleet, instance, object, base, value)
+ *	Start to change one object; the value is stolen.
+ */
 struct fleet_call *fleet_object(struct fleet *fleet, unsigned instance,
     const char *object, json_int_t base, json_t *value);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -463,6 +463,580 @@
 	fleet_close(fleet);
 }
 
+/* Start a streamed answer of up to 1,000 tokens. */
+static struct fleet_call *
+stream_start(struct fleet *fleet, unsigned instance, const char *key)
+{
+	json_t *body = chat("model-a", "a long answer");
+
+	(void)json_object_set_new(body, "stream", json_true());
+	(void)json_object_set_new(body, "max_tokens", json_integer(1000));
+	return (fleet_start(fleet,
+	    &(struct fleet_request){
+		.instance = instance, .key = key, .body = body}));
+}
+
+/* Wait until a stream has sent the first part of its answer. */
+static void
+stream_wait(struct fleet_call *call)
+{
+	for (clk_ms waited = 0; strstr(call->body->str, "content") == NULL;
+	     waited += 50) {
+		if (call->done || waited >= FLEET_DEADLINE)
+			g_error(
+			    "no stream: %d %s", call->status, call->body->str);
+		fleet_run(call->fleet, 50);
+	}
+}
+
+static void
+check_complete(struct fleet_call *call)
+{
+	fleet_wait(call);
+	if (strstr(call->body->str, "[DONE]") == NULL)
+		g_test_message("cut: %d %s", call->status,
+		    call->body->str + call->body->len -
+			MIN(call->body->len, 300));
+	g_assert_cmpint(call->status, ==, 200);
+	g_assert_nonnull(strstr(call->body->str, "[DONE]"));
+	g_assert_null(strstr(call->body->str, "\"error\""));
+	g_assert_false(call->cut);
+}
+
+static json_t *
+organisation(double rate)
+{
+	return (json_pack("{s:f,s:i}", "rate", rate, "burst", 1000));
+}
+
+static json_int_t
+object_version(struct fleet *fleet, unsigned instance, const char *object)
+{
+	g_autofree char *path = g_strdup_printf("/ctl/objects/%s", object);
+	struct fleet_call *call = fleet_ctl(fleet, instance, "GET", path, NULL);
+
+	return (json_integer_value(json_object_get(call->json, "version")));
+}
+
+/*
+ * Guards against calls that depend on the log, a withdrawal that waits for
+ * it, and a configuration change that reverts or is lost by an outage.
+ */
+static void
+test_log_outage(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){
+	    .engine_options = "--token-ms=40 --answer-min=700 "
+			      "--answer-max=800"});
+	struct fleet_call *streams[FLEET_MAX_INSTANCES];
+	struct fleet_call *change, *call;
+	struct chain chain;
+
+	chain_open(&chain, fleet);
+	turn(&chain, 0, "before the outage");
+	fleet_control(fleet, &fleet->log, json_pack("{s:b}", "outage", 1));
+	/* Longer than an owner's lease without a read of the log. */
+	fleet_run(fleet, 4000);
+	change =
+	    fleet_object(fleet, 1, "organisation/gamma", 0, organisation(5));
+	for (unsigned i = 0; i < fleet->n_instances; i++) {
+		turn(&chain, i, "during the outage");
+		streams[i] = stream_start(fleet, i, FLEET_KEY_BETA);
+	}
+	for (unsigned i = 0; i < fleet->n_instances; i++)
+		stream_wait(streams[i]);
+	call = fleet_ctl(
+	    fleet, 3, "POST", "/ctl/keys/k-beta/withdraw", json_object());
+	g_assert_cmpint(call->status, ==, 200);
+	/* "Within seconds": the streams go on for 20 s if they are not cut. */
+	fleet_run(fleet, 5000);
+	for (unsigned i = 0; i < fleet->n_instances; i++) {
+		g_assert_true(streams[i]->done);
+		g_assert_nonnull(
+		    strstr(streams[i]->body->str, "key_withdrawn"));
+		g_assert_null(strstr(streams[i]->body->str, "[DONE]"));
+		call = fleet_call(fleet,
+		    &(struct fleet_request){.instance = i,
+			.key = FLEET_KEY_BETA,
+			.body = chat("model-a", "x")});
+		check_refused(call, 401, "key_withdrawn");
+	}
+	fleet_wait(change);
+	g_test_message("change: %d %s", change->status, change->body->str);
+	g_assert_cmpint(change->status, !=, 200);
+	fleet_control(fleet, &fleet->log, json_pack("{s:b}", "outage", 0));
+	/* A change that was not refused for certain appears everywhere. */
+	for (clk_ms waited = 0; waited < FLEET_DEADLINE; waited += 200) {
+		bool everywhere = true;
+
+		for (unsigned i = 0; i < fleet->n_instances; i++)
+			everywhere = everywhere &&
+			    object_version(fleet, i, "organisation/gamma") > 0;
+		if (everywhere)
+			break;
+		fleet_run(fleet, 200);
+	}
+	for (unsigned i = 0; i < fleet->n_instances; i++) {
+		if (strcmp(fleet_error(change, "ran"), "no") == 0)
+			g_assert_cmpint(
+			    object_version(fleet, i, "organisation/gamma"), ==,
+			    0);
+		else
+			g_assert_cmpint(
+			    object_version(fleet, i, "organisation/gamma"), >,
+			    0);
+		call = fleet_call(fleet,
+		    &(struct fleet_request){.instance = i,
+			.key = FLEET_KEY_BETA,
+			.body = chat("model-a", "x")});
+		check_refused(call, 401, "key_withdrawn");
+	}
+	turn(&chain, 2, "after the outage");
+	chain_close(&chain);
+	fleet_close(fleet);
+}
+
+/* Guards against two operators who both believe that their change won. */
+static void
+test_operators_race(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){0});
+	const char *object = "organisation/beta";
+
+	for (int round = 0; round < 6; round++) {
+		json_int_t base = object_version(fleet, 0, object);
+		struct fleet_call *a, *b, *winner, *loser;
+		json_int_t version;
+		double rate;
+
+		a = fleet_object(
+		    fleet, 0, object, base, organisation(100 + round));
+		b = fleet_object(
+		    fleet, 3, object, base, organisation(200 + round));
+		fleet_wait(a);
+		fleet_wait(b);
+		winner = a->status == 200 ? a : b;
+		loser = winner == a ? b : a;
+		rate = winner == a ? 100 + round : 200 + round;
+		g_assert_cmpint(winner->status, ==, 200);
+		g_assert_cmpint(loser->status, ==, 409);
+		g_assert_nonnull(json_object_get(loser->json, "winner"));
+		version = json_integer_value(
+		    json_object_get(winner->json, "version"));
+		g_assert_cmpint(version, >, base);
+		for (unsigned i = 0; i < fleet->n_instances; i++) {
+			for (clk_ms waited = 0;
+			     object_version(fleet, i, object) != version;
+			     waited += 100) {
+				g_assert_cmpint(waited, <, FLEET_DEADLINE);
+				fleet_run(fleet, 100);
+			}
+			g_assert_cmpfloat(
+			    json_number_value(json_object_get(
+				json_object_get(
+				    fleet_ctl(fleet, i, "GET",
+					"/ctl/objects/organisation/beta", NULL)
+					->json,
+				    "value"),
+				"rate")),
+			    ==, rate);
+		}
+	}
+	fleet_close(fleet);
+}
+
+/* One request of organisation "beta" that takes one token of its rate. */
+static void
+rate_request(struct fleet *fleet, unsigned instance, GPtrArray *calls)
+{
+	g_ptr_array_add(calls,
+	    fleet_start(fleet,
+		&(struct fleet_request){.instance = instance,
+		    .method = "GET",
+		    .path = "/v1/services/orders/stock",
+		    .key = FLEET_KEY_BETA}));
+}
+
+/*
+ * Guards against more than rate * time + burst requests reaching upstreams
+ * when requests spread unevenly and an instance dies with its grants, and
+ * against refusals as not run of requests that ran.
+ */
+static void
+test_rate(void)
+{
+	const double rate = 30, burst = 20;
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){
+	    .instances = 3, .beta_rate = rate, .beta_burst = (int)burst});
+	GPtrArray *calls = g_ptr_array_new();
+	gint64 started = g_get_monotonic_time();
+	unsigned answered = 0, uncertain = 0;
+	json_int_t ran;
+	double seconds;
+
+	for (unsigned n = 0; n < 300; n++) {
+		unsigned phase = n / 100;
+		unsigned alive = n >= 150 ? 5 : 6;
+
+		for (unsigned burst_of = 0; burst_of < 4; burst_of++) {
+			unsigned k = 4 * n + burst_of;
+			unsigned instance = k % alive;
+
+			if (phase == 1 && k % 5 != 0)
+				instance = 1;
+			if (phase == 2)
+				instance = 4;
+			rate_request(fleet, instance, calls);
+		}
+		fleet_run(fleet, 20);
+		if (n == 149)
+			fleet_kill(fleet, 5);
+	}
+	for (guint i = 0; i < calls->len; i++) {
+		struct fleet_call *call = g_ptr_array_index(calls, i);
+
+		fleet_wait(call);
+		if (call->status == 200)
+			answered++;
+		else if (strcmp(fleet_error(call, "ran"), "no") != 0)
+			uncertain++;
+	}
+	seconds = (double)(g_get_monotonic_time() - started) / 1e6;
+	ran = effects(fleet, "stock");
+	g_test_message("%u requests, %u answered, %u uncertain, %d ran in "
+		       "%.1f s",
+	    calls->len, answered, uncertain, (int)ran, seconds);
+	g_assert_cmpint(ran, >, 0);
+	g_assert_cmpfloat((double)ran, <=, rate * seconds + burst);
+	g_assert_cmpint(ran, >=, answered);
+	g_assert_cmpint(ran, <=, answered + uncertain);
+	g_ptr_array_unref(calls);
+	fleet_close(fleet);
+}
+
+/* Guards against a planned stop that cuts off streams or loses shards. */
+static void
+test_planned_stop(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){
+	    .engine_options = "--token-ms=30 --answer-min=150 "
+			      "--answer-max=200"});
+	struct fleet_call *streams[3 * FLEET_MAX_INSTANCES];
+	struct chain chains[4];
+	unsigned n = 3 * fleet->n_instances;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(chains); i++) {
+		chain_open(&chains[i], fleet);
+		turn(&chains[i], 0, "before the stop");
+	}
+	for (unsigned i = 0; i < n; i++)
+		streams[i] = stream_start(
+		    fleet, i % fleet->n_instances, FLEET_KEY_ALPHA);
+	for (unsigned i = 0; i < n; i++)
+		stream_wait(streams[i]);
+	fleet_signal(fleet, 0, SIGTERM);
+	for (unsigned i = 0; i < n; i++)
+		check_complete(streams[i]);
+	g_assert_true(
+	    fleet_reap(fleet, fleet->instances[0].process, FLEET_DEADLINE));
+	g_assert_true(WIFEXITED(fleet->instances[0].process->status));
+	g_assert_cmpint(
+	    WEXITSTATUS(fleet->instances[0].process->status), ==, 0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(chains); i++) {
+		turn(&chains[i], 1 + i % 3, "after the stop");
+		check_program(&chains[i], 2);
+		chain_close(&chains[i]);
+	}
+	fleet_close(fleet);
+}
+
+/* Guards against new work for a leaving upstream, or a cut of its calls. */
+static void
+test_upstream_leaving(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){.datacentres = 1,
+	    .engine_options = "--token-ms=30 --answer-min=250 "
+			      "--answer-max=300"});
+	struct fleet_call *streams[8], *call;
+	json_t *value;
+	json_int_t before;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++)
+		streams[i] = stream_start(fleet, i % 2, FLEET_KEY_ALPHA);
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++)
+		stream_wait(streams[i]);
+	before = json_integer_value(json_object_get(
+	    fleet_stats(fleet, &fleet->engines[0], "/control/stats"),
+	    "active"));
+	g_assert_cmpint(before, >, 0);
+	call =
+	    fleet_ctl(fleet, 0, "GET", "/ctl/objects/upstream/engine-0", NULL);
+	value = json_deep_copy(json_object_get(call->json, "value"));
+	(void)json_object_set_new(value, "state", json_string("leaving"));
+	call = fleet_object(fleet, 0, "upstream/engine-0",
+	    object_version(fleet, 0, "upstream/engine-0"), value);
+	fleet_wait(call);
+	g_assert_cmpint(call->status, ==, 200);
+	fleet_run(fleet, 3000);
+	before = json_integer_value(json_object_get(
+	    fleet_stats(fleet, &fleet->engines[0], "/control/stats"),
+	    "requests"));
+	for (unsigned i = 0; i < 20; i++) {
+		call = fleet_call(fleet,
+		    &(struct fleet_request){
+			.instance = i % 2, .body = chat("model-a", "x")});
+		g_assert_cmpint(call->status, ==, 200);
+	}
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(
+		fleet_stats(fleet, &fleet->engines[0], "/control/stats"),
+		"requests")),
+	    ==, before);
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++)
+		check_complete(streams[i]);
+	fleet_close(fleet);
+}
+
+/* A turn that must be refused as not run. */
+static void
+turn_refused(const struct chain *chain, unsigned instance)
+{
+	struct fleet_call *call = fleet_call(chain->fleet,
+	    &(struct fleet_request){
+		.instance = instance, .body = turn_body(chain, "refused")});
+
+	g_test_message("refused: %d %s", call->status, call->body->str);
+	g_assert_cmpint(call->status, !=, 200);
+	g_assert_cmpstr(fleet_error(call, "ran"), ==, "no");
+}
+
+/*
+ * Guards against a data centre that stops serving its own programs when it
+ * is cut off, and against one that runs another's programs.  The instances
+ * on the other side of the cut are paused: their connections are silent.
+ */
+static void
+test_datacentre_cut_off(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){0});
+	struct chain first, second;
+
+	chain_open(&first, fleet);
+	chain_open(&second, fleet);
+	turn(&first, 0, "in data centre 1");
+	turn(&second, 2, "in data centre 2");
+	/* Data centre 2 sees neither the log nor data centre 1. */
+	fleet_control(fleet, &fleet->log_proxies[2],
+	    json_pack("{s:s,s:s}", "mode", "drop", "direction", "both"));
+	fleet_signal(fleet, 0, SIGSTOP);
+	fleet_signal(fleet, 1, SIGSTOP);
+	for (unsigned i = 0; i < 4; i++) {
+		turn(&second, 2 + i % 2, "cut off");
+		fleet_run(fleet, 1500);
+	}
+	turn_refused(&first, 2);
+	fleet_signal(fleet, 0, SIGCONT);
+	fleet_signal(fleet, 1, SIGCONT);
+	fleet_control(
+	    fleet, &fleet->log_proxies[2], json_pack("{s:s}", "mode", "pass"));
+	turn(&first, 2, "connected again");
+	turn(&second, 0, "connected again");
+	/* Data centre 1 sees the log, but not data centre 2. */
+	fleet_signal(fleet, 2, SIGSTOP);
+	fleet_signal(fleet, 3, SIGSTOP);
+	for (unsigned i = 0; i < 3; i++) {
+		turn(&first, i % 2, "on its own");
+		fleet_run(fleet, 1500);
+	}
+	turn_refused(&second, 0);
+	fleet_signal(fleet, 2, SIGCONT);
+	fleet_signal(fleet, 3, SIGCONT);
+	turn(&second, 0, "at the end");
+	turn(&first, 3, "at the end");
+	check_program(&first, 2);
+	check_program(&second, 1);
+	chain_close(&first);
+	chain_close(&second);
+	fleet_close(fleet);
+}
+
+/* Wait until the sum of a count over all engines is the value. */
+static void
+engines_wait(struct fleet *fleet, const char *member, json_int_t value)
+{
+	for (clk_ms waited = 0; fleet_engine_total(fleet, member) != value;
+	     waited += 200) {
+		if (waited >= FLEET_DEADLINE)
+			g_error("%s is %d", member,
+			    (int)fleet_engine_total(fleet, member));
+		fleet_run(fleet, 200);
+	}
+}
+
+/*
+ * Guards against engines that work for callers who have gone, and engine
+ * memory that programs hold after they were closed.
+ */
+static void
+test_caller_leaves(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){
+	    .engine_options = "--token-ms=100 --answer-min=900 "
+			      "--answer-max=900"});
+	struct fleet_call *streams[4], *call;
+	g_autofree char *path = NULL;
+	const char *program;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++)
+		streams[i] = stream_start(fleet, i, FLEET_KEY_ALPHA);
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++) {
+		stream_wait(streams[i]);
+		fleet_leave(streams[i]);
+	}
+	/* The answers would take 90 s. */
+	engines_wait(fleet, "active", 0);
+	g_assert_cmpint(fleet_engine_total(fleet, "cancelled") +
+		fleet_engine_total(fleet, "disconnected"),
+	    >=, (json_int_t)G_N_ELEMENTS(streams));
+	call = fleet_call(
+	    fleet, &(struct fleet_request){.body = chat("model-a", "hold")});
+	g_assert_cmpint(call->status, ==, 200);
+	program = json_string_value(json_object_get(call->json, "program_id"));
+	g_assert_cmpint(fleet_engine_total(fleet, "held_programs"), >, 0);
+	path = g_strdup_printf("/v1/programs/%s", program);
+	call = fleet_call(fleet,
+	    &(struct fleet_request){
+		.instance = 3, .method = "DELETE", .path = path});
+	g_assert_cmpint(call->status, ==, 200);
+	/* The programs of the streams are still open. */
+	for (unsigned i = 0; i < G_N_ELEMENTS(streams); i++) {
+		const char *at = strstr(streams[i]->body->str, "p-0");
+		g_autofree char *other = NULL;
+
+		if (at == NULL)
+			continue;
+		other = g_strdup_printf(
+		    "/v1/programs/%.*s", (int)strcspn(at, "\""), at);
+		(void)fleet_call(fleet,
+		    &(struct fleet_request){.method = "DELETE", .path = other});
+	}
+	engines_wait(fleet, "held_programs", 0);
+	fleet_close(fleet);
+}
+
+/* Guards against concurrent calls that spend a budget more than once. */
+static void
+test_budget(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){0});
+	struct fleet_call *calls[12], *call;
+	json_int_t used;
+	unsigned answered = 0, refused = 0;
+
+	call = fleet_call(fleet,
+	    &(struct fleet_request){.path = "/v1/programs",
+		.body = json_pack("{s:i}", "budget_tokens", 200)});
+	g_assert_cmpint(call->status, ==, 200);
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++) {
+		json_t *body = chat("model-a", "spend");
+
+		(void)json_object_set(body, "program_id",
+		    json_object_get(call->json, "program_id"));
+		calls[i] = fleet_start(fleet,
+		    &(struct fleet_request){
+			.instance = i % fleet->n_instances, .body = body});
+	}
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++) {
+		fleet_wait(calls[i]);
+		if (calls[i]->status == 200) {
+			answered++;
+		} else {
+			g_test_message("%s", calls[i]->body->str);
+			g_assert_cmpstr(fleet_error(calls[i], "ran"), ==, "no");
+			refused++;
+		}
+	}
+	used = fleet_engine_total(fleet, "tokens") +
+	    fleet_engine_total(fleet, "prompt_tokens");
+	g_test_message(
+	    "%u answered, %u refused, %d tokens", answered, refused, (int)used);
+	g_assert_cmpuint(answered, >, 0);
+	g_assert_cmpuint(refused, >, 0);
+	g_assert_cmpint(used, <=, 200);
+	fleet_close(fleet);
+}
+
+/* Guards against a request that crashes one engine after another. */
+static void
+test_crashing_request(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){
+	    .datacentres = 1, .instances = 3, .engines = 5});
+	struct fleet_call *call = NULL;
+	unsigned crashed = 0;
+
+	for (unsigned i = 0; i < fleet->plan.engines; i++)
+		fleet_control(fleet, &fleet->engines[i],
+		    json_pack("{s:s}", "crash_on", "poison"));
+	for (unsigned i = 0; i < 6; i++) {
+		call = fleet_call(fleet,
+		    &(struct fleet_request){
+			.instance = i % 3, .body = chat("model-a", "poison")});
+		g_test_message("%d %s", call->status, call->body->str);
+		g_assert_cmpint(call->status, !=, 200);
+		/* Heartbeats carry the fingerprint to the other instances. */
+		fleet_run(fleet, 1000);
+	}
+	check_refused(call, 422, "request_crashes_upstream");
+	for (unsigned i = 0; i < fleet->plan.engines; i++)
+		crashed += fleet_reap(fleet, fleet->engines[i].process, 50);
+	g_assert_cmpuint(crashed, <=, 2);
+	/* Other requests run on the engines that are left. */
+	call = call_repeat(
+	    fleet, &(struct fleet_request){.body = chat("model-a", "x")});
+	g_assert_cmpint(call->status, ==, 200);
+	fleet_close(fleet);
+}
+
+/*
+ * Guards against a refusal as not run of an order whose owner was killed
+ * while the service performed it, when no new owner can be found.
+ */
+static void
+test_owner_lost(void)
+{
+	struct fleet *fleet = fleet_open(&(struct fleet_plan){.instances = 3});
+	struct fleet_request request;
+	struct fleet_call *call;
+	struct chain chain;
+	int owner;
+
+	chain_open(&chain, fleet);
+	turn(&chain, 0, "first");
+	owner = fleet_owner(fleet, chain.program, 0);
+	g_assert_cmpint(owner, >=, 0);
+	/* The effect comes at once, the reply after the owner's death. */
+	fleet_control(
+	    fleet, &fleet->service, json_pack("{s:i}", "delay_ms", 20000));
+	request = order(other_instance(fleet, owner, owner), "lost-2");
+	request.program = chain.program;
+	call = fleet_start(fleet, &request);
+	for (clk_ms waited = 0; effects(fleet, "lost-2") == 0; waited += 50) {
+		g_assert_cmpint(waited, <, FLEET_DEADLINE);
+		fleet_run(fleet, 50);
+	}
+	/* Without the log nobody can claim the shard. */
+	fleet_control(fleet, &fleet->log, json_pack("{s:b}", "outage", 1));
+	fleet_kill(fleet, (unsigned)owner);
+	fleet_wait(call);
+	g_test_message("%d %s", call->status, call->body->str);
+	g_assert_cmpint(call->status, !=, 200);
+	g_assert_cmpstr(fleet_error(call, "ran"), ==, "maybe");
+	g_assert_cmpint(effects(fleet, "lost-2"), ==, 1);
+	chain_close(&chain);
+	fleet_close(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -471,5 +1045,15 @@
 	g_test_add_func("/fleet/reply-lost", test_reply_lost);
 	g_test_add_func("/fleet/owner-paused", test_owner_paused);
 	g_test_add_func("/fleet/bad-input", test_bad_input);
+	g_test_add_func("/fleet/owner-lost", test_owner_lost);
+	g_test_add_func("/fleet/log-outage", test_log_outage);
+	g_test_add_func("/fleet/operators-race", test_operators_race);
+	g_test_add_func("/fleet/rate", test_rate);
+	g_test_add_func("/fleet/planned-stop", test_planned_stop);
+	g_test_add_func("/fleet/upstream-leaving", test_upstream_leaving);
+	g_test_add_func("/fleet/datacentre-cut-off", test_datacentre_cut_off);
+	g_test_add_func("/fleet/caller-leaves", test_caller_leaves);
+	g_test_add_func("/fleet/budget", test_budget);
+	g_test_add_func("/fleet/crashing-request", test_crashing_request);
 	return (g_test_run());
 }
