Count budgets of lost sub-agents as spent when a loss is accepted

Cause: in orders of 150 events a parent whose sub-agent was lost kept waiting for its close. Change: the sub-agents are counted again before the state counts as proven; what was lent to lost ones counts as spent.

--- a/src/program/prg.c
+++ b/src/program/prg.c
@@ -539,10 +539,11 @@
 
 /*
  * After a merge, parent and sub-agent may come from different exports: count
- * the open sub-agents of each program again.
+ * the open sub-agents of each program again.  Budgets of sub-agents that are
+ * lost for good count as spent.
  */
 static void
-merge_children(struct shard *shard, clk_ms now)
+merge_children(struct shard *shard, bool lost, clk_ms now)
 {
 	GPtrArray *ids = shard_ids(shard);
 
@@ -566,6 +567,9 @@
 		    (lent == parent->lent && children == parent->children))
 			continue;
 		state = tbl_state(parent);
+		if (lost && lent < parent->lent)
+			json_object_set_new(state, "s",
+			    json_integer(parent->spent + parent->lent - lent));
 		json_object_set_new(state, "l", json_integer(lent));
 		json_object_set_new(state, "n", json_integer(children));
 		state_emit(shard, parent->id, state, now);
@@ -602,7 +606,7 @@
 	g_hash_table_iter_init(&iter, late->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		merge_program(shard, value, now);
-	merge_children(shard, now);
+	merge_children(shard, false, now);
 	shard->proof = MAX(shard->proof, late->proof);
 }
 
@@ -675,11 +679,12 @@
 }
 
 static void
-shard_prove(struct shard *shard)
+shard_prove(struct shard *shard, clk_ms now)
 {
 	GHashTableIter iter;
 	void *value;
 
+	merge_children(shard, true, now);
 	emit(shard, PRG_PROVEN, "", json_object());
 	shard->unproven = false;
 	shard->proof = shard->epoch;
@@ -720,7 +725,7 @@
 		return;
 	if (shard->recovered) {
 		if (proven && shard->unproven)
-			shard_prove(shard);
+			shard_prove(shard, now);
 		return;
 	}
 	answers_take(shard);
@@ -747,7 +752,7 @@
 		merge(shard, g_ptr_array_index(shard->answers, i), now);
 	g_ptr_array_set_size(shard->answers, 0);
 	if (proven && shard->unproven)
-		shard_prove(shard);
+		shard_prove(shard, now);
 }
 
 uint64_t
