Fix an overflow in grants after a lease, and four uses of the shard map

Cause: a paused owner woke and answered a grant with a horizon far in the past; the sanitizer ended the instance (found by /fleet/owner-paused). The ownership module also expects own_advance(), own_watched(), mem_apply() only for applied records, and relayed records with holes.

--- a/src/daemon/flt.c
+++ b/src/daemon/flt.c
@@ -24,6 +24,8 @@
 /* How long a planned stop waits for a log that is away. */
 #define STOP_LOG_AWAY (3 * CLK_SECOND)
 
+#define WATCH_MS    1000
+#define MAX_WATCHED 256
 #define MAX_PINGS   64
 #define MAX_CRASHES 64
 #define MAX_ACTIONS 64
@@ -43,6 +45,7 @@
 	bool sync_pending;
 	clk_ms decided_at;
 	clk_ms listed_at;
+	clk_ms watched_at;
 	clk_ms snapshot_at;
 	unsigned since_snapshot;
 	clk_ms stop_at; /* 0: no planned stop */
@@ -81,12 +84,15 @@
 	if (offset < own_next(dmn->own))
 		return;
 	switch (own_apply(dmn->own, offset, record, dmn_now(dmn))) {
+	case OWN_APPLIED:
+		/* A late second copy must not reopen a closed session. */
+		mem_apply(dmn->mem, record, dmn_now(dmn));
+		break;
 	case OWN_UNDECODABLE:
 		lg_event(dmn->lg, LG_WARNING, "fleet_record_undecodable",
 		    "offset=%lld", (long long)offset);
 		break;
 	default:
-		mem_apply(dmn->mem, record, dmn_now(dmn));
 		break;
 	}
 	cnt_add(flt->records, 1);
@@ -152,8 +158,8 @@
 {
 	struct flt *flt = arg;
 
-	if (fleet_next(flt) >= next)
-		own_log_read(flt->dmn->own, started_at);
+	own_advance(flt->dmn->own, next);
+	own_log_read(flt->dmn->own, started_at);
 }
 
 static void
@@ -581,7 +587,7 @@
 		if (data != NULL && reply->parts > 0)
 			restored = map_restore(flt, data) || restored;
 		else if (data != NULL &&
-		    (int64_t)record->offset == own_next(dmn->own))
+		    (int64_t)record->offset >= own_next(dmn->own))
 			record_apply(flt, (int64_t)record->offset, data);
 		json_decref(data);
 	}
@@ -677,6 +683,19 @@
 		sync_part(flt, address, 0);
 }
 
+/* Send heartbeats to the owners and holders elsewhere that concern this one. */
+static void
+watch_update(struct flt *flt, clk_ms now)
+{
+	uint64_t watched[MAX_WATCHED];
+
+	if (now - flt->watched_at < WATCH_MS)
+		return;
+	flt->watched_at = now;
+	mem_watch(flt->dmn->mem, watched,
+	    own_watched(flt->dmn->own, watched, MAX_WATCHED));
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -685,6 +704,7 @@
 
 	(void)loop;
 	(void)events;
+	watch_update(flt, now);
 	send_heartbeats(flt, now);
 	session_open(flt);
 	decide(flt, now);
--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -78,7 +78,7 @@
 	struct dmn *dmn;
 	GHashTable *shards; /* id as pointer -> struct shard */
 	GHashTable *fetches; /* id as pointer -> struct fetch_answer */
-	GHashTable *incoming; /* shards that got records since the last sweep */
+	GHashTable *incoming; /* id as pointer -> time of the last records */
 	ev_timer tick;
 	clk_ms swept_at;
 	struct cnt_metric *records;
@@ -963,9 +963,21 @@
 	}
 }
 
+/*
+ * Whether an owner sent records of late.  It may be preparing a handover to
+ * this session, or this session may not have read yet that it is a holder.
+ */
+static bool
+is_incoming(struct rpl *rpl, struct own_shard_id id, clk_ms now)
+{
+	const clk_ms *at = g_hash_table_lookup(rpl->incoming, shard_key(id));
+
+	return (at != NULL && now - *at < 2 * PREPARE_TIMEOUT);
+}
+
 /* Free replicas that nobody will ask for any more. */
 static void
-replicas_sweep(struct rpl *rpl)
+replicas_sweep(struct rpl *rpl, clk_ms now)
 {
 	struct dmn *dmn = rpl->dmn;
 
@@ -981,12 +993,10 @@
 			/* A successor holds the state before the handover. */
 			if (info.owner != dmn->session && info.proven &&
 			    !is_wanted_replica(dmn, &info) &&
-			    !g_hash_table_contains(
-				rpl->incoming, shard_key(id)))
+			    !is_incoming(rpl, id, now))
 				cpy_drop(dmn->cpy, (uint8_t)d, (uint16_t)s);
 		}
 	}
-	g_hash_table_remove_all(rpl->incoming);
 	g_hash_table_remove_all(rpl->fetches);
 }
 
@@ -1003,7 +1013,7 @@
 	if (now - rpl->swept_at < SWEEP_MS)
 		return;
 	rpl->swept_at = now;
-	replicas_sweep(rpl);
+	replicas_sweep(rpl, now);
 	for (unsigned d = 0; d < rpl->dmn->n_datacentres; d++)
 		prg_tick(rpl->dmn->prg[d], now);
 }
@@ -1022,6 +1032,7 @@
 	    .shard = (uint16_t)args->shard};
 	struct peer_replicate_reply reply = {.session = rpl->dmn->session};
 	GPtrArray *records = prg_records_new();
+	clk_ms now = dmn_now(rpl->dmn);
 	struct cpy_result result;
 
 	for (u_int i = 0; i < args->records.records_len; i++) {
@@ -1039,7 +1050,8 @@
 		    record.program, in->program_id, sizeof(record.program));
 		prg_records_add(records, &record);
 	}
-	(void)g_hash_table_add(rpl->incoming, shard_key(id));
+	g_hash_table_insert(
+	    rpl->incoming, shard_key(id), g_memdup2(&now, sizeof(now)));
 	result = cpy_put(rpl->dmn->cpy, (uint8_t)args->datacentre,
 	    (uint16_t)args->shard, args->epoch, records);
 	g_ptr_array_unref(records);
@@ -1133,7 +1145,7 @@
 	rpl->shards = g_hash_table_new_full(NULL, NULL, NULL, shard_free);
 	rpl->fetches =
 	    g_hash_table_new_full(NULL, NULL, NULL, fetch_answer_free);
-	rpl->incoming = g_hash_table_new(NULL, NULL);
+	rpl->incoming = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	rpl->records = cnt_counter(dmn->cnt, "replicated_records_total",
 	    "Records sent to replica holders.", NULL, NULL);
 	rpl->bytes = cnt_counter(dmn->cnt, "replicated_bytes_total",
--- a/src/rate/rat.c
+++ b/src/rate/rat.c
@@ -454,6 +454,9 @@
 	session_prune(session, now);
 	bucket_fill(bucket, now);
 	lifetime = RAT_GRANT_LIFETIME;
+	/* An owner that may not act has a horizon far in the past. */
+	if (horizon <= now)
+		return (true);
 	if (horizon < now + 2 * RAT_GRANT_LIFETIME)
 		lifetime = MIN(lifetime, shorten(horizon - now));
 	if (lifetime <= 0)
--- a/src/rate/test_rat.c
+++ b/src/rate/test_rat.c
@@ -767,6 +767,31 @@
 	rat_coordinator_free(coordinator);
 }
 
+/*
+ * Guards against an overflow that ended an instance: after a pause its lease
+ * has a horizon as far in the past as own_horizon() goes.
+ */
+static void
+test_grant_without_lease(void)
+{
+	struct rat_limit limit = {.rate = 10000, .burst = 20};
+	struct rat_coordinator *coordinator =
+	    rat_coordinator_new(fixed_limit, &limit);
+	struct rat_request request = {
+	    .organisation = "a", .shard = 1, .serial = 1, .wanted = 5};
+	struct rat_reply reply;
+
+	rat_coordinator_own(coordinator, 0, 1, false);
+	g_assert_true(
+	    rat_grant(coordinator, 1000, INT64_MIN / 4, 1, &request, &reply));
+	g_assert_cmpuint(reply.tokens, ==, 0);
+	request.serial = 2;
+	g_assert_true(
+	    rat_grant(coordinator, 1000, INT64_MIN, 1, &request, &reply));
+	g_assert_cmpuint(reply.tokens, ==, 0);
+	rat_coordinator_free(coordinator);
+}
+
 /* Guards against buckets that stay in memory for idle organisations. */
 static void
 test_idle(void)
@@ -934,6 +959,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/rat/split", test_split);
 	g_test_add_func("/rat/grant", test_grant);
+	g_test_add_func("/rat/grant-without-lease", test_grant_without_lease);
 	g_test_add_func("/rat/idle", test_idle);
 	g_test_add_func("/rat/inside-rate", test_inside_rate);
 	g_test_add_func("/rat/wait", test_wait);
