Forget what a restarted holder's former session acknowledged, in the test

Change: the driver resets the link when the holder is a new session. No check is changed. Conclusion: a daemon must keep acknowledgements per session, too.

--- a/src/program/test_prg.c
+++ b/src/program/test_prg.c
@@ -736,7 +736,8 @@
 		return;
 	instance_stop(holder);
 	instance_start(holder);
-	sim->instances[sim->owner].links[holder->number].connected = false;
+	/* The new session has acknowledged nothing. */
+	sim->instances[sim->owner].links[holder->number] = (struct link){0};
 }
 
 /* The owner names the holders that are up to date, by a record in the log. */
