--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -44,7 +44,6 @@
 	clk_ms retry_at;
 	GPtrArray *export; /* whole state being sent; nil: none */
 	guint export_next;
-	uint64_t export_seq;
 };
 
 struct source {
@@ -54,6 +53,7 @@
 	clk_ms retry_at;
 	uint64_t cursor;
 	GPtrArray *records; /* parts of its answer so far */
+	int status; /* of its last answer; -1: none */
 };
 
 /* A shard that this instance owns. */
@@ -244,6 +244,32 @@
 	return (false);
 }
 
+/* Say which holders a call waited for in vain. */
+static void
+timeout_log(const struct shard *shard, const struct waiter *waiter)
+{
+	struct own_shard info;
+
+	(void)own_shard_get(shard->rpl->dmn->own, shard->id, &info);
+	for (int i = 0; i < OWN_HOLDERS; i++) {
+		const struct target *target = shard->targets[i];
+
+		lg_event(shard->rpl->dmn->lg, LG_WARNING, "replication_timeout",
+		    "datacentre=%u shard=%u epoch=%llu seq=%llu "
+		    "map_holder=%016llx holder=%016llx held=%lld down=%d "
+		    "in_flight=%d exporting=%d",
+		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
+		    (unsigned long long)shard->epoch,
+		    (unsigned long long)waiter->seq,
+		    (unsigned long long)info.holders[i],
+		    (unsigned long long)(target != NULL ? target->session : 0),
+		    (long long)(target != NULL ? (int64_t)target->acked : -1),
+		    target != NULL && target->down,
+		    target != NULL && target->in_flight,
+		    target != NULL && target->export != NULL);
+	}
+}
+
 static void
 waiters_check(struct shard *shard, clk_ms now)
 {
@@ -255,10 +281,19 @@
 		if (!acked && !is_deposed(shard) && now < waiter->deadline)
 			break;
 		(void)g_queue_pop_head(shard->waiters);
+		if (!acked)
+			timeout_log(shard, waiter);
 		waiter_end(shard->rpl, waiter, acked);
 	}
 }
 
+static uint64_t
+shard_seq(const struct shard *shard)
+{
+	return (prg_shard_seq(
+	    shard->rpl->dmn->prg[shard->id.datacentre], shard->id.shard));
+}
+
 /* Start sending the whole state to a target. */
 static void
 export_start(struct target *target)
@@ -271,7 +306,6 @@
 		g_ptr_array_unref(target->export);
 	target->export = prg_export(prg, shard->id.shard);
 	target->export_next = 0;
-	target->export_seq = prg_shard_seq(prg, shard->id.shard);
 	cnt_add(shard->rpl->exports, 1);
 }
 
@@ -378,6 +412,12 @@
 		    (unsigned long long)reply->epoch);
 		break;
 	default:
+		lg_event(shard->rpl->dmn->lg, LG_INFO, "replica_gap",
+		    "datacentre=%u shard=%u holder=%016llx held=%llu seq=%llu",
+		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
+		    (unsigned long long)target->session,
+		    (unsigned long long)reply->acked_seq,
+		    (unsigned long long)shard_seq(shard));
 		export_start(target);
 		break;
 	}
@@ -432,8 +472,8 @@
 	    (target->down && now < target->retry_at))
 		return;
 	/* Records that the target still needs were trimmed away. */
-	if (target->export == NULL && head != NULL &&
-	    target->acked + 1 < head->seq)
+	if (target->export == NULL && target->acked < shard_seq(shard) &&
+	    (head == NULL || target->acked + 1 < head->seq))
 		export_start(target);
 	wire = g_array_new(FALSE, FALSE, sizeof(struct peer_record));
 	if (batch_fill(target, wire) == 0 && !target->down)
@@ -574,6 +614,24 @@
 	source->answered = true;
 }
 
+/* Say which sources have not answered. */
+static void
+missing_log(const struct shard *shard)
+{
+	for (unsigned i = 0; i < shard->n_sources; i++) {
+		const struct source *source = &shard->sources[i];
+
+		if (!source->answered)
+			lg_event(shard->rpl->dmn->lg, LG_WARNING,
+			    "recovery_source_missing",
+			    "datacentre=%u shard=%u source=%016llx status=%d",
+			    (unsigned)shard->id.datacentre,
+			    (unsigned)shard->id.shard,
+			    (unsigned long long)source->session,
+			    source->status);
+	}
+}
+
 static void
 recovery_check(struct shard *shard, clk_ms now)
 {
@@ -594,8 +652,10 @@
 	    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
 	    (unsigned long long)shard->epoch, (int)all,
 	    (long long)(now - shard->opened_at));
-	if (!all)
+	if (!all) {
 		cnt_add(rpl->unproven, 1);
+		missing_log(shard);
+	}
 	if (!shard->recovered) {
 		shard->recovered = true;
 		cnt_add(rpl->recoveries, 1);
@@ -664,9 +724,11 @@
 		goto out;
 	source->in_flight = false;
 	source->retry_at = now + FETCH_RETRY;
-	if (result->sent == PR_REPLIED && reply->session == source->session &&
-	    reply->status == PEER_FETCH_OK)
-		source_take(shard, source, reply);
+	if (result->sent == PR_REPLIED && reply->session == source->session) {
+		source->status = (int)reply->status;
+		if (reply->status == PEER_FETCH_OK)
+			source_take(shard, source, reply);
+	}
 	recovery_check(shard, now);
 out:
 	g_free(fetch);
@@ -735,6 +797,7 @@
 			continue;
 		source = &shard->sources[shard->n_sources++];
 		source->session = sources[i];
+		source->status = -1;
 		if (sources[i] == dmn->session)
 			fetch_local(shard, source);
 		else
@@ -801,7 +864,7 @@
 	target = target_find(shard, shard->successor);
 	ready = target != NULL && !target->down && target->export == NULL &&
 	    prg_shard_busy(prg, shard->id.shard) == 0 &&
-	    target->acked >= prg_shard_seq(prg, shard->id.shard);
+	    target->acked >= shard_seq(shard);
 	if (!ready && now < shard->prepare_deadline)
 		return;
 	shard->successor = 0;
