Follow the replica protocol: fetch before export, proof by lineage

A holder named by an owner that died before it sent anything answers with an older state, which counted as proof. Change: PEER_REPLICATE_FETCH_FIRST; the owner fetches from that holder, merges and exports; a recovery is proven only if its state comes from the owner before; FETCH fences a holder without state, too; the tokens of a waiting request are asked for at once, for one organisation only.

--- a/src/daemon/grn.c
+++ b/src/daemon/grn.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "daemon/dfr.h"
 #include "rate/rat.h"
 
 #define TICK_S	     0.025
@@ -330,6 +331,12 @@
 	g_list_free(batches);
 }
 
+static void
+batches_send_later(void *arg)
+{
+	batches_send(arg);
+}
+
 static void
 requests_send(struct grn *grn)
 {
@@ -404,8 +411,10 @@
 	case RAT_WAITING:
 		g_hash_table_insert(grn->waiters, waiter, (gpointer)on_taken);
 		vd.ran = VD_MAYBE;
-		/* The answer to a local request ends the wait from the tick. */
-		ev_feed_event(grn->dmn->loop, &grn->tick, EV_TIMER);
+		rat_request_now(grn->holder, dmn_now(grn->dmn), organisation,
+		    each_wanted, grn);
+		/* A local answer must not end the wait from within. */
+		dfr_add(grn->dmn->dfr, batches_send_later, grn);
 		break;
 	case RAT_REFUSED:
 		vd = vd_make(VD_NOT_RUN, VD_RATE_EXCEEDED,
--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -22,7 +22,9 @@
 /* Records kept for a holder that lags; beyond it gets the whole state. */
 #define BACKLOG_BYTES ((size_t)32 * 1024 * 1024)
 #define SWEEP_MS      (1 * CLK_SECOND)
-#define MAX_TARGETS   (OWN_HOLDERS + 1) /* holders and a successor */
+/* Those who may have the state, and holders asked before an export. */
+#define MAX_SOURCES (OWN_SOURCES + 8)
+#define MAX_TARGETS (OWN_HOLDERS + 1) /* holders and a successor */
 
 struct waiter {
 	uint64_t seq;
@@ -41,6 +43,7 @@
 	bool in_flight;
 	bool down; /* the last attempt failed */
 	bool stale; /* it knows a newer epoch */
+	bool fetching; /* its state is asked for before the export */
 	clk_ms retry_at;
 	GPtrArray *export; /* whole state being sent; nil: none */
 	guint export_next;
@@ -52,6 +55,7 @@
 	bool in_flight;
 	clk_ms retry_at;
 	uint64_t cursor;
+	bool extra; /* not needed for the proof */
 	GPtrArray *records; /* parts of its answer so far */
 	int status; /* of its last answer; -1: none */
 };
@@ -65,7 +69,7 @@
 	GQueue *backlog; /* struct prg_record *, ascending seq */
 	size_t backlog_bytes;
 	GQueue *waiters; /* struct waiter *, ascending seq */
-	struct source sources[OWN_SOURCES];
+	struct source sources[MAX_SOURCES];
 	unsigned n_sources;
 	bool recovered;
 	bool proven;
@@ -304,6 +308,7 @@
 
 	if (target->export != NULL)
 		g_ptr_array_unref(target->export);
+	target->fetching = false;
 	target->export = prg_export(prg, shard->id.shard);
 	target->export_next = 0;
 	cnt_add(shard->rpl->exports, 1);
@@ -388,6 +393,8 @@
 		export_start(target);
 }
 
+static void fetch_before_export(struct target *target);
+
 static void
 target_replied(struct target *target, const struct peer_replicate_reply *reply)
 {
@@ -411,6 +418,9 @@
 		    (unsigned long long)shard->epoch,
 		    (unsigned long long)reply->epoch);
 		break;
+	case PEER_REPLICATE_FETCH_FIRST:
+		fetch_before_export(target);
+		break;
 	default:
 		lg_event(shard->rpl->dmn->lg, LG_INFO, "replica_gap",
 		    "datacentre=%u shard=%u holder=%016llx held=%llu seq=%llu",
@@ -468,8 +478,8 @@
 	struct replicate *replicate;
 	GArray *wire;
 
-	if (target->in_flight || target->stale || !shard->recovered ||
-	    (target->down && now < target->retry_at))
+	if (target->in_flight || target->stale || target->fetching ||
+	    !shard->recovered || (target->down && now < target->retry_at))
 		return;
 	/* Records that the target still needs were trimmed away. */
 	if (target->export == NULL && target->acked < shard_seq(shard) &&
@@ -614,6 +624,22 @@
 	source->answered = true;
 }
 
+/*
+ * Whether the state comes from the owner before this one.  If that owner died
+ * before it sent its holders anything, they answer with what they held
+ * earlier, and turns of the owners in between may be missing.
+ */
+static bool
+is_lineage_whole(const struct shard *shard)
+{
+	if (shard->n_sources == 0)
+		return (true);
+	return (prg_state_epoch(shard->rpl->dmn->prg[shard->id.datacentre],
+		    shard->id.shard) +
+		1 >=
+	    shard->epoch);
+}
+
 /* Say which sources have not answered. */
 static void
 missing_log(const struct shard *shard)
@@ -639,8 +665,12 @@
 	struct dmn *dmn = rpl->dmn;
 	bool all = true;
 
-	for (unsigned i = 0; i < shard->n_sources; i++)
-		all = all && shard->sources[i].answered;
+	for (unsigned i = 0; i < shard->n_sources; i++) {
+		const struct source *source = &shard->sources[i];
+
+		all = all && (source->answered || source->extra);
+	}
+	all = all && is_lineage_whole(shard);
 	if (shard->proven || (shard->recovered && !all) ||
 	    (!all && now - shard->opened_at < PROOF_WAIT))
 		return;
@@ -679,6 +709,16 @@
 	return (NULL);
 }
 
+/* The holder's own state is known here: overwrite it. */
+static void
+export_to(struct shard *shard, uint64_t session)
+{
+	struct target *target = target_find(shard, session);
+
+	if (target != NULL)
+		export_start(target);
+}
+
 static void
 source_take(struct shard *shard, struct source *source,
     const struct peer_fetch_reply *reply)
@@ -705,6 +745,8 @@
 		fetch_send(shard, source);
 	else
 		source_apply(shard, source);
+	if (source->answered && source->extra)
+		export_to(shard, source->session);
 }
 
 static void
@@ -728,6 +770,8 @@
 		source->status = (int)reply->status;
 		if (reply->status == PEER_FETCH_OK)
 			source_take(shard, source, reply);
+		else if (source->extra)
+			export_to(shard, source->session);
 	}
 	recovery_check(shard, now);
 out:
@@ -772,6 +816,35 @@
 		source_apply(shard, source);
 }
 
+/*
+ * A holder has state of an older epoch that this owner may lack.  Ask it
+ * once; its answer is merged, and then it gets the whole state.
+ */
+static void
+fetch_before_export(struct target *target)
+{
+	struct shard *shard = target->shard;
+	struct source *source = source_find(shard, target->session);
+
+	if (target->export != NULL)
+		g_ptr_array_unref(target->export);
+	target->export = NULL;
+	target->fetching = true;
+	if (source == NULL) {
+		/* The oldest extra source gives way. */
+		if (shard->n_sources == MAX_SOURCES)
+			source = &shard->sources[OWN_SOURCES];
+		else
+			source = &shard->sources[shard->n_sources++];
+		memset(source, 0, sizeof(*source));
+		source->session = target->session;
+		source->extra = true;
+	}
+	source->answered = false;
+	if (!source->in_flight)
+		fetch_send(shard, source);
+}
+
 void
 rpl_recover(struct rpl *rpl, struct own_shard_id id, uint64_t epoch,
     const uint64_t sources[OWN_SOURCES])
@@ -809,13 +882,11 @@
 static void
 recovery_retry(struct shard *shard, clk_ms now)
 {
-	if (shard->proven)
-		return;
 	for (unsigned i = 0; i < shard->n_sources; i++) {
 		struct source *source = &shard->sources[i];
 
-		if (source->answered || source->in_flight ||
-		    now < source->retry_at ||
+		if ((shard->proven && !source->extra) || source->answered ||
+		    source->in_flight || now < source->retry_at ||
 		    source->session == shard->rpl->dmn->session)
 			continue;
 		if (source->records != NULL)
@@ -945,12 +1016,12 @@
 handovers_open(struct rpl *rpl)
 {
 	struct dmn *dmn = rpl->dmn;
-	const uint64_t sources[OWN_SOURCES] = {dmn->session};
 
 	for (unsigned s = 0; s < dmn->set->shards; s++) {
 		struct own_shard_id id = {
 		    .datacentre = (uint16_t)dmn->set->datacentre_number,
 		    .shard = (uint16_t)s};
+		uint64_t sources[OWN_SOURCES] = {dmn->session};
 		struct own_shard info;
 		const struct shard *shard;
 
@@ -958,8 +1029,11 @@
 		    info.phase != OWN_SERVING)
 			continue;
 		shard = shard_find(rpl, id);
-		if (shard == NULL || shard->epoch < info.epoch)
-			rpl_recover(rpl, id, info.epoch, sources);
+		if (shard != NULL && shard->epoch >= info.epoch)
+			continue;
+		if (!cpy_holds(dmn->cpy, (uint8_t)id.datacentre, id.shard))
+			memcpy(sources, info.holders, sizeof(info.holders));
+		rpl_recover(rpl, id, info.epoch, sources);
 	}
 }
 
@@ -1025,6 +1099,7 @@
 	static const enum peer_replicate_status statuses[] = {
 	    [CPY_ACCEPTED] = PEER_REPLICATE_ACCEPTED,
 	    [CPY_REFUSED] = PEER_REPLICATE_STALE_EPOCH,
+	    [CPY_FETCH_FIRST] = PEER_REPLICATE_FETCH_FIRST,
 	    [CPY_GAP] = PEER_REPLICATE_GAP,
 	    [CPY_BAD] = PEER_REPLICATE_GAP,
 	};
@@ -1054,6 +1129,9 @@
 	    rpl->incoming, shard_key(id), g_memdup2(&now, sizeof(now)));
 	result = cpy_put(rpl->dmn->cpy, (uint8_t)args->datacentre,
 	    (uint16_t)args->shard, args->epoch, records);
+	if (result.outcome == CPY_BAD)
+		cpy_drop(rpl->dmn->cpy, (uint8_t)args->datacentre,
+		    (uint16_t)args->shard);
 	g_ptr_array_unref(records);
 	reply.status = statuses[result.outcome];
 	reply.acked_seq = result.seq;
@@ -1071,22 +1149,26 @@
 	struct shard *shard = shard_find(rpl, id);
 	struct fetch_answer *answer;
 	GPtrArray *records;
+	bool holds;
 
 	/* A former owner that has not read the claim in the log yet. */
 	if (shard != NULL && shard->epoch < args->epoch) {
 		shard_give_up(shard);
 		(void)g_hash_table_remove(rpl->shards, shard_key(id));
 	}
-	if (!cpy_holds(rpl->dmn->cpy, (uint8_t)args->datacentre,
-		(uint16_t)args->shard)) {
-		reply->status = PEER_FETCH_NONE;
-		return (NULL);
-	}
+	/* Without any state, too, the former owner is refused from now on. */
+	holds = cpy_holds(
+	    rpl->dmn->cpy, (uint8_t)args->datacentre, (uint16_t)args->shard);
 	if (!cpy_fetch(rpl->dmn->cpy, (uint8_t)args->datacentre,
 		(uint16_t)args->shard, args->epoch, &records)) {
 		reply->status = PEER_FETCH_STALE_EPOCH;
 		return (NULL);
 	}
+	if (!holds) {
+		g_ptr_array_unref(records);
+		reply->status = PEER_FETCH_NONE;
+		return (NULL);
+	}
 	answer = g_new0(struct fetch_answer, 1);
 	answer->epoch = args->epoch;
 	answer->session = args->session;
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -93,7 +93,8 @@
 enum peer_replicate_status {
 	PEER_REPLICATE_ACCEPTED = 0,
 	PEER_REPLICATE_STALE_EPOCH = 1,
-	PEER_REPLICATE_GAP = 2
+	PEER_REPLICATE_GAP = 2,
+	PEER_REPLICATE_FETCH_FIRST = 3
 };
 
 struct peer_replicate_args {
