Fetch a holder's older state before replacing it

Cause: a holder with state of an older epoch answers CPY_FETCH_FIRST to an export of an owner that never fetched that state, as after a handover. The table of rpl_replicate() had no entry for it, so the reply said "accepted". The owner also counted the older epoch's sequence number as acknowledged, so that records could count as held that the holder never took, and the holder never got the state of the new epoch. In a data centre left with one instance by a planned stop, each call was refused with copies_unavailable for as long as the test watched (30 s).

Change: the holder answers with a gap. The owner fetches the older state of the holder, gives it to prg_apply() and then sends the export. Only a reply of the owner's own epoch acknowledges records.

--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -44,6 +44,9 @@
 	clk_ms retry_at;
 	GPtrArray *export; /* whole state being sent; nil: none */
 	guint export_next;
+	bool fetching; /* its state of an older epoch, before an export */
+	uint64_t fetch_cursor;
+	GPtrArray *fetched; /* parts of that state so far */
 };
 
 struct source {
@@ -133,6 +136,8 @@
 		return;
 	if (target->export != NULL)
 		g_ptr_array_unref(target->export);
+	if (target->fetched != NULL)
+		g_ptr_array_unref(target->fetched);
 	g_free(target);
 }
 
@@ -383,11 +388,16 @@
 		    lg_quote(buf, sizeof(buf), why));
 	target->down = true;
 	target->retry_at = dmn_now(dmn) + RETRY_MS;
+	if (target->fetched != NULL)
+		g_ptr_array_unref(target->fetched);
+	target->fetched = NULL;
 	/* Parts of an export may be missing at the holder. */
 	if (target->export != NULL)
 		export_start(target);
 }
 
+static void target_fetch(struct target *target);
+
 static void
 target_replied(struct target *target, const struct peer_replicate_reply *reply)
 {
@@ -396,7 +406,13 @@
 	target->down = false;
 	switch (reply->status) {
 	case PEER_REPLICATE_ACCEPTED:
-		target->acked = MAX(target->acked, reply->acked_seq);
+		/*
+		 * While an export is incomplete the holder reports its state of
+		 * an older epoch, which says nothing about this owner's
+		 * records.
+		 */
+		if (reply->epoch == shard->epoch)
+			target->acked = MAX(target->acked, reply->acked_seq);
 		if (target->export != NULL &&
 		    target->export_next >= target->export->len) {
 			g_ptr_array_unref(target->export);
@@ -418,7 +434,15 @@
 		    (unsigned long long)target->session,
 		    (unsigned long long)reply->acked_seq,
 		    (unsigned long long)shard_seq(shard));
-		export_start(target);
+		/*
+		 * The holder refuses an export over state of an older epoch
+		 * that this owner has not fetched; after a handover the
+		 * holders are no sources of the recovery.
+		 */
+		if (reply->epoch != 0 && reply->epoch < shard->epoch)
+			target_fetch(target);
+		else
+			export_start(target);
 		break;
 	}
 }
@@ -468,8 +492,8 @@
 	struct replicate *replicate;
 	GArray *wire;
 
-	if (target->in_flight || target->stale || !shard->recovered ||
-	    (target->down && now < target->retry_at))
+	if (target->in_flight || target->fetching || target->stale ||
+	    !shard->recovered || (target->down && now < target->retry_at))
 		return;
 	/* Records that the target still needs were trimmed away. */
 	if (target->export == NULL && target->acked < shard_seq(shard) &&
@@ -591,15 +615,14 @@
 /* Recovery of a shard from those who may have its state. */
 
 static void
-source_apply(struct shard *shard, struct source *source)
+records_apply(struct shard *shard, uint64_t session, const GPtrArray *records)
 {
 	struct prg *prg = shard->rpl->dmn->prg[shard->id.datacentre];
 	unsigned refused = 0;
 
-	for (guint i = 0; source->records != NULL && i < source->records->len;
-	     i++) {
+	for (guint i = 0; i < records->len; i++) {
 		if (!prg_apply(prg, dmn_now(shard->rpl->dmn),
-			g_ptr_array_index(source->records, i)))
+			g_ptr_array_index(records, i)))
 			refused++;
 	}
 	if (refused > 0)
@@ -607,9 +630,37 @@
 		    "recovery_record_refused",
 		    "datacentre=%u shard=%u source=%016llx records=%u",
 		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
-		    (unsigned long long)source->session, refused);
-	if (source->records != NULL)
+		    (unsigned long long)session, refused);
+}
+
+static void
+records_add(GPtrArray *records, const struct shard *shard,
+    const struct peer_fetch_reply *reply)
+{
+	for (u_int i = 0; i < reply->records.records_len; i++) {
+		const struct peer_record *in = &reply->records.records_val[i];
+		struct prg_record record = {
+		    .datacentre = (uint8_t)shard->id.datacentre,
+		    .shard = shard->id.shard,
+		    .epoch = reply->epoch,
+		    .seq = in->seq,
+		    .kind = (enum prg_kind)in->kind,
+		    .payload = in->payload.payload_val,
+		    .payload_len = in->payload.payload_len};
+
+		(void)g_strlcpy(
+		    record.program, in->program_id, sizeof(record.program));
+		prg_records_add(records, &record);
+	}
+}
+
+static void
+source_apply(struct shard *shard, struct source *source)
+{
+	if (source->records != NULL) {
+		records_apply(shard, source->session, source->records);
 		g_ptr_array_unref(source->records);
+	}
 	source->records = NULL;
 	source->answered = true;
 }
@@ -685,21 +736,7 @@
 {
 	if (source->records == NULL)
 		source->records = prg_records_new();
-	for (u_int i = 0; i < reply->records.records_len; i++) {
-		const struct peer_record *in = &reply->records.records_val[i];
-		struct prg_record record = {
-		    .datacentre = (uint8_t)shard->id.datacentre,
-		    .shard = shard->id.shard,
-		    .epoch = reply->epoch,
-		    .seq = in->seq,
-		    .kind = (enum prg_kind)in->kind,
-		    .payload = in->payload.payload_val,
-		    .payload_len = in->payload.payload_len};
-
-		(void)g_strlcpy(
-		    record.program, in->program_id, sizeof(record.program));
-		prg_records_add(source->records, &record);
-	}
+	records_add(source->records, shard, reply);
 	source->cursor = reply->next_cursor;
 	if (reply->next_cursor != 0)
 		fetch_send(shard, source);
@@ -759,6 +796,75 @@
 	    on_fetched, fetch);
 }
 
+/* A part of a holder's state arrived, which is fetched before an export. */
+static void
+on_target_fetched(const struct pr_result *result, void *arg)
+{
+	struct replicate *fetch = arg;
+	struct rpl *rpl = fetch->rpl;
+	struct shard *shard = shard_find(rpl, fetch->id);
+	const struct peer_fetch_reply *reply = result->reply;
+	struct target *target;
+
+	if (shard == NULL || shard->epoch != fetch->epoch)
+		goto out;
+	target = target_find(shard, fetch->session);
+	if (target == NULL || !target->fetching)
+		goto out;
+	target->fetching = false;
+	if (result->sent != PR_REPLIED || reply->session != target->session ||
+	    reply->status == PEER_FETCH_STALE_EPOCH) {
+		target_failed(target, "its older state cannot be fetched");
+		goto out;
+	}
+	if (reply->status == PEER_FETCH_OK) {
+		records_add(target->fetched, shard, reply);
+		target->fetch_cursor = reply->next_cursor;
+		if (target->fetch_cursor != 0) {
+			target_fetch(target);
+			goto out;
+		}
+		records_apply(shard, target->session, target->fetched);
+	}
+	g_ptr_array_unref(target->fetched);
+	target->fetched = NULL;
+	export_start(target);
+	target_flush(target, dmn_now(rpl->dmn));
+out:
+	g_free(fetch);
+}
+
+static void
+target_fetch(struct target *target)
+{
+	struct shard *shard = target->shard;
+	struct dmn *dmn = shard->rpl->dmn;
+	struct peer_fetch_args args = {.session = dmn->session,
+	    .datacentre = shard->id.datacentre,
+	    .shard = shard->id.shard,
+	    .epoch = shard->epoch};
+	const char *address = dmn_address(dmn, target->session);
+	struct replicate *fetch;
+
+	if (address == NULL) {
+		target_failed(target, "no address is known");
+		return;
+	}
+	if (target->fetched == NULL) {
+		target->fetched = prg_records_new();
+		target->fetch_cursor = 0;
+	}
+	args.cursor = target->fetch_cursor;
+	fetch = g_new0(struct replicate, 1);
+	fetch->rpl = shard->rpl;
+	fetch->id = shard->id;
+	fetch->epoch = shard->epoch;
+	fetch->session = target->session;
+	target->fetching = true;
+	(void)pr_call(dmn->pr, address, PEER_FETCH, &args, FETCH_TIMEOUT,
+	    on_target_fetched, fetch);
+}
+
 static void
 fetch_local(struct shard *shard, struct source *source)
 {
@@ -1015,6 +1121,7 @@
 	static const enum peer_replicate_status statuses[] = {
 	    [CPY_ACCEPTED] = PEER_REPLICATE_ACCEPTED,
 	    [CPY_REFUSED] = PEER_REPLICATE_STALE_EPOCH,
+	    [CPY_FETCH_FIRST] = PEER_REPLICATE_GAP,
 	    [CPY_GAP] = PEER_REPLICATE_GAP,
 	    [CPY_BAD] = PEER_REPLICATE_GAP,
 	};
