--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -403,7 +403,13 @@
 	target->down = false;
 	switch (reply->status) {
 	case PEER_REPLICATE_ACCEPTED:
-		target->acked = MAX(target->acked, reply->acked_seq);
+		/*
+		 * While an export is incomplete the holder reports its state of
+		 * an older epoch, which says nothing about this owner's
+		 * records.
+		 */
+		if (reply->epoch == shard->epoch)
+			target->acked = MAX(target->acked, reply->acked_seq);
 		if (target->export != NULL &&
 		    target->export_next >= target->export->len) {
 			g_ptr_array_unref(target->export);
