Free what peer calls refer to when the links close

Cause: /fleet/planned-stop under the leak sanitizer: the argument of a call in flight was lost at exit, so that a planned stop ended with status 1. Change: pr_close() ends each call with PR_DROPPED, and runs before the drivers are closed. Conclusion: every call's argument has one end.

--- a/src/daemon/cnf.c
+++ b/src/daemon/cnf.c
@@ -130,8 +130,11 @@
 	struct cnf *cnf = sync->cnf;
 	struct cfg *cfg = cnf->dmn->cfg;
 	const struct peer_sync_reply *reply = result->reply;
-	uint64_t frontier = cfg_frontier(cfg);
+	uint64_t frontier;
 
+	if (result->sent == PR_DROPPED)
+		goto out;
+	frontier = cfg_frontier(cfg);
 	cnf->sync_pending = false;
 	if (result->sent != PR_REPLIED)
 		goto out;
--- a/src/daemon/dmn.c
+++ b/src/daemon/dmn.c
@@ -438,6 +438,9 @@
 		hcl_cancel(run->export_call);
 	ops_close(dmn->ops);
 	gate_close(dmn->gate);
+	/* Before the drivers, which free what their calls still refer to. */
+	if (dmn->pr != NULL)
+		pr_close(dmn->pr);
 	fwd_close(dmn->fwd);
 	call_set_close(dmn->calls);
 	grn_close(dmn->grn);
@@ -445,8 +448,6 @@
 	rpl_close(dmn->rpl);
 	cnf_close(dmn->cnf);
 	flt_close(dmn->flt);
-	if (dmn->pr != NULL)
-		pr_close(dmn->pr);
 	for (unsigned d = 0; d < dmn->n_datacentres; d++)
 		prg_free(dmn->prg[d]);
 	if (dmn->cpy != NULL)
--- a/src/daemon/flt.c
+++ b/src/daemon/flt.c
@@ -411,6 +411,10 @@
 	struct own_pending pending;
 	struct mem_report report;
 
+	if (result->sent == PR_DROPPED) {
+		g_free(ping);
+		return;
+	}
 	/* Another session may have taken over the address in the meantime. */
 	if (result->sent != PR_REPLIED ||
 	    reply->state.session != ping->session) {
@@ -575,6 +579,8 @@
 	const struct peer_sync_reply *reply = result->reply;
 	bool restored = false;
 
+	if (result->sent == PR_DROPPED)
+		goto out;
 	flt->sync_pending = false;
 	if (result->sent != PR_REPLIED)
 		goto out;
--- a/src/daemon/grn.c
+++ b/src/daemon/grn.c
@@ -235,7 +235,8 @@
 	    reply->session == batch->session &&
 	    reply->items.items_len == batch->wishes->len;
 
-	for (guint i = 0; i < batch->wishes->len; i++)
+	for (guint i = 0; result->sent != PR_DROPPED && i < batch->wishes->len;
+	     i++)
 		reply_take(batch,
 		    &g_array_index(batch->wishes, struct peer_grant_wish, i),
 		    valid ? &reply->items.items_val[i] : NULL);
--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -444,9 +444,11 @@
 {
 	struct replicate *replicate = arg;
 	struct rpl *rpl = replicate->rpl;
-	struct shard *shard = shard_find(rpl, replicate->id);
+	struct shard *shard = NULL;
 	struct target *target;
 
+	if (result->sent != PR_DROPPED)
+		shard = shard_find(rpl, replicate->id);
 	if (shard == NULL || shard->epoch != replicate->epoch)
 		goto out;
 	target = target_find(shard, replicate->session);
@@ -760,11 +762,13 @@
 {
 	struct replicate *fetch = arg;
 	struct rpl *rpl = fetch->rpl;
-	struct shard *shard = shard_find(rpl, fetch->id);
+	struct shard *shard = NULL;
 	const struct peer_fetch_reply *reply = result->reply;
 	struct source *source;
 	clk_ms now = dmn_now(rpl->dmn);
 
+	if (result->sent != PR_DROPPED)
+		shard = shard_find(rpl, fetch->id);
 	if (shard == NULL || shard->epoch != fetch->epoch)
 		goto out;
 	source = source_find(shard, fetch->session);
--- a/src/gate/fwd.c
+++ b/src/gate/fwd.c
@@ -156,7 +156,7 @@
 	struct vd vd;
 
 	g_free(forward);
-	if (call == NULL || call->accepted)
+	if (call == NULL || call->accepted || result->sent == PR_DROPPED)
 		return;
 	if (result->sent == PR_NOT_SENT) {
 		vd = vd_make(VD_NOT_RUN, VD_OWNER_UNREACHABLE,
@@ -409,7 +409,8 @@
 	uint32_t number = stream->number;
 
 	g_free(stream);
-	if (remote == NULL || remote->number != number || !remote->in_flight)
+	if (remote == NULL || remote->number != number || !remote->in_flight ||
+	    result->sent == PR_DROPPED)
 		return;
 	remote->in_flight = false;
 	if (result->sent == PR_REPLIED &&
--- a/src/peer/pr.c
+++ b/src/peer/pr.c
@@ -1313,8 +1313,12 @@
 		(void)close(pr->fd);
 	close_conns(pr);
 	ev_timer_stop(pr->loop, &pr->deferred);
-	while ((call = g_queue_pop_head(&pr->ending)) != NULL)
+	while ((call = g_queue_pop_head(&pr->ending)) != NULL) {
+		call->result.sent = PR_DROPPED;
+		if (call->on_reply != NULL)
+			call->on_reply(&call->result, call->arg);
 		g_free(call);
+	}
 	gone = g_hash_table_get_keys(pr->gone);
 	for (GList *l = gone; l != NULL; l = l->next)
 		request_free(l->data);
--- a/src/peer/pr.h
+++ b/src/peer/pr.h
@@ -38,7 +38,8 @@
 enum pr_sent {
 	PR_NOT_SENT, /* no byte left, or refused before any handler */
 	PR_MAYBE_SENT, /* the call may have reached the peer */
-	PR_REPLIED /* the reply arrived */
+	PR_REPLIED, /* the reply arrived */
+	PR_DROPPED /* pr_close(): free what arg needs, and do nothing else */
 };
 
 struct pr_result {
@@ -49,7 +50,7 @@
 };
 
 /*
- * Called exactly once for each call, unless it is cancelled or pr is closed.
+ * Called exactly once for each call, unless it is cancelled.
  * result and what it points to are valid until the function returns.
  */
 typedef void pr_on_reply(const struct pr_result *result, void *arg);
@@ -100,9 +101,9 @@
 
 /*
  * pr_close(pr)
- *	Close all connections and free pr.  Calls in flight end without
- *	on_reply; requests not yet ended must not be used afterwards.  Must not
- *	be called from a handler or from on_reply.
+ *	Close all connections and free pr.  Calls in flight end with
+ *	PR_DROPPED; requests not yet ended must not be used afterwards.  Must
+ *not be called from a handler or from on_reply.
  */
 void pr_close(struct pr *pr);
 
