web: Drop requests in progress before the server stops

Cause: libmicrohttpd ends the process with SIGABRT if a connection is suspended when its daemon stops. A planned stop does not wait for the operators' port, so an operator's change that waits for a log that is away turned the stop into an abort.

Change: web_close() ends the requests in progress and resumes their connections, which then close without a reply. Two tests close the server with a request held and with a stream open.

Measured: stopping an instance with a key creation waiting for a stopped log ended with status 134 in 3 of 3 tries before and 0 in 3 of 3 after; both tests abort without the change and pass with it, 3 of 3 under the sanitizers.

Conclusion: the operator sees a closed connection, which the client reports as an unknown outcome. Answering with that verdict before the stop would be better and is not done here.

--- a/src/lib/test_web.c
+++ b/src/lib/test_web.c
@@ -80,6 +80,10 @@
 	} else if (strcmp(web_path(req), "/hold") == 0) {
 		f->held = req;
 		web_on_gone(req, on_gone, f);
+	} else if (strcmp(web_path(req), "/idle") == 0) {
+		f->held = req;
+		web_stream_begin(req, 200, "text/plain");
+		web_stream_write(req, "half", 4);
 	} else if (strcmp(web_path(req), "/cut") == 0) {
 		web_stream_begin(req, 200, "text/plain");
 		web_stream_write(req, "half", 4);
@@ -274,6 +278,28 @@
 	g_assert_cmpuint(web_active(f->web), ==, 0);
 }
 
+/*
+ * Guards against a planned stop that ends with SIGABRT because a request, for
+ * example an operator's change that waits for the log, is still in progress.
+ */
+static void
+test_close_with_request(struct fixture *f, gconstpointer path)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+	    (unsigned)web_port(f->web), (const char *)path);
+	struct hcl_request request = {
+	    .method = "GET", .url = url, .on_done = on_done, .arg = f};
+
+	(void)hcl_start(f->hcl, &request);
+	while (f->held == NULL)
+		ev_run(f->loop, EVRUN_ONCE);
+	web_close(f->web);
+	f->web = NULL;
+	run_loop(f);
+	g_assert_true(f->done);
+	g_assert_cmpint(f->result.sent, ==, HCL_MAYBE_SENT);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -290,5 +316,9 @@
 	ADD("/web/silence-is-maybe-sent", test_silence_is_maybe_sent);
 	ADD("/web/dropped-request-is-sent-once",
 	    test_dropped_request_is_sent_once);
+	g_test_add("/web/close-with-request-held", struct fixture, "/hold",
+	    fixture_open, test_close_with_request, fixture_close);
+	g_test_add("/web/close-with-stream-open", struct fixture, "/idle",
+	    fixture_open, test_close_with_request, fixture_close);
 	return (g_test_run());
 }
--- a/src/lib/web.c
+++ b/src/lib/web.c
@@ -397,12 +397,35 @@
 		(void)close(fd);
 }
 
+/*
+ * libmicrohttpd ends the process if a connection is suspended when it stops.
+ */
+static void
+requests_drop(struct web *web)
+{
+	GList *reqs = g_hash_table_get_keys(web->handling);
+
+	for (GList *l = reqs; l != NULL; l = l->next) {
+		struct web_req *req = l->data;
+
+		if (req->phase == HANDLING)
+			req->phase = DROPPING;
+		req->aborted = true;
+		req->ended = true;
+		req->gone = NULL;
+		req_resume(req);
+		req_release(req);
+	}
+	g_list_free(reqs);
+}
+
 void
 web_close(struct web *web)
 {
 	if (web == NULL)
 		return;
 	web->closing = true;
+	requests_drop(web);
 	ev_io_stop(web->loop, &web->io);
 	ev_timer_stop(web->loop, &web->timer);
 	ev_timer_stop(web->loop, &web->sweep);
