Satisfy the linter in the fleet tests

Cause: make lint reported a second declaration of environ and a loop bound that the analyser could not follow.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -21,8 +21,6 @@
 #define OPERATORS_PORT 18081
 #define PEERS_PORT     18082
 
-extern char **environ;
-
 /*
  * The children by slot, for the signal handler, which gets no argument.  A
  * slot whose process was reaped is 0, because the pid may be used again.
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -531,6 +531,7 @@
 	struct fleet_call *streams[FLEET_MAX_INSTANCES];
 	struct fleet_call *change, *call;
 	struct chain chain;
+	const unsigned n = fleet->n_instances;
 
 	chain_open(&chain, fleet);
 	turn(&chain, 0, "before the outage");
@@ -539,18 +540,18 @@
 	fleet_run(fleet, 4000);
 	change =
 	    fleet_object(fleet, 1, "organisation/gamma", 0, organisation(5));
-	for (unsigned i = 0; i < fleet->n_instances; i++) {
+	for (unsigned i = 0; i < n; i++) {
 		turn(&chain, i, "during the outage");
 		streams[i] = stream_start(fleet, i, FLEET_KEY_BETA);
 	}
-	for (unsigned i = 0; i < fleet->n_instances; i++)
+	for (unsigned i = 0; i < n; i++)
 		stream_wait(streams[i]);
 	call = fleet_ctl(
 	    fleet, 3, "POST", "/ctl/keys/k-beta/withdraw", json_object());
 	g_assert_cmpint(call->status, ==, 200);
 	/* "Within seconds": the streams go on for 20 s if they are not cut. */
 	fleet_run(fleet, 5000);
-	for (unsigned i = 0; i < fleet->n_instances; i++) {
+	for (unsigned i = 0; i < n; i++) {
 		g_assert_true(streams[i]->done);
 		g_assert_nonnull(
 		    strstr(streams[i]->body->str, "key_withdrawn"));
@@ -569,14 +570,14 @@
 	for (clk_ms waited = 0; waited < FLEET_DEADLINE; waited += 200) {
 		bool everywhere = true;
 
-		for (unsigned i = 0; i < fleet->n_instances; i++)
+		for (unsigned i = 0; i < n; i++)
 			everywhere = everywhere &&
 			    object_version(fleet, i, "organisation/gamma") > 0;
 		if (everywhere)
 			break;
 		fleet_run(fleet, 200);
 	}
-	for (unsigned i = 0; i < fleet->n_instances; i++) {
+	for (unsigned i = 0; i < n; i++) {
 		if (strcmp(fleet_error(change, "ran"), "no") == 0)
 			g_assert_cmpint(
 			    object_version(fleet, i, "organisation/gamma"), ==,
