--- a/src/daemon/rpl.c
+++ b/src/daemon/rpl.c
@@ -22,7 +22,9 @@
 /* Records kept for a holder that lags; beyond it gets the whole state. */
 #define BACKLOG_BYTES ((size_t)32 * 1024 * 1024)
 #define SWEEP_MS      (1 * CLK_SECOND)
-#define MAX_TARGETS   (OWN_HOLDERS + 1) /* holders and a successor */
+/* Those who may have the state, and holders asked before an export. */
+#define MAX_SOURCES (OWN_SOURCES + 8)
+#define MAX_TARGETS (OWN_HOLDERS + 1) /* holders and a successor */
 
 struct waiter {
 	uint64_t seq;
@@ -41,12 +43,10 @@
 	bool in_flight;
 	bool down; /* the last attempt failed */
 	bool stale; /* it knows a newer epoch */
+	bool fetching; /* its state is asked for before the export */
 	clk_ms retry_at;
 	GPtrArray *export; /* whole state being sent; nil: none */
 	guint export_next;
-	bool fetching; /* its state of an older epoch, before an export */
-	uint64_t fetch_cursor;
-	GPtrArray *fetched; /* parts of that state so far */
 };
 
 struct source {
@@ -55,6 +55,7 @@
 	bool in_flight;
 	clk_ms retry_at;
 	uint64_t cursor;
+	bool extra; /* not needed for the proof */
 	GPtrArray *records; /* parts of its answer so far */
 	int status; /* of its last answer; -1: none */
 };
@@ -68,7 +69,7 @@
 	GQueue *backlog; /* struct prg_record *, ascending seq */
 	size_t backlog_bytes;
 	GQueue *waiters; /* struct waiter *, ascending seq */
-	struct source sources[OWN_SOURCES];
+	struct source sources[MAX_SOURCES];
 	unsigned n_sources;
 	bool recovered;
 	bool proven;
@@ -81,7 +82,7 @@
 	struct dmn *dmn;
 	GHashTable *shards; /* id as pointer -> struct shard */
 	GHashTable *fetches; /* id as pointer -> struct fetch_answer */
-	GHashTable *incoming; /* shards that got records since the last sweep */
+	GHashTable *incoming; /* id as pointer -> time of the last records */
 	ev_timer tick;
 	clk_ms swept_at;
 	struct cnt_metric *records;
@@ -136,8 +137,6 @@
 		return;
 	if (target->export != NULL)
 		g_ptr_array_unref(target->export);
-	if (target->fetched != NULL)
-		g_ptr_array_unref(target->fetched);
 	g_free(target);
 }
 
@@ -309,6 +308,7 @@
 
 	if (target->export != NULL)
 		g_ptr_array_unref(target->export);
+	target->fetching = false;
 	target->export = prg_export(prg, shard->id.shard);
 	target->export_next = 0;
 	cnt_add(shard->rpl->exports, 1);
@@ -388,15 +388,12 @@
 		    lg_quote(buf, sizeof(buf), why));
 	target->down = true;
 	target->retry_at = dmn_now(dmn) + RETRY_MS;
-	if (target->fetched != NULL)
-		g_ptr_array_unref(target->fetched);
-	target->fetched = NULL;
 	/* Parts of an export may be missing at the holder. */
 	if (target->export != NULL)
 		export_start(target);
 }
 
-static void target_fetch(struct target *target);
+static void fetch_before_export(struct target *target);
 
 static void
 target_replied(struct target *target, const struct peer_replicate_reply *reply)
@@ -427,6 +424,9 @@
 		    (unsigned long long)shard->epoch,
 		    (unsigned long long)reply->epoch);
 		break;
+	case PEER_REPLICATE_FETCH_FIRST:
+		fetch_before_export(target);
+		break;
 	default:
 		lg_event(shard->rpl->dmn->lg, LG_INFO, "replica_gap",
 		    "datacentre=%u shard=%u holder=%016llx held=%llu seq=%llu",
@@ -434,15 +434,7 @@
 		    (unsigned long long)target->session,
 		    (unsigned long long)reply->acked_seq,
 		    (unsigned long long)shard_seq(shard));
-		/*
-		 * The holder refuses an export over state of an older epoch
-		 * that this owner has not fetched; after a handover the
-		 * holders are no sources of the recovery.
-		 */
-		if (reply->epoch != 0 && reply->epoch < shard->epoch)
-			target_fetch(target);
-		else
-			export_start(target);
+		export_start(target);
 		break;
 	}
 }
@@ -492,7 +484,7 @@
 	struct replicate *replicate;
 	GArray *wire;
 
-	if (target->in_flight || target->fetching || target->stale ||
+	if (target->in_flight || target->stale || target->fetching ||
 	    !shard->recovered || (target->down && now < target->retry_at))
 		return;
 	/* Records that the target still needs were trimmed away. */
@@ -615,14 +607,15 @@
 /* Recovery of a shard from those who may have its state. */
 
 static void
-records_apply(struct shard *shard, uint64_t session, const GPtrArray *records)
+source_apply(struct shard *shard, struct source *source)
 {
 	struct prg *prg = shard->rpl->dmn->prg[shard->id.datacentre];
 	unsigned refused = 0;
 
-	for (guint i = 0; i < records->len; i++) {
+	for (guint i = 0; source->records != NULL && i < source->records->len;
+	     i++) {
 		if (!prg_apply(prg, dmn_now(shard->rpl->dmn),
-			g_ptr_array_index(records, i)))
+			g_ptr_array_index(source->records, i)))
 			refused++;
 	}
 	if (refused > 0)
@@ -630,41 +623,29 @@
 		    "recovery_record_refused",
 		    "datacentre=%u shard=%u source=%016llx records=%u",
 		    (unsigned)shard->id.datacentre, (unsigned)shard->id.shard,
-		    (unsigned long long)session, refused);
-}
-
-static void
-records_add(GPtrArray *records, const struct shard *shard,
-    const struct peer_fetch_reply *reply)
-{
-	for (u_int i = 0; i < reply->records.records_len; i++) {
-		const struct peer_record *in = &reply->records.records_val[i];
-		struct prg_record record = {
-		    .datacentre = (uint8_t)shard->id.datacentre,
-		    .shard = shard->id.shard,
-		    .epoch = reply->epoch,
-		    .seq = in->seq,
-		    .kind = (enum prg_kind)in->kind,
-		    .payload = in->payload.payload_val,
-		    .payload_len = in->payload.payload_len};
-
-		(void)g_strlcpy(
-		    record.program, in->program_id, sizeof(record.program));
-		prg_records_add(records, &record);
-	}
-}
-
-static void
-source_apply(struct shard *shard, struct source *source)
-{
-	if (source->records != NULL) {
-		records_apply(shard, source->session, source->records);
+		    (unsigned long long)source->session, refused);
+	if (source->records != NULL)
 		g_ptr_array_unref(source->records);
-	}
 	source->records = NULL;
 	source->answered = true;
 }
 
+/*
+ * Whether the state comes from the owner before this one.  If that owner died
+ * before it sent its holders anything, they answer with what they held
+ * earlier, and turns of the owners in between may be missing.
+ */
+static bool
+is_lineage_whole(const struct shard *shard)
+{
+	if (shard->n_sources == 0)
+		return (true);
+	return (prg_state_epoch(shard->rpl->dmn->prg[shard->id.datacentre],
+		    shard->id.shard) +
+		1 >=
+	    shard->epoch);
+}
+
 /* Say which sources have not answered. */
 static void
 missing_log(const struct shard *shard)
@@ -690,8 +671,12 @@
 	struct dmn *dmn = rpl->dmn;
 	bool all = true;
 
-	for (unsigned i = 0; i < shard->n_sources; i++)
-		all = all && shard->sources[i].answered;
+	for (unsigned i = 0; i < shard->n_sources; i++) {
+		const struct source *source = &shard->sources[i];
+
+		all = all && (source->answered || source->extra);
+	}
+	all = all && is_lineage_whole(shard);
 	if (shard->proven || (shard->recovered && !all) ||
 	    (!all && now - shard->opened_at < PROOF_WAIT))
 		return;
@@ -730,18 +715,44 @@
 	return (NULL);
 }
 
+/* The holder's own state is known here: overwrite it. */
+static void
+export_to(struct shard *shard, uint64_t session)
+{
+	struct target *target = target_find(shard, session);
+
+	if (target != NULL)
+		export_start(target);
+}
+
 static void
 source_take(struct shard *shard, struct source *source,
     const struct peer_fetch_reply *reply)
 {
 	if (source->records == NULL)
 		source->records = prg_records_new();
-	records_add(source->records, shard, reply);
+	for (u_int i = 0; i < reply->records.records_len; i++) {
+		const struct peer_record *in = &reply->records.records_val[i];
+		struct prg_record record = {
+		    .datacentre = (uint8_t)shard->id.datacentre,
+		    .shard = shard->id.shard,
+		    .epoch = reply->epoch,
+		    .seq = in->seq,
+		    .kind = (enum prg_kind)in->kind,
+		    .payload = in->payload.payload_val,
+		    .payload_len = in->payload.payload_len};
+
+		(void)g_strlcpy(
+		    record.program, in->program_id, sizeof(record.program));
+		prg_records_add(source->records, &record);
+	}
 	source->cursor = reply->next_cursor;
 	if (reply->next_cursor != 0)
 		fetch_send(shard, source);
 	else
 		source_apply(shard, source);
+	if (source->answered && source->extra)
+		export_to(shard, source->session);
 }
 
 static void
@@ -765,6 +776,8 @@
 		source->status = (int)reply->status;
 		if (reply->status == PEER_FETCH_OK)
 			source_take(shard, source, reply);
+		else if (source->extra)
+			export_to(shard, source->session);
 	}
 	recovery_check(shard, now);
 out:
@@ -796,75 +809,6 @@
 	    on_fetched, fetch);
 }
 
-/* A part of a holder's state arrived, which is fetched before an export. */
-static void
-on_target_fetched(const struct pr_result *result, void *arg)
-{
-	struct replicate *fetch = arg;
-	struct rpl *rpl = fetch->rpl;
-	struct shard *shard = shard_find(rpl, fetch->id);
-	const struct peer_fetch_reply *reply = result->reply;
-	struct target *target;
-
-	if (shard == NULL || shard->epoch != fetch->epoch)
-		goto out;
-	target = target_find(shard, fetch->session);
-	if (target == NULL || !target->fetching)
-		goto out;
-	target->fetching = false;
-	if (result->sent != PR_REPLIED || reply->session != target->session ||
-	    reply->status == PEER_FETCH_STALE_EPOCH) {
-		target_failed(target, "its older state cannot be fetched");
-		goto out;
-	}
-	if (reply->status == PEER_FETCH_OK) {
-		records_add(target->fetched, shard, reply);
-		target->fetch_cursor = reply->next_cursor;
-		if (target->fetch_cursor != 0) {
-			target_fetch(target);
-			goto out;
-		}
-		records_apply(shard, target->session, target->fetched);
-	}
-	g_ptr_array_unref(target->fetched);
-	target->fetched = NULL;
-	export_start(target);
-	target_flush(target, dmn_now(rpl->dmn));
-out:
-	g_free(fetch);
-}
-
-static void
-target_fetch(struct target *target)
-{
-	struct shard *shard = target->shard;
-	struct dmn *dmn = shard->rpl->dmn;
-	struct peer_fetch_args args = {.session = dmn->session,
-	    .datacentre = shard->id.datacentre,
-	    .shard = shard->id.shard,
-	    .epoch = shard->epoch};
-	const char *address = dmn_address(dmn, target->session);
-	struct replicate *fetch;
-
-	if (address == NULL) {
-		target_failed(target, "no address is known");
-		return;
-	}
-	if (target->fetched == NULL) {
-		target->fetched = prg_records_new();
-		target->fetch_cursor = 0;
-	}
-	args.cursor = target->fetch_cursor;
-	fetch = g_new0(struct replicate, 1);
-	fetch->rpl = shard->rpl;
-	fetch->id = shard->id;
-	fetch->epoch = shard->epoch;
-	fetch->session = target->session;
-	target->fetching = true;
-	(void)pr_call(dmn->pr, address, PEER_FETCH, &args, FETCH_TIMEOUT,
-	    on_target_fetched, fetch);
-}
-
 static void
 fetch_local(struct shard *shard, struct source *source)
 {
@@ -878,6 +822,35 @@
 		source_apply(shard, source);
 }
 
+/*
+ * A holder has state of an older epoch that this owner may lack.  Ask it
+ * once; its answer is merged, and then it gets the whole state.
+ */
+static void
+fetch_before_export(struct target *target)
+{
+	struct shard *shard = target->shard;
+	struct source *source = source_find(shard, target->session);
+
+	if (target->export != NULL)
+		g_ptr_array_unref(target->export);
+	target->export = NULL;
+	target->fetching = true;
+	if (source == NULL) {
+		/* The oldest extra source gives way. */
+		if (shard->n_sources == MAX_SOURCES)
+			source = &shard->sources[OWN_SOURCES];
+		else
+			source = &shard->sources[shard->n_sources++];
+		memset(source, 0, sizeof(*source));
+		source->session = target->session;
+		source->extra = true;
+	}
+	source->answered = false;
+	if (!source->in_flight)
+		fetch_send(shard, source);
+}
+
 void
 rpl_recover(struct rpl *rpl, struct own_shard_id id, uint64_t epoch,
     const uint64_t sources[OWN_SOURCES])
@@ -915,13 +888,11 @@
 static void
 recovery_retry(struct shard *shard, clk_ms now)
 {
-	if (shard->proven)
-		return;
 	for (unsigned i = 0; i < shard->n_sources; i++) {
 		struct source *source = &shard->sources[i];
 
-		if (source->answered || source->in_flight ||
-		    now < source->retry_at ||
+		if ((shard->proven && !source->extra) || source->answered ||
+		    source->in_flight || now < source->retry_at ||
 		    source->session == shard->rpl->dmn->session)
 			continue;
 		if (source->records != NULL)
@@ -1051,12 +1022,12 @@
 handovers_open(struct rpl *rpl)
 {
 	struct dmn *dmn = rpl->dmn;
-	const uint64_t sources[OWN_SOURCES] = {dmn->session};
 
 	for (unsigned s = 0; s < dmn->set->shards; s++) {
 		struct own_shard_id id = {
 		    .datacentre = (uint16_t)dmn->set->datacentre_number,
 		    .shard = (uint16_t)s};
+		uint64_t sources[OWN_SOURCES] = {dmn->session};
 		struct own_shard info;
 		const struct shard *shard;
 
@@ -1064,14 +1035,29 @@
 		    info.phase != OWN_SERVING)
 			continue;
 		shard = shard_find(rpl, id);
-		if (shard == NULL || shard->epoch < info.epoch)
-			rpl_recover(rpl, id, info.epoch, sources);
+		if (shard != NULL && shard->epoch >= info.epoch)
+			continue;
+		if (!cpy_holds(dmn->cpy, (uint8_t)id.datacentre, id.shard))
+			memcpy(sources, info.holders, sizeof(info.holders));
+		rpl_recover(rpl, id, info.epoch, sources);
 	}
 }
 
+/*
+ * Whether an owner sent records of late.  It may be preparing a handover to
+ * this session, or this session may not have read yet that it is a holder.
+ */
+static bool
+is_incoming(struct rpl *rpl, struct own_shard_id id, clk_ms now)
+{
+	const clk_ms *at = g_hash_table_lookup(rpl->incoming, shard_key(id));
+
+	return (at != NULL && now - *at < 2 * PREPARE_TIMEOUT);
+}
+
 /* Free replicas that nobody will ask for any more. */
 static void
-replicas_sweep(struct rpl *rpl)
+replicas_sweep(struct rpl *rpl, clk_ms now)
 {
 	struct dmn *dmn = rpl->dmn;
 
@@ -1087,12 +1073,10 @@
 			/* A successor holds the state before the handover. */
 			if (info.owner != dmn->session && info.proven &&
 			    !is_wanted_replica(dmn, &info) &&
-			    !g_hash_table_contains(
-				rpl->incoming, shard_key(id)))
+			    !is_incoming(rpl, id, now))
 				cpy_drop(dmn->cpy, (uint8_t)d, (uint16_t)s);
 		}
 	}
-	g_hash_table_remove_all(rpl->incoming);
 	g_hash_table_remove_all(rpl->fetches);
 }
 
@@ -1109,7 +1093,7 @@
 	if (now - rpl->swept_at < SWEEP_MS)
 		return;
 	rpl->swept_at = now;
-	replicas_sweep(rpl);
+	replicas_sweep(rpl, now);
 	for (unsigned d = 0; d < rpl->dmn->n_datacentres; d++)
 		prg_tick(rpl->dmn->prg[d], now);
 }
@@ -1121,7 +1105,7 @@
 	static const enum peer_replicate_status statuses[] = {
 	    [CPY_ACCEPTED] = PEER_REPLICATE_ACCEPTED,
 	    [CPY_REFUSED] = PEER_REPLICATE_STALE_EPOCH,
-	    [CPY_FETCH_FIRST] = PEER_REPLICATE_GAP,
+	    [CPY_FETCH_FIRST] = PEER_REPLICATE_FETCH_FIRST,
 	    [CPY_GAP] = PEER_REPLICATE_GAP,
 	    [CPY_BAD] = PEER_REPLICATE_GAP,
 	};
@@ -1129,6 +1113,7 @@
 	    .shard = (uint16_t)args->shard};
 	struct peer_replicate_reply reply = {.session = rpl->dmn->session};
 	GPtrArray *records = prg_records_new();
+	clk_ms now = dmn_now(rpl->dmn);
 	struct cpy_result result;
 
 	for (u_int i = 0; i < args->records.records_len; i++) {
@@ -1146,9 +1131,13 @@
 		    record.program, in->program_id, sizeof(record.program));
 		prg_records_add(records, &record);
 	}
-	(void)g_hash_table_add(rpl->incoming, shard_key(id));
+	g_hash_table_insert(
+	    rpl->incoming, shard_key(id), g_memdup2(&now, sizeof(now)));
 	result = cpy_put(rpl->dmn->cpy, (uint8_t)args->datacentre,
 	    (uint16_t)args->shard, args->epoch, records);
+	if (result.outcome == CPY_BAD)
+		cpy_drop(rpl->dmn->cpy, (uint8_t)args->datacentre,
+		    (uint16_t)args->shard);
 	g_ptr_array_unref(records);
 	reply.status = statuses[result.outcome];
 	reply.acked_seq = result.seq;
@@ -1166,22 +1155,26 @@
 	struct shard *shard = shard_find(rpl, id);
 	struct fetch_answer *answer;
 	GPtrArray *records;
+	bool holds;
 
 	/* A former owner that has not read the claim in the log yet. */
 	if (shard != NULL && shard->epoch < args->epoch) {
 		shard_give_up(shard);
 		(void)g_hash_table_remove(rpl->shards, shard_key(id));
 	}
-	if (!cpy_holds(rpl->dmn->cpy, (uint8_t)args->datacentre,
-		(uint16_t)args->shard)) {
-		reply->status = PEER_FETCH_NONE;
-		return (NULL);
-	}
+	/* Without any state, too, the former owner is refused from now on. */
+	holds = cpy_holds(
+	    rpl->dmn->cpy, (uint8_t)args->datacentre, (uint16_t)args->shard);
 	if (!cpy_fetch(rpl->dmn->cpy, (uint8_t)args->datacentre,
 		(uint16_t)args->shard, args->epoch, &records)) {
 		reply->status = PEER_FETCH_STALE_EPOCH;
 		return (NULL);
 	}
+	if (!holds) {
+		g_ptr_array_unref(records);
+		reply->status = PEER_FETCH_NONE;
+		return (NULL);
+	}
 	answer = g_new0(struct fetch_answer, 1);
 	answer->epoch = args->epoch;
 	answer->session = args->session;
@@ -1240,7 +1233,7 @@
 	rpl->shards = g_hash_table_new_full(NULL, NULL, NULL, shard_free);
 	rpl->fetches =
 	    g_hash_table_new_full(NULL, NULL, NULL, fetch_answer_free);
-	rpl->incoming = g_hash_table_new(NULL, NULL);
+	rpl->incoming = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	rpl->records = cnt_counter(dmn->cnt, "replicated_records_total",
 	    "Records sent to replica holders.", NULL, NULL);
 	rpl->bytes = cnt_counter(dmn->cnt, "replicated_bytes_total",
