Release the prefix of a cancelled call and of every known holder

Change: the cancelled call names its engine; a release goes to every upstream where a call of the program started.

--- a/src/daemon/flt.c
+++ b/src/daemon/flt.c
@@ -62,7 +62,6 @@
 	struct cnt_metric *heartbeats;
 	struct cnt_metric *heartbeats_failed;
 	struct cnt_metric *records;
-	GHashTable *pings; /* set of struct ping not yet answered */
 };
 
 static void
@@ -420,7 +419,7 @@
 	if (result->sent != PR_REPLIED ||
 	    reply->state.session != ping->session) {
 		cnt_add(ping->flt->heartbeats_failed, 1);
-		(void)g_hash_table_remove(ping->flt->pings, ping);
+		g_free(ping);
 		return;
 	}
 	report_of(&reply->state, &report);
@@ -430,7 +429,7 @@
 	    dmn->own, ping->session, ping->sent_at, &pending);
 	fingerprints_take(ping->flt, &reply->state);
 	cnf_heard(dmn->cnf, ping->sent_at, &reply->state);
-	(void)g_hash_table_remove(ping->flt->pings, ping);
+	g_free(ping);
 }
 
 static void
@@ -450,7 +449,6 @@
 		ping->flt = flt;
 		ping->session = pings[i].session;
 		ping->sent_at = dmn_now(dmn);
-		(void)g_hash_table_add(flt->pings, ping);
 		args.sent_at = ping->sent_at;
 		if (pings[i].new_connection)
 			pr_reconnect(dmn->pr, pings[i].address);
@@ -790,7 +788,6 @@
 	struct flt *flt = g_new0(struct flt, 1);
 
 	flt->dmn = dmn;
-	flt->pings = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	flt->kept = g_queue_new();
 	flt->withdrawn = g_ptr_array_new();
 	flt->sync_records =
@@ -823,7 +820,6 @@
 	if (flt->list_call != NULL)
 		hcl_cancel(flt->list_call);
 	/* The calls in flight end without on_heartbeat_reply. */
-	g_hash_table_destroy(flt->pings);
 	g_queue_free_full(flt->kept, kept_free);
 	g_ptr_array_unref(flt->withdrawn);
 	g_array_unref(flt->sync_records);
--- a/src/gate/call.c
+++ b/src/gate/call.c
@@ -1116,6 +1116,7 @@
 void
 call_cancel(struct call *call)
 {
+	g_autofree char *upstream = NULL;
 	struct vd vd;
 
 	call->sink = NULL;
@@ -1133,10 +1134,12 @@
 	}
 	if (call->upstream == NULL || call->prg_kind == PRG_CALL_ONCE)
 		return;
+	/* An engine that began the call may hold the program's prefix. */
+	upstream = g_strdup(upd_upstream(call->upstream));
 	vd = vd_make(
 	    upd_cancel(call->upstream), VD_CANCELLED, "the caller has gone");
 	call->upstream = NULL;
-	call_finish(call, &vd, NULL);
+	call_finish(call, &vd, upstream);
 }
 
 struct call_set *
--- a/src/upstream/upd.c
+++ b/src/upstream/upd.c
@@ -9,6 +9,7 @@
 #include "upstream/ups.h"
 
 #define TICK_S	       0.1
+#define MAX_HOLDERS    64
 #define MAX_STARTS     64
 #define LOAD_MS	       ((clk_ms)500)
 #define LOAD_TIMEOUT   ((clk_ms)1000)
@@ -451,6 +452,12 @@
 	return (ran);
 }
 
+const char *
+upd_upstream(const struct upd_call *call)
+{
+	return (call->upstream_name);
+}
+
 void
 upd_used(struct upd *upd, struct upd_call *call, int64_t prompt, int64_t cached,
     int64_t completion)
@@ -659,6 +666,22 @@
 	(void)hcl_start(release->upd->dmn->hcl, &http);
 }
 
+/* Whether a call of the program started at the upstream, however it ended. */
+static bool
+is_holder(const struct ups *ups, const char *program, const char *name)
+{
+	struct ups_holder holders[MAX_HOLDERS];
+	struct ups_handle handle = ups_find(ups, name);
+	size_t n = ups_program_holders(ups, program, holders, MAX_HOLDERS);
+
+	for (size_t i = 0; i < MIN(n, MAX_HOLDERS); i++) {
+		if (holders[i].upstream.index == handle.index &&
+		    holders[i].upstream.generation == handle.generation)
+			return (true);
+	}
+	return (false);
+}
+
 void
 upd_release(
     struct upd *upd, struct prg *prg, const char *program, const char *engine)
@@ -686,7 +709,8 @@
 		if (ups_view(
 			dmn->ups, ups_at(dmn->ups, i), dmn_now(dmn), &view) &&
 		    view.kind == UPS_MODEL && !view.removed &&
-		    (any || strcmp(view.name, engine) == 0))
+		    (any || strcmp(view.name, engine) == 0 ||
+			is_holder(dmn->ups, program, view.name)))
 			release_send(release, view.url);
 	}
 	dfr_add(dmn->dfr, release_deferred_end, release);
--- a/src/upstream/upd.h
+++ b/src/upstream/upd.h
@@ -67,6 +67,9 @@
  */
 enum vd_ran upd_cancel(struct upd_call *call);
 
+/* upd_upstream(call): the one that may have got the call last, or nil. */
+const char *upd_upstream(const struct upd_call *call);
+
 /*
  * upd_used(upd, call, prompt, cached, completion)
  *	The usage that the engine reported at the end of the call's answer.
