--- a/src/daemon/cnf.c
+++ b/src/daemon/cnf.c
@@ -267,7 +267,6 @@
 {
 	struct dmn *dmn = cnf->dmn;
 	uint64_t since = cfg_records_since_snapshot(dmn->cfg);
-	uint64_t first[1];
 	GPtrArray *parts;
 
 	/* Without changes the last snapshot would fall out of the retention. */
@@ -276,10 +275,7 @@
 	cnf->snapshot_at = now;
 	if (!cnf_is_ready(cnf))
 		return;
-	/* One of the live sessions does it; the others' turn comes later. */
-	if (mem_rank(dmn->mem, dmn->set->datacentre_number, 0, true, first,
-		1) != 1 ||
-	    first[0] != dmn->session)
+	if (!flt_is_first(dmn->flt))
 		return;
 	parts = cfg_snapshot_parts(dmn->cfg, dmn->session, PART_BYTES);
 	for (guint i = 0; i < parts->len; i++)
--- a/src/daemon/dmn.c
+++ b/src/daemon/dmn.c
@@ -69,7 +69,8 @@
 is_stopped(const struct dmn *dmn)
 {
 	return (flt_is_stopped(dmn->flt) && gate_active(dmn->gate) == 0 &&
-	    fwd_count(dmn->fwd) == 0 && call_set_count(dmn->calls) == 0);
+	    fwd_count(dmn->fwd) == 0 && call_set_count(dmn->calls) == 0 &&
+	    ops_active(dmn->ops) == 0);
 }
 
 static void
--- a/src/daemon/flt.c
+++ b/src/daemon/flt.c
@@ -524,9 +524,8 @@
 	flt->list_call = hcl_start(flt->dmn->hcl, &request);
 }
 
-/* Whether this is the live session with the least number. */
-static bool
-is_first_session(const struct flt *flt)
+bool
+flt_is_first(const struct flt *flt)
 {
 	struct mem_info *infos = g_new(struct mem_info, MEM_MAX_SESSIONS);
 	size_t n = mem_list(flt->dmn->mem, infos, MEM_MAX_SESSIONS);
@@ -552,7 +551,7 @@
 	    (flt->since_snapshot == 0 || now - flt->snapshot_at < SNAPSHOT_MS))
 		return;
 	flt->snapshot_at = now;
-	if (!is_first_session(flt))
+	if (!flt_is_first(flt))
 		return;
 	parts = own_snapshot(dmn->own, now);
 	json_array_foreach(parts, i, part)(void)
--- a/src/daemon/flt.h
+++ b/src/daemon/flt.h
@@ -18,6 +18,14 @@
  */
 bool flt_is_ready(const struct flt *flt);
 
+/*
+ * flt_is_first(flt)
+ *	Whether this is the live session with the least number, which appends
+ *	the snapshots.  Two sessions may think so for a while; a second
+ *	snapshot does no harm.
+ */
+bool flt_is_first(const struct flt *flt);
+
 /* flt_stop(flt): begin handing over every shard. */
 void flt_stop(struct flt *flt);
 
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -812,6 +812,7 @@
 	struct web_options options = {.address = set->callers.listen.ip,
 	    .port = set->callers.listen.port,
 	    .max_body = set->limits.max_body,
+	    .max_header = set->limits.max_header,
 	    .max_connections = set->limits.max_connections,
 	    .idle_s = CONNECTION_IDLE_S,
 	    .tls_certificate = set->callers.tls_certificate,
--- a/src/lib/test_web.c
+++ b/src/lib/test_web.c
@@ -213,6 +213,35 @@
 	g_assert_nonnull(strstr(f->body->str, "body_too_large"));
 }
 
+/* Guards against unbounded memory for the head of a request. */
+static void
+test_large_header_is_refused(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u/echo", (unsigned)web_port(f->web));
+	g_autofree char *value = g_strnfill(100000, 'x');
+	g_autofree char *header = g_strconcat("X-Large: ", value, NULL);
+	const char *const headers[] = {header, NULL};
+	struct hcl_request request = {.method = "GET",
+	    .url = url,
+	    .headers = headers,
+	    .on_done = on_done,
+	    .arg = f};
+
+	(void)unused;
+	(void)hcl_start(f->hcl, &request);
+	run_loop(f);
+	g_assert_true(f->done);
+	/* The server may close the connection before all of it is sent. */
+	if (f->result.sent == HCL_REPLIED) {
+		g_assert_cmpint(f->result.status, >=, 400);
+		g_assert_cmpint(f->result.status, <, 500);
+	}
+	g_assert_cmpuint(web_active(f->web), ==, 0);
+	fetch(f, web_port(f->web), "/echo", "hello", 0);
+	g_assert_cmpint(f->result.status, ==, 200);
+}
+
 /* Guards against a call that goes on for a caller that has left. */
 static void
 test_caller_leaves(struct fixture *f, gconstpointer unused)
@@ -311,6 +340,7 @@
 	ADD("/web/stream", test_stream);
 	ADD("/web/cut-stream-is-reported", test_cut_stream_is_reported);
 	ADD("/web/large-body-is-refused", test_large_body_is_refused);
+	ADD("/web/large-header-is-refused", test_large_header_is_refused);
 	ADD("/web/caller-leaves", test_caller_leaves);
 	ADD("/web/refused-is-not-sent", test_refused_is_not_sent);
 	ADD("/web/silence-is-maybe-sent", test_silence_is_maybe_sent);
--- a/src/lib/web.c
+++ b/src/lib/web.c
@@ -25,6 +25,9 @@
 	ev_prepare prepare;
 };
 
+#define DEFAULT_HEADER ((size_t)32 * 1024)
+/* What libmicrohttpd needs for a connection beside the request's head. */
+#define CONNECTION_MEMORY ((size_t)32 * 1024)
 /* How often the connections of requests in progress are checked, in s. */
 #define SWEEP_INTERVAL 0.25
 
@@ -323,13 +326,16 @@
 daemon_start(struct web *web, const struct web_options *options,
     const struct sockaddr_in *address)
 {
+	size_t head =
+	    options->max_header > 0 ? options->max_header : DEFAULT_HEADER;
 	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
 	struct MHD_OptionItem items[] = {
 	    {MHD_OPTION_SOCK_ADDR, 0, (void *)(uintptr_t)address},
 	    {MHD_OPTION_CONNECTION_LIMIT, (intptr_t)options->max_connections,
 		NULL},
 	    {MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t)options->idle_s, NULL},
-	    {MHD_OPTION_CONNECTION_MEMORY_LIMIT, 64 * 1024, NULL},
+	    {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(intptr_t)(head + CONNECTION_MEMORY), NULL},
 	    {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
 	    {MHD_OPTION_END, 0, NULL}, {MHD_OPTION_END, 0, NULL},
 	    {MHD_OPTION_END, 0, NULL}};
--- a/src/lib/web.h
+++ b/src/lib/web.h
@@ -27,6 +27,7 @@
 	const char *address; /* IP number to listen on */
 	uint16_t port; /* 0: any free port, see web_port() */
 	size_t max_body; /* bytes; larger bodies get 413 */
+	size_t max_header; /* bytes of a request's head; 0: 32 KiB */
 	unsigned max_connections;
 	unsigned idle_s; /* close a connection idle for so long; 0: never */
 	const char *tls_certificate; /* PEM text; nil: no TLS */
--- a/src/ops/ops.c
+++ b/src/ops/ops.c
@@ -582,6 +582,12 @@
 	return (ops);
 }
 
+unsigned
+ops_active(const struct ops *ops)
+{
+	return (web_active(ops->web));
+}
+
 void
 ops_close(struct ops *ops)
 {
--- a/src/ops/ops.h
+++ b/src/ops/ops.h
@@ -14,4 +14,7 @@
 struct ops *ops_open(struct dmn *dmn, char **error);
 void ops_close(struct ops *ops);
 
+/* ops_active(ops): requests not yet answered. */
+unsigned ops_active(const struct ops *ops);
+
 #endif
