Make a new request for a repeated order in /fleet/owner-lost

The test repeated an order with a request whose body the first start had taken over (use after free in the test, named by AddressSanitizer). Change: the repeat makes its request anew; checks as they were. Conclusion: a fault of the test, not of the daemon.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -1050,6 +1050,9 @@
 				g_test_message("%s", calls[i]->body->str);
 				g_assert_cmpstr(
 				    fleet_error(calls[i], "ran"), ==, "no");
+				/* The first start took over the body. */
+				request = order(entries[i], key);
+				request.program = chain.program;
 				calls[i] = fleet_start(fleet, &request);
 			}
 		}
