--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,11 @@
 CC ?= gcc
 PKGS = libmicrohttpd libcurl glib-2.0 yaml-0.1 libtirpc jansson gnutls \
 	libsodium
-CPPFLAGS += -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CPPFLAGS += -D_GNU_SOURCE -I. -Isrc $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CFLAGS ?= -O2 -g
 WARN = -std=c11 -Wall -Wextra -Werror -Wstrict-prototypes \
 	-Wmissing-prototypes -Wshadow -Wvla -Wformat=2
-LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lev -lm
 ifdef SANITIZE
 SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all \
 	-fno-omit-frame-pointer
@@ -26,18 +26,22 @@
 GENERATED = src/peer/peer_xdr.c src/peer/peer_xdr.h
 CORE_SRC = $(filter-out %/main.c,$(filter-out src/cli/%,\
 	$(filter-out $(wildcard src/*/test_*.c),$(wildcard src/*/*.c))))
+PLATFORM_SRC = $(filter-out $(wildcard platform/test_*.c),\
+	$(wildcard platform/*.c))
 CLI_SRC = $(wildcard src/cli/*.c)
 CLI_TESTS = $(wildcard src/cli/test_*.c)
-TEST_SRC = $(wildcard src/*/test_*.c) $(wildcard fakes/test_*.c) \
+TEST_SRC = $(wildcard src/*/test_*.c) $(wildcard platform/test_*.c) $(wildcard fakes/test_*.c) \
 	$(wildcard tests/test_*.c)
 FAKE_SRC = $(filter-out $(wildcard fakes/test_*.c),$(wildcard fakes/*.c))
 BENCH_SRC = $(wildcard bench/*.c)
 ALL_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch]) \
+	$(wildcard platform/*.[ch]) \
 	$(wildcard fakes/*.[ch]) $(wildcard bench/*.[ch]) \
 	$(wildcard tests/*.[ch]) $(wildcard fuzz/*.[ch]))
 
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/%.o)
-CLI_OBJ = $(filter-out $(CLI_TESTS:%.c=$(BUILD)/%.o),$(CLI_SRC:%.c=$(BUILD)/%.o))
+CLI_OBJ = $(filter-out $(CLI_TESTS:%.c=$(BUILD)/%.o),\
+	$(CLI_SRC:%.c=$(BUILD)/%.o)) $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
 FAKE_OBJ = $(FAKE_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(patsubst %.c,$(BUILD)/tests/%,$(notdir $(TEST_SRC)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
 
 packages="gcc make pkg-config libev-dev libmicrohttpd-dev \
 libcurl4-gnutls-dev libglib2.0-dev libyaml-dev libtirpc-dev libjansson-dev \
-libgnutls28-dev libsodium-dev curl"
+libgnutls28-dev libsodium-dev libhttp-parser-dev curl"
 if [ "${1:-}" = lint ]; then
 	packages="$packages clang-format clang-tidy clang libclang-rt-14-dev"
 fi
--- /dev/null
+++ b/src/catalogue/cat.c
@@ -0,0 +1,243 @@
+#include "catalogue/cat.h"
+
+#include <string.h>
+
+/* In force until a version states limits of its own. */
+#define DEFAULT_MAX_HEAD     16384
+#define DEFAULT_MAX_BODY     ((size_t)4 << 20)
+#define DEFAULT_HEAD_TIMEOUT (3 * CLK_SECOND)
+#define DEFAULT_IDLE_TIMEOUT (15 * CLK_SECOND)
+
+struct cat {
+	int64_t version;
+	struct cat_limits limits;
+	GHashTable *hosts; /* host -> GPtrArray of routes, longest first */
+	GHashTable *services;
+	GHashTable *organisations;
+	GHashTable *keys; /* key -> struct cat_organisation */
+	guint routes;
+	unsigned refs;
+};
+
+static void
+share_clear(void *data)
+{
+	struct cat_share *share = data;
+
+	g_free(share->service);
+}
+
+static void
+route_free(void *data)
+{
+	struct cat_route *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->path_prefix);
+	g_array_free(route->shares, TRUE);
+	g_free(route);
+}
+
+static void
+service_free(void *data)
+{
+	struct cat_service *service = data;
+
+	g_free(service->name);
+	g_free(service);
+}
+
+static void
+organisation_free(void *data)
+{
+	struct cat_organisation *organisation = data;
+
+	g_free(organisation->name);
+	g_free(organisation);
+}
+
+static void
+routes_free(void *data)
+{
+	g_ptr_array_free(data, TRUE);
+}
+
+struct cat *
+cat_new(int64_t version)
+{
+	struct cat *cat = g_new0(struct cat, 1);
+
+	cat->version = version;
+	cat->refs = 1;
+	cat->limits = (struct cat_limits){DEFAULT_MAX_HEAD, DEFAULT_MAX_BODY,
+	    DEFAULT_HEAD_TIMEOUT, DEFAULT_IDLE_TIMEOUT};
+	cat->hosts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, routes_free);
+	cat->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, service_free);
+	cat->organisations = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, organisation_free);
+	cat->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return (cat);
+}
+
+struct cat *
+cat_ref(struct cat *cat)
+{
+	cat->refs++;
+	return (cat);
+}
+
+void
+cat_unref(struct cat *cat)
+{
+	if (cat == NULL || --cat->refs > 0)
+		return;
+	g_hash_table_destroy(cat->hosts);
+	g_hash_table_destroy(cat->services);
+	g_hash_table_destroy(cat->keys);
+	g_hash_table_destroy(cat->organisations);
+	g_free(cat);
+}
+
+void
+cat_route_add(struct cat *cat, const struct cat_route *added)
+{
+	struct cat_route *route = g_new(struct cat_route, 1);
+	char *host = g_ascii_strdown(added->host, -1);
+	GPtrArray *routes = g_hash_table_lookup(cat->hosts, host);
+	size_t len = strlen(added->path_prefix);
+	guint at = 0;
+
+	*route = *added;
+	g_array_set_clear_func(route->shares, share_clear);
+	if (routes == NULL) {
+		routes = g_ptr_array_new_with_free_func(route_free);
+		(void)g_hash_table_insert(cat->hosts, g_strdup(host), routes);
+	}
+	g_free(host);
+	while (at < routes->len &&
+	    strlen(((const struct cat_route *)routes->pdata[at])->path_prefix) >=
+		len)
+		at++;
+	g_ptr_array_insert(routes, (gint)at, route);
+	cat->routes++;
+}
+
+void
+cat_service_add(struct cat *cat, const struct cat_service *added)
+{
+	struct cat_service *service = g_new(struct cat_service, 1);
+
+	*service = *added;
+	(void)g_hash_table_replace(cat->services, service->name, service);
+}
+
+void
+cat_organisation_add(struct cat *cat, const struct cat_organisation *added)
+{
+	struct cat_organisation *organisation =
+	    g_new(struct cat_organisation, 1);
+
+	*organisation = *added;
+	(void)g_hash_table_replace(
+	    cat->organisations, organisation->name, organisation);
+}
+
+void
+cat_key_add(struct cat *cat, const char *key, const char *name)
+{
+	struct cat_organisation *organisation =
+	    g_hash_table_lookup(cat->organisations, name);
+
+	if (organisation != NULL)
+		(void)g_hash_table_replace(
+		    cat->keys, g_strdup(key), organisation);
+}
+
+void
+cat_limits_set(struct cat *cat, const struct cat_limits *limits)
+{
+	cat->limits = *limits;
+}
+
+int64_t
+cat_version(const struct cat *cat)
+{
+	return (cat->version);
+}
+
+const struct cat_limits *
+cat_limits(const struct cat *cat)
+{
+	return (&cat->limits);
+}
+
+bool
+cat_has_organisations(const struct cat *cat)
+{
+	return (g_hash_table_size(cat->organisations) > 0);
+}
+
+guint
+cat_route_count(const struct cat *cat)
+{
+	return (cat->routes);
+}
+
+const struct cat_route *
+cat_route_find(const struct cat *cat, const char *host, const char *path)
+{
+	g_autofree char *name = g_ascii_strdown(host, -1);
+	char *port = strrchr(name, ':');
+	const GPtrArray *routes;
+
+	if (port != NULL)
+		*port = '\0';
+	routes = g_hash_table_lookup(cat->hosts, name);
+	for (guint i = 0; routes != NULL && i < routes->len; i++) {
+		const struct cat_route *route = routes->pdata[i];
+		size_t len = strlen(route->path_prefix);
+
+		if (strncmp(path, route->path_prefix, len) == 0)
+			return (route);
+	}
+	return (NULL);
+}
+
+const struct cat_service *
+cat_service_find(const struct cat *cat, const char *name)
+{
+	return (g_hash_table_lookup(cat->services, name));
+}
+
+const struct cat_organisation *
+cat_key_find(const struct cat *cat, const char *key)
+{
+	return (g_hash_table_lookup(cat->keys, key));
+}
+
+const char *
+cat_service_pick(const struct cat_route *route, uint32_t draw)
+{
+	const GArray *shares = route->shares;
+	unsigned long total = 0;
+	unsigned long at;
+
+	for (guint i = 0; i < shares->len; i++)
+		total += g_array_index(shares, struct cat_share, i).weight;
+	if (total == 0)
+		return (g_array_index(shares, struct cat_share, 0).service);
+	at = draw % total;
+	for (guint i = 0; i < shares->len; i++) {
+		const struct cat_share *share =
+		    &g_array_index(shares, struct cat_share, i);
+
+		if (at < share->weight)
+			return (share->service);
+		at -= share->weight;
+	}
+	return (NULL);
+}
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -12,6 +12,8 @@
 
 static const struct subcommand subcommands[] = {
     {"serve", cli_serve, "run an instance"},
+    {"serve-platform", cli_serve_platform,
+	"run an instance on the users' platform"},
     {"check", cli_check, "validate a settings file or a file of objects"},
     {"init", cli_init, "generate the configuration from a questionnaire"},
     {"ctl", cli_ctl, "inspect and change a running fleet"},
@@ -26,7 +28,7 @@
 	    "Distributed scheduler for agent programs.\n\n"
 	    "Subcommands:\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(subcommands); i++)
-		(void)fprintf(out, "  %-7s%s\n", subcommands[i].name,
+		(void)fprintf(out, "  %-16s%s\n", subcommands[i].name,
 		    subcommands[i].help);
 	(void)fprintf(out,
 	    "\n\"samphireshed SUBCOMMAND --help\" describes a subcommand.\n"
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -30,6 +30,7 @@
 
 /* The subcommands; argv[0] is the subcommand's name. */
 int cli_serve(const struct cli_io *io, int argc, char **argv);
+int cli_serve_platform(const struct cli_io *io, int argc, char **argv);
 int cli_check(const struct cli_io *io, int argc, char **argv);
 int cli_init(const struct cli_io *io, int argc, char **argv);
 int cli_ctl(const struct cli_io *io, int argc, char **argv);
--- /dev/null
+++ b/src/edge/edg_send.c
@@ -0,0 +1,335 @@
+/*
+ * The attempts of a request at upstreams, and the answer to the caller.
+ */
+#include <string.h>
+
+#include "edge/edg_impl.h"
+
+/* A connection to an upstream that is not established in this time failed. */
+#define CONNECT_TIMEOUT_MS	300
+/* Retry-After of a request that found every upstream full or away. */
+#define RETRY_NO_UPSTREAM_MS	300
+/* An answer to a call of a service that is larger than this is cut off. */
+#define MAX_ANSWER		((size_t)32 << 20)
+/* Expected tokens of a turn whose caller states no length. */
+#define DEFAULT_OUTPUT_TOKENS	256
+/* Connections to one upstream that an instance may always have. */
+#define LEAST_CONNECTIONS	4
+
+static enum hcp_take on_head(void *arg, const struct hmsg_head *head);
+static void on_data(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum hcp_end end, bool timed_out);
+
+static const struct hcp_handler upstream_handler = {on_head, on_data, on_end};
+
+/* Whether the request may run at a second upstream. */
+static bool
+is_repeatable(const struct edg_call *call)
+{
+	return (call->route->kind == CAT_SAFE ||
+	    (call->route->kind == CAT_STREAM && call->route->resumable));
+}
+
+static unsigned
+connection_share(const struct edg_call *call)
+{
+	unsigned share;
+
+	if (call->service == NULL || call->service->max_connections == 0)
+		return (0);
+	share = call->service->max_connections / call->edg->instances;
+	return (MAX(share, LEAST_CONNECTIONS));
+}
+
+static bool
+choose(struct edg_call *call)
+{
+	struct edg *edg = call->edg;
+	unsigned tokens = call->request.length_hint;
+	struct plc_request request = {
+	    .service = call->service_name,
+	    .parts = call->request.parts,
+	    .part_count = call->request.part_count,
+	    .max_connections = connection_share(call),
+	    .tried = call->tried,
+	    .tried_count = call->tries,
+	};
+
+	if (tokens == 0)
+		tokens = DEFAULT_OUTPUT_TOKENS;
+	if (call->request.turn_max > 0 && tokens > call->request.turn_max)
+		tokens = (unsigned)call->request.turn_max;
+	request.output_tokens = tokens;
+	if (call->tries == EDG_MAX_TRIES ||
+	    !plc_choose(edg->deps.plc, &request, edg_now(edg), &call->handle))
+		return (false);
+	call->tried[call->tries++] = call->handle;
+	return (true);
+}
+
+static void
+refuse_unplaced(struct edg_call *call)
+{
+	struct vd verdict;
+
+	if (call->runs > 0) {
+		verdict = vd_make(VD_MAYBE, VD_UPSTREAM_FAILED,
+		    "the upstream failed and there is no other");
+	} else {
+		verdict = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM,
+		    "no upstream can take the request now");
+		verdict.retry_after = RETRY_NO_UPSTREAM_MS;
+	}
+	edg_refuse(call, &verdict);
+}
+
+static void
+append(GByteArray *out, const GByteArray *data)
+{
+	if (data != NULL && data->len > 0)
+		(void)g_byte_array_append(out, data->data, data->len);
+}
+
+void
+edg_send(struct edg_call *call)
+{
+	struct edg *edg = call->edg;
+	const struct hmsg_head *head = hsv_head(call->client);
+	const GByteArray *input = hsv_body(call->client);
+	const struct plc_entry *upstream;
+	struct edg_forward forward;
+	struct hcp_request request;
+	g_autoptr(GByteArray) body = g_byte_array_new();
+	g_autoptr(GString) out = g_string_sized_new(1024);
+
+	if (!choose(call)) {
+		refuse_unplaced(call);
+		return;
+	}
+	upstream = plc_get(edg->deps.plc, call->handle);
+	append(body, call->history);
+	append(body, input);
+	call->sent = edg_now(edg);
+	call->last_event = 0;
+	(void)g_strlcpy(
+	    call->upstream_id, upstream->id, sizeof(call->upstream_id));
+	forward = (struct edg_forward){
+	    .upstream_id = upstream->id,
+	    .organisation = call->organisation != NULL
+		? call->organisation->name
+		: NULL,
+	    .timeout = MAX(call->deadline - call->sent, 1),
+	    .body_len = body->len,
+	};
+	edg->deps.wire->request_encode(out, head, &forward);
+	request = (struct hcp_request){
+	    .address = upstream->address,
+	    .head = out,
+	    .body = body->data,
+	    .body_len = body->len,
+	    .connect_timeout = CONNECT_TIMEOUT_MS,
+	    .is_head = strcmp(head->method, "HEAD") == 0,
+	    .handler = &upstream_handler,
+	    .arg = call,
+	};
+	call->has_reply = false;
+	call->upstream = hcp_start(edg->hcp, &request);
+}
+
+void
+edg_send_cancel(struct edg_call *call)
+{
+	if (call->upstream == NULL)
+		return;
+	hcp_cancel(call->upstream);
+	call->upstream = NULL;
+	plc_done(call->edg->deps.plc, call->handle, PLC_CANCELLED,
+	    edg_now(call->edg));
+}
+
+static enum hcp_take
+on_head(void *arg, const struct hmsg_head *head)
+{
+	struct edg_call *call = arg;
+	struct edg *edg = call->edg;
+	struct edg_reply *reply = &call->reply;
+
+	edg->deps.wire->reply_decode(head, call->request.id, reply);
+	if (!reply->is_ours && !reply->is_not_run && !reply->is_misdirected)
+		return (HCP_SKIP);
+	call->has_reply = true;
+	if (call->reply_fields == NULL)
+		call->reply_fields = g_string_new(NULL);
+	if (call->reply_body == NULL)
+		call->reply_body = g_byte_array_new();
+	(void)g_string_truncate(call->reply_fields, 0);
+	(void)g_byte_array_set_size(call->reply_body, 0);
+	edg->deps.wire->reply_encode(call->reply_fields, head);
+	plc_first(edg->deps.plc, call->handle,
+	    (double)(edg_now(edg) - call->sent));
+	if (call->route->kind == CAT_STREAM && reply->status == 200 &&
+	    reply->is_signed && !reply->is_encoded) {
+		if (call->sse.partial == NULL)
+			sse_init(&call->sse);
+		call->is_streaming = true;
+		call->runs++;
+		hsv_stream_begin(call->client, 200, call->reply_fields->str);
+	}
+	return (HCP_TAKE);
+}
+
+static void
+on_event(void *arg, const char *event, size_t len)
+{
+	struct edg_call *call = arg;
+	struct edg *edg = call->edg;
+	double now = ev_now(edg->deps.loop);
+
+	if (call->client == NULL)
+		return;
+	call->events++;
+	if (call->last_event > 0 && call->service != NULL)
+		plc_gap(edg->deps.plc, call->handle,
+		    (now - call->last_event) * 1000.0,
+		    call->service->tokens_per_event);
+	call->last_event = now;
+	if (call->turn != NULL)
+		sse_data_append(call->turn->output, event, len);
+	/* The caller's side may find that the caller has left. */
+	hsv_stream_data(call->client, event, len);
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+	struct edg_call *call = arg;
+
+	if (call->is_streaming) {
+		(void)edg_call_ref(call);
+		sse_push(&call->sse, data, len, on_event, call);
+		edg_call_unref(call);
+	} else if (call->reply_body->len + len <= MAX_ANSWER) {
+		(void)g_byte_array_append(
+		    call->reply_body, (const guint8 *)data, (guint)len);
+	}
+}
+
+/* Hand the upstream's whole answer to the caller. */
+static void
+pass_reply(struct edg_call *call)
+{
+	struct hsv_call *client = call->client;
+	int status = call->reply.status;
+	GString *fields = call->reply_fields;
+	GByteArray *body = call->reply_body;
+
+	call->reply_fields = NULL;
+	call->reply_body = NULL;
+	edg_end(call, status < 400 ? "served" : "upstream_status", status);
+	hsv_answer(client, status, fields->str, body->data, body->len);
+	(void)g_string_free(fields, TRUE);
+	(void)g_byte_array_unref(body);
+}
+
+/*
+ * Whether the answer may go to the caller.  A success must be signed and
+ * unencoded.  Statuses that promise that the request has not run may only
+ * come from an upstream that says so itself.
+ */
+static bool
+is_reply_passable(const struct edg_call *call)
+{
+	const struct edg_reply *reply = &call->reply;
+
+	if (!reply->is_ours || reply->is_encoded)
+		return (false);
+	if (reply->status >= 200 && reply->status < 300)
+		return (reply->is_signed);
+	switch (reply->status) {
+	case 408:
+	case 421:
+	case 429:
+	case 503:
+		return (false);
+	case 402:
+	case 404:
+	case 410:
+		/* On a stateful route these speak of turns and budgets. */
+		return (!call->route->stateful);
+	default:
+		return (true);
+	}
+}
+
+static void
+fail(struct edg_call *call, bool may_have_run, const char *detail)
+{
+	struct vd verdict;
+
+	if (may_have_run && is_repeatable(call) &&
+	    call->runs < call->route->max_attempts &&
+	    edg_now(call->edg) < call->deadline) {
+		edg_send(call);
+		return;
+	}
+	verdict = vd_make(
+	    VD_MAYBE, VD_UPSTREAM_FAILED, "%s", detail);
+	edg_refuse(call, &verdict);
+}
+
+static void
+stream_ended(struct edg_call *call, enum hcp_end end)
+{
+	struct hsv_call *client = call->client;
+
+	edg_budget_settle(call);
+	if (end == HCP_COMPLETE && call->sse.partial->len == 0) {
+		edg_turn_record(call);
+		return;
+	}
+	edg_end(call, "stream_cut", 0);
+	hsv_abort(client);
+}
+
+static void
+on_end(void *arg, enum hcp_end end, bool timed_out)
+{
+	struct edg_call *call = arg;
+	struct edg *edg = call->edg;
+	enum plc_outcome outcome = PLC_SERVED;
+	bool is_rejected = end == HCP_COMPLETE && call->has_reply &&
+	    (call->reply.is_not_run || call->reply.is_misdirected);
+
+	call->upstream = NULL;
+	if (end == HCP_NOT_SENT)
+		outcome = PLC_UNREACHABLE;
+	else if (end != HCP_COMPLETE)
+		outcome = PLC_FAILED;
+	else if (is_rejected && call->reply.is_misdirected)
+		outcome = PLC_MISDIRECTED;
+	else if (is_rejected)
+		outcome = PLC_REJECTED;
+	plc_done(edg->deps.plc, call->handle, outcome, edg_now(edg));
+	if (outcome != PLC_SERVED)
+		lg_event(edg->deps.lg, LG_INFO, "attempt",
+		    "request=%s upstream=%s try=%u end=%d timed_out=%d "
+		    "status=%d not_run=%d misdirected=%d",
+		    call->request.id, call->upstream_id, call->tries, end,
+		    timed_out, call->has_reply ? call->reply.status : 0,
+		    call->has_reply && call->reply.is_not_run,
+		    call->has_reply && call->reply.is_misdirected);
+	if (call->is_streaming) {
+		stream_ended(call, end);
+	} else if (end == HCP_NOT_SENT || is_rejected) {
+		edg_send(call);
+	} else if (end != HCP_COMPLETE) {
+		call->runs++;
+		fail(call, true, "the upstream broke off");
+	} else if (is_reply_passable(call)) {
+		call->runs++;
+		pass_reply(call);
+	} else {
+		call->runs++;
+		fail(call, true, "the upstream's answer can't be used");
+	}
+}
--- /dev/null
+++ b/src/edge/sse.h
@@ -0,0 +1,32 @@
+/*
+ * sse: a stream of server-sent events, divided into whole events.
+ */
+#ifndef SAMPHIRESHED_SSE_H
+#define SAMPHIRESHED_SSE_H
+
+#include <glib.h>
+#include <stddef.h>
+
+struct sse {
+	GByteArray *partial; /* of the event that is being read */
+};
+
+/*
+ * sse_event: a whole event, with the empty line that ends it.
+ */
+typedef void sse_event(void *arg, const char *event, size_t len);
+
+void sse_init(struct sse *sse);
+void sse_clear(struct sse *sse);
+
+/* sse_push(sse, data, len, on_event, arg): call on_event for each event. */
+void sse_push(struct sse *sse, const char *data, size_t len,
+    sse_event *on_event, void *arg);
+
+/*
+ * sse_data_append(out, event, len)
+ *	Append the event's data lines, joined by line feeds, and a line feed.
+ */
+void sse_data_append(GByteArray *out, const char *event, size_t len);
+
+#endif
--- /dev/null
+++ b/src/gossip/gsp.c
@@ -0,0 +1,380 @@
+#include "gossip/gsp.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <rpc/rpc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Period at which instances tell each other, in ms. */
+#define TELL_PERIOD_MS	  200
+/* Periods of this instance's record and of reading the others', in ms. */
+#define RENEW_PERIOD_MS	  4000
+#define READ_PERIOD_MS	  2000
+/* A record that has not changed for this time is of an instance that died. */
+#define RECORD_DEAD_MS	  12000
+#define STORE_TIMEOUT_MS  500
+#define DATAGRAM_MAX	  1400
+/* Organisations in one datagram, and bytes of a name. */
+#define COUNTS_MAX	  150
+#define NAME_MAX_BYTES	  128
+#define PROTOCOL_VERSION  0x53474f31U
+
+struct member {
+	struct sockaddr_in address;
+	char *record;
+	clk_ms changed; /* when the record was last seen to change */
+	bool is_dead; /* its record is no longer renewed */
+};
+
+struct gsp {
+	struct gsp_deps deps;
+	char *name;
+	uint64_t incarnation;
+	struct sockaddr_in address;
+	GHashTable *members; /* name -> struct member, without this one */
+	struct ev_io readable;
+	struct ev_timer tell;
+	struct ev_timer renew;
+	struct ev_timer read;
+	uint64_t renewals;
+	clk_ms last_read; /* of the members, that succeeded; 0: none */
+	int fd;
+	bool leaving;
+};
+
+static void
+member_free(void *data)
+{
+	struct member *member = data;
+
+	g_free(member->record);
+	g_free(member);
+}
+
+static bool_t
+xdr_count(XDR *xdrs, struct qta_count *count)
+{
+	return (xdr_uint32_t(xdrs, &count->organisation) &&
+	    xdr_uint32_t(xdrs, &count->admitted));
+}
+
+static bool_t
+xdr_datagram(XDR *xdrs, uint32_t *version, char **name,
+    uint64_t *incarnation, struct qta_count **counts, unsigned *n)
+{
+	return (xdr_uint32_t(xdrs, version) &&
+	    xdr_string(xdrs, name, NAME_MAX_BYTES) &&
+	    xdr_uint64_t(xdrs, incarnation) &&
+	    xdr_array(xdrs, (char **)counts, n, COUNTS_MAX, sizeof(**counts),
+		(xdrproc_t)xdr_count));
+}
+
+size_t
+gsp_encode(char *buf, size_t size, const char *name, uint64_t incarnation,
+    const struct qta_count *counts, unsigned n)
+{
+	XDR xdrs;
+	uint32_t version = PROTOCOL_VERSION;
+	char *name_copy = (char *)name;
+	struct qta_count *counts_copy = (struct qta_count *)counts;
+	size_t len = 0;
+
+	xdrmem_create(&xdrs, buf, (u_int)size, XDR_ENCODE);
+	if (xdr_datagram(&xdrs, &version, &name_copy, &incarnation,
+		&counts_copy, &n))
+		len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return (len);
+}
+
+bool
+gsp_decode(char *buf, size_t len, char **name, uint64_t *incarnation,
+    struct qta_count **counts, unsigned *n)
+{
+	XDR xdrs;
+	uint32_t version = 0;
+	char *raw_name = NULL;
+	struct qta_count *raw_counts = NULL;
+	bool ok;
+
+	*n = 0;
+	xdrmem_create(&xdrs, buf, (u_int)len, XDR_DECODE);
+	ok = xdr_datagram(
+		 &xdrs, &version, &raw_name, incarnation, &raw_counts, n) &&
+	    version == PROTOCOL_VERSION;
+	xdr_destroy(&xdrs);
+	*name = ok ? g_strdup(raw_name) : NULL;
+	*counts = ok ? g_memdup2(raw_counts, *n * sizeof(**counts)) : NULL;
+	/* The XDR library allocates with malloc(). */
+	free(raw_name);
+	free(raw_counts);
+	return (ok);
+}
+
+static void
+tell_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct gsp *gsp = watcher->data;
+	struct qta_count counts[COUNTS_MAX];
+	char buf[DATAGRAM_MAX];
+	GHashTableIter iter;
+	void *value;
+	size_t n = qta_counts(gsp->deps.qta, counts, COUNTS_MAX);
+	size_t len = gsp_encode(buf, sizeof(buf), gsp->name, gsp->incarnation,
+	    counts, (unsigned)n);
+
+	(void)loop;
+	(void)events;
+	qta_tick(gsp->deps.qta);
+	g_hash_table_iter_init(&iter, gsp->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		/* A lost datagram is made up for by the next one. */
+		(void)sendto(gsp->fd, buf, len, MSG_DONTWAIT,
+		    (const struct sockaddr *)&member->address,
+		    sizeof(member->address));
+	}
+}
+
+static void
+readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	struct gsp *gsp = watcher->data;
+	char buf[DATAGRAM_MAX];
+	ssize_t len;
+
+	(void)loop;
+	(void)events;
+	while ((len = recv(gsp->fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
+		g_autofree char *name = NULL;
+		g_autofree struct qta_count *counts = NULL;
+		uint64_t incarnation;
+		unsigned n;
+
+		if (!gsp_decode(
+			buf, (size_t)len, &name, &incarnation, &counts, &n)) {
+			lg_event(gsp->deps.lg, LG_WARNING, "datagram_refused",
+			    "bytes=%zd", len);
+			continue;
+		}
+		if (strcmp(name, gsp->name) != 0)
+			qta_heard(gsp->deps.qta, name, incarnation, counts, n,
+			    clk_now(&gsp->deps.clk));
+	}
+}
+
+/* A record is "ADDRESS PORT INCARNATION RENEWALS". */
+static bool
+record_parse(const char *record, struct sockaddr_in *address)
+{
+	char ip[INET_ADDRSTRLEN];
+	unsigned port;
+
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	if (sscanf(record, "%15s %u", ip, &port) != 2 || port > 65535 ||
+	    inet_pton(AF_INET, ip, &address->sin_addr) != 1)
+		return (false);
+	address->sin_port = htons((uint16_t)port);
+	return (true);
+}
+
+static void
+member_seen(struct gsp *gsp, const struct sto_record *record, clk_ms now)
+{
+	struct member *member = g_hash_table_lookup(gsp->members, record->key);
+	g_autofree char *text = g_strndup(record->value, record->len);
+	struct sockaddr_in address;
+
+	if (strcmp(record->key, gsp->name) == 0)
+		return;
+	if (!record_parse(text, &address)) {
+		lg_event(gsp->deps.lg, LG_WARNING, "member_unreadable",
+		    "bytes=%zu", record->len);
+		return;
+	}
+	if (member == NULL) {
+		member = g_new0(struct member, 1);
+		(void)g_hash_table_insert(
+		    gsp->members, g_strdup(record->key), member);
+		lg_event(gsp->deps.lg, LG_NOTICE, "member_found", "name=%s",
+		    record->key);
+	}
+	if (g_strcmp0(member->record, text) != 0) {
+		g_free(member->record);
+		member->record = g_steal_pointer(&text);
+		member->changed = now;
+	}
+	member->address = address;
+}
+
+static void
+members_shift(struct gsp *gsp, clk_ms by)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, gsp->members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct member *)value)->changed += by;
+}
+
+static void
+on_members(void *arg, const struct sto_reply *reply)
+{
+	struct gsp *gsp = arg;
+	clk_ms now = clk_now(&gsp->deps.clk);
+	GHashTableIter iter;
+	void *key, *value;
+	unsigned alive = 1;
+	clk_ms unread;
+
+	if (reply->status != STO_OK)
+		return;
+	/* Nobody could renew its record while the store was away. */
+	unread = gsp->last_read > 0 ? now - gsp->last_read : 0;
+	gsp->last_read = now;
+	if (unread > 2 * READ_PERIOD_MS)
+		members_shift(gsp, unread);
+	for (size_t i = 0; i < reply->count; i++)
+		member_seen(gsp, &reply->records[i], now);
+	g_hash_table_iter_init(&iter, gsp->members);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct member *member = value;
+		bool was_dead = member->is_dead;
+
+		if (sto_find(reply, key) == NULL) {
+			lg_event(gsp->deps.lg, LG_NOTICE, "member_left",
+			    "name=%s", (const char *)key);
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		member->is_dead = now - member->changed >= RECORD_DEAD_MS;
+		if (member->is_dead && !was_dead)
+			lg_event(gsp->deps.lg, LG_NOTICE, "member_dead",
+			    "name=%s unchanged_ms=%lld", (const char *)key,
+			    (long long)(now - member->changed));
+		if (!member->is_dead)
+			alive++;
+	}
+	qta_fleet_set(gsp->deps.qta, alive, now);
+	gsp->deps.on_fleet(gsp->deps.arg, alive);
+}
+
+static void
+read_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct gsp *gsp = watcher->data;
+	const struct sto_place place = {STO_MEMBERS, 0};
+
+	(void)loop;
+	(void)events;
+	gsp->deps.sto.ops->read(gsp->deps.sto.store, &place, STORE_TIMEOUT_MS,
+	    on_members, gsp);
+}
+
+static void
+on_renewed(void *arg, const struct sto_reply *reply)
+{
+	struct gsp *gsp = arg;
+
+	if (reply->status != STO_OK)
+		lg_event(gsp->deps.lg, LG_WARNING, "member_not_renewed",
+		    "status=%d", reply->status);
+}
+
+static void
+renew_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct gsp *gsp = watcher->data;
+	const struct sto_place place = {STO_MEMBERS, 0};
+	char ip[INET_ADDRSTRLEN];
+	char value[128];
+	struct sto_record record = {gsp->name, value, 0};
+
+	(void)loop;
+	(void)events;
+	if (gsp->leaving)
+		return;
+	(void)inet_ntop(AF_INET, &gsp->address.sin_addr, ip, sizeof(ip));
+	record.len = (size_t)snprintf(value, sizeof(value),
+	    "%s %u %llu %llu", ip, (unsigned)ntohs(gsp->address.sin_port),
+	    (unsigned long long)gsp->incarnation,
+	    (unsigned long long)++gsp->renewals);
+	gsp->deps.sto.ops->append(gsp->deps.sto.store, &place, STO_ANY_END,
+	    &record, STORE_TIMEOUT_MS, on_renewed, gsp);
+}
+
+void
+gsp_leave(struct gsp *gsp)
+{
+	const struct sto_place place = {STO_MEMBERS, 0};
+	const struct sto_record record = {gsp->name, NULL, 0};
+
+	gsp->leaving = true;
+	gsp->deps.sto.ops->append(gsp->deps.sto.store, &place, STO_ANY_END,
+	    &record, STORE_TIMEOUT_MS, on_renewed, gsp);
+}
+
+static void
+timer_begin(struct gsp *gsp, struct ev_timer *timer,
+    void (*cb)(struct ev_loop *, struct ev_timer *, int), clk_ms period)
+{
+	ev_timer_init(timer, cb, 0.0, (double)period / 1000.0);
+	timer->data = gsp;
+	ev_timer_start(gsp->deps.loop, timer);
+}
+
+struct gsp *
+gsp_open(const struct gsp_deps *deps, const char *name, uint64_t incarnation,
+    const struct sockaddr_in *address)
+{
+	struct gsp *gsp;
+	int saved;
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return (NULL);
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) !=
+	    0) {
+		saved = errno;
+		(void)close(fd);
+		errno = saved;
+		return (NULL);
+	}
+	gsp = g_new0(struct gsp, 1);
+	gsp->deps = *deps;
+	gsp->name = g_strdup(name);
+	gsp->incarnation = incarnation;
+	gsp->address = *address;
+	gsp->fd = fd;
+	gsp->members = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, member_free);
+	ev_io_init(&gsp->readable, readable_cb, fd, EV_READ);
+	gsp->readable.data = gsp;
+	ev_io_start(deps->loop, &gsp->readable);
+	timer_begin(gsp, &gsp->tell, tell_cb, TELL_PERIOD_MS);
+	timer_begin(gsp, &gsp->renew, renew_cb, RENEW_PERIOD_MS);
+	timer_begin(gsp, &gsp->read, read_cb, READ_PERIOD_MS);
+	return (gsp);
+}
+
+void
+gsp_close(struct gsp *gsp)
+{
+	if (gsp == NULL)
+		return;
+	ev_io_stop(gsp->deps.loop, &gsp->readable);
+	ev_timer_stop(gsp->deps.loop, &gsp->tell);
+	ev_timer_stop(gsp->deps.loop, &gsp->renew);
+	ev_timer_stop(gsp->deps.loop, &gsp->read);
+	(void)close(gsp->fd);
+	g_hash_table_destroy(gsp->members);
+	g_free(gsp->name);
+	g_free(gsp);
+}
--- /dev/null
+++ b/src/http/hsv.c
@@ -0,0 +1,593 @@
+#include "http/hsv.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG	   1024
+#define READ_SIZE	   16384
+/* A peer that leaves this much of a stream unread is cut off. */
+#define MAX_UNSENT	   ((size_t)4 << 20)
+/* Bytes of pipelined requests that are kept while one is handled. */
+#define MAX_PENDING	   65536
+/* Unacknowledged data ends a connection after this time, in ms. */
+#define USER_TIMEOUT_MS	   5000
+/* Keepalive probes find a caller whose connection went silent, in s. */
+#define KEEPALIVE_IDLE_S   2
+#define KEEPALIVE_PERIOD_S 1
+#define KEEPALIVE_PROBES   3
+/* Time for a peer to read the last answer before its connection is closed. */
+#define LINGER_MS	   1000
+/* Connections accepted in one turn of the loop. */
+#define ACCEPT_BATCH	   64
+
+enum state {
+	READING, /* between requests, or within one */
+	HANDLING, /* waits for the handler's answer */
+	STREAMING /* an answer in chunks has begun */
+};
+
+struct hsv_call {
+	struct hsv *hsv;
+	struct hsv_call *prev, *next;
+	struct hmsg_reader reader;
+	GByteArray *body;
+	GByteArray *pending; /* read but not parsed */
+	GByteArray *out;
+	size_t out_done;
+	struct ev_io readable;
+	struct ev_io writable;
+	struct ev_timer timer;
+	void *arg;
+	int fd;
+	enum state state;
+	unsigned depth; /* callbacks on the stack */
+	bool close_after; /* this answer ends the connection */
+	bool lingering; /* the last answer is sent; input is discarded */
+	bool dead;
+};
+
+struct hsv {
+	struct ev_loop *loop;
+	struct hsv_limits limits;
+	struct hsv_handler handler;
+	struct ev_io acceptor;
+	struct hsv_call *calls;
+	size_t count;
+	int fd;
+	bool draining;
+	bool stopped;
+};
+
+static void process_pending(struct hsv_call *call);
+
+static void
+call_free(struct hsv_call *call)
+{
+	hmsg_reader_clear(&call->reader);
+	(void)g_byte_array_unref(call->body);
+	(void)g_byte_array_unref(call->pending);
+	(void)g_byte_array_unref(call->out);
+	g_free(call);
+}
+
+/* Close the connection; the memory goes with the last callback. */
+static void
+call_close(struct hsv_call *call)
+{
+	struct hsv *hsv = call->hsv;
+
+	if (call->dead)
+		return;
+	call->dead = true;
+	ev_io_stop(hsv->loop, &call->readable);
+	ev_io_stop(hsv->loop, &call->writable);
+	ev_timer_stop(hsv->loop, &call->timer);
+	(void)close(call->fd);
+	if (call->prev != NULL)
+		call->prev->next = call->next;
+	else
+		hsv->calls = call->next;
+	if (call->next != NULL)
+		call->next->prev = call->prev;
+	hsv->count--;
+	if (call->depth == 0)
+		call_free(call);
+}
+
+static void
+call_enter(struct hsv_call *call)
+{
+	call->depth++;
+}
+
+static void
+call_leave(struct hsv_call *call)
+{
+	call->depth--;
+	if (call->dead && call->depth == 0)
+		call_free(call);
+}
+
+/* The peer is gone: tell the handler if it still works on the request. */
+static void
+call_lost(struct hsv_call *call)
+{
+	call_enter(call);
+	if (!call->dead && call->state != READING) {
+		call->state = READING;
+		call->hsv->handler.on_gone(call->hsv->handler.arg, call);
+	}
+	call_close(call);
+	call_leave(call);
+}
+
+static void
+timer_set(struct hsv_call *call, clk_ms delay)
+{
+	ev_timer_stop(call->hsv->loop, &call->timer);
+	if (delay <= 0)
+		return;
+	ev_timer_set(&call->timer, (double)delay / 1000.0, 0.0);
+	ev_timer_start(call->hsv->loop, &call->timer);
+}
+
+/* Send what is due; return false if the connection is gone. */
+static bool
+flush_out(struct hsv_call *call)
+{
+	while (call->out_done < call->out->len) {
+		ssize_t n = send(call->fd, call->out->data + call->out_done,
+		    call->out->len - call->out_done, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			call->out_done += (size_t)n;
+			continue;
+		}
+		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+			ev_io_start(call->hsv->loop, &call->writable);
+			return (true);
+		}
+		call_lost(call);
+		return (false);
+	}
+	ev_io_stop(call->hsv->loop, &call->writable);
+	(void)g_byte_array_set_size(call->out, 0);
+	call->out_done = 0;
+	if (call->state == READING && call->close_after && !call->lingering) {
+		/*
+		 * A close while input is unread would reset the connection,
+		 * and the peer could lose the answer.
+		 */
+		(void)shutdown(call->fd, SHUT_WR);
+		call->lingering = true;
+		timer_set(call, LINGER_MS);
+	}
+	return (!call->lingering);
+}
+
+static void
+put(struct hsv_call *call, const void *data, size_t len)
+{
+	(void)g_byte_array_append(call->out, data, (guint)len);
+}
+
+static void
+put_head(struct hsv_call *call, int status, const char *fields)
+{
+	struct hsv *hsv = call->hsv;
+	g_autofree char *line =
+	    g_strdup_printf("HTTP/1.1 %d %s\r\n", status, hmsg_reason(status));
+	char keep[64];
+
+	if (hsv->draining || !call->reader.head.keep_alive)
+		call->close_after = true;
+	put(call, line, strlen(line));
+	put(call, fields, strlen(fields));
+	if (call->close_after) {
+		put(call, "Connection: close\r\n", 19);
+		return;
+	}
+	(void)snprintf(keep, sizeof(keep), "Keep-Alive: timeout=%lld\r\n",
+	    (long long)(hsv->limits.idle_timeout / CLK_SECOND));
+	put(call, keep, strlen(keep));
+}
+
+/* The answer is complete: wait for the next request. */
+static void
+answer_ended(struct hsv_call *call)
+{
+	call->state = READING;
+	(void)g_byte_array_set_size(call->body, 0);
+	hmsg_reader_next(&call->reader);
+	call->arg = NULL;
+	call_enter(call);
+	if (flush_out(call) && !call->dead) {
+		timer_set(call, call->hsv->limits.idle_timeout);
+		if (call->pending->len > 0 && call->depth == 1)
+			process_pending(call);
+	}
+	call_leave(call);
+}
+
+void
+hsv_answer(struct hsv_call *call, int status, const char *fields,
+    const void *body, size_t len)
+{
+	char length[48];
+	bool is_head = g_strcmp0(call->reader.head.method, "HEAD") == 0;
+
+	put_head(call, status, fields);
+	(void)snprintf(
+	    length, sizeof(length), "Content-Length: %zu\r\n\r\n", len);
+	put(call, length, strlen(length));
+	if (len > 0 && !is_head)
+		put(call, body, len);
+	answer_ended(call);
+}
+
+void
+hsv_stream_begin(struct hsv_call *call, int status, const char *fields)
+{
+	put_head(call, status, fields);
+	put(call, "Transfer-Encoding: chunked\r\n\r\n", 30);
+	call->state = STREAMING;
+}
+
+void
+hsv_stream_data(struct hsv_call *call, const void *data, size_t len)
+{
+	char size[24];
+
+	if (len == 0)
+		return;
+	(void)snprintf(size, sizeof(size), "%zx\r\n", len);
+	put(call, size, strlen(size));
+	put(call, data, len);
+	put(call, "\r\n", 2);
+	if (call->out->len - call->out_done > MAX_UNSENT)
+		call_lost(call);
+	else
+		(void)flush_out(call);
+}
+
+void
+hsv_stream_end(struct hsv_call *call)
+{
+	put(call, "0\r\n\r\n", 5);
+	answer_ended(call);
+}
+
+void
+hsv_abort(struct hsv_call *call)
+{
+	call->state = READING;
+	call_close(call);
+}
+
+/* Refuse a request that can't be read, and close. */
+static void
+refuse(struct hsv_call *call, int status)
+{
+	call->close_after = true;
+	hsv_answer(call, status, "", "", 0);
+}
+
+static enum hmsg_next
+on_head(struct hmsg_reader *reader)
+{
+	struct hsv_call *call = reader->owner;
+
+	timer_set(call, call->hsv->limits.idle_timeout);
+	if (reader->head.has_expect) {
+		put(call, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		if (!flush_out(call))
+			return (HMSG_STOP);
+	}
+	return (HMSG_CONTINUE);
+}
+
+static enum hmsg_next
+on_data(struct hmsg_reader *reader, const char *data, size_t len)
+{
+	struct hsv_call *call = reader->owner;
+
+	if (call->body->len + len > call->hsv->limits.max_body) {
+		refuse(call, 413);
+		return (HMSG_STOP);
+	}
+	(void)g_byte_array_append(
+	    call->body, (const guint8 *)data, (guint)len);
+	timer_set(call, call->hsv->limits.idle_timeout);
+	return (HMSG_CONTINUE);
+}
+
+static enum hmsg_next
+on_end(struct hmsg_reader *reader)
+{
+	struct hsv_call *call = reader->owner;
+
+	timer_set(call, 0);
+	call->state = HANDLING;
+	return (HMSG_CONTINUE);
+}
+
+/* Parse what is pending, up to the end of one request after the other. */
+static void
+process_pending(struct hsv_call *call)
+{
+	struct hsv *hsv = call->hsv;
+
+	call_enter(call);
+	while (!call->dead && call->state == READING &&
+	    call->pending->len > 0 && !call->close_after) {
+		bool begun = call->reader.in_message;
+		size_t used;
+
+		if (!hmsg_reader_execute(&call->reader,
+			(const char *)call->pending->data, call->pending->len,
+			&used)) {
+			if (!call->dead && call->state == READING)
+				refuse(call,
+				    call->reader.head_too_large ? 431 : 400);
+			break;
+		}
+		if (call->dead || call->reader.stopped)
+			break;
+		(void)g_byte_array_remove_range(
+		    call->pending, 0, (guint)used);
+		if (!begun && call->reader.in_message &&
+		    !call->reader.has_head)
+			timer_set(call, hsv->limits.head_timeout);
+		if (call->state == HANDLING)
+			hsv->handler.on_request(hsv->handler.arg, call);
+	}
+	call_leave(call);
+}
+
+static void
+readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	struct hsv_call *call = watcher->data;
+	char buf[READ_SIZE];
+	ssize_t n;
+
+	(void)events;
+	if (call->state != READING && call->pending->len >= MAX_PENDING) {
+		/* The kernel holds the rest until the answer is sent. */
+		ev_io_stop(loop, watcher);
+		return;
+	}
+	n = recv(call->fd, buf, sizeof(buf), 0);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		call_lost(call);
+		return;
+	}
+	if (call->lingering)
+		return;
+	(void)g_byte_array_append(
+	    call->pending, (const guint8 *)buf, (guint)n);
+	if (call->state == READING)
+		process_pending(call);
+}
+
+static void
+writable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	struct hsv_call *call = watcher->data;
+
+	(void)loop;
+	(void)events;
+	call_enter(call);
+	if (flush_out(call) && !call->dead)
+		ev_io_start(call->hsv->loop, &call->readable);
+	call_leave(call);
+}
+
+static void
+timer_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct hsv_call *call = watcher->data;
+
+	(void)loop;
+	(void)events;
+	if (call->reader.in_message && !call->lingering)
+		refuse(call, 408);
+	else
+		call_close(call);
+}
+
+static void
+socket_prepare(int fd)
+{
+	int on = 1;
+	int user_timeout = USER_TIMEOUT_MS;
+	int idle = KEEPALIVE_IDLE_S;
+	int period = KEEPALIVE_PERIOD_S;
+	int probes = KEEPALIVE_PROBES;
+
+	/* Failures leave the kernel's defaults in force. */
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+	    sizeof(user_timeout));
+}
+
+static void
+accept_one(struct hsv *hsv, int fd)
+{
+	struct hsv_call *call;
+
+	if (hsv->count >= hsv->limits.max_connections) {
+		(void)close(fd);
+		return;
+	}
+	socket_prepare(fd);
+	call = g_new0(struct hsv_call, 1);
+	call->hsv = hsv;
+	call->fd = fd;
+	call->body = g_byte_array_new();
+	call->pending = g_byte_array_new();
+	call->out = g_byte_array_new();
+	hmsg_reader_init(&call->reader, HTTP_REQUEST, hsv->limits.max_head);
+	call->reader.owner = call;
+	call->reader.on_head = on_head;
+	call->reader.on_data = on_data;
+	call->reader.on_end = on_end;
+	ev_io_init(&call->readable, readable_cb, fd, EV_READ);
+	ev_io_init(&call->writable, writable_cb, fd, EV_WRITE);
+	ev_timer_init(&call->timer, timer_cb, 0.0, 0.0);
+	call->readable.data = call;
+	call->writable.data = call;
+	call->timer.data = call;
+	call->next = hsv->calls;
+	if (call->next != NULL)
+		call->next->prev = call;
+	hsv->calls = call;
+	hsv->count++;
+	ev_io_start(hsv->loop, &call->readable);
+	timer_set(call, hsv->limits.idle_timeout);
+}
+
+static void
+accept_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	struct hsv *hsv = watcher->data;
+
+	(void)loop;
+	(void)events;
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		int fd = accept4(
+		    hsv->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		accept_one(hsv, fd);
+	}
+}
+
+struct hsv *
+hsv_open(struct ev_loop *loop, const struct sockaddr_in *address,
+    const struct hsv_limits *limits, const struct hsv_handler *handler)
+{
+	struct hsv *hsv;
+	int on = 1;
+	int saved;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return (NULL);
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+	    listen(fd, LISTEN_BACKLOG) != 0) {
+		saved = errno;
+		(void)close(fd);
+		errno = saved;
+		return (NULL);
+	}
+	hsv = g_new0(struct hsv, 1);
+	hsv->loop = loop;
+	hsv->fd = fd;
+	hsv->limits = *limits;
+	hsv->handler = *handler;
+	ev_io_init(&hsv->acceptor, accept_cb, fd, EV_READ);
+	hsv->acceptor.data = hsv;
+	ev_io_start(loop, &hsv->acceptor);
+	return (hsv);
+}
+
+void
+hsv_close(struct hsv *hsv)
+{
+	if (hsv == NULL)
+		return;
+	while (hsv->calls != NULL)
+		call_close(hsv->calls);
+	if (!hsv->stopped) {
+		ev_io_stop(hsv->loop, &hsv->acceptor);
+		(void)close(hsv->fd);
+	}
+	g_free(hsv);
+}
+
+void
+hsv_limits_set(struct hsv *hsv, const struct hsv_limits *limits)
+{
+	hsv->limits = *limits;
+	for (struct hsv_call *call = hsv->calls; call != NULL;
+	    call = call->next)
+		call->reader.max_head = limits->max_head;
+}
+
+void
+hsv_drain(struct hsv *hsv)
+{
+	hsv->draining = true;
+}
+
+void
+hsv_stop(struct hsv *hsv)
+{
+	struct hsv_call *next;
+
+	if (!hsv->stopped) {
+		ev_io_stop(hsv->loop, &hsv->acceptor);
+		(void)close(hsv->fd);
+		hsv->stopped = true;
+	}
+	for (struct hsv_call *call = hsv->calls; call != NULL; call = next) {
+		next = call->next;
+		if (call->state == READING && !call->reader.in_message &&
+		    call->pending->len == 0 && call->out->len == 0)
+			call_close(call);
+	}
+}
+
+size_t
+hsv_active(const struct hsv *hsv)
+{
+	size_t active = 0;
+
+	for (const struct hsv_call *call = hsv->calls; call != NULL;
+	    call = call->next) {
+		if (call->state != READING || call->out->len > 0 ||
+		    (call->reader.in_message && !call->lingering))
+			active++;
+	}
+	return (active);
+}
+
+const struct hmsg_head *
+hsv_head(const struct hsv_call *call)
+{
+	return (&call->reader.head);
+}
+
+const GByteArray *
+hsv_body(const struct hsv_call *call)
+{
+	return (call->body);
+}
+
+void
+hsv_arg_set(struct hsv_call *call, void *arg)
+{
+	call->arg = arg;
+}
+
+void *
+hsv_arg(const struct hsv_call *call)
+{
+	return (call->arg);
+}
--- a/src/lib/lg.c
+++ b/src/lib/lg.c
@@ -1,5 +1,6 @@
 #include "lib/lg.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -14,11 +15,14 @@
 	clk_ms window_start;
 	unsigned lines;
 	unsigned suppressed;
+	unsigned limit; /* lines in a window */
 };
 
 struct lg {
 	struct clk clk;
 	enum lg_level level;
+	int fd;
+	unsigned dropped; /* lines that fd did not take */
 	GString *fields;
 	GHashTable *repeats; /* event name -> struct repeat */
 };
@@ -30,6 +34,7 @@
 
 	lg->clk = clk;
 	lg->level = level;
+	lg->fd = STDERR_FILENO;
 	lg->fields = g_string_new(NULL);
 	lg->repeats =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -55,24 +60,51 @@
 	    lg->fields, " %s=%s", key, lg_quote(buf, sizeof(buf), value));
 }
 
-/* Count the line; return false if it is to be dropped. */
-static bool
-is_line_allowed(struct lg *lg, const char *event, unsigned *suppressed)
+void
+lg_output_set(struct lg *lg, int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	lg->fd = fd;
+	if (flags >= 0)
+		(void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+static struct repeat *
+ensure_repeat(struct lg *lg, const char *event)
 {
 	struct repeat *repeat = g_hash_table_lookup(lg->repeats, event);
-	clk_ms now = clk_now(&lg->clk);
 
-	*suppressed = 0;
 	if (repeat == NULL) {
 		repeat = g_new0(struct repeat, 1);
-		repeat->window_start = now;
+		repeat->window_start = clk_now(&lg->clk);
+		repeat->limit = REPEAT_LINES;
 		g_hash_table_insert(lg->repeats, g_strdup(event), repeat);
 	}
+	return (repeat);
+}
+
+void
+lg_limit_set(struct lg *lg, const char *event, unsigned lines)
+{
+	ensure_repeat(lg, event)->limit = lines;
+}
+
+/* Count the line; return false if it is to be dropped. */
+static bool
+is_line_allowed(struct lg *lg, const char *event, unsigned *suppressed)
+{
+	struct repeat *repeat = ensure_repeat(lg, event);
+	clk_ms now = clk_now(&lg->clk);
+
+	*suppressed = 0;
 	if (now - repeat->window_start >= REPEAT_WINDOW) {
 		*suppressed = repeat->suppressed;
-		*repeat = (struct repeat){.window_start = now};
+		repeat->window_start = now;
+		repeat->lines = 0;
+		repeat->suppressed = 0;
 	}
-	if (repeat->lines >= REPEAT_LINES) {
+	if (repeat->lines >= repeat->limit) {
 		repeat->suppressed++;
 		return (false);
 	}
@@ -100,6 +132,8 @@
 	    (long long)(wall % 1000), lg->fields->str);
 	if (suppressed > 0)
 		g_string_append_printf(line, " suppressed=%u", suppressed);
+	if (lg->dropped > 0)
+		g_string_append_printf(line, " dropped=%u", lg->dropped);
 	if (format[0] != '\0') {
 		g_string_append_c(line, ' ');
 		va_start(ap, format);
@@ -108,9 +142,10 @@
 	}
 	g_string_append_c(line, '\n');
 	/* A single write keeps the lines of several processes apart. */
-	if (write(STDERR_FILENO, line->str, line->len) < 0) {
-		/* There is no other place to report to. */
-	}
+	if (write(lg->fd, line->str, line->len) < 0)
+		lg->dropped++;
+	else
+		lg->dropped = 0;
 	g_string_free(line, TRUE);
 }
 
--- a/src/lib/lg.h
+++ b/src/lib/lg.h
@@ -1,8 +1,8 @@
 /*
  * lg: log lines.
  *
- * One line of key=value pairs for each event on standard error, with a
- * syslog priority prefix "<N>".  A line starts with event= and the fields
+ * One line of key=value pairs for each event on standard error, or on the
+ * descriptor given by lg_output_set(), with a syslog priority prefix "<N>".  A line starts with event= and the fields
  * set by lg_field_set().  Values that hold a space, a quote or a control
  * character are quoted and escaped.
  */
@@ -37,6 +37,20 @@
  */
 void lg_field_set(struct lg *lg, const char *key, const char *value);
 
+/*
+ * lg_output_set(lg, fd)
+ *	Write to fd, which becomes non-blocking: a line that it can't take at
+ *	once is dropped and counted, and the next line that is written carries
+ *	dropped=N.
+ */
+void lg_output_set(struct lg *lg, int fd);
+
+/*
+ * lg_limit_set(lg, event, lines)
+ *	Write up to so many lines of an event in 10 s instead of 20.
+ */
+void lg_limit_set(struct lg *lg, const char *event, unsigned lines);
+
 /*
  * lg_event(lg, level, event, format, ...)
  *	Write one line.  format gives further key=value pairs; use lg_quote()
--- /dev/null
+++ b/src/quota/qta.c
@@ -0,0 +1,266 @@
+#include "quota/qta.h"
+
+#include <math.h>
+
+/*
+ * A peer that was not heard for this time counts as cut off.  Twice the
+ * period at which instances tell each other, and a lost datagram.
+ */
+#define PEER_SILENT_MS 600
+/* A peer that was not heard for this time is forgotten. */
+#define PEER_FORGET_MS (30 * CLK_SECOND)
+/* Part of the burst that one instance may spend while it hears nobody. */
+#define LOWEST_SHARE   0.02
+/* Weight of the last tick in the moving averages of requests. */
+#define TICK_WEIGHT    0.3
+
+struct bucket {
+	uint32_t hash;
+	double level; /* tokens; below 0 after more was admitted than there was
+			 */
+	double rate; /* limit last seen */
+	double burst;
+	clk_ms updated;
+	uint32_t admitted; /* by this instance */
+	double own; /* requests a tick here: moving average */
+	double others; /* and at the other instances */
+	unsigned own_tick; /* admitted here since the last tick */
+	unsigned asked_tick; /* asked for here since the last tick */
+	unsigned others_tick;
+};
+
+struct peer {
+	uint64_t incarnation;
+	clk_ms heard;
+	GHashTable *seen; /* organisation -> admitted */
+};
+
+struct qta {
+	GHashTable *buckets; /* hash -> struct bucket */
+	GHashTable *peers; /* name -> struct peer */
+	unsigned instances;
+	clk_ms start;
+};
+
+static void
+peer_free(void *data)
+{
+	struct peer *peer = data;
+
+	g_hash_table_destroy(peer->seen);
+	g_free(peer);
+}
+
+struct qta *
+qta_open(clk_ms start)
+{
+	struct qta *qta = g_new0(struct qta, 1);
+
+	qta->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	qta->peers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, peer_free);
+	qta->instances = 1;
+	qta->start = start;
+	return (qta);
+}
+
+void
+qta_close(struct qta *qta)
+{
+	if (qta == NULL)
+		return;
+	g_hash_table_destroy(qta->buckets);
+	g_hash_table_destroy(qta->peers);
+	g_free(qta);
+}
+
+uint32_t
+qta_hash(const char *name)
+{
+	return ((uint32_t)g_str_hash(name));
+}
+
+static struct bucket *
+ensure_bucket(struct qta *qta, uint32_t hash)
+{
+	struct bucket *bucket =
+	    g_hash_table_lookup(qta->buckets, GUINT_TO_POINTER(hash));
+
+	if (bucket == NULL) {
+		bucket = g_new0(struct bucket, 1);
+		bucket->hash = hash;
+		bucket->updated = qta->start;
+		(void)g_hash_table_insert(
+		    qta->buckets, GUINT_TO_POINTER(hash), bucket);
+	}
+	return (bucket);
+}
+
+unsigned
+qta_live(const struct qta *qta, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+	unsigned live = 0;
+
+	g_hash_table_iter_init(&iter, qta->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (now - peer->heard < PEER_SILENT_MS)
+			live++;
+	}
+	return (live);
+}
+
+/* The part of the limit that the instances that hear each other may use. */
+static double
+group_share(const struct qta *qta, clk_ms now)
+{
+	unsigned group = qta_live(qta, now) + 1;
+
+	if (group >= qta->instances)
+		return (1.0);
+	return (fmax((double)group / qta->instances, LOWEST_SHARE));
+}
+
+static void
+refill(struct bucket *bucket, double rate, double burst, clk_ms now)
+{
+	double elapsed = (double)(now - bucket->updated) / (double)CLK_SECOND;
+
+	if (rate <= 0)
+		return;
+	if (elapsed > 0)
+		bucket->level += elapsed * rate;
+	bucket->level = fmin(bucket->level, burst);
+	bucket->updated = now;
+}
+
+void
+qta_fleet_set(struct qta *qta, unsigned instances, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	qta->instances = MAX(instances, 1U);
+	g_hash_table_iter_init(&iter, qta->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (now - peer->heard >= PEER_FORGET_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+qta_heard(struct qta *qta, const char *name, uint64_t incarnation,
+    const struct qta_count *counts, size_t n, clk_ms now)
+{
+	struct peer *peer = g_hash_table_lookup(qta->peers, name);
+	bool is_new = peer == NULL;
+	struct bucket *bucket;
+
+	if (is_new) {
+		peer = g_new0(struct peer, 1);
+		peer->seen = g_hash_table_new(NULL, NULL);
+		(void)g_hash_table_insert(qta->peers, g_strdup(name), peer);
+	} else if (peer->incarnation != incarnation) {
+		/* It started again, and counts from zero. */
+		g_hash_table_remove_all(peer->seen);
+	}
+	peer->incarnation = incarnation;
+	peer->heard = now;
+	for (size_t i = 0; i < n; i++) {
+		void *key = GUINT_TO_POINTER(counts[i].organisation);
+		uint32_t before =
+		    GPOINTER_TO_UINT(g_hash_table_lookup(peer->seen, key));
+
+		(void)g_hash_table_insert(
+		    peer->seen, key, GUINT_TO_POINTER(counts[i].admitted));
+		/* What a new peer admitted earlier can't be dated. */
+		if (is_new || counts[i].admitted <= before)
+			continue;
+		bucket = ensure_bucket(qta, counts[i].organisation);
+		refill(bucket, bucket->rate, bucket->burst, now);
+		bucket->level -= (double)(counts[i].admitted - before);
+		bucket->others_tick += counts[i].admitted - before;
+	}
+}
+
+void
+qta_tick(struct qta *qta)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, qta->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bucket *bucket = value;
+
+		bucket->own += TICK_WEIGHT * (bucket->asked_tick - bucket->own);
+		bucket->others +=
+		    TICK_WEIGHT * (bucket->others_tick - bucket->others);
+		bucket->own_tick = 0;
+		bucket->asked_tick = 0;
+		bucket->others_tick = 0;
+	}
+}
+
+/* What this instance may admit between two ticks. */
+static double
+tick_allowance(const struct qta *qta, const struct bucket *bucket)
+{
+	double total = bucket->own + bucket->others;
+	double part = total > 0 ? bucket->own / total : 0;
+
+	part = fmax(part, 1.0 / qta->instances);
+	return (fmax(1.0, part * (bucket->level + bucket->own_tick)));
+}
+
+bool
+qta_admit(struct qta *qta, const char *name, double rate, double burst,
+    clk_ms now, clk_ms *wait)
+{
+	struct bucket *bucket;
+	double share;
+
+	*wait = 0;
+	bucket = ensure_bucket(qta, qta_hash(name));
+	if (rate <= 0) {
+		bucket->admitted++;
+		return (true);
+	}
+	bucket->rate = rate;
+	bucket->burst = burst;
+	share = group_share(qta, now);
+	refill(bucket, rate * share, burst * share, now);
+	bucket->asked_tick++;
+	if (bucket->level < 1.0 ||
+	    bucket->own_tick >= tick_allowance(qta, bucket)) {
+		*wait = (clk_ms)ceil(fmax(1.0 - bucket->level, 0) /
+		    (rate * share) * (double)CLK_SECOND);
+		return (false);
+	}
+	bucket->level -= 1.0;
+	bucket->own_tick++;
+	bucket->admitted++;
+	return (true);
+}
+
+size_t
+qta_counts(const struct qta *qta, struct qta_count *counts, size_t max)
+{
+	GHashTableIter iter;
+	void *value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, qta->buckets);
+	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bucket *bucket = value;
+
+		counts[n++] =
+		    (struct qta_count){bucket->hash, bucket->admitted};
+	}
+	return (n);
+}
--- /dev/null
+++ b/src/turn/trn.c
@@ -0,0 +1,214 @@
+#include "turn/trn.h"
+
+#include <string.h>
+
+/*
+ * Record: version, then four strings, each with a length of 4 bytes, the
+ * most significant first: organisation, ancestors (separated by spaces),
+ * input, output.
+ */
+#define RECORD_VERSION 1
+
+struct trn_cache {
+	size_t max_bytes;
+	size_t bytes;
+	clk_ms retention;
+	GHashTable *turns; /* id -> GList node in order */
+	GQueue order; /* the least recently used first */
+};
+
+struct trn_turn *
+trn_new(const char *id, const char *organisation)
+{
+	struct trn_turn *turn = g_new0(struct trn_turn, 1);
+
+	turn->id = g_strdup(id);
+	turn->organisation = g_strdup(organisation);
+	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
+	turn->input = g_byte_array_new();
+	turn->output = g_byte_array_new();
+	return (turn);
+}
+
+void
+trn_free(struct trn_turn *turn)
+{
+	if (turn == NULL)
+		return;
+	g_free(turn->id);
+	g_free(turn->organisation);
+	g_ptr_array_free(turn->ancestors, TRUE);
+	(void)g_byte_array_unref(turn->input);
+	(void)g_byte_array_unref(turn->output);
+	g_free(turn);
+}
+
+static void
+put_string(GByteArray *out, const void *data, size_t len)
+{
+	guint32 size = GUINT32_TO_BE((guint32)len);
+
+	(void)g_byte_array_append(out, (const guint8 *)&size, sizeof(size));
+	(void)g_byte_array_append(out, data, (guint)len);
+}
+
+GByteArray *
+trn_encode(const struct trn_turn *turn)
+{
+	GByteArray *out = g_byte_array_sized_new(
+	    turn->input->len + turn->output->len + 256);
+	g_autoptr(GString) ancestors = g_string_new(NULL);
+	guint8 version = RECORD_VERSION;
+
+	for (guint i = 0; i < turn->ancestors->len; i++)
+		g_string_append_printf(ancestors, "%s%s", i == 0 ? "" : " ",
+		    (const char *)turn->ancestors->pdata[i]);
+	(void)g_byte_array_append(out, &version, 1);
+	put_string(out, turn->organisation, strlen(turn->organisation));
+	put_string(out, ancestors->str, ancestors->len);
+	put_string(out, turn->input->data, turn->input->len);
+	put_string(out, turn->output->data, turn->output->len);
+	return (out);
+}
+
+static bool
+get_string(
+    const guint8 **at, const guint8 *end, const guint8 **data, size_t *len)
+{
+	guint32 size;
+
+	if ((size_t)(end - *at) < sizeof(size))
+		return (false);
+	memcpy(&size, *at, sizeof(size));
+	*at += sizeof(size);
+	*len = GUINT32_FROM_BE(size);
+	if ((size_t)(end - *at) < *len)
+		return (false);
+	*data = *at;
+	*at += *len;
+	return (true);
+}
+
+struct trn_turn *
+trn_decode(const char *id, const struct sto_record *record)
+{
+	const guint8 *at = record->value;
+	const guint8 *end = at + record->len;
+	const guint8 *part[4];
+	size_t len[4];
+	struct trn_turn *turn;
+
+	if (record->len == 0 || *at++ != RECORD_VERSION)
+		return (NULL);
+	for (int i = 0; i < 4; i++) {
+		if (!get_string(&at, end, &part[i], &len[i]))
+			return (NULL);
+	}
+	turn = g_new0(struct trn_turn, 1);
+	turn->id = g_strdup(id);
+	turn->organisation = g_strndup((const char *)part[0], len[0]);
+	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
+	if (len[1] > 0) {
+		g_autofree char *text =
+		    g_strndup((const char *)part[1], len[1]);
+		g_auto(GStrv) ids = g_strsplit(text, " ", -1);
+
+		for (char **p = ids; *p != NULL; p++)
+			g_ptr_array_add(turn->ancestors, g_strdup(*p));
+	}
+	turn->input = g_byte_array_sized_new((guint)len[2]);
+	turn->output = g_byte_array_sized_new((guint)len[3]);
+	(void)g_byte_array_append(turn->input, part[2], (guint)len[2]);
+	(void)g_byte_array_append(turn->output, part[3], (guint)len[3]);
+	return (turn);
+}
+
+struct trn_cache *
+trn_cache_open(size_t max_bytes, clk_ms retention)
+{
+	struct trn_cache *cache = g_new0(struct trn_cache, 1);
+
+	cache->max_bytes = max_bytes;
+	cache->retention = retention;
+	cache->turns = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&cache->order);
+	return (cache);
+}
+
+static size_t
+turn_bytes(const struct trn_turn *turn)
+{
+	return (sizeof(*turn) + turn->input->len + turn->output->len +
+	    turn->ancestors->len * 32);
+}
+
+static void
+drop(struct trn_cache *cache, GList *node)
+{
+	struct trn_turn *turn = node->data;
+
+	cache->bytes -= turn_bytes(turn);
+	(void)g_hash_table_remove(cache->turns, turn->id);
+	g_queue_delete_link(&cache->order, node);
+	trn_free(turn);
+}
+
+void
+trn_cache_close(struct trn_cache *cache)
+{
+	if (cache == NULL)
+		return;
+	while (cache->order.head != NULL)
+		drop(cache, cache->order.head);
+	g_hash_table_destroy(cache->turns);
+	g_free(cache);
+}
+
+void
+trn_cache_put(struct trn_cache *cache, struct trn_turn *turn, clk_ms now)
+{
+	GList *old = g_hash_table_lookup(cache->turns, turn->id);
+
+	if (old != NULL)
+		drop(cache, old);
+	turn->used = now;
+	g_queue_push_tail(&cache->order, turn);
+	(void)g_hash_table_insert(
+	    cache->turns, turn->id, cache->order.tail);
+	cache->bytes += turn_bytes(turn);
+	while (cache->bytes > cache->max_bytes && cache->order.length > 1)
+		drop(cache, cache->order.head);
+}
+
+const struct trn_turn *
+trn_cache_get(struct trn_cache *cache, const char *id, clk_ms now)
+{
+	GList *node = g_hash_table_lookup(cache->turns, id);
+	struct trn_turn *turn;
+
+	if (node == NULL)
+		return (NULL);
+	turn = node->data;
+	turn->used = now;
+	g_queue_unlink(&cache->order, node);
+	g_queue_push_tail_link(&cache->order, node);
+	return (turn);
+}
+
+void
+trn_cache_expire(struct trn_cache *cache, clk_ms now)
+{
+	while (cache->order.head != NULL) {
+		const struct trn_turn *turn = cache->order.head->data;
+
+		if (now - turn->used < cache->retention)
+			return;
+		drop(cache, cache->order.head);
+	}
+}
+
+size_t
+trn_cache_bytes(const struct trn_cache *cache)
+{
+	return (cache->bytes);
+}
--- /dev/null
+++ b/src/turn/trn.h
@@ -0,0 +1,57 @@
+/*
+ * trn: turns of programs whose history the system keeps.
+ *
+ * A turn is one record of the store: its new input, its output, and the ids
+ * of the turns before it.  An engine gets the inputs and outputs of a whole
+ * chain.  Instances keep recent turns in memory; the store is the truth.
+ */
+#ifndef SAMPHIRESHED_TRN_H
+#define SAMPHIRESHED_TRN_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "lib/clk.h"
+#include "store/sto.h"
+
+/* A turn that ended.  ancestors are ids, the oldest first. */
+struct trn_turn {
+	char *id;
+	char *organisation;
+	GPtrArray *ancestors;
+	GByteArray *input;
+	GByteArray *output; /* each event's data and a line feed */
+	clk_ms used; /* last, on the instance's clock */
+};
+
+struct trn_cache;
+
+/* trn_new(id, organisation): a turn without ancestors, input and output. */
+struct trn_turn *trn_new(const char *id, const char *organisation);
+void trn_free(struct trn_turn *turn);
+
+/*
+ * trn_encode(turn), trn_decode(id, record)
+ *	Convert between a turn and its record.  trn_decode() returns nil for
+ *	a record that can't be read.
+ */
+GByteArray *trn_encode(const struct trn_turn *turn);
+struct trn_turn *trn_decode(const char *id, const struct sto_record *record);
+
+/*
+ * trn_cache_open(max_bytes, retention)
+ *	A cache that drops the turns used least recently above max_bytes, and
+ *	those not used for retention.
+ */
+struct trn_cache *trn_cache_open(size_t max_bytes, clk_ms retention);
+void trn_cache_close(struct trn_cache *cache);
+
+/* trn_cache_put(cache, turn, now): takes over turn. */
+void trn_cache_put(
+    struct trn_cache *cache, struct trn_turn *turn, clk_ms now);
+const struct trn_turn *trn_cache_get(
+    struct trn_cache *cache, const char *id, clk_ms now);
+void trn_cache_expire(struct trn_cache *cache, clk_ms now);
+size_t trn_cache_bytes(const struct trn_cache *cache);
+
+#endif
