Give unused grants of idle programs back to their budgets

Cause: lines of turns of one program move between instances and data centres, and each instance kept half of what was left; 54 of 877 programs found nothing.

--- a/src/budget/bgt.c
+++ b/src/budget/bgt.c
@@ -3,11 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
-/*
- * A grant is half of what is left, so that a program that moves to another
- * instance after a death finds tokens, but at least this many turns.
- */
-#define GRANT_LEAST_TURNS 2
+/* A grant is enough for so many turns, as far as the budget reaches. */
+#define GRANT_TURNS 2
 
 struct program {
 	char *id;
@@ -16,7 +13,12 @@
 	int64_t reserved; /* by turns that run here */
 	bool is_spent; /* nothing is left, and no other session holds any */
 	bool is_returning; /* a record that gives tokens back is on its way */
+	clk_ms held_until; /* other sessions hold what is left */
 	clk_ms last; /* turn */
+	char *ledger; /* as last read or written; nil: not known */
+	size_t ledger_len;
+	int64_t end; /* of the ledger's place then */
+	bool is_known; /* end is known; without ledger, there is none */
 };
 
 struct bgt {
@@ -37,6 +39,7 @@
 	struct program *program = data;
 
 	g_free(program->id);
+	g_free(program->ledger);
 	g_free(program);
 }
 
@@ -93,7 +96,8 @@
 		program->reserved += turn_max;
 		return (BGT_RUN);
 	}
-	return (program->is_spent ? BGT_SPENT : BGT_TAKE);
+	return (program->is_spent || now < program->held_until ? BGT_SPENT
+							       : BGT_TAKE);
 }
 
 void
@@ -108,14 +112,15 @@
 
 static void
 ledger_parse(
-    struct ledger *ledger, const struct sto_record *record, int64_t budget)
+    struct ledger *ledger, const struct program *program, int64_t budget)
 {
 	json_t *root = NULL;
 	json_t *grants;
 
 	ledger->budget = budget;
-	if (record != NULL)
-		root = json_loadb(record->value, record->len, 0, NULL);
+	if (program->ledger != NULL)
+		root =
+		    json_loadb(program->ledger, program->ledger_len, 0, NULL);
 	grants = json_object_get(root, "grants");
 	ledger->grants =
 	    json_is_object(grants) ? json_incref(grants) : json_object();
@@ -158,74 +163,104 @@
 	return (sum);
 }
 
+void
+bgt_ledger_set(struct bgt *bgt, const char *id,
+    const struct sto_record *record, int64_t end, clk_ms now)
+{
+	struct program *program = ensure_program(bgt, id, now);
+	struct ledger ledger;
+
+	g_free(program->ledger);
+	program->ledger = record != NULL
+	    ? g_memdup2(record->value, record->len)
+	    : NULL;
+	program->ledger_len = record != NULL ? record->len : 0;
+	program->end = end;
+	program->is_known = true;
+	program->is_returning = false;
+	ledger_parse(&ledger, program, 0);
+	program->granted = ledger_grant(&ledger, bgt->session);
+	json_decref(ledger.grants);
+}
+
+void
+bgt_ledger_forget(struct bgt *bgt, const char *id)
+{
+	struct program *program = g_hash_table_lookup(bgt->programs, id);
+
+	if (program != NULL)
+		program->is_known = false;
+}
+
 enum bgt_taken
 bgt_take(struct bgt *bgt, const char *id, int64_t budget, int64_t turn_max,
-    const struct sto_record *record, char **value, clk_ms now)
+    char **value, int64_t *end, clk_ms now)
 {
 	struct program *program = ensure_program(bgt, id, now);
 	struct ledger ledger;
 	enum bgt_taken taken = BGT_WRITE;
-	int64_t left, own, take;
+	int64_t left, sum, take;
 
 	*value = NULL;
-	ledger_parse(&ledger, record, budget);
-	own = ledger_grant(&ledger, bgt->session);
-	program->granted = own;
-	program->is_returning = false;
-	left = ledger.budget - ledger_sum(&ledger);
-	if (available(program) >= turn_max) {
-		taken = BGT_TAKEN;
-		goto out;
-	}
-	take = MAX(left / 2, GRANT_LEAST_TURNS * turn_max);
-	take = MIN(take, left);
+	if (available(program) >= turn_max)
+		return (BGT_TAKEN);
+	if (!program->is_known)
+		return (BGT_READ);
+	ledger_parse(&ledger, program, budget);
+	sum = ledger_sum(&ledger);
+	left = ledger.budget - sum;
+	take = MIN(GRANT_TURNS * turn_max - available(program), left);
 	if (available(program) + take < turn_max) {
-		program->is_spent = ledger_sum(&ledger) == own;
+		program->is_spent = sum == program->granted;
 		taken = program->is_spent ? BGT_NONE : BGT_HELD;
-		goto out;
+	} else {
+		(void)json_object_set_new(ledger.grants, bgt->session,
+		    json_integer(program->granted + take));
+		*value = ledger_format(&ledger);
+		*end = program->end;
 	}
-	(void)json_object_set_new(
-	    ledger.grants, bgt->session, json_integer(own + take));
-	*value = ledger_format(&ledger);
-out:
 	json_decref(ledger.grants);
 	return (taken);
 }
 
-void
-bgt_written(struct bgt *bgt, const char *id, const char *value, clk_ms now)
+bool
+bgt_idle(const struct bgt *bgt, const char *id)
 {
-	struct sto_record record = {id, value, strlen(value)};
-	struct program *program = ensure_program(bgt, id, now);
-	struct ledger ledger;
+	const struct program *program = g_hash_table_lookup(bgt->programs, id);
 
-	ledger_parse(&ledger, &record, 0);
-	program->granted = ledger_grant(&ledger, bgt->session);
-	program->is_returning = false;
-	json_decref(ledger.grants);
+	return (program != NULL && program->reserved == 0 &&
+	    program->granted > program->used);
 }
 
-bool
-bgt_return(struct bgt *bgt, const char *id, const struct sto_record *record,
-    char **value, clk_ms now)
+enum bgt_taken
+bgt_return(struct bgt *bgt, const char *id, char **value, int64_t *end)
 {
 	struct program *program = g_hash_table_lookup(bgt->programs, id);
 	struct ledger ledger;
 
-	(void)now;
 	*value = NULL;
-	if (program == NULL || record == NULL || program->reserved > 0)
-		return (false);
-	ledger_parse(&ledger, record, 0);
-	program->granted = ledger_grant(&ledger, bgt->session);
-	program->is_returning = program->granted > program->used;
-	if (program->is_returning) {
-		(void)json_object_set_new(ledger.grants, bgt->session,
-		    json_integer(program->used));
-		*value = ledger_format(&ledger);
-	}
+	if (!bgt_idle(bgt, id))
+		return (BGT_NONE);
+	/* Until the outcome is known, nothing more runs from this grant. */
+	program->is_returning = true;
+	if (!program->is_known)
+		return (BGT_READ);
+	ledger_parse(&ledger, program, 0);
+	(void)json_object_set_new(
+	    ledger.grants, bgt->session, json_integer(program->used));
+	*value = ledger_format(&ledger);
+	*end = program->end;
 	json_decref(ledger.grants);
-	return (program->is_returning);
+	return (BGT_WRITE);
+}
+
+void
+bgt_held(struct bgt *bgt, const char *id, clk_ms until)
+{
+	struct program *program = g_hash_table_lookup(bgt->programs, id);
+
+	if (program != NULL)
+		program->held_until = until;
 }
 
 guint
--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -3,9 +3,14 @@
  *
  * A program's budget lies in the store as a ledger: how much of it has been
  * granted to which session of an instance.  An instance takes a grant before
- * it runs a turn, and runs further turns from what is left of the grant
- * without the store.  What an instance that died had not used stays spent,
- * so the sum over all instances never exceeds the budget.
+ * it runs a turn, runs further turns from what is left of the grant, and
+ * gives the rest back when the program has been idle here for a short time.
+ * Each change of a ledger is refused by the store if another session has
+ * changed it since it was read, so the sum over all instances never exceeds
+ * the budget.  What an instance that died had not given back stays spent.
+ *
+ * Answers the load pattern of programs whose lines of turns move between
+ * instances, and of programs that start sub-agents without end.
  *
  * Decisions only: the caller reads and writes the ledger.
  */
@@ -28,9 +33,10 @@
 	BGT_SPENT /* the budget holds no further turn */
 };
 
-/* The outcome of reading a ledger. */
+/* A decision on the ledger. */
 enum bgt_taken {
-	BGT_TAKEN, /* the grant is in the ledger already */
+	BGT_TAKEN, /* the grant suffices already */
+	BGT_READ, /* the ledger has to be read first */
 	BGT_WRITE, /* append the record, expecting the end that was read */
 	BGT_NONE, /* the budget is spent for good */
 	BGT_HELD /* what is left is granted to other sessions */
@@ -59,28 +65,47 @@
     int64_t used, clk_ms now);
 
 /*
- * bgt_take(bgt, program, budget, turn_max, reply, value, now)
- *	Decide on a ledger that was read.  With BGT_WRITE, *value is the new
- *	record, to be freed by g_free(); call bgt_written() when the append
- *	succeeded, or read again when its outcome is not known.
+ * bgt_ledger_set(bgt, program, record, end, now)
+ *	The ledger was read: record is nil if there is none.  end is the end
+ *	of its place in the store.
+ * bgt_ledger_forget(bgt, program)
+ *	The ledger has changed, or may have: it has to be read again.
  */
-enum bgt_taken bgt_take(struct bgt *bgt, const char *program, int64_t budget,
-    int64_t turn_max, const struct sto_record *record, char **value,
-    clk_ms now);
+void bgt_ledger_set(struct bgt *bgt, const char *program,
+    const struct sto_record *record, int64_t end, clk_ms now);
+void bgt_ledger_forget(struct bgt *bgt, const char *program);
 
-/* bgt_written(bgt, program, value): the record is in the store. */
-void bgt_written(
-    struct bgt *bgt, const char *program, const char *value, clk_ms now);
+/*
+ * bgt_take(bgt, program, budget, turn_max, value, end, now)
+ *	Decide how to get a grant for a turn.  With BGT_WRITE, *value is the
+ *	new record, to be freed by g_free(), and *end the end to expect; call
+ *	bgt_ledger_set() with them when the append succeeded.
+ */
+enum bgt_taken bgt_take(struct bgt *bgt, const char *program, int64_t budget,
+    int64_t turn_max, char **value, int64_t *end, clk_ms now);
 
 /*
- * bgt_return(bgt, program, record, value, now)
- *	Give back what this session holds of an idle program's grant; see
- *	bgt_take() for *value.  bgt_returned() follows a successful append.
+ * bgt_return(bgt, program, value, end)
+ *	Give back what this session holds of an idle program's grant.
  * RETURN VALUES
- *	false if there is nothing to give back, or a turn is running.
+ *	BGT_READ and BGT_WRITE as in bgt_take(); BGT_NONE if there is nothing
+ *	to give back, or a turn is running.
+ */
+enum bgt_taken bgt_return(
+    struct bgt *bgt, const char *program, char **value, int64_t *end);
+
+/*
+ * bgt_held(bgt, program, until)
+ *	Other sessions hold what is left: bgt_reserve() answers BGT_SPENT
+ *	until then, instead of having the ledger read for each turn.
+ */
+void bgt_held(struct bgt *bgt, const char *program, clk_ms until);
+
+/*
+ * bgt_idle(bgt, program): whether no turn of it runs here, and a part of its
+ * grant is unused.
  */
-bool bgt_return(struct bgt *bgt, const char *program,
-    const struct sto_record *record, char **value, clk_ms now);
+bool bgt_idle(const struct bgt *bgt, const char *program);
 
 /* bgt_programs(bgt): number of programs known here. */
 guint bgt_programs(const struct bgt *bgt);
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -292,8 +292,7 @@
 	edg->bgt = bgt_open(settings->session, settings->retention);
 	edg->turns =
 	    trn_cache_open(settings->cache_bytes, settings->retention);
-	edg->ledgers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, edg_ledger_free);
+	edg_budget_open(edg);
 	edg->rand = g_rand_new();
 	edg->instances = 1;
 	edg->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -313,7 +312,7 @@
 	ev_timer_stop(edg->deps.loop, &edg->housekeeping);
 	hsv_close(edg->hsv);
 	hcp_close(edg->hcp);
-	g_hash_table_destroy(edg->ledgers);
+	edg_budget_close(edg);
 	bgt_close(edg->bgt);
 	trn_cache_close(edg->turns);
 	g_rand_free(edg->rand);
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -12,9 +12,19 @@
 #define STORE_PAUSE_MS	  30
 /* Turns that got no grant in this time are refused. */
 #define TAKE_PATIENCE_MS  1200
-/* Retry-After while the store is away, or other instances hold the rest. */
+/* Retry-After while the store is away. */
 #define RETRY_STORE_MS	  400
-#define RETRY_HELD_MS	  300
+/*
+ * A program without a turn here for this time gives its grant back.  Turns
+ * that ended 1 s ago must count with what they used.
+ */
+#define IDLE_RETURN_MS	  100
+#define IDLE_PERIOD_S	  0.05
+/* Time and number of attempts to wait for what other sessions give back. */
+#define HELD_PAUSE_MS	  150
+#define HELD_ATTEMPTS	  3
+/* Time in which further turns of such a program are refused unread. */
+#define HELD_REFUSE_MS	  500
 
 struct edg_ledger {
 	struct edg *edg;
@@ -22,13 +32,14 @@
 	GQueue waiting; /* struct edg_call, each with a reference */
 	clk_ms begun;
 	char *value; /* record that is being appended */
+	unsigned held; /* times that other sessions held what was left */
 	struct ev_timer timer;
 };
 
-static void ledger_read(struct edg_ledger *ledger);
+static void ledger_proceed(struct edg_ledger *ledger);
 
-void
-edg_ledger_free(void *data)
+static void
+ledger_free(void *data)
 {
 	struct edg_ledger *ledger = data;
 	struct edg_call *call;
@@ -89,7 +100,7 @@
 		    ledger->program, call->request.turn_max, edg_now(edg));
 
 		if (verdict == BGT_TAKE) {
-			ledger_read(ledger);
+			ledger_proceed(ledger);
 			return;
 		}
 		(void)g_queue_pop_head(&ledger->waiting);
@@ -118,24 +129,33 @@
 {
 	(void)loop;
 	(void)events;
-	ledger_read(watcher->data);
+	ledger_proceed(watcher->data);
+}
+
+static void
+ledger_pause(struct edg_ledger *ledger, clk_ms pause)
+{
+	struct ev_loop *loop = ledger->edg->deps.loop;
+
+	ev_timer_stop(loop, &ledger->timer);
+	ev_timer_set(&ledger->timer, (double)pause / 1000.0, 0.0);
+	ev_timer_start(loop, &ledger->timer);
 }
 
-/* Begin the exchange again, unless it has taken too long. */
+/* Read the ledger again, unless the exchange has taken too long. */
 static void
-ledger_again(struct edg_ledger *ledger)
+ledger_again(struct edg_ledger *ledger, clk_ms pause)
 {
 	struct edg *edg = ledger->edg;
 
-	if (edg_now(edg) - ledger->begun >= TAKE_PATIENCE_MS) {
+	bgt_ledger_forget(edg->bgt, ledger->program);
+	if (first_waiting(ledger) != NULL &&
+	    edg_now(edg) - ledger->begun >= TAKE_PATIENCE_MS) {
 		ledger_fail(ledger, VD_HISTORY_UNPROVEN, RETRY_STORE_MS,
 		    "the program's budget can't be read now");
 		return;
 	}
-	ev_timer_stop(edg->deps.loop, &ledger->timer);
-	ev_timer_set(
-	    &ledger->timer, (double)STORE_PAUSE_MS / 1000.0, 0.0);
-	ev_timer_start(edg->deps.loop, &ledger->timer);
+	ledger_pause(ledger, pause);
 }
 
 static void
@@ -143,15 +163,18 @@
 {
 	struct edg_ledger *ledger = arg;
 	struct edg *edg = ledger->edg;
+	struct sto_record record = {
+	    ledger->program, ledger->value, strlen(ledger->value)};
 
-	if (reply->status != STO_OK) {
+	if (reply->status == STO_OK) {
+		bgt_ledger_set(edg->bgt, ledger->program, &record, reply->end,
+		    edg_now(edg));
+		ledger_continue(ledger);
+	} else {
 		/* Also when the outcome is unknown: the ledger tells. */
-		ledger_again(ledger);
-		return;
+		ledger_again(ledger,
+		    reply->status == STO_CONFLICT ? 0 : STORE_PAUSE_MS);
 	}
-	bgt_written(
-	    edg->bgt, ledger->program, ledger->value, edg_now(edg));
-	ledger_continue(ledger);
 }
 
 static void
@@ -159,50 +182,159 @@
 {
 	struct edg_ledger *ledger = arg;
 	struct edg *edg = ledger->edg;
-	struct edg_call *call = first_waiting(ledger);
-	struct sto_place place = {STO_BUDGETS, sto_slot(ledger->program)};
-	struct sto_record record;
 
-	if (call == NULL) {
-		ledger_continue(ledger);
+	if (reply->status != STO_OK) {
+		ledger_again(ledger, STORE_PAUSE_MS);
 		return;
 	}
-	if (reply->status != STO_OK) {
-		ledger_again(ledger);
+	bgt_ledger_set(edg->bgt, ledger->program,
+	    sto_find(reply, ledger->program), reply->end, edg_now(edg));
+	ledger_proceed(ledger);
+}
+
+/* Other sessions hold what is left: they give back what they don't use. */
+static void
+ledger_held(struct edg_ledger *ledger)
+{
+	struct edg *edg = ledger->edg;
+
+	if (++ledger->held < HELD_ATTEMPTS) {
+		bgt_ledger_forget(edg->bgt, ledger->program);
+		ledger_pause(ledger, HELD_PAUSE_MS);
 		return;
 	}
+	bgt_held(
+	    edg->bgt, ledger->program, edg_now(edg) + HELD_REFUSE_MS);
+	ledger_fail(ledger, VD_BUDGET_EXCEEDED, 0,
+	    "the program's budget is spent by turns that run");
+}
+
+/* Do what the ledger, as far as it is known, calls for. */
+static void
+ledger_proceed(struct edg_ledger *ledger)
+{
+	struct edg *edg = ledger->edg;
+	const struct sto *sto = &edg->deps.sto;
+	const struct edg_call *call = first_waiting(ledger);
+	struct sto_place place = {STO_BUDGETS, sto_slot(ledger->program)};
+	struct sto_record record;
+	enum bgt_taken taken;
+	int64_t end = 0;
+
 	g_clear_pointer(&ledger->value, g_free);
-	switch (bgt_take(edg->bgt, ledger->program, call->request.budget,
-	    call->request.turn_max, sto_find(reply, ledger->program),
-	    &ledger->value, edg_now(edg))) {
+	if (call != NULL)
+		taken = bgt_take(edg->bgt, ledger->program,
+		    call->request.budget, call->request.turn_max,
+		    &ledger->value, &end, edg_now(edg));
+	else
+		taken = bgt_return(
+		    edg->bgt, ledger->program, &ledger->value, &end);
+	switch (taken) {
 	case BGT_TAKEN:
 		ledger_continue(ledger);
-		return;
+		break;
+	case BGT_READ:
+		sto->ops->read(
+		    sto->store, &place, STORE_TIMEOUT_MS, on_read, ledger);
+		break;
+	case BGT_WRITE:
+		record = (struct sto_record){
+		    ledger->program, ledger->value, strlen(ledger->value)};
+		sto->ops->append(sto->store, &place, end, &record,
+		    STORE_TIMEOUT_MS, on_appended, ledger);
+		break;
 	case BGT_NONE:
 		ledger_fail(ledger, VD_BUDGET_EXCEEDED, 0,
 		    "the program's budget is spent");
-		return;
+		break;
 	case BGT_HELD:
-		ledger_fail(ledger, VD_HISTORY_UNPROVEN, RETRY_HELD_MS,
-		    "other instances hold the rest of the budget");
-		return;
-	case BGT_WRITE:
+		ledger_held(ledger);
 		break;
 	}
-	record = (struct sto_record){
-	    ledger->program, ledger->value, strlen(ledger->value)};
-	edg->deps.sto.ops->append(edg->deps.sto.store, &place, reply->end,
-	    &record, STORE_TIMEOUT_MS, on_appended, ledger);
 }
 
+static struct edg_ledger *
+ledger_begin(struct edg *edg, const char *program)
+{
+	struct edg_ledger *ledger = g_new0(struct edg_ledger, 1);
+
+	ledger->edg = edg;
+	ledger->program = g_strdup(program);
+	ledger->begun = edg_now(edg);
+	ev_timer_init(&ledger->timer, pause_cb, 0.0, 0.0);
+	ledger->timer.data = ledger;
+	(void)g_hash_table_insert(edg->ledgers, ledger->program, ledger);
+	return (ledger);
+}
+
+/* ---- Giving back ---- */
+
+/* A program whose last turn here ended at the time since. */
+struct idle {
+	char *program;
+	clk_ms since;
+};
+
 static void
-ledger_read(struct edg_ledger *ledger)
+idle_free(struct idle *idle)
 {
-	struct edg *edg = ledger->edg;
-	struct sto_place place = {STO_BUDGETS, sto_slot(ledger->program)};
+	g_free(idle->program);
+	g_free(idle);
+}
+
+static void
+idle_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct edg *edg = watcher->data;
+	clk_ms due = edg_now(edg) - IDLE_RETURN_MS;
+	struct idle *idle;
+
+	(void)events;
+	while ((idle = g_queue_peek_head(&edg->idle)) != NULL &&
+	    idle->since <= due) {
+		(void)g_queue_pop_head(&edg->idle);
+		if (bgt_idle(edg->bgt, idle->program) &&
+		    !g_hash_table_contains(edg->ledgers, idle->program))
+			ledger_proceed(ledger_begin(edg, idle->program));
+		idle_free(idle);
+	}
+	if (g_queue_is_empty(&edg->idle))
+		ev_timer_stop(loop, watcher);
+}
+
+void
+edg_budget_open(struct edg *edg)
+{
+	edg->ledgers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, ledger_free);
+	ev_timer_init(&edg->idle_timer, idle_cb, IDLE_PERIOD_S, IDLE_PERIOD_S);
+	edg->idle_timer.data = edg;
+}
 
-	edg->deps.sto.ops->read(edg->deps.sto.store, &place, STORE_TIMEOUT_MS,
-	    on_read, ledger);
+void
+edg_budget_close(struct edg *edg)
+{
+	struct idle *idle;
+
+	ev_timer_stop(edg->deps.loop, &edg->idle_timer);
+	while ((idle = g_queue_pop_head(&edg->idle)) != NULL)
+		idle_free(idle);
+	g_hash_table_destroy(edg->ledgers);
+}
+
+static void
+idle_add(struct edg *edg, const char *program)
+{
+	struct idle *idle = g_new0(struct idle, 1);
+
+	idle->program = g_strdup(program);
+	idle->since = edg_now(edg);
+	g_queue_push_tail(&edg->idle, idle);
+	if (!ev_is_active(&edg->idle_timer)) {
+		ev_timer_set(
+		    &edg->idle_timer, IDLE_PERIOD_S, IDLE_PERIOD_S);
+		ev_timer_start(edg->deps.loop, &edg->idle_timer);
+	}
 }
 
 void
@@ -232,16 +364,9 @@
 		case BGT_TAKE:
 			break;
 		}
-		ledger = g_new0(struct edg_ledger, 1);
-		ledger->edg = edg;
-		ledger->program = g_strdup(program);
-		ledger->begun = edg_now(edg);
-		ev_timer_init(&ledger->timer, pause_cb, 0.0, 0.0);
-		ledger->timer.data = ledger;
-		(void)g_hash_table_insert(
-		    edg->ledgers, ledger->program, ledger);
+		ledger = ledger_begin(edg, program);
 		g_queue_push_tail(&ledger->waiting, edg_call_ref(call));
-		ledger_read(ledger);
+		ledger_proceed(ledger);
 		return;
 	}
 	g_queue_push_tail(&ledger->waiting, edg_call_ref(call));
@@ -260,4 +385,6 @@
 	bgt_settle(call->edg->bgt, call->request.program, call->reserved,
 	    used, edg_now(call->edg));
 	call->reserved = 0;
+	if (bgt_idle(call->edg->bgt, call->request.program))
+		idle_add(call->edg, call->request.program);
 }
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -24,6 +24,8 @@
 	struct bgt *bgt;
 	struct trn_cache *turns;
 	GHashTable *ledgers; /* program -> struct edg_ledger in progress */
+	GQueue idle; /* programs that may give their grants back */
+	struct ev_timer idle_timer;
 	GRand *rand;
 	struct ev_timer housekeeping;
 	unsigned instances;
@@ -95,7 +97,7 @@
 /* edg_send_cancel(call): close the upstream's connection, if any. */
 void edg_send_cancel(struct edg_call *call);
 
-/* edg_ledger_free(ledger): for the table of ledgers in progress. */
-void edg_ledger_free(void *ledger);
+void edg_budget_open(struct edg *edg);
+void edg_budget_close(struct edg *edg);
 
 #endif
