Turn new programs away first when an organisation is above its rate

Cause: refusals hit any request, so programs under way lost their turns, and an instance's part of the bucket between two datagrams refused requests inside the rate (organisation at level 42.6 refused its 7th request). Ruled out: telling new turns by the parts of their prompts (stateless turns have two parts at any depth).

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -10,6 +10,8 @@
 #define RETRY_NO_CATALOGUE_MS 500
 /* The least Retry-After of a request above the rate of its organisation. */
 #define RETRY_RATE_MIN_MS 100
+/* The same for a new program: a turn of another one has ended by then. */
+#define RETRY_NEW_PROGRAM_MS 250
 /* In force for callers that state no timeout on a route that has none. */
 #define DEFAULT_TIMEOUT_MS (30 * CLK_SECOND)
 
@@ -154,18 +156,45 @@
 	return (true);
 }
 
+static enum qta_rank
+rank_of(const struct edg_call *call)
+{
+	const char *program = call->request.program;
+
+	if (call->route->kind != CAT_STREAM || program == NULL ||
+	    call->request.previous != NULL ||
+	    act_known(call->edg->deps.act, program))
+		return (QTA_UNDER_WAY);
+	return (QTA_NEW_PROGRAM);
+}
+
 static bool
 admit_by_rate(struct edg_call *call)
 {
 	const struct cat_organisation *organisation = call->organisation;
+	const struct edg_deps *deps = &call->edg->deps;
+	clk_ms now = edg_now(call->edg);
+	enum qta_rank rank;
+	struct qta_state state;
 	clk_ms wait;
 
-	if (organisation == NULL ||
-	    qta_admit(call->edg->deps.qta, organisation->name,
-		organisation->rate, organisation->burst, edg_now(call->edg),
-		&wait))
+	if (organisation == NULL)
+		return (true);
+	rank = rank_of(call);
+	if (qta_admit(deps->qta, organisation->name, organisation->rate,
+		organisation->burst, rank, now, &wait))
 		return (true);
-	refuse(call, VD_RATE_EXCEEDED, MAX(wait, RETRY_RATE_MIN_MS),
+	state = qta_state(deps->qta, organisation->name, now);
+	lg_event(deps->lg, LG_INFO, "rate",
+	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
+	    "level=%.1f expected=%.1f part=%.3f share=%.3f own_tick=%u "
+	    "wait_ms=%" G_GINT64_FORMAT,
+	    call->request.id, organisation->name, organisation->rate,
+	    organisation->burst, rank == QTA_NEW_PROGRAM, state.level,
+	    state.expected, state.part, state.share, state.own_tick, wait);
+	refuse(call, VD_RATE_EXCEEDED,
+	    MAX(wait, rank == QTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MS
+					      : RETRY_RATE_MIN_MS),
 	    "above the organisation's rate");
 	return (false);
 }
@@ -211,6 +240,9 @@
 	}
 	if (!authenticate(call) || !admit_by_rate(call))
 		return;
+	if (call->request.program != NULL)
+		act_seen(
+		    edg->deps.act, call->request.program, call->arrived);
 	call->service_name =
 	    cat_service_pick(call->route, g_rand_int(edg->rand));
 	call->service = cat_service_find(call->cat, call->service_name);
@@ -256,6 +288,7 @@
 	(void)events;
 	trn_cache_expire(edg->turns, now);
 	bgt_expire(edg->bgt, now);
+	act_expire(edg->deps.act, now);
 	cnt_set(cnt_gauge(edg->deps.cnt, "turn_cache_bytes",
 		    "Turns kept in memory.", NULL, NULL),
 	    (int64_t)trn_cache_bytes(edg->turns));
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -18,6 +18,7 @@
 #include "lib/cnt.h"
 #include "lib/lg.h"
 #include "place/plc.h"
+#include "quota/act.h"
 #include "quota/qta.h"
 #include "store/sto.h"
 
@@ -45,6 +46,7 @@
 	struct sto sto;
 	struct plc *plc;
 	struct qta *qta;
+	struct act *act;
 };
 
 /* edg_open(deps, settings): returns nil and sets errno on failure. */
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -19,9 +19,11 @@
 #define STORE_TIMEOUT_MS  500
 #define DATAGRAM_MAX	  1400
 /* Organisations in one datagram, and bytes of a name. */
-#define COUNTS_MAX	  150
+#define COUNTS_MAX	  70
+/* Programs in one datagram. */
+#define PROGRAMS_MAX	  50
 #define NAME_MAX_BYTES	  128
-#define PROTOCOL_VERSION  0x53474f31U
+#define PROTOCOL_VERSION  0x53474f33U
 
 struct member {
 	struct sockaddr_in address;
@@ -59,76 +61,86 @@
 xdr_count(XDR *xdrs, struct qta_count *count)
 {
 	return (xdr_uint32_t(xdrs, &count->organisation) &&
-	    xdr_uint32_t(xdrs, &count->admitted));
+	    xdr_uint32_t(xdrs, &count->admitted) &&
+	    xdr_uint32_t(xdrs, &count->begun));
 }
 
 static bool_t
-xdr_datagram(XDR *xdrs, uint32_t *version, char **name,
-    uint64_t *incarnation, struct qta_count **counts, unsigned *n)
+xdr_news(XDR *xdrs, uint32_t *version, struct gsp_news *news)
 {
 	return (xdr_uint32_t(xdrs, version) &&
-	    xdr_string(xdrs, name, NAME_MAX_BYTES) &&
-	    xdr_uint64_t(xdrs, incarnation) &&
-	    xdr_array(xdrs, (char **)counts, n, COUNTS_MAX, sizeof(**counts),
-		(xdrproc_t)xdr_count));
+	    xdr_string(xdrs, &news->name, NAME_MAX_BYTES) &&
+	    xdr_uint64_t(xdrs, &news->incarnation) &&
+	    xdr_array(xdrs, (char **)&news->counts, &news->count_len,
+		COUNTS_MAX, sizeof(*news->counts), (xdrproc_t)xdr_count) &&
+	    xdr_array(xdrs, (char **)&news->programs, &news->program_len,
+		PROGRAMS_MAX, sizeof(*news->programs),
+		(xdrproc_t)xdr_uint64_t));
 }
 
 size_t
-gsp_encode(char *buf, size_t size, const char *name, uint64_t incarnation,
-    const struct qta_count *counts, unsigned n)
+gsp_encode(char *buf, size_t size, const struct gsp_news *news)
 {
 	XDR xdrs;
 	uint32_t version = PROTOCOL_VERSION;
-	char *name_copy = (char *)name;
-	struct qta_count *counts_copy = (struct qta_count *)counts;
+	struct gsp_news copy = *news;
 	size_t len = 0;
 
 	xdrmem_create(&xdrs, buf, (u_int)size, XDR_ENCODE);
-	if (xdr_datagram(&xdrs, &version, &name_copy, &incarnation,
-		&counts_copy, &n))
+	if (xdr_news(&xdrs, &version, &copy))
 		len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return (len);
 }
 
 bool
-gsp_decode(char *buf, size_t len, char **name, uint64_t *incarnation,
-    struct qta_count **counts, unsigned *n)
+gsp_decode(char *buf, size_t len, struct gsp_news *news)
 {
 	XDR xdrs;
 	uint32_t version = 0;
-	char *raw_name = NULL;
-	struct qta_count *raw_counts = NULL;
 	bool ok;
 
-	*n = 0;
+	memset(news, 0, sizeof(*news));
 	xdrmem_create(&xdrs, buf, (u_int)len, XDR_DECODE);
-	ok = xdr_datagram(
-		 &xdrs, &version, &raw_name, incarnation, &raw_counts, n) &&
-	    version == PROTOCOL_VERSION;
+	ok = xdr_news(&xdrs, &version, news) && version == PROTOCOL_VERSION;
 	xdr_destroy(&xdrs);
-	*name = ok ? g_strdup(raw_name) : NULL;
-	*counts = ok ? g_memdup2(raw_counts, *n * sizeof(**counts)) : NULL;
-	/* The XDR library allocates with malloc(). */
-	free(raw_name);
-	free(raw_counts);
+	if (!ok)
+		gsp_news_clear(news);
 	return (ok);
 }
 
+void
+gsp_news_clear(struct gsp_news *news)
+{
+	/* The XDR library allocates with malloc(). */
+	free(news->name);
+	free(news->counts);
+	free(news->programs);
+	memset(news, 0, sizeof(*news));
+}
+
 static void
 tell_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
 	struct gsp *gsp = watcher->data;
 	struct qta_count counts[COUNTS_MAX];
+	uint64_t programs[PROGRAMS_MAX];
+	struct gsp_news news = {.name = gsp->name,
+	    .incarnation = gsp->incarnation,
+	    .counts = counts,
+	    .programs = programs};
 	char buf[DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
-	size_t n = qta_counts(gsp->deps.qta, counts, COUNTS_MAX);
-	size_t len = gsp_encode(buf, sizeof(buf), gsp->name, gsp->incarnation,
-	    counts, (unsigned)n);
+	size_t len;
 
 	(void)loop;
 	(void)events;
+	news.count_len =
+	    (unsigned)qta_counts(gsp->deps.qta, counts, COUNTS_MAX);
+	news.program_len =
+	    (unsigned)act_news(gsp->deps.act, programs, PROGRAMS_MAX);
+	len = gsp_encode(buf, sizeof(buf), &news);
 	qta_tick(gsp->deps.qta);
 	g_hash_table_iter_init(&iter, gsp->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -151,20 +163,21 @@
 	(void)loop;
 	(void)events;
 	while ((len = recv(gsp->fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
-		g_autofree char *name = NULL;
-		g_autofree struct qta_count *counts = NULL;
-		uint64_t incarnation;
-		unsigned n;
+		struct gsp_news news;
+		clk_ms now = clk_now(&gsp->deps.clk);
 
-		if (!gsp_decode(
-			buf, (size_t)len, &name, &incarnation, &counts, &n)) {
+		if (!gsp_decode(buf, (size_t)len, &news)) {
 			lg_event(gsp->deps.lg, LG_WARNING, "datagram_refused",
 			    "bytes=%zd", len);
 			continue;
 		}
-		if (strcmp(name, gsp->name) != 0)
-			qta_heard(gsp->deps.qta, name, incarnation, counts, n,
-			    clk_now(&gsp->deps.clk));
+		if (strcmp(news.name, gsp->name) != 0) {
+			qta_heard(gsp->deps.qta, news.name, news.incarnation,
+			    news.counts, news.count_len, now);
+			act_heard(gsp->deps.act, news.programs,
+			    news.program_len, now);
+		}
+		gsp_news_clear(&news);
 	}
 }
 
--- a/src/gossip/gsp.h
+++ b/src/gossip/gsp.h
@@ -3,8 +3,9 @@
  *
  * Each instance keeps a record with its address in the store, and finds the
  * others there.  Several times a second it tells each of them how many
- * requests of each organisation it has admitted.  A lost datagram does no
- * harm: the numbers are totals.
+ * requests of each organisation it has admitted, and which programs have
+ * begun there.  A lost datagram does no harm: the numbers are totals, and
+ * each program is told twice.
  */
 #ifndef SAMPHIRESHED_GSP_H
 #define SAMPHIRESHED_GSP_H
@@ -14,6 +15,7 @@
 
 #include "lib/clk.h"
 #include "lib/lg.h"
+#include "quota/act.h"
 #include "quota/qta.h"
 #include "store/sto.h"
 
@@ -25,6 +27,7 @@
 	struct lg *lg;
 	struct sto sto;
 	struct qta *qta;
+	struct act *act;
 	/* The number of instances in the fleet has been counted. */
 	void (*on_fleet)(void *arg, unsigned instances);
 	void *arg;
@@ -42,16 +45,24 @@
 /* gsp_leave(gsp): drop this instance's record; it is about to stop. */
 void gsp_leave(struct gsp *gsp);
 
+/* What one instance tells.  A decoded one is to be cleared. */
+struct gsp_news {
+	char *name;
+	uint64_t incarnation;
+	struct qta_count *counts;
+	unsigned count_len;
+	uint64_t *programs; /* hashes, see act.h */
+	unsigned program_len;
+};
+
 /*
- * gsp_encode(buf, size, name, incarnation, counts, n)
+ * gsp_encode(buf, size, news)
  *	Write a datagram; returns its length, or 0 if it does not fit.
- * gsp_decode(buf, len, name, incarnation, counts, n)
- *	Read one.  *name and *counts are to be freed by g_free().  Returns
- *	false for a datagram that is not of this protocol.
+ * gsp_decode(buf, len, news), gsp_news_clear(news)
+ *	Read one.  Returns false for a datagram that is not of this protocol.
  */
-size_t gsp_encode(char *buf, size_t size, const char *name,
-    uint64_t incarnation, const struct qta_count *counts, unsigned n);
-bool gsp_decode(char *buf, size_t len, char **name, uint64_t *incarnation,
-    struct qta_count **counts, unsigned *n);
+size_t gsp_encode(char *buf, size_t size, const struct gsp_news *news);
+bool gsp_decode(char *buf, size_t len, struct gsp_news *news);
+void gsp_news_clear(struct gsp_news *news);
 
 #endif
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -41,6 +41,7 @@
 	struct cnt *cnt;
 	struct plc *plc;
 	struct qta *qta;
+	struct act *act;
 	struct edg *edg;
 	struct gsp *gsp;
 	struct hsv *ready;
@@ -166,15 +167,16 @@
 	ins->settings = *settings;
 	ins->cnt = cnt_open();
 	ins->plc = plc_open(settings->datacentre);
-	ins->qta = qta_open(now);
+	ins->qta = qta_open(&settings->rate_tolerance, now);
+	ins->act = act_open(settings->retention);
 	ins->store_answered = now;
 	edge = (struct edg_deps){deps->loop, deps->clk, deps->lg, ins->cnt,
-	    deps->wire, deps->sto, ins->plc, ins->qta};
+	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act};
 	edge_settings = (struct edg_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention,
 	    TURN_CACHE_BYTES, settings->max_connections};
 	gossip = (struct gsp_deps){deps->loop, deps->clk, deps->lg, deps->sto,
-	    ins->qta, on_fleet, ins};
+	    ins->qta, ins->act, on_fleet, ins};
 	ins->edg = edg_open(&edge, &edge_settings);
 	if (ins->edg == NULL)
 		goto fail;
@@ -214,6 +216,7 @@
 	hsv_close(ins->metrics);
 	edg_close(ins->edg);
 	qta_close(ins->qta);
+	act_close(ins->act);
 	plc_close(ins->plc);
 	cnt_close(ins->cnt);
 	g_free(ins);
--- a/src/instance/ins.h
+++ b/src/instance/ins.h
@@ -18,6 +18,7 @@
 #include "lib/clk.h"
 #include "lib/lg.h"
 #include "place/plc.h"
+#include "quota/qta.h"
 #include "store/sto.h"
 
 struct ins;
@@ -33,6 +34,7 @@
 	clk_ms retention; /* of turns and budgets that are idle */
 	clk_ms grace; /* from a signal to stop to the forced end */
 	size_t max_connections; /* of callers */
+	struct qta_tolerance rate_tolerance;
 };
 
 struct ins_deps {
--- a/src/quota/qta.c
+++ b/src/quota/qta.c
@@ -11,6 +11,20 @@
 #define PEER_FORGET_MS (30 * CLK_SECOND)
 /* Part of the burst that one instance may spend while it hears nobody. */
 #define LOWEST_SHARE   0.02
+/* Part of the burst that is kept for programs under way. */
+#define RESERVED_PART  0.5
+/*
+ * Time in which programs under way make the requests that they are expected
+ * to make, in s: half of a program's time in the users' sheets.
+ */
+#define HORIZON_S      1.5
+/* Requests of a program until more is known, and the weight of that. */
+#define PROGRAM_REQUESTS 10.0
+#define PROGRAM_WEIGHT	 5.0
+/* An expected request that is not made is forgotten with this time, in s. */
+#define EXPECTED_DECAY_S 8.0
+/* Part of the tolerance that instances may use up between two ticks. */
+#define TOLERANCE_PART 0.6
 /* Weight of the last tick in the moving averages of requests. */
 #define TICK_WEIGHT    0.3
 
@@ -22,6 +36,10 @@
 	double burst;
 	clk_ms updated;
 	uint32_t admitted; /* by this instance */
+	uint32_t begun; /* programs, here */
+	double fleet_admitted; /* requests of programs, everywhere */
+	double fleet_begun;
+	double expected; /* requests that programs under way will make */
 	double own; /* requests a tick here: moving average */
 	double others; /* and at the other instances */
 	unsigned own_tick; /* admitted here since the last tick */
@@ -32,12 +50,13 @@
 struct peer {
 	uint64_t incarnation;
 	clk_ms heard;
-	GHashTable *seen; /* organisation -> admitted */
+	GHashTable *seen; /* organisation -> struct qta_count */
 };
 
 struct qta {
 	GHashTable *buckets; /* hash -> struct bucket */
 	GHashTable *peers; /* name -> struct peer */
+	struct qta_tolerance tolerance;
 	unsigned instances;
 	clk_ms start;
 };
@@ -52,13 +71,14 @@
 }
 
 struct qta *
-qta_open(clk_ms start)
+qta_open(const struct qta_tolerance *tolerance, clk_ms start)
 {
 	struct qta *qta = g_new0(struct qta, 1);
 
 	qta->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	qta->peers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, peer_free);
+	qta->tolerance = *tolerance;
 	qta->instances = 1;
 	qta->start = start;
 	return (qta);
@@ -134,9 +154,31 @@
 	if (elapsed > 0)
 		bucket->level += elapsed * rate;
 	bucket->level = fmin(bucket->level, burst);
+	bucket->expected *= exp(-fmax(elapsed, 0) / EXPECTED_DECAY_S);
 	bucket->updated = now;
 }
 
+/* Requests that a program makes, as measured so far. */
+static double
+program_requests(const struct bucket *bucket)
+{
+	return ((bucket->fleet_admitted + PROGRAM_REQUESTS * PROGRAM_WEIGHT) /
+	    (bucket->fleet_begun + PROGRAM_WEIGHT));
+}
+
+/* Requests were admitted somewhere, of which some began programs. */
+static void
+spend(struct bucket *bucket, double admitted, double begun)
+{
+	double requests = program_requests(bucket);
+
+	bucket->level -= admitted;
+	bucket->expected += begun * requests - admitted;
+	bucket->expected = fmax(bucket->expected, 0);
+	bucket->fleet_admitted += admitted;
+	bucket->fleet_begun += begun;
+}
+
 void
 qta_fleet_set(struct qta *qta, unsigned instances, clk_ms now)
 {
@@ -163,7 +205,7 @@
 
 	if (is_new) {
 		peer = g_new0(struct peer, 1);
-		peer->seen = g_hash_table_new(NULL, NULL);
+		peer->seen = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		(void)g_hash_table_insert(qta->peers, g_strdup(name), peer);
 	} else if (peer->incarnation != incarnation) {
 		/* It started again, and counts from zero. */
@@ -173,18 +215,26 @@
 	peer->heard = now;
 	for (size_t i = 0; i < n; i++) {
 		void *key = GUINT_TO_POINTER(counts[i].organisation);
-		uint32_t before =
-		    GPOINTER_TO_UINT(g_hash_table_lookup(peer->seen, key));
-
-		(void)g_hash_table_insert(
-		    peer->seen, key, GUINT_TO_POINTER(counts[i].admitted));
+		struct qta_count *seen = g_hash_table_lookup(peer->seen, key);
+		struct qta_count before =
+		    seen != NULL ? *seen : (struct qta_count){0};
+
+		if (seen == NULL) {
+			seen = g_new0(struct qta_count, 1);
+			(void)g_hash_table_insert(peer->seen, key, seen);
+		}
+		/* Datagrams may overtake each other. */
+		if (counts[i].admitted <= before.admitted)
+			continue;
+		*seen = counts[i];
 		/* What a new peer admitted earlier can't be dated. */
-		if (is_new || counts[i].admitted <= before)
+		if (is_new)
 			continue;
 		bucket = ensure_bucket(qta, counts[i].organisation);
 		refill(bucket, bucket->rate, bucket->burst, now);
-		bucket->level -= (double)(counts[i].admitted - before);
-		bucket->others_tick += counts[i].admitted - before;
+		spend(bucket, (double)(counts[i].admitted - before.admitted),
+		    (double)(counts[i].begun - before.begun));
+		bucket->others_tick += counts[i].admitted - before.admitted;
 	}
 }
 
@@ -207,23 +257,49 @@
 	}
 }
 
-/* What this instance may admit between two ticks. */
+/* The part of the bucket that is this instance's between two ticks. */
 static double
-tick_allowance(const struct qta *qta, const struct bucket *bucket)
+tick_part(const struct qta *qta, const struct bucket *bucket)
 {
 	double total = bucket->own + bucket->others;
 	double part = total > 0 ? bucket->own / total : 0;
 
-	part = fmax(part, 1.0 / qta->instances);
-	return (fmax(1.0, part * (bucket->level + bucket->own_tick)));
+	return (fmax(part, 1.0 / qta->instances));
+}
+
+/* What this instance may admit between two ticks, of level tokens. */
+static double
+tick_allowance(
+    const struct qta *qta, const struct bucket *bucket, double level)
+{
+	const struct qta_tolerance *tolerance = &qta->tolerance;
+	double over = tolerance->part *
+		(bucket->rate * tolerance->window_s + bucket->burst) +
+	    tolerance->requests;
+
+	/* What all instances admit too much at once is in the tolerance. */
+	return (fmax(tick_part(qta, bucket) * (level + bucket->own_tick),
+	    fmax(1.0, TOLERANCE_PART * over / qta->instances)));
+}
+
+struct qta_state
+qta_state(const struct qta *qta, const char *name, clk_ms now)
+{
+	const struct bucket *bucket = g_hash_table_lookup(
+	    qta->buckets, GUINT_TO_POINTER(qta_hash(name)));
+
+	if (bucket == NULL)
+		return ((struct qta_state){0});
+	return ((struct qta_state){bucket->level, bucket->expected,
+	    tick_part(qta, bucket), group_share(qta, now), bucket->own_tick});
 }
 
 bool
 qta_admit(struct qta *qta, const char *name, double rate, double burst,
-    clk_ms now, clk_ms *wait)
+    enum qta_rank rank, clk_ms now, clk_ms *wait)
 {
 	struct bucket *bucket;
-	double share;
+	double share, level;
 
 	*wait = 0;
 	bucket = ensure_bucket(qta, qta_hash(name));
@@ -236,15 +312,21 @@
 	share = group_share(qta, now);
 	refill(bucket, rate * share, burst * share, now);
 	bucket->asked_tick++;
-	if (bucket->level < 1.0 ||
-	    bucket->own_tick >= tick_allowance(qta, bucket)) {
-		*wait = (clk_ms)ceil(fmax(1.0 - bucket->level, 0) /
-		    (rate * share) * (double)CLK_SECOND);
+	level = bucket->level;
+	if (rank == QTA_NEW_PROGRAM)
+		level = fmin(level - RESERVED_PART * burst * share,
+		    level + HORIZON_S * rate * share - bucket->expected -
+			program_requests(bucket));
+	if (level < 1.0 ||
+	    bucket->own_tick >= tick_allowance(qta, bucket, level)) {
+		*wait = (clk_ms)ceil(fmax(1.0 - level, 0) / (rate * share) *
+		    (double)CLK_SECOND);
 		return (false);
 	}
-	bucket->level -= 1.0;
+	spend(bucket, 1.0, rank == QTA_NEW_PROGRAM ? 1.0 : 0.0);
 	bucket->own_tick++;
 	bucket->admitted++;
+	bucket->begun += rank == QTA_NEW_PROGRAM;
 	return (true);
 }
 
@@ -260,7 +342,8 @@
 		const struct bucket *bucket = value;
 
 		counts[n++] =
-		    (struct qta_count){bucket->hash, bucket->admitted};
+		    (struct qta_count){bucket->hash, bucket->admitted,
+			bucket->begun};
 	}
 	return (n);
 }
--- a/src/quota/qta.h
+++ b/src/quota/qta.h
@@ -8,7 +8,9 @@
  * has its own share only, so that the sum holds in a partition too.
  *
  * Answers the load pattern of one organisation that sends many times its
- * rate through all instances at once.
+ * rate through all instances at once.  A refused turn loses all turns before
+ * it, so a new program is turned away if the requests that the programs under
+ * way are expected to make already need what the rate will give.
  */
 #ifndef SAMPHIRESHED_QTA_H
 #define SAMPHIRESHED_QTA_H
@@ -25,14 +27,26 @@
 struct qta_count {
 	uint32_t organisation; /* qta_hash() of the name */
 	uint32_t admitted;
+	uint32_t begun; /* programs among them, at their first request */
 };
 
 /*
- * qta_open(start)
+ * By how much the sum over all instances may exceed rate x window + burst in
+ * any window: a part of it, and a number of requests.
+ */
+struct qta_tolerance {
+	double window_s;
+	double part;
+	double requests;
+};
+
+/*
+ * qta_open(tolerance, start)
  *	Buckets begin empty: the processes before this one may have spent
  *	them just before they ended.
  */
-struct qta *qta_open(clk_ms start);
+struct qta *qta_open(
+    const struct qta_tolerance *tolerance, clk_ms start);
 void qta_close(struct qta *qta);
 
 uint32_t qta_hash(const char *name);
@@ -51,14 +65,20 @@
 void qta_heard(struct qta *qta, const char *peer, uint64_t incarnation,
     const struct qta_count *counts, size_t n, clk_ms now);
 
+/* Whose request asks for a token. */
+enum qta_rank {
+	QTA_UNDER_WAY, /* a request of a program that has begun, or of none */
+	QTA_NEW_PROGRAM /* the first turn of a program */
+};
+
 /*
- * qta_admit(qta, name, rate, burst, now, wait)
+ * qta_admit(qta, name, rate, burst, rank, now, wait)
  *	Take a token of an organisation.  rate 0 means no limit.
  * RETURN VALUES
  *	false if there is none; *wait is then the time until there will be.
  */
 bool qta_admit(struct qta *qta, const char *name, double rate, double burst,
-    clk_ms now, clk_ms *wait);
+    enum qta_rank rank, clk_ms now, clk_ms *wait);
 
 /*
  * qta_tick(qta)
@@ -71,6 +91,17 @@
 /* qta_counts(qta, counts, max): what this instance has admitted. */
 size_t qta_counts(const struct qta *qta, struct qta_count *counts, size_t max);
 
+/* The state of an organisation's bucket, for log lines. */
+struct qta_state {
+	double level; /* tokens of the whole fleet */
+	double expected; /* requests that programs under way will make */
+	double part; /* of the bucket that is this instance's in a tick */
+	double share; /* of the rate that the instances in touch may use */
+	unsigned own_tick; /* admitted here since the last tick */
+};
+
+struct qta_state qta_state(const struct qta *qta, const char *name, clk_ms now);
+
 /* qta_live(qta, now): number of peers heard of late. */
 unsigned qta_live(const struct qta *qta, clk_ms now);
 
