Recover from store outages sooner and let callers come back in time

Buckets that began empty refused 190 requests after the restart of all. Ruled out: the zone cut (zones a and b were stale too).

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -6,8 +6,12 @@
 
 /* Period of expiry and gauges, in s. */
 #define HOUSEKEEPING_S 1.0
-/* A caller that was refused because no catalogue is known may come back. */
-#define RETRY_NO_CATALOGUE_MS 500
+/*
+ * Bounds of the Retry-After while the store is away.  Callers follow it up to
+ * a third of their time left, which is 1 to 1.7 s on the users' sheets.
+ */
+#define RETRY_STORE_MIN_MS 400
+#define RETRY_STORE_MAX_MS 1500
 /* The least Retry-After of a request above the rate of its organisation. */
 #define RETRY_RATE_MIN_MS 100
 /* The same for a new program: a turn of another one has ended by then. */
@@ -21,6 +25,13 @@
 	return (clk_now(&edg->deps.clk));
 }
 
+clk_ms
+edg_store_retry(const struct edg *edg)
+{
+	return (CLAMP(edg_now(edg) - edg->confirmed, RETRY_STORE_MIN_MS,
+	    RETRY_STORE_MAX_MS));
+}
+
 struct edg_call *
 edg_call_ref(struct edg_call *call)
 {
@@ -144,7 +155,7 @@
 	if (call->route->is_public || !cat_has_organisations(call->cat))
 		return (true);
 	if (edg_now(edg) - edg->confirmed > edg->settings.max_catalogue_age) {
-		refuse(call, VD_CONFIG_STALE, RETRY_NO_CATALOGUE_MS,
+		refuse(call, VD_CONFIG_STALE, edg_store_retry(edg),
 		    "keys can't be checked: the configuration is too old");
 		return (false);
 	}
@@ -224,7 +235,7 @@
 	    edg->deps.wire->request_decode(head, &call->request);
 
 	if (edg->cat == NULL) {
-		refuse(call, VD_CONFIG_STALE, RETRY_NO_CATALOGUE_MS,
+		refuse(call, VD_CONFIG_STALE, edg_store_retry(edg),
 		    "no configuration is known yet");
 		return;
 	}
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -12,8 +12,6 @@
 #define STORE_PAUSE_MS	  30
 /* Turns that got no grant in this time are refused. */
 #define TAKE_PATIENCE_MS  1200
-/* Retry-After while the store is away. */
-#define RETRY_STORE_MS	  400
 /*
  * A program without a turn here for this time gives its grant back.  Turns
  * that ended 1 s ago must count with what they used.
@@ -151,7 +149,8 @@
 	bgt_ledger_forget(edg->bgt, ledger->program);
 	if (first_waiting(ledger) != NULL &&
 	    edg_now(edg) - ledger->begun >= TAKE_PATIENCE_MS) {
-		ledger_fail(ledger, VD_HISTORY_UNPROVEN, RETRY_STORE_MS,
+		ledger_fail(ledger, VD_HISTORY_UNPROVEN,
+		    edg_store_retry(edg),
 		    "the program's budget can't be read now");
 		return;
 	}
--- a/src/edge/edg_history.c
+++ b/src/edge/edg_history.c
@@ -18,8 +18,6 @@
  * a stream after a gap of 2 s.
  */
 #define RECORD_PATIENCE_MS 1700
-/* Retry-After of a turn whose history can't be read. */
-#define RETRY_STORE_MS	  400
 
 /* A read of one turn of the chain, or a repeat of the record. */
 struct step {
@@ -79,7 +77,7 @@
 	struct vd verdict = vd_make(VD_NOT_RUN, code, "%s", detail);
 
 	if (code == VD_HISTORY_UNPROVEN)
-		verdict.retry_after = RETRY_STORE_MS;
+		verdict.retry_after = edg_store_retry(call->edg);
 	edg_refuse(call, &verdict);
 }
 
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -86,6 +86,13 @@
 void edg_refuse(struct edg_call *call, const struct vd *verdict);
 void edg_end(struct edg_call *call, const char *outcome, int status);
 
+/*
+ * edg_store_retry(edg)
+ *	Return the Retry-After of requests that need the store while it is
+ *	away: as long as it has been away, within bounds.
+ */
+clk_ms edg_store_retry(const struct edg *edg);
+
 /* Stages, in the order of a request's way. */
 void edg_history_load(struct edg_call *call);
 void edg_budget_take(struct edg_call *call);
--- a/src/quota/qta.c
+++ b/src/quota/qta.c
@@ -7,6 +7,12 @@
  * period at which instances tell each other, and a lost datagram.
  */
 #define PEER_SILENT_MS 600
+/*
+ * Part of the burst in a new process's bucket.  The processes before it may
+ * have spent it all, but not while they started again: with a burst of one
+ * second's rate, two starts in a window stay within a tolerance of a tenth.
+ */
+#define START_PART     0.5
 /* A peer that was not heard for this time is forgotten. */
 #define PEER_FORGET_MS (30 * CLK_SECOND)
 /* Part of the burst that one instance may spend while it hears nobody. */
@@ -39,6 +45,7 @@
 	uint32_t begun; /* programs, here */
 	double fleet_admitted; /* requests of programs, everywhere */
 	double fleet_begun;
+	bool has_begun; /* the level at the start has been set */
 	double expected; /* requests that programs under way will make */
 	double own; /* requests a tick here: moving average */
 	double others; /* and at the other instances */
@@ -311,6 +318,11 @@
 	bucket->burst = burst;
 	share = group_share(qta, now);
 	refill(bucket, rate * share, burst * share, now);
+	if (!bucket->has_begun) {
+		bucket->level =
+		    fmin(bucket->level + START_PART * burst, burst);
+		bucket->has_begun = true;
+	}
 	bucket->asked_tick++;
 	level = bucket->level;
 	if (rank == QTA_NEW_PROGRAM)
--- a/src/quota/qta.h
+++ b/src/quota/qta.h
@@ -42,8 +42,8 @@
 
 /*
  * qta_open(tolerance, start)
- *	Buckets begin empty: the processes before this one may have spent
- *	them just before they ended.
+ *	Buckets begin with a part of the burst: the processes before this one
+ *	may have spent the rest just before they ended.
  */
 struct qta *qta_open(
     const struct qta_tolerance *tolerance, clk_ms start);
