--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -8,8 +8,9 @@
 
 /* One read or append that is not answered in this time is repeated. */
 #define STORE_TIMEOUT_MS  400
-/* Pause before an exchange begins again. */
-#define STORE_PAUSE_MS	  30
+/* Pause before an exchange begins again; it doubles up to a bound. */
+#define STORE_PAUSE_MS	   30
+#define STORE_PAUSE_MAX_MS 400
 /* Turns that got no grant in this time are refused. */
 #define TAKE_PATIENCE_MS  1200
 /*
@@ -30,6 +31,7 @@
 	GQueue waiting; /* struct edg_call, each with a reference */
 	clk_ms begun;
 	char *value; /* record that is being appended */
+	clk_ms pause; /* before the next attempt after a failure */
 	unsigned held; /* times that other sessions held what was left */
 	struct ev_timer timer;
 };
@@ -157,6 +159,15 @@
 	ledger_pause(ledger, pause);
 }
 
+static clk_ms
+next_pause(struct edg_ledger *ledger)
+{
+	clk_ms pause = ledger->pause;
+
+	ledger->pause = MIN(2 * pause, STORE_PAUSE_MAX_MS);
+	return (pause);
+}
+
 static void
 on_appended(void *arg, const struct sto_reply *reply)
 {
@@ -172,7 +183,7 @@
 	} else {
 		/* Also when the outcome is unknown: the ledger tells. */
 		ledger_again(ledger,
-		    reply->status == STO_CONFLICT ? 0 : STORE_PAUSE_MS);
+		    reply->status == STO_CONFLICT ? 0 : next_pause(ledger));
 	}
 }
 
@@ -183,7 +194,7 @@
 	struct edg *edg = ledger->edg;
 
 	if (reply->status != STO_OK) {
-		ledger_again(ledger, STORE_PAUSE_MS);
+		ledger_again(ledger, next_pause(ledger));
 		return;
 	}
 	bgt_ledger_set(edg->bgt, ledger->program,
@@ -260,6 +271,7 @@
 	ledger->edg = edg;
 	ledger->program = g_strdup(program);
 	ledger->begun = edg_now(edg);
+	ledger->pause = STORE_PAUSE_MS;
 	ev_timer_init(&ledger->timer, pause_cb, 0.0, 0.0);
 	ledger->timer.data = ledger;
 	(void)g_hash_table_insert(edg->ledgers, ledger->program, ledger);
--- a/src/edge/edg_history.c
+++ b/src/edge/edg_history.c
@@ -9,8 +9,9 @@
 
 /* One read or append that is not answered in this time is repeated. */
 #define STORE_TIMEOUT_MS  400
-/* Pause before a store call is repeated. */
-#define STORE_PAUSE_MS	  40
+/* Pause before a store call is repeated; it doubles up to a bound. */
+#define STORE_PAUSE_MS	   40
+#define STORE_PAUSE_MAX_MS 320
 /* A turn whose history can't be read in this time is refused. */
 #define READ_PATIENCE_MS  1200
 /*
@@ -24,6 +25,7 @@
 	struct edg_call *call;
 	char *id; /* of the turn to read; nil: record */
 	clk_ms begun;
+	clk_ms pause; /* before the next repeat */
 	struct ev_timer timer;
 };
 
@@ -46,6 +48,7 @@
 	step->call = edg_call_ref(call);
 	step->id = g_strdup(id);
 	step->begun = edg_now(call->edg);
+	step->pause = STORE_PAUSE_MS;
 	return (step);
 }
 
@@ -66,7 +69,8 @@
 step_repeat(struct step *step)
 {
 	ev_timer_init(
-	    &step->timer, repeat_cb, (double)STORE_PAUSE_MS / 1000.0, 0.0);
+	    &step->timer, repeat_cb, (double)step->pause / 1000.0, 0.0);
+	step->pause = MIN(2 * step->pause, STORE_PAUSE_MAX_MS);
 	step->timer.data = step;
 	ev_timer_start(step->call->edg->deps.loop, &step->timer);
 }
