--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 FAKE_SRC = $(filter-out $(wildcard fakes/test_*.c),$(wildcard fakes/*.c))
 BENCH_SRC = $(wildcard bench/*.c)
 ALL_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch]) \
-	$(wildcard platform/*.[ch]) \
+	$(wildcard platform/*.[ch]) $(wildcard platform/standin/*.[ch]) \
 	$(wildcard fakes/*.[ch]) $(wildcard bench/*.[ch]) \
 	$(wildcard tests/*.[ch]) $(wildcard fuzz/*.[ch]))
 
@@ -72,13 +72,15 @@
 	cd src/peer && rpcgen -c peer.x | \
 	    sed 's|"peer.h"|"peer/peer_xdr.h"|' >peer_xdr.c
 
-# What the test programs of tests/ share.
+# What the test programs of tests/ and of platform/ share.
 HARNESS_OBJ = $(patsubst %.c,$(BUILD)/%.o,\
 	$(filter-out $(wildcard tests/test_*.c),$(wildcard tests/*.c)))
+STANDIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/standin/*.c))
 
 define test_rule
 $(BUILD)/tests/$(notdir $(basename $(1))): $(1:%.c=$(BUILD)/%.o) \
     $(if $(filter tests/%,$(1)),$(HARNESS_OBJ)) \
+    $(if $(filter platform/%,$(1)),$(STANDIN_OBJ)) \
     $(filter-out $(BUILD)/src/cli/main.o,$(CLI_OBJ)) \
     $(BUILD)/libsamphireshed.a
 	@mkdir -p $$(dir $$@)
--- a/src/http/hmsg.c
+++ b/src/http/hmsg.c
@@ -79,6 +79,27 @@
 	return (0);
 }
 
+/*
+ * Whether all names are tokens (RFC 9110, 5.6.2).  The library takes a space
+ * for a part of a name, and the next reader might not.
+ */
+static bool
+has_proper_names(const struct hmsg_head *head)
+{
+	for (guint i = 0; i < head->fields->len; i++) {
+		const char *name = hmsg_name(head, i);
+
+		if (name[0] == '\0')
+			return (false);
+		for (; *name != '\0'; name++) {
+			if (!g_ascii_isalnum(*name) &&
+			    strchr("!#$%&'*+-.^_`|~", *name) == NULL)
+				return (false);
+		}
+	}
+	return (true);
+}
+
 static int
 on_headers(http_parser *parser)
 {
@@ -87,6 +108,8 @@
 	const char *expect;
 
 	(void)g_string_append_c(head->text, '\0');
+	if (!has_proper_names(head))
+		return (-1);
 	head->keep_alive = http_should_keep_alive(parser) != 0;
 	if (parser->type == HTTP_REQUEST) {
 		head->method = http_method_str(parser->method);
@@ -162,7 +185,9 @@
 void
 hmsg_reader_next(struct hmsg_reader *reader)
 {
-	http_parser_pause(&reader->parser, 0);
+	/* The library ends the process if a failed parser is resumed. */
+	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
+		http_parser_pause(&reader->parser, 0);
 	g_string_truncate(reader->head.text, 0);
 	g_string_truncate(reader->head.target, 0);
 	g_array_set_size(reader->head.fields, 0);
--- /dev/null
+++ b/src/http/test_http.c
@@ -0,0 +1,632 @@
+/*
+ * The HTTP server and the client pool against raw sockets that misbehave.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/hcp.h"
+#include "http/hsv.h"
+
+#define RUN_MS 1500
+
+struct fixture {
+	struct ev_loop *loop;
+	struct hsv *hsv;
+	struct sockaddr_in address;
+	struct hsv_call *held; /* answered by the test */
+	unsigned requests;
+	unsigned gone;
+	GString *bodies;
+	bool hold;
+};
+
+static struct sockaddr_in
+loopback(void)
+{
+	return ((struct sockaddr_in){.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)});
+}
+
+static int
+listen_any(struct sockaddr_in *address)
+{
+	socklen_t len = sizeof(*address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	*address = loopback();
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(
+	    bind(fd, (struct sockaddr *)address, sizeof(*address)), ==, 0);
+	g_assert_cmpint(
+	    getsockname(fd, (struct sockaddr *)address, &len), ==, 0);
+	g_assert_cmpint(listen(fd, 16), ==, 0);
+	return (fd);
+}
+
+static void
+turn(struct ev_loop *loop, int ms)
+{
+	for (int i = 0; i < ms; i++) {
+		(void)ev_run(loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void
+on_request(void *arg, struct hsv_call *call)
+{
+	struct fixture *f = arg;
+	const GByteArray *body = hsv_body(call);
+
+	f->requests++;
+	g_string_append_len(
+	    f->bodies, (const char *)body->data, (gssize)body->len);
+	if (f->hold)
+		f->held = call;
+	else
+		hsv_answer(call, 200, "", "yes", 3);
+}
+
+static void
+on_gone(void *arg, struct hsv_call *call)
+{
+	struct fixture *f = arg;
+
+	(void)call;
+	f->gone++;
+	f->held = NULL;
+}
+
+static void
+setup(struct fixture *f, gconstpointer data)
+{
+	const struct hsv_limits limits = {1024, 4096, 200, 400, 100};
+	const struct hsv_handler handler = {on_request, on_gone, f};
+	int fd;
+
+	(void)data;
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->bodies = g_string_new(NULL);
+	/* A port that was free a moment ago. */
+	fd = listen_any(&f->address);
+	(void)close(fd);
+	f->hsv = hsv_open(f->loop, &f->address, &limits, &handler);
+	g_assert_nonnull(f->hsv);
+}
+
+static void
+teardown(struct fixture *f, gconstpointer data)
+{
+	(void)data;
+	hsv_close(f->hsv);
+	g_string_free(f->bodies, TRUE);
+	ev_loop_destroy(f->loop);
+}
+
+static int
+dial(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(
+	    connect(fd, (const struct sockaddr *)address, sizeof(*address)),
+	    ==, 0);
+	return (fd);
+}
+
+static void
+put(int fd, const char *text)
+{
+	g_assert_cmpint(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), ==, strlen(text));
+}
+
+/* What arrives until the peer closes or the time is over. */
+static char *
+take(struct fixture *f, int fd, int ms)
+{
+	GString *out = g_string_new(NULL);
+	char buf[4096];
+
+	for (int i = 0; i < ms; i++) {
+		ssize_t n;
+
+		turn(f->loop, 1);
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		if (n > 0)
+			g_string_append_len(out, buf, n);
+	}
+	return (g_string_free(out, FALSE));
+}
+
+static unsigned
+count(const char *text, const char *part)
+{
+	unsigned n = 0;
+
+	while ((text = strstr(text, part)) != NULL) {
+		n++;
+		text++;
+	}
+	return (n);
+}
+
+/* Bodies with a length, in chunks, and three requests in one packet. */
+static void
+test_bodies(struct fixture *f, gconstpointer data)
+{
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+
+	(void)data;
+	put(fd,
+	    "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+	    "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+	    "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+	text = take(f, fd, 100);
+	g_assert_cmpuint(count(text, "HTTP/1.1 200 OK"), ==, 3);
+	g_assert_cmpstr(f->bodies->str, ==, "abcdef");
+	(void)close(fd);
+}
+
+/* Guards against a request that is smuggled inside another one. */
+static void
+test_smuggled(struct fixture *f, gconstpointer data)
+{
+	static const char *const requests[] = {
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n"
+	    "Host: h\r\n\r\n",
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+	    "Content-Length: 4\r\n\r\nabcd",
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+	    "GET / HTTP/1.1\r\nHost: h\r\nBad Name: 1\r\n\r\n",
+	    "GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\nx",
+	    "\x16\x03\x01",
+	};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		int fd = dial(&f->address);
+		g_autofree char *text = NULL;
+
+		put(fd, requests[i]);
+		text = take(f, fd, 1500);
+		g_test_message("request %zu: %s", i, text);
+		g_assert_true(g_str_has_prefix(text, "HTTP/1.1 400"));
+		(void)close(fd);
+	}
+	g_assert_cmpuint(f->requests, ==, 0);
+}
+
+static void
+test_limits(struct fixture *f, gconstpointer data)
+{
+	g_autofree char *filler = g_strnfill(5000, 'x');
+	g_autofree char *long_head = g_strdup_printf(
+	    "GET / HTTP/1.1\r\nHost: h\r\nX-Long: %s\r\n\r\n", filler);
+	g_autofree char *long_body = g_strdup_printf(
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n%s",
+	    filler);
+	const struct {
+		const char *request, *status;
+	} cases[] = {
+	    {long_head, "HTTP/1.1 431"},
+	    {long_body, "HTTP/1.1 413"},
+	    {"GET / HTTP/1.1\r\nHost", "HTTP/1.1 408"},
+	};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = dial(&f->address);
+		g_autofree char *text = NULL;
+
+		put(fd, cases[i].request);
+		text = take(f, fd, 1500);
+		g_assert_true(g_str_has_prefix(text, cases[i].status));
+		(void)close(fd);
+	}
+	g_assert_cmpuint(f->requests, ==, 0);
+}
+
+/* Guards against work for a caller that has left. */
+static void
+test_caller_leaves(struct fixture *f, gconstpointer data)
+{
+	int fd = dial(&f->address);
+
+	(void)data;
+	f->hold = true;
+	put(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(f->loop, 20);
+	g_assert_nonnull(f->held);
+	(void)close(fd);
+	turn(f->loop, 20);
+	g_assert_cmpuint(f->gone, ==, 1);
+}
+
+/* Guards against a broken stream that looks complete. */
+static void
+test_abort(struct fixture *f, gconstpointer data)
+{
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+
+	(void)data;
+	f->hold = true;
+	put(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(f->loop, 20);
+	hsv_stream_begin(f->held, 200, "");
+	hsv_stream_data(f->held, "part", 4);
+	turn(f->loop, 5);
+	hsv_abort(f->held);
+	text = take(f, fd, 100);
+	g_assert_nonnull(strstr(text, "4\r\npart\r\n"));
+	g_assert_null(strstr(text, "0\r\n\r\n"));
+	(void)close(fd);
+}
+
+/* While draining, an answer announces the end of its connection. */
+static void
+test_drain(struct fixture *f, gconstpointer data)
+{
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+
+	(void)data;
+	hsv_drain(f->hsv);
+	put(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	text = take(f, fd, 1500);
+	g_assert_nonnull(strstr(text, "Connection: close"));
+	g_assert_true(g_str_has_suffix(text, "yes"));
+	g_assert_cmpuint(hsv_active(f->hsv), ==, 0);
+	(void)close(fd);
+}
+
+/* ---- The client ---- */
+
+struct outcome {
+	GString *body;
+	enum hcp_end end;
+	unsigned ends;
+	unsigned heads;
+	const char *skip; /* X-Id of answers to skip */
+};
+
+static enum hcp_take
+on_head(void *arg, const struct hmsg_head *head)
+{
+	struct outcome *outcome = arg;
+	const char *id = hmsg_find(head, "X-Id");
+
+	if (outcome->skip != NULL && g_strcmp0(id, outcome->skip) == 0)
+		return (HCP_SKIP);
+	outcome->heads++;
+	return (HCP_TAKE);
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+	struct outcome *outcome = arg;
+
+	g_string_append_len(outcome->body, data, (gssize)len);
+}
+
+static void
+on_end(void *arg, enum hcp_end end, bool timed_out)
+{
+	struct outcome *outcome = arg;
+
+	(void)timed_out;
+	outcome->end = end;
+	outcome->ends++;
+}
+
+static const struct hcp_handler client_handler = {on_head, on_data, on_end};
+
+struct client {
+	struct ev_loop *loop;
+	struct hcp *hcp;
+	struct sockaddr_in address;
+	struct outcome outcome;
+	GString *head;
+	int listener;
+};
+
+static void
+client_setup(struct client *c, gconstpointer data)
+{
+	(void)data;
+	c->loop = ev_loop_new(EVFLAG_AUTO);
+	c->hcp = hcp_open(c->loop);
+	c->listener = listen_any(&c->address);
+	c->outcome.body = g_string_new(NULL);
+	c->head = g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+static void
+client_teardown(struct client *c, gconstpointer data)
+{
+	(void)data;
+	hcp_close(c->hcp);
+	(void)close(c->listener);
+	g_string_free(c->outcome.body, TRUE);
+	g_string_free(c->head, TRUE);
+	ev_loop_destroy(c->loop);
+}
+
+static struct hcp_call *
+start(struct client *c, const char *body, size_t len)
+{
+	const struct hcp_request request = {
+	    .address = c->address,
+	    .head = c->head,
+	    .body = body,
+	    .body_len = len,
+	    .connect_timeout = 500,
+	    .timeout = 1000,
+	    .handler = &client_handler,
+	    .arg = &c->outcome,
+	};
+
+	c->outcome.ends = 0;
+	c->outcome.heads = 0;
+	g_string_truncate(c->outcome.body, 0);
+	return (hcp_start(c->hcp, &request));
+}
+
+static int
+take_connection(struct client *c)
+{
+	int fd;
+
+	turn(c->loop, 10);
+	fd = accept4(c->listener, NULL, NULL, 0);
+	g_assert_cmpint(fd, >=, 0);
+	turn(c->loop, 10);
+	return (fd);
+}
+
+static bool
+has_connection(struct client *c)
+{
+	fd_set set;
+	struct timeval none = {0, 0};
+
+	turn(c->loop, 20);
+	FD_ZERO(&set);
+	FD_SET(c->listener, &set);
+	return (select(c->listener + 1, &set, NULL, NULL, &none) == 1);
+}
+
+static void
+drain_request(int fd)
+{
+	char buf[4096];
+
+	g_assert_cmpint(recv(fd, buf, sizeof(buf), 0), >, 0);
+}
+
+#define OK_5 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+static void
+test_reuse(struct client *c, gconstpointer data)
+{
+	int fd;
+
+	(void)data;
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	for (int i = 0; i < 2; i++) {
+		drain_request(fd);
+		put(fd, OK_5);
+		turn(c->loop, 20);
+		g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+		g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+		if (i == 0)
+			(void)start(c, NULL, 0);
+		turn(c->loop, 10);
+	}
+	g_assert_false(has_connection(c));
+	(void)close(fd);
+}
+
+/* Guards against a silent second send on a reused connection that died. */
+static void
+test_reused_dies(struct client *c, gconstpointer data)
+{
+	int fd;
+
+	(void)data;
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, OK_5);
+	turn(c->loop, 20);
+	(void)start(c, NULL, 0);
+	turn(c->loop, 10);
+	drain_request(fd);
+	(void)close(fd);
+	turn(c->loop, 20);
+	g_assert_cmpuint(c->outcome.ends, ==, 1);
+	g_assert_cmpint(c->outcome.end, ==, HCP_NO_ANSWER);
+	g_assert_false(has_connection(c));
+}
+
+/* Guards against bytes after an answer that become part of the next one. */
+static void
+test_bytes_after(struct client *c, gconstpointer data)
+{
+	int fd;
+
+	(void)data;
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, OK_5 OK_5);
+	turn(c->loop, 20);
+	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+	(void)start(c, NULL, 0);
+	g_assert_true(has_connection(c));
+	(void)close(fd);
+}
+
+/* A late answer to another request comes before the one that is due. */
+static void
+test_foreign_skipped(struct client *c, gconstpointer data)
+{
+	int fd;
+
+	(void)data;
+	c->outcome.skip = "other";
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd,
+	    "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad"
+	    "HTTP/1.1 100 Continue\r\n\r\n" OK_5);
+	turn(c->loop, 20);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+	(void)close(fd);
+}
+
+/* An answer without a length ends with its connection, but not by a reset. */
+static void
+test_no_length(struct client *c, gconstpointer data)
+{
+	const struct linger reset = {1, 0};
+	int fd;
+
+	(void)data;
+	for (int i = 0; i < 2; i++) {
+		(void)start(c, NULL, 0);
+		fd = take_connection(c);
+		drain_request(fd);
+		put(fd, "HTTP/1.1 200 OK\r\n\r\nhello");
+		turn(c->loop, 10);
+		if (i == 1)
+			(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
+			    sizeof(reset));
+		(void)close(fd);
+		turn(c->loop, 20);
+		g_assert_cmpint(c->outcome.end, ==,
+		    i == 0 ? HCP_COMPLETE : HCP_CUT);
+	}
+}
+
+static void
+test_cut(struct client *c, gconstpointer data)
+{
+	static const char *const answers[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "5\r\nhello\r\n",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		int fd;
+
+		(void)start(c, NULL, 0);
+		fd = take_connection(c);
+		drain_request(fd);
+		put(fd, answers[i]);
+		turn(c->loop, 10);
+		(void)close(fd);
+		turn(c->loop, 20);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, ==, HCP_CUT);
+	}
+}
+
+/*
+ * Guards against a request whose bytes land in the rest of an earlier body:
+ * the answer came before the body was sent.
+ */
+static void
+test_early_answer(struct client *c, gconstpointer data)
+{
+	size_t len = (size_t)16 << 20;
+	g_autofree char *body = g_strnfill(len, 'x');
+	int fd;
+
+	(void)data;
+	g_string_printf(c->head,
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n", len);
+	(void)start(c, body, len);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, OK_5);
+	turn(c->loop, 50);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	(void)start(c, NULL, 0);
+	g_assert_true(has_connection(c));
+	(void)close(fd);
+}
+
+/* A server that nobody listens at has run nothing. */
+static void
+test_not_sent(struct client *c, gconstpointer data)
+{
+	(void)data;
+	(void)close(c->listener);
+	(void)start(c, NULL, 0);
+	turn(c->loop, 50);
+	g_assert_cmpuint(c->outcome.ends, ==, 1);
+	g_assert_cmpint(c->outcome.end, ==, HCP_NOT_SENT);
+	c->listener = listen_any(&c->address);
+}
+
+/* A server that reads and never answers is given up at the call's timeout. */
+static void
+test_silent(struct client *c, gconstpointer data)
+{
+	int fd;
+
+	(void)data;
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	turn(c->loop, RUN_MS);
+	g_assert_cmpuint(c->outcome.ends, ==, 1);
+	g_assert_cmpint(c->outcome.end, ==, HCP_NO_ANSWER);
+	(void)close(fd);
+}
+
+#define SERVER(name, function)                                                 \
+	g_test_add("/http/server/" name, struct fixture, NULL, setup,          \
+	    function, teardown)
+#define CLIENT(name, function)                                                 \
+	g_test_add("/http/client/" name, struct client, NULL, client_setup,    \
+	    function, client_teardown)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	SERVER("bodies", test_bodies);
+	SERVER("smuggled", test_smuggled);
+	SERVER("limits", test_limits);
+	SERVER("caller-leaves", test_caller_leaves);
+	SERVER("abort", test_abort);
+	SERVER("drain", test_drain);
+	CLIENT("reuse", test_reuse);
+	CLIENT("reused-dies", test_reused_dies);
+	CLIENT("bytes-after", test_bytes_after);
+	CLIENT("foreign-skipped", test_foreign_skipped);
+	CLIENT("no-length", test_no_length);
+	CLIENT("cut", test_cut);
+	CLIENT("early-answer", test_early_answer);
+	CLIENT("not-sent", test_not_sent);
+	CLIENT("silent", test_silent);
+	return (g_test_run());
+}
