--- a/src/budget/bgt.c
+++ b/src/budget/bgt.c
@@ -50,8 +50,8 @@
 
 	bgt->session = g_strdup(session);
 	bgt->retention = retention;
-	bgt->programs = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, program_free);
+	bgt->programs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, program_free);
 	return (bgt);
 }
 
@@ -101,8 +101,8 @@
 }
 
 void
-bgt_settle(struct bgt *bgt, const char *id, int64_t reserved, int64_t used,
-    clk_ms now)
+bgt_settle(
+    struct bgt *bgt, const char *id, int64_t reserved, int64_t used, clk_ms now)
 {
 	struct program *program = ensure_program(bgt, id, now);
 
@@ -134,9 +134,8 @@
 static char *
 ledger_format(const struct ledger *ledger)
 {
-	json_t *root = json_pack(
-	    "{s:I, s:O}", "budget", (json_int_t)ledger->budget, "grants",
-	    ledger->grants);
+	json_t *root = json_pack("{s:I, s:O}", "budget",
+	    (json_int_t)ledger->budget, "grants", ledger->grants);
 	char *raw = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	char *text = g_strdup(raw);
 
@@ -158,22 +157,21 @@
 	json_t *value;
 	int64_t sum = 0;
 
-	json_object_foreach (ledger->grants, session, value)
-		sum += json_integer_value(value);
+	json_object_foreach(ledger->grants, session, value) sum +=
+	    json_integer_value(value);
 	return (sum);
 }
 
 void
-bgt_ledger_set(struct bgt *bgt, const char *id,
-    const struct sto_record *record, int64_t end, clk_ms now)
+bgt_ledger_set(struct bgt *bgt, const char *id, const struct sto_record *record,
+    int64_t end, clk_ms now)
 {
 	struct program *program = ensure_program(bgt, id, now);
 	struct ledger ledger;
 
 	g_free(program->ledger);
-	program->ledger = record != NULL
-	    ? g_memdup2(record->value, record->len)
-	    : NULL;
+	program->ledger =
+	    record != NULL ? g_memdup2(record->value, record->len) : NULL;
 	program->ledger_len = record != NULL ? record->len : 0;
 	program->end = end;
 	program->is_known = true;
--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -54,8 +54,8 @@
  * bgt_reserve(bgt, program, turn_max, now)
  *	Reserve turn_max tokens, the most that a turn generates.
  */
-enum bgt_verdict bgt_reserve(
-    struct bgt *bgt, const char *program, int64_t turn_max, clk_ms now);
+enum bgt_verdict
+bgt_reserve(struct bgt *bgt, const char *program, int64_t turn_max, clk_ms now);
 
 /*
  * bgt_settle(bgt, program, reserved, used, now)
@@ -91,8 +91,8 @@
  *	BGT_READ and BGT_WRITE as in bgt_take(); BGT_NONE if there is nothing
  *	to give back, or a turn is running.
  */
-enum bgt_taken bgt_return(
-    struct bgt *bgt, const char *program, char **value, int64_t *end);
+enum bgt_taken
+bgt_return(struct bgt *bgt, const char *program, char **value, int64_t *end);
 
 /*
  * bgt_held(bgt, program, until)
--- a/src/catalogue/cat.c
+++ b/src/catalogue/cat.c
@@ -72,10 +72,10 @@
 	cat->refs = 1;
 	cat->limits = (struct cat_limits){DEFAULT_MAX_HEAD, DEFAULT_MAX_BODY,
 	    DEFAULT_HEAD_TIMEOUT, DEFAULT_IDLE_TIMEOUT};
-	cat->hosts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, routes_free);
-	cat->services = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, service_free);
+	cat->hosts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, routes_free);
+	cat->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	cat->organisations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, organisation_free);
 	cat->keys =
@@ -119,7 +119,8 @@
 	}
 	g_free(host);
 	while (at < routes->len &&
-	    strlen(((const struct cat_route *)routes->pdata[at])->path_prefix) >=
+	    strlen(
+		((const struct cat_route *)routes->pdata[at])->path_prefix) >=
 		len)
 		at++;
 	g_ptr_array_insert(routes, (gint)at, route);
--- a/src/catalogue/cat.h
+++ b/src/catalogue/cat.h
@@ -93,13 +93,13 @@
  *	Return the route of that host with the longest prefix that begins the
  *	path, or nil.  A port in host is ignored, and so is a query in path.
  */
-const struct cat_route *cat_route_find(
-    const struct cat *cat, const char *host, const char *path);
+const struct cat_route *
+cat_route_find(const struct cat *cat, const char *host, const char *path);
 
-const struct cat_service *cat_service_find(
-    const struct cat *cat, const char *name);
-const struct cat_organisation *cat_key_find(
-    const struct cat *cat, const char *key);
+const struct cat_service *
+cat_service_find(const struct cat *cat, const char *name);
+const struct cat_organisation *
+cat_key_find(const struct cat *cat, const char *key);
 
 /*
  * cat_service_pick(route, draw)
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -72,8 +72,8 @@
 	    "request=%s route=%s organisation=%s program=%s outcome=%s "
 	    "status=%d upstream=%s tries=%u runs=%u events=%" G_GINT64_FORMAT
 	    " took_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
-	    " upstream_ms=%" G_GINT64_FORMAT
-	    " left_ms=%" G_GINT64_FORMAT " catalogue=%" G_GINT64_FORMAT
+	    " upstream_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+	    " catalogue=%" G_GINT64_FORMAT
 	    " catalogue_age_ms=%" G_GINT64_FORMAT,
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
@@ -82,9 +82,9 @@
 	    lg_quote(program, sizeof(program),
 		call->request.program != NULL ? call->request.program : "-"),
 	    outcome, status,
-	    call->upstream_id[0] != '\0' ? call->upstream_id : "-",
-	    call->tries, call->runs, call->events, now - call->arrived,
-	    call->first, call->sent > 0 ? now - call->sent : 0, call->deadline - now,
+	    call->upstream_id[0] != '\0' ? call->upstream_id : "-", call->tries,
+	    call->runs, call->events, now - call->arrived, call->first,
+	    call->sent > 0 ? now - call->sent : 0, call->deadline - now,
 	    call->cat != NULL ? cat_version(call->cat) : 0,
 	    now - edg->confirmed);
 	cnt_observe(edg->latency, now - call->arrived);
@@ -106,8 +106,7 @@
 	if (client == NULL)
 		return;
 	body = vd_body(verdict, call->request.id);
-	call->edg->deps.wire->verdict_encode(
-	    fields, verdict, call->request.id);
+	call->edg->deps.wire->verdict_encode(fields, verdict, call->request.id);
 	edg_end(call, vd_code_name(verdict->code), verdict->status);
 	hsv_answer(client, verdict->status, fields->str, body, strlen(body));
 }
@@ -205,8 +204,9 @@
 	    organisation->burst, rank == QTA_NEW_PROGRAM, state.level,
 	    state.expected, state.part, state.share, state.own_tick, wait);
 	refuse(call, VD_RATE_EXCEEDED,
-	    MAX(wait, rank == QTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MS
-					      : RETRY_RATE_MIN_MS),
+	    MAX(wait,
+		rank == QTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MS
+					: RETRY_RATE_MIN_MS),
 	    "above the organisation's rate");
 	return (false);
 }
@@ -244,8 +244,8 @@
 		refuse(call, VD_BAD_REQUEST, 0, problem);
 		return;
 	}
-	call->route = cat_route_find(
-	    call->cat, call->request.host, head->target->str);
+	call->route =
+	    cat_route_find(call->cat, call->request.host, head->target->str);
 	if (call->route == NULL) {
 		refuse(call, VD_NOT_FOUND, 0, "no route");
 		return;
@@ -253,8 +253,7 @@
 	if (!authenticate(call) || !admit_by_rate(call))
 		return;
 	if (call->request.program != NULL)
-		act_seen(
-		    edg->deps.act, call->request.program, call->arrived);
+		act_seen(edg->deps.act, call->request.program, call->arrived);
 	call->service_name =
 	    cat_service_pick(call->route, g_rand_int(edg->rand));
 	call->service = cat_service_find(call->cat, call->service_name);
@@ -335,8 +334,7 @@
 	}
 	edg->hcp = hcp_open(deps->loop);
 	edg->bgt = bgt_open(settings->session, settings->retention);
-	edg->turns =
-	    trn_cache_open(settings->cache_bytes, settings->retention);
+	edg->turns = trn_cache_open(settings->cache_bytes, settings->retention);
 	edg_budget_open(edg);
 	edg->rand = g_rand_new();
 	edg->instances = 1;
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -50,8 +50,8 @@
 };
 
 /* edg_open(deps, settings): returns nil and sets errno on failure. */
-struct edg *edg_open(
-    const struct edg_deps *deps, const struct edg_settings *settings);
+struct edg *
+edg_open(const struct edg_deps *deps, const struct edg_settings *settings);
 void edg_close(struct edg *edg);
 
 /*
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -7,23 +7,23 @@
 #include "edge/edg_impl.h"
 
 /* One read or append that is not answered in this time is repeated. */
-#define STORE_TIMEOUT_MS  400
+#define STORE_TIMEOUT_MS 400
 /* Pause before an exchange begins again; it doubles up to a bound. */
 #define STORE_PAUSE_MS	   30
 #define STORE_PAUSE_MAX_MS 400
 /* Turns that got no grant in this time are refused. */
-#define TAKE_PATIENCE_MS  1200
+#define TAKE_PATIENCE_MS 1200
 /*
  * A program without a turn here for this time gives its grant back.  Turns
  * that ended 1 s ago must count with what they used.
  */
-#define IDLE_RETURN_MS	  100
-#define IDLE_PERIOD_S	  0.05
+#define IDLE_RETURN_MS 100
+#define IDLE_PERIOD_S  0.05
 /* Time and number of attempts to wait for what other sessions give back. */
-#define HELD_PAUSE_MS	  150
-#define HELD_ATTEMPTS	  3
+#define HELD_PAUSE_MS 150
+#define HELD_ATTEMPTS 3
 /* Time in which further turns of such a program are refused unread. */
-#define HELD_REFUSE_MS	  500
+#define HELD_REFUSE_MS 500
 
 struct edg_ledger {
 	struct edg *edg;
@@ -77,8 +77,8 @@
 }
 
 static void
-refuse_waiting(struct edg_ledger *ledger, enum vd_code code,
-    clk_ms retry_after, const char *detail)
+refuse_waiting(struct edg_ledger *ledger, enum vd_code code, clk_ms retry_after,
+    const char *detail)
 {
 	struct edg_call *call;
 
@@ -151,8 +151,7 @@
 	bgt_ledger_forget(edg->bgt, ledger->program);
 	if (first_waiting(ledger) != NULL &&
 	    edg_now(edg) - ledger->begun >= TAKE_PATIENCE_MS) {
-		ledger_fail(ledger, VD_HISTORY_UNPROVEN,
-		    edg_store_retry(edg),
+		ledger_fail(ledger, VD_HISTORY_UNPROVEN, edg_store_retry(edg),
 		    "the program's budget can't be read now");
 		return;
 	}
@@ -213,8 +212,7 @@
 		ledger_pause(ledger, HELD_PAUSE_MS);
 		return;
 	}
-	bgt_held(
-	    edg->bgt, ledger->program, edg_now(edg) + HELD_REFUSE_MS);
+	bgt_held(edg->bgt, ledger->program, edg_now(edg) + HELD_REFUSE_MS);
 	ledger_fail(ledger, VD_BUDGET_EXCEEDED, 0,
 	    "the program's budget is spent by turns that run");
 }
@@ -237,8 +235,8 @@
 		    call->request.budget, call->request.turn_max,
 		    &ledger->value, &end, edg_now(edg));
 	else
-		taken = bgt_return(
-		    edg->bgt, ledger->program, &ledger->value, &end);
+		taken =
+		    bgt_return(edg->bgt, ledger->program, &ledger->value, &end);
 	switch (taken) {
 	case BGT_TAKEN:
 		ledger_continue(ledger);
@@ -316,8 +314,8 @@
 void
 edg_budget_open(struct edg *edg)
 {
-	edg->ledgers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, ledger_free);
+	edg->ledgers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ledger_free);
 	ev_timer_init(&edg->idle_timer, idle_cb, IDLE_PERIOD_S, IDLE_PERIOD_S);
 	edg->idle_timer.data = edg;
 }
@@ -342,8 +340,7 @@
 	idle->since = edg_now(edg);
 	g_queue_push_tail(&edg->idle, idle);
 	if (!ev_is_active(&edg->idle_timer)) {
-		ev_timer_set(
-		    &edg->idle_timer, IDLE_PERIOD_S, IDLE_PERIOD_S);
+		ev_timer_set(&edg->idle_timer, IDLE_PERIOD_S, IDLE_PERIOD_S);
 		ev_timer_start(edg->deps.loop, &edg->idle_timer);
 	}
 }
@@ -362,8 +359,8 @@
 	}
 	ledger = g_hash_table_lookup(edg->ledgers, program);
 	if (ledger == NULL) {
-		switch (bgt_reserve(edg->bgt, program, call->request.turn_max,
-		    edg_now(edg))) {
+		switch (bgt_reserve(
+		    edg->bgt, program, call->request.turn_max, edg_now(edg))) {
 		case BGT_RUN:
 			call->reserved = call->request.turn_max;
 			edg_send(call);
@@ -393,8 +390,8 @@
 	if (call->reserved == 0)
 		return;
 	used = call->events * MAX(tokens_per_event, 1);
-	bgt_settle(call->edg->bgt, call->request.program, call->reserved,
-	    used, edg_now(call->edg));
+	bgt_settle(call->edg->bgt, call->request.program, call->reserved, used,
+	    edg_now(call->edg));
 	call->reserved = 0;
 	if (bgt_idle(call->edg->bgt, call->request.program))
 		idle_add(call->edg, call->request.program);
--- a/src/edge/edg_history.c
+++ b/src/edge/edg_history.c
@@ -8,12 +8,12 @@
 #include "edge/edg_impl.h"
 
 /* One read or append that is not answered in this time is repeated. */
-#define STORE_TIMEOUT_MS  400
+#define STORE_TIMEOUT_MS 400
 /* Pause before a store call is repeated; it doubles up to a bound. */
 #define STORE_PAUSE_MS	   40
 #define STORE_PAUSE_MAX_MS 320
 /* A turn whose history can't be read in this time is refused. */
-#define READ_PATIENCE_MS  1200
+#define READ_PATIENCE_MS 1200
 /*
  * A turn that can't be recorded in this time is broken off; callers abandon
  * a stream after a gap of 2 s.
--- a/src/edge/edg_send.c
+++ b/src/edge/edg_send.c
@@ -6,15 +6,15 @@
 #include "edge/edg_impl.h"
 
 /* A connection to an upstream that is not established in this time failed. */
-#define CONNECT_TIMEOUT_MS	300
+#define CONNECT_TIMEOUT_MS 300
 /* Retry-After of a request that found every upstream full or away. */
-#define RETRY_NO_UPSTREAM_MS	300
+#define RETRY_NO_UPSTREAM_MS 300
 /* An answer to a call of a service that is larger than this is cut off. */
-#define MAX_ANSWER		((size_t)32 << 20)
+#define MAX_ANSWER ((size_t)32 << 20)
 /* Expected tokens of a turn whose caller states no length. */
-#define DEFAULT_OUTPUT_TOKENS	256
+#define DEFAULT_OUTPUT_TOKENS 256
 /* Connections to one upstream that an instance may always have. */
-#define LEAST_CONNECTIONS	4
+#define LEAST_CONNECTIONS 4
 
 static enum hcp_take on_head(void *arg, const struct hmsg_head *head);
 static void on_data(void *arg, const char *data, size_t len);
@@ -115,9 +115,8 @@
 	    call->upstream_id, upstream->id, sizeof(call->upstream_id));
 	forward = (struct edg_forward){
 	    .upstream_id = upstream->id,
-	    .organisation = call->organisation != NULL
-		? call->organisation->name
-		: NULL,
+	    .organisation =
+		call->organisation != NULL ? call->organisation->name : NULL,
 	    .timeout = MAX(call->deadline - call->sent, 1),
 	    .body_len = body->len,
 	};
@@ -165,8 +164,8 @@
 	(void)g_string_truncate(call->reply_fields, 0);
 	(void)g_byte_array_set_size(call->reply_body, 0);
 	edg->deps.wire->reply_encode(call->reply_fields, head);
-	plc_first(edg->deps.plc, call->handle,
-	    (double)(edg_now(edg) - call->sent));
+	plc_first(
+	    edg->deps.plc, call->handle, (double)(edg_now(edg) - call->sent));
 	if (call->route->kind == CAT_STREAM && reply->status == 200 &&
 	    reply->is_signed && !reply->is_encoded) {
 		if (call->sse.partial == NULL)
@@ -273,8 +272,7 @@
 		edg_send(call);
 		return;
 	}
-	verdict = vd_make(
-	    VD_MAYBE, VD_UPSTREAM_FAILED, "%s", detail);
+	verdict = vd_make(VD_MAYBE, VD_UPSTREAM_FAILED, "%s", detail);
 	edg_refuse(call, &verdict);
 }
 
--- a/src/edge/sse.c
+++ b/src/edge/sse.c
@@ -41,8 +41,7 @@
 	size_t from = partial->len > 2 ? partial->len - 2 : 0;
 	size_t n;
 
-	(void)g_byte_array_append(
-	    partial, (const guint8 *)data, (guint)len);
+	(void)g_byte_array_append(partial, (const guint8 *)data, (guint)len);
 	/* The callback may clear sse, so the buffer has a reference here. */
 	while ((n = event_length((const char *)partial->data + done,
 		    partial->len - done, from)) > 0) {
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -10,23 +10,23 @@
 #include <unistd.h>
 
 /* Period at which instances tell each other, in ms. */
-#define TELL_PERIOD_MS	  200
+#define TELL_PERIOD_MS 200
 /* Periods of this instance's record and of reading the others', in ms. */
-#define RENEW_PERIOD_MS	  4000
-#define READ_PERIOD_MS	  2000
+#define RENEW_PERIOD_MS 4000
+#define READ_PERIOD_MS	2000
 /* A record that has not changed for this time is of an instance that died. */
-#define RECORD_DEAD_MS	  12000
-#define STORE_TIMEOUT_MS  500
-#define DATAGRAM_MAX	  4096
+#define RECORD_DEAD_MS	 12000
+#define STORE_TIMEOUT_MS 500
+#define DATAGRAM_MAX	 4096
 /* Organisations in one datagram, and bytes of a name. */
-#define COUNTS_MAX	  70
+#define COUNTS_MAX 70
 /* Programs in one datagram. */
-#define PROGRAMS_MAX	  60
+#define PROGRAMS_MAX 60
 /* Upstreams, and prompts sent there, in one datagram. */
-#define LOADS_MAX	  60
-#define KEPT_MAX	  100
-#define NAME_MAX_BYTES	  128
-#define PROTOCOL_VERSION  0x53474f34U
+#define LOADS_MAX	 60
+#define KEPT_MAX	 100
+#define NAME_MAX_BYTES	 128
+#define PROTOCOL_VERSION 0x53474f34U
 
 struct member {
 	struct sockaddr_in address;
@@ -167,8 +167,7 @@
 	    (unsigned)qta_counts(gsp->deps.qta, counts, COUNTS_MAX);
 	news.program_len =
 	    (unsigned)act_news(gsp->deps.act, programs, PROGRAMS_MAX);
-	news.load_len =
-	    (unsigned)plc_loads(gsp->deps.plc, loads, LOADS_MAX);
+	news.load_len = (unsigned)plc_loads(gsp->deps.plc, loads, LOADS_MAX);
 	news.kept_len = (unsigned)plc_news(gsp->deps.plc, kept, KEPT_MAX);
 	len = gsp_encode(buf, sizeof(buf), &news);
 	qta_tick(gsp->deps.qta);
@@ -319,8 +318,8 @@
 
 	(void)loop;
 	(void)events;
-	gsp->deps.sto.ops->read(gsp->deps.sto.store, &place, STORE_TIMEOUT_MS,
-	    on_members, gsp);
+	gsp->deps.sto.ops->read(
+	    gsp->deps.sto.store, &place, STORE_TIMEOUT_MS, on_members, gsp);
 }
 
 static void
@@ -347,8 +346,8 @@
 	if (gsp->leaving)
 		return;
 	(void)inet_ntop(AF_INET, &gsp->address.sin_addr, ip, sizeof(ip));
-	record.len = (size_t)snprintf(value, sizeof(value),
-	    "%s %u %llu %llu", ip, (unsigned)ntohs(gsp->address.sin_port),
+	record.len = (size_t)snprintf(value, sizeof(value), "%s %u %llu %llu",
+	    ip, (unsigned)ntohs(gsp->address.sin_port),
 	    (unsigned long long)gsp->incarnation,
 	    (unsigned long long)++gsp->renewals);
 	gsp->deps.sto.ops->append(gsp->deps.sto.store, &place, STO_ANY_END,
@@ -385,8 +384,7 @@
 
 	if (fd < 0)
 		return (NULL);
-	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) !=
-	    0) {
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
 		saved = errno;
 		(void)close(fd);
 		errno = saved;
@@ -398,8 +396,8 @@
 	gsp->incarnation = incarnation;
 	gsp->address = *address;
 	gsp->fd = fd;
-	gsp->members = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, member_free);
+	gsp->members =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, member_free);
 	ev_io_init(&gsp->readable, readable_cb, fd, EV_READ);
 	gsp->readable.data = gsp;
 	ev_io_start(deps->loop, &gsp->readable);
--- a/src/gossip/gsp.h
+++ b/src/gossip/gsp.h
@@ -4,8 +4,9 @@
  * Each instance keeps a record with its address in the store, and finds the
  * others there.  Several times a second it tells each of them how many
  * requests of each organisation it has admitted, which programs have begun
- * there, what it runs at each upstream and which prompts it sent there.  A lost datagram does no harm: the numbers are totals, and
- * each program is told twice.
+ * there, what it runs at each upstream and which prompts it sent there.  A lost
+ * datagram does no harm: the numbers are totals, and each program is told
+ * twice.
  */
 #ifndef SAMPHIRESHED_GSP_H
 #define SAMPHIRESHED_GSP_H
--- /dev/null
+++ b/src/gossip/test_gsp.c
@@ -0,0 +1,69 @@
+/*
+ * Datagrams of instances, whole and damaged.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "gossip/gsp.h"
+
+static void
+test_datagram(void)
+{
+	struct qta_count counts[] = {{1, 10, 2}, {2, 20, 3}};
+	uint64_t programs[] = {7, 8, 9};
+	struct plc_load loads[] = {{5, 6}};
+	struct plc_kept kept[] = {{11, 12}};
+	const struct gsp_news news = {
+	    (char *)"i-1", 17, counts, 2, programs, 3, loads, 1, kept, 1};
+	char buf[1024];
+	struct gsp_news read;
+	size_t len = gsp_encode(buf, sizeof(buf), &news);
+
+	g_assert_cmpuint(len, >, 0);
+	g_assert_true(gsp_decode(buf, len, &read));
+	g_assert_cmpstr(read.name, ==, "i-1");
+	g_assert_cmpuint(read.incarnation, ==, 17);
+	g_assert_cmpuint(read.count_len, ==, 2);
+	g_assert_cmpuint(read.counts[1].admitted, ==, 20);
+	g_assert_cmpuint(read.counts[1].begun, ==, 3);
+	g_assert_cmpuint(read.programs[2], ==, 9);
+	g_assert_cmpuint(read.loads[0].running, ==, 6);
+	g_assert_cmpuint(read.kept[0].upstream, ==, 12);
+	gsp_news_clear(&read);
+	/* Guards against a datagram that is cut, or does not fit. */
+	for (size_t cut = 0; cut < len; cut++)
+		g_assert_false(gsp_decode(buf, cut, &read));
+	for (size_t size = 0; size < len; size += 4)
+		g_assert_cmpuint(gsp_encode(buf, size, &news), ==, 0);
+}
+
+/* Guards against bytes of another protocol, and huge lengths. */
+static void
+test_noise(void)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+
+	for (int i = 0; i < 20000; i++) {
+		char buf[256];
+		struct gsp_news read;
+
+		for (size_t k = 0; k < sizeof(buf); k++)
+			buf[k] = (char)g_rand_int(rand);
+		/* The protocol's version, so that decoding goes on. */
+		buf[0] = 0x53;
+		buf[1] = 0x47;
+		buf[2] = 0x4f;
+		buf[3] = 0x34;
+		if (gsp_decode(buf, sizeof(buf), &read))
+			gsp_news_clear(&read);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gsp/datagram", test_datagram);
+	g_test_add_func("/gsp/noise", test_noise);
+	return (g_test_run());
+}
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -6,14 +6,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_SIZE	   16384
-#define MAX_HEAD	   65536
+#define READ_SIZE 16384
+#define MAX_HEAD  65536
 /* Idle time after which a connection is closed if the server states none. */
-#define DEFAULT_IDLE_MS	   (4 * CLK_SECOND)
+#define DEFAULT_IDLE_MS (4 * CLK_SECOND)
 /* Time before the server's stated idle timeout at which ours ends. */
-#define IDLE_MARGIN_MS	   500
+#define IDLE_MARGIN_MS 500
 /* Unacknowledged data ends a connection after this time, in ms. */
-#define USER_TIMEOUT_MS	   1500
+#define USER_TIMEOUT_MS 1500
 /* Keepalive probes find a silent connection that waits, in s. */
 #define KEEPALIVE_IDLE_S   1
 #define KEEPALIVE_PERIOD_S 1
@@ -36,7 +36,6 @@
 	clk_ms idle_limit;
 	double idle_since;
 	int fd;
-	unsigned depth;
 	bool connected;
 	bool sent; /* a byte of the current request has left */
 	bool idle;
@@ -49,6 +48,8 @@
 struct hcp {
 	struct ev_loop *loop;
 	struct hcp_call *calls; /* the newest first */
+	struct hcp_call *closed; /* freed by the reaper */
+	struct ev_prepare reaper;
 	unsigned long opened;
 };
 
@@ -82,6 +83,10 @@
 	call->hcp->calls = call;
 }
 
+/*
+ * Close the connection.  Its memory is freed from the loop, when no callback
+ * of it is on the stack.
+ */
 static void
 call_close(struct hcp_call *call)
 {
@@ -97,16 +102,27 @@
 	if (call->fd >= 0)
 		(void)close(call->fd);
 	list_remove(call);
-	if (call->depth == 0)
-		call_free(call);
+	call->next = call->hcp->closed;
+	call->hcp->closed = call;
 }
 
 static void
-call_leave(struct hcp_call *call)
+reap(struct hcp *hcp)
 {
-	call->depth--;
-	if (call->dead && call->depth == 0)
+	while (hcp->closed != NULL) {
+		struct hcp_call *call = hcp->closed;
+
+		hcp->closed = call->next;
 		call_free(call);
+	}
+}
+
+static void
+reaper_cb(struct ev_loop *loop, struct ev_prepare *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	reap(watcher->data);
 }
 
 /* The connection failed. */
@@ -148,16 +164,15 @@
 stated_idle(const struct hmsg_head *head)
 {
 	const char *value = hmsg_find(head, "Keep-Alive");
-	const char *timeout =
-	    value == NULL ? NULL : strstr(value, "timeout=");
+	const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
 	clk_ms limit;
 
 	if (timeout == NULL)
 		return (DEFAULT_IDLE_MS);
 	limit =
 	    (clk_ms)(g_ascii_strtod(timeout + 8, NULL) * (double)CLK_SECOND);
-	return (limit > 2 * IDLE_MARGIN_MS ? limit - IDLE_MARGIN_MS
-					   : limit / 2);
+	return (
+	    limit > 2 * IDLE_MARGIN_MS ? limit - IDLE_MARGIN_MS : limit / 2);
 }
 
 static enum hmsg_next
@@ -251,7 +266,6 @@
 	n = recv(call->fd, buf, sizeof(buf), 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	call->depth++;
 	if (call->idle) {
 		/* A close, or bytes that belong to no request. */
 		call_close(call);
@@ -265,7 +279,6 @@
 		else
 			call_failed(call, false);
 	}
-	call_leave(call);
 }
 
 static void
@@ -312,9 +325,7 @@
 		ev_timer_stop(loop, &call->connect_timer);
 		ev_io_start(loop, &call->readable);
 	}
-	call->depth++;
 	send_out(call);
-	call_leave(call);
 }
 
 static void
@@ -345,8 +356,7 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
 	    sizeof(user_timeout));
 	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
@@ -480,6 +490,9 @@
 	struct hcp *hcp = g_new0(struct hcp, 1);
 
 	hcp->loop = loop;
+	ev_prepare_init(&hcp->reaper, reaper_cb);
+	hcp->reaper.data = hcp;
+	ev_prepare_start(loop, &hcp->reaper);
 	return (hcp);
 }
 
@@ -490,6 +503,8 @@
 		return;
 	while (hcp->calls != NULL)
 		call_close(hcp->calls);
+	reap(hcp);
+	ev_prepare_stop(hcp->loop, &hcp->reaper);
 	g_free(hcp);
 }
 
--- a/src/http/hmsg.c
+++ b/src/http/hmsg.c
@@ -205,8 +205,8 @@
 {
 	enum http_errno error;
 
-	*used = http_parser_execute(
-	    &reader->parser, &parser_settings, data, len);
+	*used =
+	    http_parser_execute(&reader->parser, &parser_settings, data, len);
 	if (reader->stopped)
 		return (true);
 	error = HTTP_PARSER_ERRNO(&reader->parser);
@@ -316,8 +316,8 @@
 hmsg_reason(int status)
 {
 	switch (status) {
-#define HMSG_REASON(number, name, string)                                      \
-	case number:                                                           \
+#define HMSG_REASON(number, name, string) \
+	case number: \
 		return (#string);
 		HTTP_STATUS_MAP(HMSG_REASON)
 #undef HMSG_REASON
--- a/src/http/hmsg.h
+++ b/src/http/hmsg.h
@@ -96,8 +96,8 @@
  *	match.
  */
 const char *hmsg_find(const struct hmsg_head *head, const char *name);
-const char *hmsg_find_next(
-    const struct hmsg_head *head, const char *name, guint *index);
+const char *
+hmsg_find_next(const struct hmsg_head *head, const char *name, guint *index);
 
 /* hmsg_name(head, i), hmsg_value(head, i): the i-th field. */
 const char *hmsg_name(const struct hmsg_head *head, guint i);
@@ -110,8 +110,8 @@
  *	Content-Length, Expect, and those whose name is in the nil-terminated
  *	list skip.
  */
-void hmsg_copy(
-    GString *out, const struct hmsg_head *head, const char *const *skip);
+void
+hmsg_copy(GString *out, const struct hmsg_head *head, const char *const *skip);
 
 /* hmsg_reason(status): the reason phrase of a status. */
 const char *hmsg_reason(int status);
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -8,22 +8,22 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG	   1024
-#define READ_SIZE	   16384
+#define LISTEN_BACKLOG 1024
+#define READ_SIZE      16384
 /* A peer that leaves this much of a stream unread is cut off. */
-#define MAX_UNSENT	   ((size_t)4 << 20)
+#define MAX_UNSENT ((size_t)4 << 20)
 /* Bytes of pipelined requests that are kept while one is handled. */
-#define MAX_PENDING	   65536
+#define MAX_PENDING 65536
 /* Unacknowledged data ends a connection after this time, in ms. */
-#define USER_TIMEOUT_MS	   5000
+#define USER_TIMEOUT_MS 5000
 /* Keepalive probes find a caller whose connection went silent, in s. */
 #define KEEPALIVE_IDLE_S   2
 #define KEEPALIVE_PERIOD_S 1
 #define KEEPALIVE_PROBES   3
 /* Time for a peer to read the last answer before its connection is closed. */
-#define LINGER_MS	   1000
+#define LINGER_MS 1000
 /* Connections accepted in one turn of the loop. */
-#define ACCEPT_BATCH	   64
+#define ACCEPT_BATCH 64
 
 enum state {
 	READING, /* between requests, or within one */
@@ -45,7 +45,7 @@
 	void *arg;
 	int fd;
 	enum state state;
-	unsigned depth; /* callbacks on the stack */
+	bool processing; /* process_pending() is on the stack */
 	bool close_after; /* this answer ends the connection */
 	bool lingering; /* the last answer is sent; input is discarded */
 	bool dead;
@@ -57,6 +57,8 @@
 	struct hsv_handler handler;
 	struct ev_io acceptor;
 	struct hsv_call *calls;
+	struct hsv_call *closed; /* freed by the reaper */
+	struct ev_prepare reaper;
 	size_t count;
 	int fd;
 	bool draining;
@@ -75,7 +77,10 @@
 	g_free(call);
 }
 
-/* Close the connection; the memory goes with the last callback. */
+/*
+ * Close the connection.  Its memory is freed from the loop, when no callback
+ * of it is on the stack.
+ */
 static void
 call_close(struct hsv_call *call)
 {
@@ -94,36 +99,39 @@
 		hsv->calls = call->next;
 	if (call->next != NULL)
 		call->next->prev = call->prev;
+	call->next = hsv->closed;
+	hsv->closed = call;
 	hsv->count--;
-	if (call->depth == 0)
-		call_free(call);
 }
 
 static void
-call_enter(struct hsv_call *call)
+reap(struct hsv *hsv)
 {
-	call->depth++;
+	while (hsv->closed != NULL) {
+		struct hsv_call *call = hsv->closed;
+
+		hsv->closed = call->next;
+		call_free(call);
+	}
 }
 
 static void
-call_leave(struct hsv_call *call)
+reaper_cb(struct ev_loop *loop, struct ev_prepare *watcher, int events)
 {
-	call->depth--;
-	if (call->dead && call->depth == 0)
-		call_free(call);
+	(void)loop;
+	(void)events;
+	reap(watcher->data);
 }
 
 /* The peer is gone: tell the handler if it still works on the request. */
 static void
 call_lost(struct hsv_call *call)
 {
-	call_enter(call);
 	if (!call->dead && call->state != READING) {
 		call->state = READING;
 		call->hsv->handler.on_gone(call->hsv->handler.arg, call);
 	}
 	call_close(call);
-	call_leave(call);
 }
 
 static void
@@ -205,13 +213,13 @@
 	(void)g_byte_array_set_size(call->body, 0);
 	hmsg_reader_next(&call->reader);
 	call->arg = NULL;
-	call_enter(call);
 	if (flush_out(call) && !call->dead) {
 		timer_set(call, call->hsv->limits.idle_timeout);
-		if (call->pending->len > 0 && call->depth == 1)
+		/* It is stopped while too much of later requests waits. */
+		ev_io_start(call->hsv->loop, &call->readable);
+		if (call->pending->len > 0 && !call->processing)
 			process_pending(call);
 	}
-	call_leave(call);
 }
 
 void
@@ -300,8 +308,7 @@
 		refuse(call, 413);
 		return (HMSG_STOP);
 	}
-	(void)g_byte_array_append(
-	    call->body, (const guint8 *)data, (guint)len);
+	(void)g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
 	timer_set(call, call->hsv->limits.idle_timeout);
 	return (HMSG_CONTINUE);
 }
@@ -322,7 +329,7 @@
 {
 	struct hsv *hsv = call->hsv;
 
-	call_enter(call);
+	call->processing = true;
 	while (!call->dead && call->state == READING &&
 	    call->pending->len > 0 && !call->close_after) {
 		bool begun = call->reader.in_message;
@@ -338,15 +345,13 @@
 		}
 		if (call->dead || call->reader.stopped)
 			break;
-		(void)g_byte_array_remove_range(
-		    call->pending, 0, (guint)used);
-		if (!begun && call->reader.in_message &&
-		    !call->reader.has_head)
+		(void)g_byte_array_remove_range(call->pending, 0, (guint)used);
+		if (!begun && call->reader.in_message && !call->reader.has_head)
 			timer_set(call, hsv->limits.head_timeout);
 		if (call->state == HANDLING)
 			hsv->handler.on_request(hsv->handler.arg, call);
 	}
-	call_leave(call);
+	call->processing = false;
 }
 
 static void
@@ -371,8 +376,7 @@
 	}
 	if (call->lingering)
 		return;
-	(void)g_byte_array_append(
-	    call->pending, (const guint8 *)buf, (guint)n);
+	(void)g_byte_array_append(call->pending, (const guint8 *)buf, (guint)n);
 	if (call->state == READING)
 		process_pending(call);
 }
@@ -384,10 +388,8 @@
 
 	(void)loop;
 	(void)events;
-	call_enter(call);
 	if (flush_out(call) && !call->dead)
 		ev_io_start(call->hsv->loop, &call->readable);
-	call_leave(call);
 }
 
 static void
@@ -418,8 +420,7 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
 	    sizeof(user_timeout));
 }
@@ -468,8 +469,8 @@
 	(void)loop;
 	(void)events;
 	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		int fd = accept4(
-		    hsv->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd =
+		    accept4(hsv->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
 			return;
@@ -504,6 +505,9 @@
 	ev_io_init(&hsv->acceptor, accept_cb, fd, EV_READ);
 	hsv->acceptor.data = hsv;
 	ev_io_start(loop, &hsv->acceptor);
+	ev_prepare_init(&hsv->reaper, reaper_cb);
+	hsv->reaper.data = hsv;
+	ev_prepare_start(loop, &hsv->reaper);
 	return (hsv);
 }
 
@@ -514,6 +518,8 @@
 		return;
 	while (hsv->calls != NULL)
 		call_close(hsv->calls);
+	reap(hsv);
+	ev_prepare_stop(hsv->loop, &hsv->reaper);
 	if (!hsv->stopped) {
 		ev_io_stop(hsv->loop, &hsv->acceptor);
 		(void)close(hsv->fd);
@@ -526,7 +532,7 @@
 {
 	hsv->limits = *limits;
 	for (struct hsv_call *call = hsv->calls; call != NULL;
-	    call = call->next)
+	     call = call->next)
 		call->reader.max_head = limits->max_head;
 }
 
@@ -560,7 +566,7 @@
 	size_t active = 0;
 
 	for (const struct hsv_call *call = hsv->calls; call != NULL;
-	    call = call->next) {
+	     call = call->next) {
 		if (call->state != READING || call->out->len > 0 ||
 		    (call->reader.in_message && !call->lingering))
 			active++;
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -27,8 +27,8 @@
 static struct sockaddr_in
 loopback(void)
 {
-	return ((struct sockaddr_in){.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)});
+	return ((struct sockaddr_in){
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)});
 }
 
 static int
@@ -113,8 +113,8 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	g_assert_cmpint(
-	    connect(fd, (const struct sockaddr *)address, sizeof(*address)),
-	    ==, 0);
+	    connect(fd, (const struct sockaddr *)address, sizeof(*address)), ==,
+	    0);
 	return (fd);
 }
 
@@ -514,12 +514,12 @@
 		put(fd, "HTTP/1.1 200 OK\r\n\r\nhello");
 		turn(c->loop, 10);
 		if (i == 1)
-			(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
-			    sizeof(reset));
+			(void)setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 		(void)close(fd);
 		turn(c->loop, 20);
-		g_assert_cmpint(c->outcome.end, ==,
-		    i == 0 ? HCP_COMPLETE : HCP_CUT);
+		g_assert_cmpint(
+		    c->outcome.end, ==, i == 0 ? HCP_COMPLETE : HCP_CUT);
 	}
 }
 
@@ -602,11 +602,11 @@
 	(void)close(fd);
 }
 
-#define SERVER(name, function)                                                 \
-	g_test_add("/http/server/" name, struct fixture, NULL, setup,          \
+#define SERVER(name, function) \
+	g_test_add("/http/server/" name, struct fixture, NULL, setup, \
 	    function, teardown)
-#define CLIENT(name, function)                                                 \
-	g_test_add("/http/client/" name, struct client, NULL, client_setup,    \
+#define CLIENT(name, function) \
+	g_test_add("/http/client/" name, struct client, NULL, client_setup, \
 	    function, client_teardown)
 
 int
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -12,27 +12,27 @@
 #include "quota/qta.h"
 
 /* Bytes of turns that an instance keeps in memory. */
-#define TURN_CACHE_BYTES  ((size_t)12 << 20)
+#define TURN_CACHE_BYTES ((size_t)12 << 20)
 /*
  * Time after the return of the store in which upstreams whose entries lapsed
  * are still used; the platform states about 2 s.
  */
-#define LAPSE_GRACE_MS	  2200
+#define LAPSE_GRACE_MS 2200
 /* The store counts as lost after calls failed for this time. */
-#define STORE_LOST_MS	  1000
+#define STORE_LOST_MS 1000
 /*
  * Time from a signal to stop during which connections are still accepted:
  * the balancer needs two probes, 1 s apart, to take the instance out.
  */
-#define DRAIN_ACCEPT_MS	  2500
+#define DRAIN_ACCEPT_MS 2500
 /* Time before the end of the grace period at which the process ends. */
-#define GRACE_MARGIN_MS	  400
+#define GRACE_MARGIN_MS 400
 /* Period of the checks of a planned stop, and of lapsed entries, in s. */
-#define TICK_S		  0.1
+#define TICK_S 0.1
 /* Limits of the operators' server. */
-#define OPS_MAX_HEAD	  8192
-#define OPS_MAX_BODY	  1024
-#define OPS_TIMEOUT_MS	  (10 * CLK_SECOND)
+#define OPS_MAX_HEAD	    8192
+#define OPS_MAX_BODY	    1024
+#define OPS_TIMEOUT_MS	    (10 * CLK_SECOND)
 #define OPS_MAX_CONNECTIONS 64
 
 struct ins {
@@ -63,8 +63,7 @@
 static void
 answer(struct hsv_call *call, int status, const char *type, const char *body)
 {
-	g_autofree char *fields =
-	    g_strdup_printf("Content-Type: %s\r\n", type);
+	g_autofree char *fields = g_strdup_printf("Content-Type: %s\r\n", type);
 
 	hsv_answer(call, status, fields, body, strlen(body));
 }
@@ -80,8 +79,7 @@
 
 		if (ready != ins->was_ready)
 			lg_event(ins->deps.lg, LG_NOTICE, "readiness",
-			    "ready=%d stopping=%d", ready,
-			    ins->stop_begun > 0);
+			    "ready=%d stopping=%d", ready, ins->stop_begun > 0);
 		ins->was_ready = ready;
 		answer(call, ready ? 200 : 503, "text/plain",
 		    ready ? "ready\n" : "not ready\n");
@@ -157,8 +155,8 @@
 	struct ins *ins = g_new0(struct ins, 1);
 	clk_ms now = clk_now(&deps->clk);
 	uint64_t incarnation = (uint64_t)clk_wall_ms();
-	g_autofree char *session = g_strdup_printf("%s/%llx", settings->name,
-	    (unsigned long long)incarnation);
+	g_autofree char *session = g_strdup_printf(
+	    "%s/%llx", settings->name, (unsigned long long)incarnation);
 	struct edg_deps edge;
 	struct edg_settings edge_settings;
 	struct gsp_deps gossip;
@@ -173,8 +171,8 @@
 	edge = (struct edg_deps){deps->loop, deps->clk, deps->lg, ins->cnt,
 	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act};
 	edge_settings = (struct edg_settings){settings->callers, session,
-	    settings->max_catalogue_age, settings->retention,
-	    TURN_CACHE_BYTES, settings->max_connections};
+	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
+	    settings->max_connections};
 	gossip = (struct gsp_deps){deps->loop, deps->clk, deps->lg, deps->sto,
 	    ins->qta, ins->act, ins->plc, on_fleet, ins};
 	ins->edg = edg_open(&edge, &edge_settings);
@@ -199,8 +197,8 @@
 	    session, settings->datacentre);
 	return (ins);
 fail:
-	lg_event(deps->lg, LG_ERR, "start_failed", "error=\"%s\"",
-	    strerror(errno));
+	lg_event(
+	    deps->lg, LG_ERR, "start_failed", "error=\"%s\"", strerror(errno));
 	ins_close(ins);
 	return (NULL);
 }
@@ -254,8 +252,8 @@
 	clk_ms now = now_of(ins);
 	bool lapse = is_lapse_likely(ins, now);
 
-	lg_event(ins->deps.lg, LG_INFO, "upstream_gone",
-	    "upstream=%s lapse=%d", id, lapse);
+	lg_event(ins->deps.lg, LG_INFO, "upstream_gone", "upstream=%s lapse=%d",
+	    id, lapse);
 	if (lapse)
 		plc_lapse(ins->plc, id, ins->store_back + LAPSE_GRACE_MS);
 	else
--- a/src/instance/ins.h
+++ b/src/instance/ins.h
@@ -46,8 +46,8 @@
 };
 
 /* ins_open(deps, settings): returns nil, after a log line, on failure. */
-struct ins *ins_open(
-    const struct ins_deps *deps, const struct ins_settings *settings);
+struct ins *
+ins_open(const struct ins_deps *deps, const struct ins_settings *settings);
 void ins_close(struct ins *ins);
 
 /*
--- a/src/lib/lg.h
+++ b/src/lib/lg.h
@@ -2,9 +2,9 @@
  * lg: log lines.
  *
  * One line of key=value pairs for each event on standard error, or on the
- * descriptor given by lg_output_set(), with a syslog priority prefix "<N>".  A line starts with event= and the fields
- * set by lg_field_set().  Values that hold a space, a quote or a control
- * character are quoted and escaped.
+ * descriptor given by lg_output_set(), with a syslog priority prefix "<N>".  A
+ * line starts with event= and the fields set by lg_field_set().  Values that
+ * hold a space, a quote or a control character are quoted and escaped.
  */
 #ifndef SAMPHIRESHED_LG_H
 #define SAMPHIRESHED_LG_H
--- a/src/place/plc.c
+++ b/src/place/plc.c
@@ -7,40 +7,40 @@
  * Until events have been timed: ms a token of an engine without load, the
  * order of size in the users' deployment sheets (1.29 and 0.77).
  */
-#define INITIAL_TOKEN_MS     1.3
+#define INITIAL_TOKEN_MS 1.3
 /* Until answers have been timed: ms of an answer of a plain service. */
-#define INITIAL_ANSWER_MS    20.0
+#define INITIAL_ANSWER_MS 20.0
 /*
  * Time to read a prompt token in units of the time to generate one.  In the
  * users' sheets 1.29 ms a step against 199 tokens read in 1 ms, and 0.772 ms
  * against 247.
  */
-#define PREFILL_COST	     0.0045
+#define PREFILL_COST 0.0045
 /*
  * Growth of an engine's step by each request that runs: the sheets' 0.00918
  * ms, and 0.00122 ms for each 1,000 tokens of a 20,000-token context, of a
  * step of 1.29 ms.
  */
-#define STEP_GROWTH	     0.026
+#define STEP_GROWTH 0.026
 /* Weight of the time by which a request delays the others of its engine. */
-#define OTHERS_WEIGHT	     0.5
+#define OTHERS_WEIGHT 0.5
 /* Weight of a new sample in the moving averages. */
-#define SAMPLE_WEIGHT	     0.1
+#define SAMPLE_WEIGHT 0.1
 /* Time that a request to another data centre adds, there and back, in ms. */
-#define CROSS_MS	     2.0
+#define CROSS_MS 2.0
 /* Time that a request waits for each one ahead of it in a queue, in ms. */
-#define QUEUE_MS	     25.0
+#define QUEUE_MS 25.0
 /* An upstream that failed is avoided for a time that doubles up to a bound. */
-#define AVOID_FIRST_MS	     500
-#define AVOID_MAX_MS	     8000
+#define AVOID_FIRST_MS 500
+#define AVOID_MAX_MS   8000
 /* An upstream that rejected a request as full is avoided for this time. */
-#define AVOID_FULL_MS	     50
+#define AVOID_FULL_MS 50
 /* A part of a prompt is taken as kept by an engine for this time. */
-#define PART_KEPT_MS	     (60 * CLK_SECOND)
+#define PART_KEPT_MS (60 * CLK_SECOND)
 /* What a peer told is dropped if it was not heard for this time. */
-#define PEER_SILENT_MS	     1000
+#define PEER_SILENT_MS 1000
 /* Parts remembered of one upstream. */
-#define PARTS_MAX	     8192
+#define PARTS_MAX 8192
 
 struct upstream {
 	struct plc_entry entry;
@@ -93,8 +93,8 @@
 {
 	struct plc *plc = g_new0(struct plc, 1);
 
-	plc->peers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, peer_free);
+	plc->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	plc->news = g_array_new(FALSE, FALSE, sizeof(struct plc_kept));
 	plc->told = g_array_new(FALSE, FALSE, sizeof(struct plc_kept));
 
@@ -111,7 +111,9 @@
 	g_clear_pointer(&upstream->id, g_free);
 	g_clear_pointer(&upstream->service, g_free);
 	g_clear_pointer(&upstream->datacentre, g_free);
-	g_clear_pointer(&upstream->parts, g_hash_table_destroy);
+	if (upstream->parts != NULL)
+		g_hash_table_destroy(upstream->parts);
+	upstream->parts = NULL;
 	upstream->in_use = false;
 }
 
@@ -137,6 +139,7 @@
 upstream_new(struct plc *plc)
 {
 	struct upstream *upstream = NULL;
+	uint32_t generation;
 
 	for (guint i = 0; i < plc->table->len && upstream == NULL; i++) {
 		struct upstream *candidate = plc->table->pdata[i];
@@ -148,7 +151,8 @@
 		upstream = g_new0(struct upstream, 1);
 		g_ptr_array_add(plc->table, upstream);
 	}
-	*upstream = (struct upstream){.generation = upstream->generation + 1,
+	generation = upstream->generation + 1;
+	*upstream = (struct upstream){.generation = generation,
 	    .in_use = true,
 	    .parts = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free)};
@@ -177,8 +181,7 @@
 void
 plc_update(struct plc *plc, const struct plc_entry *entry, clk_ms now)
 {
-	struct upstream *upstream =
-	    g_hash_table_lookup(plc->by_id, entry->id);
+	struct upstream *upstream = g_hash_table_lookup(plc->by_id, entry->id);
 
 	(void)now;
 	if (upstream != NULL && !is_same_run(upstream, entry)) {
@@ -265,8 +268,7 @@
 
 	g_hash_table_iter_init(&iter, plc->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now - ((const struct peer *)value)->heard <
-		    PEER_SILENT_MS)
+		if (now - ((const struct peer *)value)->heard < PEER_SILENT_MS)
 			continue;
 		g_hash_table_iter_remove(&iter);
 		changed = true;
@@ -331,8 +333,8 @@
 {
 	const struct upstream *upstream = lookup(plc, handle);
 
-	return (upstream != NULL && !upstream->is_gone ? &upstream->entry
-						       : NULL);
+	return (
+	    upstream != NULL && !upstream->is_gone ? &upstream->entry : NULL);
 }
 
 /* Prompt tokens that the upstream would have to read. */
@@ -349,8 +351,7 @@
 		    g_hash_table_lookup(upstream->parts, &part->id);
 
 		/* A part is kept only with all parts before it. */
-		is_kept = is_kept && used != NULL &&
-		    now - *used < PART_KEPT_MS;
+		is_kept = is_kept && used != NULL && now - *used < PART_KEPT_MS;
 		if (!is_kept)
 			tokens += part->tokens;
 	}
@@ -396,8 +397,8 @@
     double best, double load, clk_ms now)
 {
 	double token_ms = upstream->token_ms > 0 ? upstream->token_ms : best;
-	double prefill = uncached_tokens(upstream, request, now) *
-	    PREFILL_COST * token_ms;
+	double prefill =
+	    uncached_tokens(upstream, request, now) * PREFILL_COST * token_ms;
 	double decode = token_ms * request->output_tokens;
 
 	return (decode * (1.0 + STEP_GROWTH * load) + prefill +
@@ -515,8 +516,7 @@
 	(void)g_array_append_vals(peer->loads, loads, (guint)n);
 	others_count(plc);
 	for (size_t i = 0; i < kept_n; i++) {
-		struct upstream *upstream =
-		    find_hash(plc, kept[i].upstream);
+		struct upstream *upstream = find_hash(plc, kept[i].upstream);
 
 		if (upstream != NULL)
 			remember_part(upstream, kept[i].part, now);
@@ -531,9 +531,8 @@
 	    best_sample(plc, request->service, request->part_count > 0);
 	struct upstream *best = NULL;
 	double best_ms = 0;
-	guint start = plc->table->len > 0
-	    ? (guint)(plc->draws++ % plc->table->len)
-	    : 0;
+	guint start =
+	    plc->table->len > 0 ? (guint)(plc->draws++ % plc->table->len) : 0;
 
 	for (guint n = 0; n < plc->table->len; n++) {
 		guint i = (start + n) % plc->table->len;
@@ -586,8 +585,7 @@
 	case PLC_UNREACHABLE:
 	case PLC_FAILED:
 	case PLC_MISDIRECTED:
-		avoid = AVOID_FIRST_MS
-		    << MIN(upstream->failures, 4U);
+		avoid = AVOID_FIRST_MS << MIN(upstream->failures, 4U);
 		upstream->failures++;
 		if (outcome != PLC_FAILED || upstream->failures > 1)
 			upstream->avoid_until = now + MIN(avoid, AVOID_MAX_MS);
@@ -602,8 +600,8 @@
 static void
 average(double *value, double sample)
 {
-	*value = *value == 0 ? sample
-			     : *value + SAMPLE_WEIGHT * (sample - *value);
+	*value =
+	    *value == 0 ? sample : *value + SAMPLE_WEIGHT * (sample - *value);
 }
 
 void
@@ -616,8 +614,7 @@
 }
 
 void
-plc_gap(
-    struct plc *plc, struct plc_handle handle, double gap, unsigned tokens)
+plc_gap(struct plc *plc, struct plc_handle handle, double gap, unsigned tokens)
 {
 	struct upstream *upstream = lookup(plc, handle);
 
--- a/src/place/plc.h
+++ b/src/place/plc.h
@@ -103,9 +103,8 @@
  */
 size_t plc_loads(struct plc *plc, struct plc_load *loads, size_t max);
 size_t plc_news(struct plc *plc, struct plc_kept *kept, size_t max);
-void plc_heard(struct plc *plc, const char *peer,
-    const struct plc_load *loads, size_t n, const struct plc_kept *kept,
-    size_t kept_n, clk_ms now);
+void plc_heard(struct plc *plc, const char *peer, const struct plc_load *loads,
+    size_t n, const struct plc_kept *kept, size_t kept_n, clk_ms now);
 
 /* plc_count(plc): upstreams known. */
 unsigned plc_count(const struct plc *plc);
@@ -126,8 +125,8 @@
  * plc_get(plc, handle)
  *	Return the upstream's entry, or nil if it is gone.
  */
-const struct plc_entry *plc_get(
-    const struct plc *plc, struct plc_handle handle);
+const struct plc_entry *
+plc_get(const struct plc *plc, struct plc_handle handle);
 
 /* How a request ended at an upstream. */
 enum plc_outcome {
@@ -149,7 +148,7 @@
  *	tokens followed the one before after gap ms.
  */
 void plc_first(struct plc *plc, struct plc_handle handle, double delay);
-void plc_gap(
-    struct plc *plc, struct plc_handle handle, double gap, unsigned tokens);
+void
+plc_gap(struct plc *plc, struct plc_handle handle, double gap, unsigned tokens);
 
 #endif
--- a/src/quota/act.c
+++ b/src/quota/act.c
@@ -25,8 +25,8 @@
 {
 	struct act *act = g_new0(struct act, 1);
 
-	act->programs = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
+	act->programs =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	act->news = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	act->told = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	act->retention = retention;
@@ -62,8 +62,8 @@
 		*last = now;
 		return (false);
 	}
-	(void)g_hash_table_insert(act->programs,
-	    g_memdup2(&hash, sizeof(hash)), g_memdup2(&now, sizeof(now)));
+	(void)g_hash_table_insert(act->programs, g_memdup2(&hash, sizeof(hash)),
+	    g_memdup2(&now, sizeof(now)));
 	return (true);
 }
 
--- a/src/quota/act.h
+++ b/src/quota/act.h
@@ -26,8 +26,7 @@
 void act_seen(struct act *act, const char *program, clk_ms now);
 
 /* act_heard(act, hashes, n, now): another instance has seen programs. */
-void act_heard(
-    struct act *act, const uint64_t *hashes, size_t n, clk_ms now);
+void act_heard(struct act *act, const uint64_t *hashes, size_t n, clk_ms now);
 
 /*
  * act_news(act, hashes, max)
--- a/src/quota/qta.c
+++ b/src/quota/qta.c
@@ -12,18 +12,18 @@
  * have spent it all, but not while they started again: with a burst of one
  * second's rate, two starts in a window stay within a tolerance of a tenth.
  */
-#define START_PART     0.5
+#define START_PART 0.5
 /* A peer that was not heard for this time is forgotten. */
 #define PEER_FORGET_MS (30 * CLK_SECOND)
 /* Part of the burst that one instance may spend while it hears nobody. */
-#define LOWEST_SHARE   0.02
+#define LOWEST_SHARE 0.02
 /* Part of the burst that is kept for programs under way. */
-#define RESERVED_PART  0.5
+#define RESERVED_PART 0.5
 /*
  * Time in which programs under way make the requests that they are expected
  * to make, in s: half of a program's time in the users' sheets.
  */
-#define HORIZON_S      1.5
+#define HORIZON_S 1.5
 /* Requests of a program until more is known, and the weight of that. */
 #define PROGRAM_REQUESTS 10.0
 #define PROGRAM_WEIGHT	 5.0
@@ -32,12 +32,12 @@
 /* Part of the tolerance that instances may use up between two ticks. */
 #define TOLERANCE_PART 0.6
 /* Weight of the last tick in the moving averages of requests. */
-#define TICK_WEIGHT    0.3
+#define TICK_WEIGHT 0.3
 
 struct bucket {
 	uint32_t hash;
 	double level; /* tokens; below 0 after more was admitted than there was
-			 */
+		       */
 	double rate; /* limit last seen */
 	double burst;
 	clk_ms updated;
@@ -83,8 +83,8 @@
 	struct qta *qta = g_new0(struct qta, 1);
 
 	qta->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	qta->peers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, peer_free);
+	qta->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	qta->tolerance = *tolerance;
 	qta->instances = 1;
 	qta->start = start;
@@ -276,8 +276,7 @@
 
 /* What this instance may admit between two ticks, of level tokens. */
 static double
-tick_allowance(
-    const struct qta *qta, const struct bucket *bucket, double level)
+tick_allowance(const struct qta *qta, const struct bucket *bucket, double level)
 {
 	const struct qta_tolerance *tolerance = &qta->tolerance;
 	double over = tolerance->part *
@@ -292,8 +291,8 @@
 struct qta_state
 qta_state(const struct qta *qta, const char *name, clk_ms now)
 {
-	const struct bucket *bucket = g_hash_table_lookup(
-	    qta->buckets, GUINT_TO_POINTER(qta_hash(name)));
+	const struct bucket *bucket =
+	    g_hash_table_lookup(qta->buckets, GUINT_TO_POINTER(qta_hash(name)));
 
 	if (bucket == NULL)
 		return ((struct qta_state){0});
@@ -319,8 +318,7 @@
 	share = group_share(qta, now);
 	refill(bucket, rate * share, burst * share, now);
 	if (!bucket->has_begun) {
-		bucket->level =
-		    fmin(bucket->level + START_PART * burst, burst);
+		bucket->level = fmin(bucket->level + START_PART * burst, burst);
 		bucket->has_begun = true;
 	}
 	bucket->asked_tick++;
@@ -331,8 +329,8 @@
 			program_requests(bucket));
 	if (level < 1.0 ||
 	    bucket->own_tick >= tick_allowance(qta, bucket, level)) {
-		*wait = (clk_ms)ceil(fmax(1.0 - level, 0) / (rate * share) *
-		    (double)CLK_SECOND);
+		*wait = (clk_ms)ceil(
+		    fmax(1.0 - level, 0) / (rate * share) * (double)CLK_SECOND);
 		return (false);
 	}
 	spend(bucket, 1.0, rank == QTA_NEW_PROGRAM ? 1.0 : 0.0);
@@ -353,9 +351,8 @@
 	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bucket *bucket = value;
 
-		counts[n++] =
-		    (struct qta_count){bucket->hash, bucket->admitted,
-			bucket->begun};
+		counts[n++] = (struct qta_count){
+		    bucket->hash, bucket->admitted, bucket->begun};
 	}
 	return (n);
 }
--- a/src/quota/qta.h
+++ b/src/quota/qta.h
@@ -45,8 +45,7 @@
  *	Buckets begin with a part of the burst: the processes before this one
  *	may have spent the rest just before they ended.
  */
-struct qta *qta_open(
-    const struct qta_tolerance *tolerance, clk_ms start);
+struct qta *qta_open(const struct qta_tolerance *tolerance, clk_ms start);
 void qta_close(struct qta *qta);
 
 uint32_t qta_hash(const char *name);
--- /dev/null
+++ b/src/quota/test_qta.c
@@ -0,0 +1,298 @@
+/*
+ * Rates over a fleet of instances that tell each other by datagrams, some of
+ * which are lost, late or doubled, with partitions and restarts.
+ */
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "quota/act.h"
+#include "quota/qta.h"
+
+#define FLEET	  9
+#define TICK_MS	  200
+#define RATE	  200.0
+#define BURST	  200.0
+#define WINDOW_MS 5000
+
+static const struct qta_tolerance tolerance = {5, 0.1, 20};
+
+struct fleet {
+	struct qta *instances[FLEET];
+	uint64_t incarnation[FLEET];
+	GRand *rand;
+	GArray *admitted; /* times */
+	double lost; /* part of the datagrams */
+	int cut; /* instances from this one on are cut off; FLEET: none */
+	unsigned refused;
+};
+
+static void
+fleet_open(struct fleet *f, guint32 seed)
+{
+	memset(f, 0, sizeof(*f));
+	f->rand = g_rand_new_with_seed(seed);
+	f->admitted = g_array_new(FALSE, FALSE, sizeof(clk_ms));
+	f->cut = FLEET;
+	for (int i = 0; i < FLEET; i++) {
+		f->instances[i] = qta_open(&tolerance, 0);
+		qta_fleet_set(f->instances[i], FLEET, 0);
+	}
+}
+
+static void
+fleet_close(struct fleet *f)
+{
+	for (int i = 0; i < FLEET; i++)
+		qta_close(f->instances[i]);
+	g_array_free(f->admitted, TRUE);
+	g_rand_free(f->rand);
+}
+
+static void
+tell(struct fleet *f, clk_ms now)
+{
+	for (int i = 0; i < FLEET; i++) {
+		struct qta_count counts[4];
+		g_autofree char *name = g_strdup_printf("i%d", i);
+		size_t n = qta_counts(f->instances[i], counts, 4);
+
+		qta_tick(f->instances[i]);
+		for (int j = 0; j < FLEET; j++) {
+			if (j == i || (i >= f->cut) != (j >= f->cut) ||
+			    g_rand_double(f->rand) < f->lost)
+				continue;
+			qta_heard(f->instances[j], name, f->incarnation[i],
+			    counts, n, now);
+		}
+	}
+}
+
+static void
+restart(struct fleet *f, int i, clk_ms now)
+{
+	qta_close(f->instances[i]);
+	f->instances[i] = qta_open(&tolerance, now);
+	qta_fleet_set(f->instances[i], FLEET, now);
+	f->incarnation[i]++;
+}
+
+/*
+ * Requests come at per_s a second, more of them at the first instances, of
+ * which one in ten begins a program.
+ */
+static void
+load(struct fleet *f, clk_ms from, clk_ms to, double per_s)
+{
+	for (clk_ms now = from; now < to; now++) {
+		/* A whole number, and one more with the rest as its chance. */
+		int due = (int)(per_s / 1000.0 + g_rand_double(f->rand));
+
+		if (now % TICK_MS == 0)
+			tell(f, now);
+		for (; due > 0; due--) {
+			double skew = g_rand_double(f->rand);
+			int i = (int)(skew * skew * FLEET);
+			clk_ms wait;
+
+			if (qta_admit(f->instances[i], "o", RATE, BURST,
+				g_rand_int_range(f->rand, 0, 10) == 0
+				    ? QTA_NEW_PROGRAM
+				    : QTA_UNDER_WAY,
+				now, &wait))
+				g_array_append_val(f->admitted, now);
+			else
+				f->refused++;
+		}
+	}
+}
+
+/* The most that was admitted in any window. */
+static unsigned
+worst_window(const struct fleet *f)
+{
+	unsigned worst = 0;
+	guint first = 0;
+
+	for (guint last = 0; last < f->admitted->len; last++) {
+		while (g_array_index(f->admitted, clk_ms, last) -
+			g_array_index(f->admitted, clk_ms, first) >=
+		    WINDOW_MS)
+			first++;
+		worst = MAX(worst, last - first + 1);
+	}
+	return (worst);
+}
+
+static unsigned
+limit(void)
+{
+	return ((unsigned)((RATE * 5 + BURST) * 1.1 + 20));
+}
+
+/* An organisation that sends five times its rate, over lossy datagrams. */
+static void
+test_hot(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		f.lost = 0.05;
+		load(&f, 0, 20000, 5 * RATE);
+		g_assert_cmpuint(worst_window(&f), <=, limit());
+		/* Most of the rate is granted. */
+		g_assert_cmpuint(f.admitted->len, >=, 20 * RATE * 0.8);
+		fleet_close(&f);
+	}
+}
+
+/* Guards against refusals inside the rate, at uneven instances. */
+static void
+test_inside(void)
+{
+	unsigned refused = 0;
+	unsigned all = 0;
+
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		load(&f, 3000, 20000, RATE / 1.6);
+		refused += f.refused;
+		all += f.admitted->len + f.refused;
+		fleet_close(&f);
+	}
+	/* The stated target is under 1 in 1,000. */
+	g_assert_cmpfloat(refused, <=, all / 1000.0);
+}
+
+/* Two sides of a partition together stay within the rate. */
+static void
+test_partition(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		load(&f, 0, 8000, 5 * RATE);
+		f.cut = 1 + (int)(seed % (FLEET - 1));
+		load(&f, 8000, 16000, 5 * RATE);
+		f.cut = FLEET;
+		load(&f, 16000, 22000, 5 * RATE);
+		g_assert_cmpuint(worst_window(&f), <=, limit());
+		fleet_close(&f);
+	}
+}
+
+/* Guards against a second burst after all processes started again. */
+static void
+test_restart(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		load(&f, 0, 8000, 5 * RATE);
+		for (int i = 0; i < FLEET; i++)
+			restart(&f, i, 8700);
+		load(&f, 8700, 14000, 5 * RATE);
+		/* Then one after the other, as in a rolling stop. */
+		for (int i = 0; i < FLEET; i++) {
+			clk_ms at = 14000 + 1300 * i;
+
+			restart(&f, i, at);
+			load(&f, at, at + 1300, 5 * RATE);
+		}
+		g_assert_cmpuint(worst_window(&f), <=, limit());
+		fleet_close(&f);
+	}
+}
+
+/*
+ * Guards against programs that are broken off in the middle: above the rate,
+ * a request of a program under way is refused less often than a new program.
+ */
+static void
+test_under_way_first(void)
+{
+	struct qta *qta = qta_open(&tolerance, 0);
+	unsigned refused[2] = {0, 0};
+	unsigned asked[2] = {0, 0};
+	clk_ms wait;
+
+	for (clk_ms now = 1; now < 30000; now += 5) {
+		/* One new program and two requests, 200 a second: twice. */
+		for (int i = 0; i < 2; i++) {
+			enum qta_rank rank =
+			    i == 0 ? QTA_NEW_PROGRAM : QTA_UNDER_WAY;
+
+			asked[i]++;
+			refused[i] +=
+			    !qta_admit(qta, "o", 250, 250, rank, now, &wait);
+		}
+		if (now % TICK_MS == 1)
+			qta_tick(qta);
+	}
+	g_assert_cmpuint(refused[1], <=, asked[1] / 50);
+	g_assert_cmpuint(refused[0], >=, asked[0] / 2);
+	qta_close(qta);
+}
+
+/* The wait that a refusal states suffices if nobody else asks. */
+static void
+test_wait(void)
+{
+	struct qta *qta = qta_open(&tolerance, 0);
+	clk_ms wait;
+
+	while (qta_admit(qta, "o", 10, 10, QTA_UNDER_WAY, 1000, &wait))
+		continue;
+	g_assert_cmpint(wait, >, 0);
+	qta_tick(qta);
+	g_assert_true(
+	    qta_admit(qta, "o", 10, 10, QTA_UNDER_WAY, 1000 + wait, &wait));
+	g_assert_true(qta_admit(qta, "free", 0, 0, QTA_UNDER_WAY, 1, &wait));
+	qta_close(qta);
+}
+
+/* A program that one instance saw is known to the others, and forgotten. */
+static void
+test_active_programs(void)
+{
+	struct act *a = act_open(1000);
+	struct act *b = act_open(1000);
+	uint64_t hashes[4];
+	size_t n;
+
+	act_seen(a, "p1", 0);
+	act_seen(a, "p1", 10);
+	n = act_news(a, hashes, 4);
+	g_assert_cmpuint(n, ==, 1);
+	/* The first datagram is lost; each program is told twice. */
+	n = act_news(a, hashes, 4);
+	g_assert_cmpuint(n, ==, 1);
+	act_heard(b, hashes, n, 20);
+	g_assert_true(act_known(b, "p1"));
+	g_assert_false(act_known(b, "p2"));
+	g_assert_cmpuint(act_news(a, hashes, 4), ==, 0);
+	g_assert_cmpuint(act_news(b, hashes, 4), ==, 0);
+	act_expire(b, 1020);
+	g_assert_false(act_known(b, "p1"));
+	act_close(a);
+	act_close(b);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/qta/hot", test_hot);
+	g_test_add_func("/qta/inside", test_inside);
+	g_test_add_func("/qta/partition", test_partition);
+	g_test_add_func("/qta/restart", test_restart);
+	g_test_add_func("/qta/under-way-first", test_under_way_first);
+	g_test_add_func("/qta/wait", test_wait);
+	g_test_add_func("/qta/active-programs", test_active_programs);
+	return (g_test_run());
+}
--- a/src/store/sto.h
+++ b/src/store/sto.h
@@ -69,8 +69,8 @@
 	void (*append)(void *store, const struct sto_place *place, int64_t end,
 	    const struct sto_record *record, clk_ms timeout, sto_done *done,
 	    void *arg);
-	void (*read)(void *store, const struct sto_place *place,
-	    clk_ms timeout, sto_done *done, void *arg);
+	void (*read)(void *store, const struct sto_place *place, clk_ms timeout,
+	    sto_done *done, void *arg);
 };
 
 struct sto {
@@ -85,7 +85,7 @@
  * sto_find(reply, key)
  *	Return the record with that key, or nil.
  */
-const struct sto_record *sto_find(
-    const struct sto_reply *reply, const char *key);
+const struct sto_record *
+sto_find(const struct sto_reply *reply, const char *key);
 
 #endif
--- /dev/null
+++ b/src/turn/test_trn.c
@@ -0,0 +1,80 @@
+/*
+ * Records of turns, and the turns kept in memory.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "turn/trn.h"
+
+static struct trn_turn *
+make(const char *id, const char *input, const char *output)
+{
+	struct trn_turn *turn = trn_new(id, "o");
+
+	(void)g_byte_array_append(
+	    turn->input, (const guint8 *)input, (guint)strlen(input));
+	(void)g_byte_array_append(
+	    turn->output, (const guint8 *)output, (guint)strlen(output));
+	return (turn);
+}
+
+static void
+test_record(void)
+{
+	struct trn_turn *turn = make("t3", "in\n", "out\n");
+	g_autoptr(GByteArray) bytes = NULL;
+	struct trn_turn *read;
+	struct sto_record record;
+
+	g_ptr_array_add(turn->ancestors, g_strdup("t1"));
+	g_ptr_array_add(turn->ancestors, g_strdup("t2"));
+	bytes = trn_encode(turn);
+	record = (struct sto_record){"t3", bytes->data, bytes->len};
+	read = trn_decode("t3", &record);
+	g_assert_cmpstr(read->organisation, ==, "o");
+	g_assert_cmpuint(read->ancestors->len, ==, 2);
+	g_assert_cmpstr(read->ancestors->pdata[1], ==, "t2");
+	g_assert_cmpmem(read->input->data, read->input->len, "in\n", 3);
+	g_assert_cmpmem(read->output->data, read->output->len, "out\n", 4);
+	trn_free(read);
+	trn_free(turn);
+	/* Guards against a record cut at any place. */
+	for (guint len = 0; len < bytes->len; len++) {
+		g_autofree guint8 *cut = g_memdup2(bytes->data, len);
+
+		record = (struct sto_record){"t3", cut, len};
+		g_assert_null(trn_decode("t3", &record));
+	}
+}
+
+static void
+test_cache(void)
+{
+	struct trn_cache *cache = trn_cache_open(2000, 1000);
+	g_autofree char *large = g_strnfill(700, 'x');
+
+	trn_cache_put(cache, make("a", large, ""), 0);
+	trn_cache_put(cache, make("b", large, ""), 1);
+	g_assert_nonnull(trn_cache_get(cache, "a", 2));
+	/* The one used least recently makes room. */
+	trn_cache_put(cache, make("c", large, ""), 3);
+	g_assert_nonnull(trn_cache_get(cache, "a", 4));
+	g_assert_null(trn_cache_get(cache, "b", 4));
+	g_assert_cmpuint(trn_cache_bytes(cache), <=, 2000);
+	trn_cache_expire(cache, 1003);
+	g_assert_null(trn_cache_get(cache, "c", 1003));
+	g_assert_nonnull(trn_cache_get(cache, "a", 1003));
+	/* The same id again replaces the turn. */
+	trn_cache_put(cache, make("a", "new", ""), 1003);
+	g_assert_cmpuint(trn_cache_get(cache, "a", 1003)->input->len, ==, 3);
+	trn_cache_close(cache);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/trn/record", test_record);
+	g_test_add_func("/trn/cache", test_cache);
+	return (g_test_run());
+}
--- a/src/turn/trn.c
+++ b/src/turn/trn.c
@@ -55,8 +55,8 @@
 GByteArray *
 trn_encode(const struct trn_turn *turn)
 {
-	GByteArray *out = g_byte_array_sized_new(
-	    turn->input->len + turn->output->len + 256);
+	GByteArray *out =
+	    g_byte_array_sized_new(turn->input->len + turn->output->len + 256);
 	g_autoptr(GString) ancestors = g_string_new(NULL);
 	guint8 version = RECORD_VERSION;
 
@@ -173,8 +173,7 @@
 		drop(cache, old);
 	turn->used = now;
 	g_queue_push_tail(&cache->order, turn);
-	(void)g_hash_table_insert(
-	    cache->turns, turn->id, cache->order.tail);
+	(void)g_hash_table_insert(cache->turns, turn->id, cache->order.tail);
 	cache->bytes += turn_bytes(turn);
 	while (cache->bytes > cache->max_bytes && cache->order.length > 1)
 		drop(cache, cache->order.head);
--- a/src/turn/trn.h
+++ b/src/turn/trn.h
@@ -47,10 +47,9 @@
 void trn_cache_close(struct trn_cache *cache);
 
 /* trn_cache_put(cache, turn, now): takes over turn. */
-void trn_cache_put(
-    struct trn_cache *cache, struct trn_turn *turn, clk_ms now);
-const struct trn_turn *trn_cache_get(
-    struct trn_cache *cache, const char *id, clk_ms now);
+void trn_cache_put(struct trn_cache *cache, struct trn_turn *turn, clk_ms now);
+const struct trn_turn *
+trn_cache_get(struct trn_cache *cache, const char *id, clk_ms now);
 void trn_cache_expire(struct trn_cache *cache, clk_ms now);
 size_t trn_cache_bytes(const struct trn_cache *cache);
 
