--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -105,6 +105,8 @@
 
 	if (client == NULL)
 		return;
+	if (call->is_counted && verdict->ran == VD_NOT_RUN)
+		qta_refund(call->edg->deps.qta, call->organisation->name);
 	body = vd_body(verdict, call->request.id);
 	call->edg->deps.wire->verdict_encode(fields, verdict, call->request.id);
 	edg_end(call, vd_code_name(verdict->code), verdict->status);
@@ -192,8 +194,9 @@
 	if (organisation == NULL)
 		return (true);
 	rank = rank_of(call);
-	if (qta_admit(deps->qta, organisation->name, organisation->rate,
-		organisation->burst, rank, now, &wait))
+	call->is_counted = qta_admit(deps->qta, organisation->name,
+	    organisation->rate, organisation->burst, rank, now, &wait);
+	if (call->is_counted)
 		return (true);
 	state = qta_state(deps->qta, organisation->name, now);
 	lg_event(deps->lg, LG_INFO, "rate",
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -47,7 +47,7 @@
 	clk_ms arrived;
 	clk_ms deadline;
 	struct ev_timer timer;
-	bool in_store; /* waits for the store */
+	bool is_counted; /* against the organisation's rate */
 	/* History. */
 	struct trn_turn *turn; /* nil: not kept */
 	GByteArray *history; /* inputs and outputs before this turn */
--- a/src/quota/qta.c
+++ b/src/quota/qta.c
@@ -340,6 +340,20 @@
 	return (true);
 }
 
+void
+qta_refund(struct qta *qta, const char *name)
+{
+	struct bucket *bucket = ensure_bucket(qta, qta_hash(name));
+
+	if (bucket->admitted == 0)
+		return;
+	bucket->level = fmin(bucket->level + 1.0, bucket->burst);
+	/* A peer that has heard the higher total waits for the next one. */
+	bucket->admitted--;
+	if (bucket->own_tick > 0)
+		bucket->own_tick--;
+}
+
 size_t
 qta_counts(const struct qta *qta, struct qta_count *counts, size_t max)
 {
--- a/src/quota/qta.h
+++ b/src/quota/qta.h
@@ -79,6 +79,12 @@
 bool qta_admit(struct qta *qta, const char *name, double rate, double burst,
     enum qta_rank rank, clk_ms now, clk_ms *wait);
 
+/*
+ * qta_refund(qta, name)
+ *	A request that was admitted has not run: only those that run count.
+ */
+void qta_refund(struct qta *qta, const char *name);
+
 /*
  * qta_tick(qta)
  *	To be called each time the instances tell each other: what this
--- a/src/quota/test_qta.c
+++ b/src/quota/test_qta.c
@@ -256,6 +256,24 @@
 	qta_close(qta);
 }
 
+/*
+ * Guards against a rate that is used up by requests which do not run, such as
+ * those of a program whose budget is spent.
+ */
+static void
+test_refund(void)
+{
+	struct qta *qta = qta_open(&tolerance, 0);
+	clk_ms wait;
+
+	for (int i = 0; i < 1000; i++) {
+		g_assert_true(
+		    qta_admit(qta, "o", 10, 10, QTA_UNDER_WAY, 1000, &wait));
+		qta_refund(qta, "o");
+	}
+	qta_close(qta);
+}
+
 /* A program that one instance saw is known to the others, and forgotten. */
 static void
 test_active_programs(void)
@@ -293,6 +311,7 @@
 	g_test_add_func("/qta/restart", test_restart);
 	g_test_add_func("/qta/under-way-first", test_under_way_first);
 	g_test_add_func("/qta/wait", test_wait);
+	g_test_add_func("/qta/refund", test_refund);
 	g_test_add_func("/qta/active-programs", test_active_programs);
 	return (g_test_run());
 }
