Leave the balancer as soon as the store is lost

An instance that has not reached the store for 1.2 s is not ready, and its answers close connections.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -5,7 +5,12 @@
 #include "edge/edg_impl.h"
 
 /* Period of expiry and gauges, in s. */
-#define HOUSEKEEPING_S 1.0
+#define HOUSEKEEPING_S 0.25
+/*
+ * An instance whose catalogue was last confirmed longer ago has lost the
+ * store; others may not have.  Twice the time between two confirmations.
+ */
+#define STORE_LOST_MS 1200
 /*
  * Bounds of the Retry-After while the store is away.  Callers follow it up to
  * a third of their time left, which is 1 to 1.7 s on the users' sheets.
@@ -292,6 +297,12 @@
 		edg_end(call, "caller_left", 0);
 }
 
+static bool
+is_store_lost(const struct edg *edg)
+{
+	return (edg_now(edg) - edg->confirmed > STORE_LOST_MS);
+}
+
 static void
 housekeeping_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
@@ -300,6 +311,8 @@
 
 	(void)loop;
 	(void)events;
+	/* Callers come back through the balancer, to an instance in touch. */
+	hsv_drain_set(edg->hsv, edg->draining || is_store_lost(edg));
 	trn_cache_expire(edg->turns, now);
 	bgt_expire(edg->bgt, now);
 	act_expire(edg->deps.act, now);
@@ -395,15 +408,14 @@
 bool
 edg_is_ready(const struct edg *edg)
 {
-	return (!edg->draining && edg->cat != NULL &&
-	    edg_now(edg) - edg->confirmed <= edg->settings.max_catalogue_age);
+	return (!edg->draining && edg->cat != NULL && !is_store_lost(edg));
 }
 
 void
 edg_drain(struct edg *edg)
 {
 	edg->draining = true;
-	hsv_drain(edg->hsv);
+	hsv_drain_set(edg->hsv, true);
 }
 
 void
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -537,9 +537,9 @@
 }
 
 void
-hsv_drain(struct hsv *hsv)
+hsv_drain_set(struct hsv *hsv, bool drain)
 {
-	hsv->draining = true;
+	hsv->draining = drain;
 }
 
 void
--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -54,8 +54,8 @@
 /* hsv_limits_set(hsv, limits): for requests that begin from now on. */
 void hsv_limits_set(struct hsv *hsv, const struct hsv_limits *limits);
 
-/* hsv_drain(hsv): answers carry Connection: close from now on. */
-void hsv_drain(struct hsv *hsv);
+/* hsv_drain_set(hsv, drain): whether answers carry Connection: close. */
+void hsv_drain_set(struct hsv *hsv, bool drain);
 
 /* hsv_stop(hsv): stop listening and close the idle connections. */
 void hsv_stop(struct hsv *hsv);
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -281,7 +281,7 @@
 	g_autofree char *text = NULL;
 
 	(void)data;
-	hsv_drain(f->hsv);
+	hsv_drain_set(f->hsv, true);
 	put(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
 	text = take(f, fd, 1500);
 	g_assert_nonnull(strstr(text, "Connection: close"));
