--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -5,6 +5,11 @@
 # failed test.
 set -u
 
+# A sanitizer error ends a test by a signal, whose handler ends the processes
+# that the test has started.
+export ASAN_OPTIONS="abort_on_error=1${ASAN_OPTIONS:+:$ASAN_OPTIONS}"
+export UBSAN_OPTIONS="abort_on_error=1${UBSAN_OPTIONS:+:$UBSAN_OPTIONS}"
+
 logs=$(mktemp -d)
 trap 'rm -rf "$logs"' EXIT
 
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -31,7 +31,6 @@
 	unsigned instances;
 	bool draining;
 	struct cnt_metric *latency;
-	struct cnt_metric *pass_delay;
 };
 
 struct edg_call {
--- a/src/gate/call.c
+++ b/src/gate/call.c
@@ -743,12 +743,32 @@
 	return (DEFAULT_BUDGET);
 }
 
+/*
+ * The first field of the object that is not known, or nil.  A misspelt limit
+ * must not be taken for none.
+ */
+static const char *
+unknown_field(json_t *object)
+{
+	static const char *const known[] = {
+	    "name", "budget_tokens", "urgency", "parent", NULL};
+	const char *field;
+	json_t *value;
+
+	json_object_foreach(object, field, value)
+	{
+		if (!g_strv_contains(known, field))
+			return (field);
+	}
+	return (NULL);
+}
+
 /*
  * Create a program as the object says: {"name", "budget_tokens", "urgency",
  * "parent"}, where name is a program of the configuration.
  */
 static struct vd
-program_create(struct call *call, const json_t *object)
+program_create(struct call *call, json_t *object)
 {
 	static const char *const classes[] = {"urgent", "normal", "batch"};
 	struct dmn *dmn = call_dmn(call);
@@ -756,6 +776,7 @@
 	const char *urgency =
 	    json_string_value(json_object_get(object, "urgency"));
 	const json_t *budget = json_object_get(object, "budget_tokens");
+	const char *unknown = unknown_field(object);
 	const struct cfg_program *program = NULL;
 	struct prg_new_program new_program = {
 	    .organisation = call->organisation,
@@ -766,6 +787,9 @@
 	if (object != NULL && !json_is_object(object))
 		return (vd_make(VD_NOT_RUN, VD_BAD_REQUEST,
 		    "program: an object is needed"));
+	if (unknown != NULL)
+		return (vd_make(VD_NOT_RUN, VD_BAD_REQUEST,
+		    "program: the field %.40s is not known", unknown));
 	if (name != NULL) {
 		program = cfg_program_find(dmn->cfg, name);
 		if (program == NULL)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -3,9 +3,12 @@
  * that the design names brought about by signals and by the proxies.
  */
 #include <glib.h>
+#include <limits.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "fleet.h"
 
@@ -421,6 +424,15 @@
 			       "messages", "text")),
 	    400, "bad_request");
 	check_refused(CALL(.body = chat("model-b", "x")), 404, "unknown_model");
+	/* Guards against a misspelt budget that is taken for none. */
+	call = CALL(.path = "/v1/programs",
+	    .body = json_pack("{s:i}", "budget", 200));
+	check_refused(call, 400, "bad_request");
+	g_assert_nonnull(strstr(call->body->str, "budget"));
+	check_refused(CALL(.body = json_pack("{s:s,s:[{s:s,s:s}],s:{s:i}}",
+			       "model", "model-a", "messages", "role", "user",
+			       "content", "x", "program", "budget", 200)),
+	    400, "bad_request");
 	check_refused(CALL(.method = "GET",
 			  .path = "/v1/programs/"
 				  "p-01-0000-00000000000000000000"),
@@ -463,6 +475,66 @@
 	fleet_close(fleet);
 }
 
+#define PIDS_VARIABLE "SAMPHIRESHED_TEST_PIDS"
+
+/* In a process of its own: start a fleet, then provoke a sanitizer error. */
+static void
+fail_with_fleet(void)
+{
+	struct fleet *fleet =
+	    fleet_open(&(struct fleet_plan){.datacentres = 1});
+	g_autoptr(GString) pids = g_string_new(NULL);
+	volatile int number = INT_MAX;
+
+	for (guint i = 0; i < fleet->processes->len; i++) {
+		const struct fleet_process *process =
+		    fleet->processes->pdata[i];
+
+		g_string_append_printf(pids, "%d\n", (int)process->pid);
+	}
+	g_assert_true(
+	    g_file_set_contents(g_getenv(PIDS_VARIABLE), pids->str, -1, NULL));
+	number++;
+	/* Without sanitizers. */
+	abort();
+}
+
+/* Guards against processes left behind by a test that a sanitizer ended. */
+static void
+test_sanitizer_error(void)
+{
+	g_autofree char *path = NULL;
+	g_autofree char *text = NULL;
+	g_auto(GStrv) pids = NULL;
+	int fd;
+
+	if (g_test_subprocess()) {
+		fail_with_fleet();
+		return;
+	}
+	fd = g_file_open_tmp("samphireshed-pids-XXXXXX", &path, NULL);
+	g_assert_cmpint(fd, >=, 0);
+	(void)close(fd);
+	(void)g_setenv(PIDS_VARIABLE, path, TRUE);
+	g_test_trap_subprocess(
+	    NULL, 120 * G_USEC_PER_SEC, G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_failed();
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	(void)unlink(path);
+	pids = g_strsplit(g_strstrip(text), "\n", -1);
+	g_assert_cmpuint(g_strv_length(pids), >=, 4);
+	for (char **pid = pids; *pid != NULL; pid++) {
+		int left = -1;
+
+		for (int i = 0; i < 50 && left != 0; i++) {
+			left = kill((pid_t)g_ascii_strtoll(*pid, NULL, 10), 0);
+			left = left == 0 ? 1 : 0;
+			g_usleep(left * 100000);
+		}
+		g_assert_cmpint(left, ==, 0);
+	}
+}
+
 /* Start a streamed answer of up to 1,000 tokens. */
 static struct fleet_call *
 stream_start(struct fleet *fleet, unsigned instance, const char *key)
@@ -1093,6 +1165,7 @@
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
 	g_test_add_func("/fleet/reply-lost", test_reply_lost);
 	g_test_add_func("/fleet/owner-paused", test_owner_paused);
+	g_test_add_func("/fleet/sanitizer-error", test_sanitizer_error);
 	g_test_add_func("/fleet/bad-input", test_bad_input);
 	g_test_add_func("/fleet/owner-lost", test_owner_lost);
 	g_test_add_func("/fleet/log-outage", test_log_outage);
