--- a/completions/samphireshed.bash
+++ b/completions/samphireshed.bash
@@ -43,7 +43,7 @@
 	COMPREPLY=()
 	if [ "${#line[@]}" -eq 2 ]; then
 		mapfile -t COMPREPLY < <(compgen -W \
-		    "serve check init ctl --help --version" -- "$current")
+		    "serve serve-platform check init ctl --help --version" -- "$current")
 		return
 	fi
 	case $previous in
@@ -61,6 +61,7 @@
 	esac
 	case ${line[1]} in
 	serve) options="--config --help" ;;
+	serve-platform) options="--settings --help" ;;
 	check) options="--objects --with-files --help" ;;
 	init) options="--answers --output --print-questions --help" ;;
 	ctl)
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -118,8 +118,8 @@
 	hsv_answer(client, verdict->status, fields->str, body, strlen(body));
 }
 
-static void
-refuse(struct edg_call *call, enum vd_code code, clk_ms retry_after,
+void
+edg_refuse_not_run(struct edg_call *call, enum vd_code code, clk_ms retry_after,
     const char *detail)
 {
 	struct vd verdict = vd_make(VD_NOT_RUN, code, "%s", detail);
@@ -161,14 +161,14 @@
 	if (call->route->is_public || !cat_has_organisations(call->cat))
 		return (true);
 	if (edg_now(edg) - edg->confirmed > edg->settings.max_catalogue_age) {
-		refuse(call, VD_CONFIG_STALE, edg_store_retry(edg),
+		edg_refuse_not_run(call, VD_CONFIG_STALE, edg_store_retry(edg),
 		    "keys can't be checked: the configuration is too old");
 		return (false);
 	}
 	if (key != NULL)
 		call->organisation = cat_key_find(call->cat, key);
 	if (call->organisation == NULL) {
-		refuse(call, VD_UNAUTHORIZED, 0, "unknown key");
+		edg_refuse_not_run(call, VD_UNAUTHORIZED, 0, "unknown key");
 		return (false);
 	}
 	return (true);
@@ -211,7 +211,7 @@
 	    call->request.id, organisation->name, organisation->rate,
 	    organisation->burst, rank == QTA_NEW_PROGRAM, state.level,
 	    state.expected, state.part, state.share, state.own_tick, wait);
-	refuse(call, VD_RATE_EXCEEDED,
+	edg_refuse_not_run(call, VD_RATE_EXCEEDED,
 	    MAX(wait,
 		rank == QTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MS
 					: RETRY_RATE_MIN_MS),
@@ -243,19 +243,19 @@
 	    edg->deps.wire->request_decode(head, &call->request);
 
 	if (edg->cat == NULL) {
-		refuse(call, VD_CONFIG_STALE, edg_store_retry(edg),
+		edg_refuse_not_run(call, VD_CONFIG_STALE, edg_store_retry(edg),
 		    "no configuration is known yet");
 		return;
 	}
 	call->cat = cat_ref(edg->cat);
 	if (problem != NULL) {
-		refuse(call, VD_BAD_REQUEST, 0, problem);
+		edg_refuse_not_run(call, VD_BAD_REQUEST, 0, problem);
 		return;
 	}
 	call->route =
 	    cat_route_find(call->cat, call->request.host, head->target->str);
 	if (call->route == NULL) {
-		refuse(call, VD_NOT_FOUND, 0, "no route");
+		edg_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
 		return;
 	}
 	if (!authenticate(call) || !admit_by_rate(call))
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -52,16 +52,6 @@
 	g_free(ledger);
 }
 
-static void
-refuse(struct edg_call *call, enum vd_code code, clk_ms retry_after,
-    const char *detail)
-{
-	struct vd verdict = vd_make(VD_NOT_RUN, code, "%s", detail);
-
-	verdict.retry_after = retry_after;
-	edg_refuse(call, &verdict);
-}
-
 /* The next turn that waits and whose caller is still there, or nil. */
 static struct edg_call *
 first_waiting(struct edg_ledger *ledger)
@@ -83,7 +73,7 @@
 	struct edg_call *call;
 
 	while ((call = g_queue_pop_head(&ledger->waiting)) != NULL) {
-		refuse(call, code, retry_after, detail);
+		edg_refuse_not_run(call, code, retry_after, detail);
 		edg_call_unref(call);
 	}
 }
@@ -108,7 +98,7 @@
 			call->reserved = call->request.turn_max;
 			edg_send(call);
 		} else {
-			refuse(call, VD_BUDGET_EXCEEDED, 0,
+			edg_refuse_not_run(call, VD_BUDGET_EXCEEDED, 0,
 			    "the program's budget is spent");
 		}
 		edg_call_unref(call);
@@ -366,7 +356,7 @@
 			edg_send(call);
 			return;
 		case BGT_SPENT:
-			refuse(call, VD_BUDGET_EXCEEDED, 0,
+			edg_refuse_not_run(call, VD_BUDGET_EXCEEDED, 0,
 			    "the program's budget is spent");
 			return;
 		case BGT_TAKE:
--- a/src/edge/edg_history.c
+++ b/src/edge/edg_history.c
@@ -75,16 +75,6 @@
 	ev_timer_start(step->call->edg->deps.loop, &step->timer);
 }
 
-static void
-refuse_history(struct edg_call *call, enum vd_code code, const char *detail)
-{
-	struct vd verdict = vd_make(VD_NOT_RUN, code, "%s", detail);
-
-	if (code == VD_HISTORY_UNPROVEN)
-		verdict.retry_after = edg_store_retry(call->edg);
-	edg_refuse(call, &verdict);
-}
-
 /*
  * Go on with what is in memory: read what is missing, or take the next stage
  * when the chain is whole.
@@ -105,7 +95,7 @@
 	}
 	if (call->organisation != NULL &&
 	    strcmp(previous->organisation, call->organisation->name) != 0) {
-		refuse_history(call, VD_UNKNOWN_PROGRAM, "no such turn");
+		edg_refuse_not_run(call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
 		return;
 	}
 	for (guint i = 0; i < previous->ancestors->len; i++) {
@@ -155,7 +145,8 @@
 			step_repeat(step);
 			return;
 		}
-		refuse_history(call, VD_HISTORY_UNPROVEN,
+		edg_refuse_not_run(call, VD_HISTORY_UNPROVEN,
+		    edg_store_retry(edg),
 		    "the program's history can't be read now");
 		step_free(step);
 		return;
@@ -171,10 +162,11 @@
 		    "request=%s turn=%s found=%d end=%" G_GINT64_FORMAT,
 		    call->request.id, step->id, record != NULL, reply->end);
 		if (strcmp(step->id, call->request.previous) == 0)
-			refuse_history(
-			    call, VD_UNKNOWN_PROGRAM, "no such turn");
+			edg_refuse_not_run(
+			    call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
 		else
-			refuse_history(call, VD_HISTORY_UNPROVEN,
+			edg_refuse_not_run(call, VD_HISTORY_UNPROVEN,
+			    edg_store_retry(edg),
 			    "a part of the program's history is missing");
 	}
 	step_free(step);
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -80,9 +80,13 @@
 
 /*
  * edg_refuse(call, verdict): answer with a verdict of this side.
+ * edg_refuse_not_run(call, code, retry_after, detail): the same for a request
+ *	that has not run; retry_after 0: none is stated.
  * edg_end(call, outcome): the request is over; write its log line.
  */
 void edg_refuse(struct edg_call *call, const struct vd *verdict);
+void edg_refuse_not_run(struct edg_call *call, enum vd_code code,
+    clk_ms retry_after, const char *detail);
 void edg_end(struct edg_call *call, const char *outcome, int status);
 
 /*
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -1,23 +1,23 @@
 #include "http/hcp.h"
 
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/tcp.h"
+
 #define READ_SIZE 16384
 #define MAX_HEAD  65536
 /* Idle time after which a connection is closed if the server states none. */
 #define DEFAULT_IDLE_MS (4 * CLK_SECOND)
 /* Time before the server's stated idle timeout at which ours ends. */
 #define IDLE_MARGIN_MS 500
-/* Unacknowledged data ends a connection after this time, in ms. */
-#define USER_TIMEOUT_MS 1500
-/* Keepalive probes find a silent connection that waits, in s. */
-#define KEEPALIVE_IDLE_S   1
-#define KEEPALIVE_PERIOD_S 1
-#define KEEPALIVE_PROBES   2
+/*
+ * A silent server is given up within 3 s: before callers' timeouts, and after
+ * a packet that was lost and sent again.
+ */
+static const struct tcp_limits server_limits = {1500, 1, 1, 2};
 
 /* A connection; it carries at most one call. */
 struct hcp_call {
@@ -341,24 +341,11 @@
 static int
 socket_connect(const struct sockaddr_in *address)
 {
-	int on = 1;
-	int user_timeout = USER_TIMEOUT_MS;
-	int idle = KEEPALIVE_IDLE_S;
-	int period = KEEPALIVE_PERIOD_S;
-	int probes = KEEPALIVE_PROBES;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
 		return (-1);
-	/* Failures leave the kernel's defaults in force. */
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-	    sizeof(user_timeout));
+	tcp_prepare(fd, &server_limits);
 	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
 		0 &&
 	    errno != EINPROGRESS) {
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -2,29 +2,27 @@
 
 #include <errno.h>
 #include <fcntl.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/tcp.h"
+
 #define LISTEN_BACKLOG 1024
 #define READ_SIZE      16384
 /* A peer that leaves this much of a stream unread is cut off. */
 #define MAX_UNSENT ((size_t)4 << 20)
 /* Bytes of pipelined requests that are kept while one is handled. */
 #define MAX_PENDING 65536
-/* Unacknowledged data ends a connection after this time, in ms. */
-#define USER_TIMEOUT_MS 5000
-/* Keepalive probes find a caller whose connection went silent, in s. */
-#define KEEPALIVE_IDLE_S   2
-#define KEEPALIVE_PERIOD_S 1
-#define KEEPALIVE_PROBES   3
 /* Time for a peer to read the last answer before its connection is closed. */
 #define LINGER_MS 1000
 /* Connections accepted in one turn of the loop. */
 #define ACCEPT_BATCH 64
 
+/* A caller whose connection went silent is given up within 5 s. */
+static const struct tcp_limits caller_limits = {5000, 2, 1, 3};
+
 enum state {
 	READING, /* between requests, or within one */
 	HANDLING, /* waits for the handler's answer */
@@ -405,26 +403,6 @@
 		call_close(call);
 }
 
-static void
-socket_prepare(int fd)
-{
-	int on = 1;
-	int user_timeout = USER_TIMEOUT_MS;
-	int idle = KEEPALIVE_IDLE_S;
-	int period = KEEPALIVE_PERIOD_S;
-	int probes = KEEPALIVE_PROBES;
-
-	/* Failures leave the kernel's defaults in force. */
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-	    sizeof(user_timeout));
-}
-
 static void
 accept_one(struct hsv *hsv, int fd)
 {
@@ -434,7 +412,7 @@
 		(void)close(fd);
 		return;
 	}
-	socket_prepare(fd);
+	tcp_prepare(fd, &caller_limits);
 	call = g_new0(struct hsv_call, 1);
 	call->hsv = hsv;
 	call->fd = fd;
--- a/src/quota/act.c
+++ b/src/quota/act.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "lib/fnv.h"
+
 struct act {
 	GHashTable *programs; /* hash -> time of the last request */
 	GArray *news; /* hashes not told yet */
@@ -9,17 +11,6 @@
 	clk_ms retention;
 };
 
-static uint64_t
-hash_of(const char *program)
-{
-	/* FNV-1a, 64 bits: the same on every instance. */
-	uint64_t hash = 14695981039346656037U;
-
-	for (const char *p = program; *p != '\0'; p++)
-		hash = (hash ^ (unsigned char)*p) * 1099511628211U;
-	return (hash);
-}
-
 struct act *
 act_open(clk_ms retention)
 {
@@ -47,7 +38,7 @@
 bool
 act_known(const struct act *act, const char *program)
 {
-	uint64_t hash = hash_of(program);
+	uint64_t hash = fnv_hash(program);
 
 	return (g_hash_table_contains(act->programs, &hash));
 }
@@ -70,7 +61,7 @@
 void
 act_seen(struct act *act, const char *program, clk_ms now)
 {
-	uint64_t hash = hash_of(program);
+	uint64_t hash = fnv_hash(program);
 
 	if (note(act, hash, now))
 		g_array_append_val(act->news, hash);
--- a/src/store/sto.c
+++ b/src/store/sto.c
@@ -2,14 +2,13 @@
 
 #include <string.h>
 
+#include "lib/fnv.h"
+
 uint32_t
 sto_slot(const char *key)
 {
-	/* FNV-1a, 64 bits: the same on every instance and version. */
-	uint64_t hash = 14695981039346656037U;
+	uint64_t hash = fnv_hash(key);
 
-	for (const char *p = key; *p != '\0'; p++)
-		hash = (hash ^ (unsigned char)*p) * 1099511628211U;
 	return ((uint32_t)((hash ^ (hash >> 32)) % STO_SLOTS));
 }
 
