Drop expired turns, ledgers and members from the store

Cause: records of keyed topics are kept for ever; at 0.6 MB of turns a second the platform's 400 MB are full after 11 minutes and every turn is refused.

--- a/src/budget/bgt.c
+++ b/src/budget/bgt.c
@@ -5,6 +5,8 @@
 
 /* A grant is enough for so many turns, as far as the budget reaches. */
 #define GRANT_TURNS 2
+/* By how much the clocks of instances may differ, and a sweep be late. */
+#define CLOCK_MARGIN_MS (15 * CLK_SECOND)
 
 struct program {
 	char *id;
@@ -132,10 +134,11 @@
 }
 
 static char *
-ledger_format(const struct ledger *ledger)
+ledger_format(const struct ledger *ledger, clk_ms wall)
 {
-	json_t *root = json_pack("{s:I, s:O}", "budget",
-	    (json_int_t)ledger->budget, "grants", ledger->grants);
+	json_t *root =
+	    json_pack("{s:I, s:O, s:I}", "budget", (json_int_t)ledger->budget,
+		"grants", ledger->grants, "time", (json_int_t)wall);
 	char *raw = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	char *text = g_strdup(raw);
 
@@ -192,7 +195,7 @@
 
 enum bgt_taken
 bgt_take(struct bgt *bgt, const char *id, int64_t budget, int64_t turn_max,
-    char **value, int64_t *end, clk_ms now)
+    char **value, int64_t *end, clk_ms now, clk_ms wall)
 {
 	struct program *program = ensure_program(bgt, id, now);
 	struct ledger ledger;
@@ -214,7 +217,7 @@
 	} else {
 		(void)json_object_set_new(ledger.grants, bgt->session,
 		    json_integer(program->granted + take));
-		*value = ledger_format(&ledger);
+		*value = ledger_format(&ledger, wall);
 		*end = program->end;
 	}
 	json_decref(ledger.grants);
@@ -231,7 +234,8 @@
 }
 
 enum bgt_taken
-bgt_return(struct bgt *bgt, const char *id, char **value, int64_t *end)
+bgt_return(
+    struct bgt *bgt, const char *id, char **value, int64_t *end, clk_ms wall)
 {
 	struct program *program = g_hash_table_lookup(bgt->programs, id);
 	struct ledger ledger;
@@ -246,7 +250,7 @@
 	ledger_parse(&ledger, program, 0);
 	(void)json_object_set_new(
 	    ledger.grants, bgt->session, json_integer(program->used));
-	*value = ledger_format(&ledger);
+	*value = ledger_format(&ledger, wall);
 	*end = program->end;
 	json_decref(ledger.grants);
 	return (BGT_WRITE);
@@ -261,6 +265,18 @@
 		program->held_until = until;
 }
 
+bool
+bgt_is_expired(const struct sto_record *record, clk_ms retention, clk_ms wall)
+{
+	json_t *root = json_loadb(record->value, record->len, 0, NULL);
+	const json_t *time = json_object_get(root, "time");
+	bool expired = json_is_integer(time) &&
+	    wall - json_integer_value(time) > 2 * retention + CLOCK_MARGIN_MS;
+
+	json_decref(root);
+	return (expired);
+}
+
 guint
 bgt_programs(const struct bgt *bgt)
 {
--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -76,23 +76,24 @@
 void bgt_ledger_forget(struct bgt *bgt, const char *program);
 
 /*
- * bgt_take(bgt, program, budget, turn_max, value, end, now)
- *	Decide how to get a grant for a turn.  With BGT_WRITE, *value is the
- *	new record, to be freed by g_free(), and *end the end to expect; call
- *	bgt_ledger_set() with them when the append succeeded.
+ * bgt_take(bgt, program, budget, turn_max, value, end, now, wall)
+ *	wall is the time of day, for the record.  Decide how to get a grant for
+ *a turn.  With BGT_WRITE, *value is the new record, to be freed by g_free(),
+ *and *end the end to expect; call bgt_ledger_set() with them when the append
+ *succeeded.
  */
 enum bgt_taken bgt_take(struct bgt *bgt, const char *program, int64_t budget,
-    int64_t turn_max, char **value, int64_t *end, clk_ms now);
+    int64_t turn_max, char **value, int64_t *end, clk_ms now, clk_ms wall);
 
 /*
- * bgt_return(bgt, program, value, end)
+ * bgt_return(bgt, program, value, end, wall)
  *	Give back what this session holds of an idle program's grant.
  * RETURN VALUES
  *	BGT_READ and BGT_WRITE as in bgt_take(); BGT_NONE if there is nothing
  *	to give back, or a turn is running.
  */
-enum bgt_taken
-bgt_return(struct bgt *bgt, const char *program, char **value, int64_t *end);
+enum bgt_taken bgt_return(struct bgt *bgt, const char *program, char **value,
+    int64_t *end, clk_ms wall);
 
 /*
  * bgt_held(bgt, program, until)
@@ -107,6 +108,14 @@
  */
 bool bgt_idle(const struct bgt *bgt, const char *program);
 
+/*
+ * bgt_is_expired(record, retention, wall)
+ *	Whether a ledger has not changed for so long, at the time of day wall,
+ *	that its program can't come back.
+ */
+bool
+bgt_is_expired(const struct sto_record *record, clk_ms retention, clk_ms wall);
+
 /* bgt_programs(bgt): number of programs known here. */
 guint bgt_programs(const struct bgt *bgt);
 
--- a/src/budget/test_bgt.c
+++ b/src/budget/test_bgt.c
@@ -116,7 +116,7 @@
 	int64_t end = 0;
 
 	switch (bgt_take(
-	    w->sessions[i], "p", w->budget, TURN_MAX, &value, &end, 0)) {
+	    w->sessions[i], "p", w->budget, TURN_MAX, &value, &end, 0, 0)) {
 	case BGT_READ:
 		exchange_read(w, i);
 		break;
@@ -136,7 +136,7 @@
 	g_autofree char *value = NULL;
 	int64_t end = 0;
 
-	switch (bgt_return(w->sessions[i], "p", &value, &end)) {
+	switch (bgt_return(w->sessions[i], "p", &value, &end, 0)) {
 	case BGT_READ:
 		exchange_read(w, i);
 		break;
@@ -261,7 +261,7 @@
 		session_start(&w, i);
 	bgt_ledger_set(w.sessions[0], "p", NULL, 0, 0);
 	g_assert_cmpint(
-	    bgt_take(w.sessions[0], "p", 120, TURN_MAX, &value, &end, 0), ==,
+	    bgt_take(w.sessions[0], "p", 120, TURN_MAX, &value, &end, 0, 0), ==,
 	    BGT_WRITE);
 	g_assert_true(store_append(&w, value, end));
 	bgt_ledger_set(w.sessions[0], "p",
@@ -274,17 +274,17 @@
 	    &(struct sto_record){"p", w.ledger, strlen(w.ledger)}, w.end, 0);
 	g_clear_pointer(&value, g_free);
 	g_assert_cmpint(
-	    bgt_take(w.sessions[1], "p", 120, TURN_MAX, &value, &end, 0), ==,
+	    bgt_take(w.sessions[1], "p", 120, TURN_MAX, &value, &end, 0, 0), ==,
 	    BGT_HELD);
 	/* ... until it is given back. */
 	g_assert_cmpint(
-	    bgt_return(w.sessions[0], "p", &value, &end), ==, BGT_WRITE);
+	    bgt_return(w.sessions[0], "p", &value, &end, 0), ==, BGT_WRITE);
 	g_assert_true(store_append(&w, value, end));
 	g_clear_pointer(&value, g_free);
 	bgt_ledger_set(w.sessions[1], "p",
 	    &(struct sto_record){"p", w.ledger, strlen(w.ledger)}, w.end, 0);
 	g_assert_cmpint(
-	    bgt_take(w.sessions[1], "p", 120, TURN_MAX, &value, &end, 0), ==,
+	    bgt_take(w.sessions[1], "p", 120, TURN_MAX, &value, &end, 0, 0), ==,
 	    BGT_WRITE);
 	for (int i = 0; i < 2; i++)
 		bgt_close(w.sessions[i]);
@@ -304,8 +304,9 @@
 
 	bgt_ledger_set(
 	    bgt, "p", &(struct sto_record){"p", ledger, strlen(ledger)}, 1, 0);
-	g_assert_cmpint(bgt_take(bgt, "p", 100000, TURN_MAX, &value, &end, 0),
-	    ==, BGT_HELD);
+	g_assert_cmpint(
+	    bgt_take(bgt, "p", 100000, TURN_MAX, &value, &end, 0, 0), ==,
+	    BGT_HELD);
 	g_assert_null(value);
 	bgt_close(bgt);
 }
@@ -323,6 +324,26 @@
 	bgt_close(bgt);
 }
 
+/* A ledger is kept for as long as its program can come back. */
+static void
+test_ledger_expiry(void)
+{
+	struct bgt *bgt = bgt_open("s", 60000);
+	char *value = NULL;
+	int64_t end = 0;
+	struct sto_record record;
+
+	bgt_ledger_set(bgt, "p", NULL, 0, 0);
+	g_assert_cmpint(
+	    bgt_take(bgt, "p", 600, TURN_MAX, &value, &end, 0, 1000000), ==,
+	    BGT_WRITE);
+	record = (struct sto_record){"p", value, strlen(value)};
+	g_assert_false(bgt_is_expired(&record, 60000, 1000000 + 60000));
+	g_assert_true(bgt_is_expired(&record, 60000, 1000000 + 200000));
+	g_free(value);
+	bgt_close(bgt);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -331,6 +352,7 @@
 	g_test_add_func("/bgt/orders-unconditional", test_orders_unconditional);
 	g_test_add_func("/bgt/moves", test_moves);
 	g_test_add_func("/bgt/first-budget-binds", test_first_budget_binds);
+	g_test_add_func("/bgt/ledger-expiry", test_ledger_expiry);
 	g_test_add_func("/bgt/expiry", test_expiry);
 	return (g_test_run());
 }
--- a/src/catalogue/cat.c
+++ b/src/catalogue/cat.c
@@ -16,6 +16,7 @@
 	GHashTable *organisations;
 	GHashTable *keys; /* key -> struct cat_organisation */
 	guint routes;
+	clk_ms retention; /* longest of the routes */
 	unsigned refs;
 };
 
@@ -125,6 +126,7 @@
 		at++;
 	g_ptr_array_insert(routes, (gint)at, route);
 	cat->routes++;
+	cat->retention = MAX(cat->retention, route->retention);
 }
 
 void
@@ -188,6 +190,12 @@
 	return (cat->routes);
 }
 
+clk_ms
+cat_retention(const struct cat *cat)
+{
+	return (cat->retention);
+}
+
 const struct cat_route *
 cat_route_find(const struct cat *cat, const char *host, const char *path)
 {
--- a/src/catalogue/cat.h
+++ b/src/catalogue/cat.h
@@ -88,6 +88,9 @@
 bool cat_has_organisations(const struct cat *cat);
 guint cat_route_count(const struct cat *cat);
 
+/* cat_retention(cat): the longest time for which a route's turns are kept. */
+clk_ms cat_retention(const struct cat *cat);
+
 /*
  * cat_route_find(cat, host, path)
  *	Return the route of that host with the longest prefix that begins the
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -223,10 +223,10 @@
 	if (call != NULL)
 		taken = bgt_take(edg->bgt, ledger->program,
 		    call->request.budget, call->request.turn_max,
-		    &ledger->value, &end, edg_now(edg));
+		    &ledger->value, &end, edg_now(edg), clk_wall_ms());
 	else
-		taken =
-		    bgt_return(edg->bgt, ledger->program, &ledger->value, &end);
+		taken = bgt_return(edg->bgt, ledger->program, &ledger->value,
+		    &end, clk_wall_ms());
 	switch (taken) {
 	case BGT_TAKEN:
 		ledger_continue(ledger);
@@ -238,7 +238,7 @@
 	case BGT_WRITE:
 		record = (struct sto_record){
 		    ledger->program, ledger->value, strlen(ledger->value)};
-		sto->ops->append(sto->store, &place, end, &record,
+		sto->ops->append(sto->store, &place, end, &record, 1,
 		    STORE_TIMEOUT_MS, on_appended, ledger);
 		break;
 	case BGT_NONE:
--- a/src/edge/edg_history.c
+++ b/src/edge/edg_history.c
@@ -200,6 +200,54 @@
 		assemble(call);
 }
 
+static void
+on_renewed(void *arg, const struct sto_reply *reply)
+{
+	struct step *step = arg;
+	struct edg *edg = step->call->edg;
+
+	if (reply->status == STO_OK)
+		trn_cache_renewed(edg->turns, step->id, clk_wall_ms());
+	else
+		/* The next turn of the chain tries again. */
+		lg_event(edg->deps.lg, LG_WARNING, "turn_not_renewed",
+		    "turn=%s status=%d", step->id, reply->status);
+	step_free(step);
+}
+
+/*
+ * The turns before a kept turn are kept as long: write those again whose
+ * records would expire first.
+ */
+static void
+renew_ancestors(struct edg_call *call)
+{
+	struct edg *edg = call->edg;
+	const struct sto *sto = &edg->deps.sto;
+	const GPtrArray *ancestors = call->turn->ancestors;
+	clk_ms wall = clk_wall_ms();
+
+	for (guint i = 0; i < ancestors->len; i++) {
+		const char *id = ancestors->pdata[i];
+		const struct trn_turn *turn =
+		    trn_cache_get(edg->turns, id, edg_now(edg));
+		const struct sto_place place = {STO_TURNS, sto_slot(id)};
+		g_autoptr(GByteArray) value = NULL;
+		struct sto_record record;
+		struct trn_turn again;
+
+		if (turn == NULL ||
+		    !trn_needs_renewal(turn, call->route->retention, wall))
+			continue;
+		again = *turn;
+		again.recorded = wall;
+		value = trn_encode(&again);
+		record = (struct sto_record){id, value->data, value->len};
+		sto->ops->append(sto->store, &place, STO_ANY_END, &record, 1,
+		    STORE_TIMEOUT_MS, on_renewed, step_new(call, id));
+	}
+}
+
 static void
 finish_stream(struct edg_call *call)
 {
@@ -251,11 +299,12 @@
 		step_free(step);
 		return;
 	}
+	call->turn->recorded = clk_wall_ms();
 	value = trn_encode(call->turn);
 	place = (struct sto_place){STO_TURNS, sto_slot(call->turn->id)};
 	record = (struct sto_record){call->turn->id, value->data, value->len};
 	/* The same key and value: a second append does no harm. */
-	sto->ops->append(sto->store, &place, STO_ANY_END, &record,
+	sto->ops->append(sto->store, &place, STO_ANY_END, &record, 1,
 	    STORE_TIMEOUT_MS, on_turn_recorded, step);
 }
 
@@ -267,5 +316,6 @@
 		return;
 	}
 	call->record_since = edg_now(call->edg);
+	renew_ancestors(call);
 	record_turn(step_new(call, NULL));
 }
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -15,7 +15,9 @@
 #define RENEW_PERIOD_MS 4000
 #define READ_PERIOD_MS	2000
 /* A record that has not changed for this time is of an instance that died. */
-#define RECORD_DEAD_MS	 12000
+#define RECORD_DEAD_MS 12000
+/* The first of the others drops its record after this time. */
+#define RECORD_FORGET_MS 60000
 #define STORE_TIMEOUT_MS 500
 #define DATAGRAM_MAX	 4096
 /* Organisations in one datagram, and bytes of a name. */
@@ -268,6 +270,37 @@
 		((struct member *)value)->changed += by;
 }
 
+static void
+on_renewed(void *arg, const struct sto_reply *reply)
+{
+	struct gsp *gsp = arg;
+
+	if (reply->status != STO_OK)
+		lg_event(gsp->deps.lg, LG_WARNING, "member_not_renewed",
+		    "status=%d", reply->status);
+}
+
+/* Drop the records of instances that are gone for good. */
+static void
+forget_dead(struct gsp *gsp, clk_ms now)
+{
+	const struct sto_place place = {STO_MEMBERS, 0};
+	GHashTableIter iter;
+	void *key, *value;
+
+	g_hash_table_iter_init(&iter, gsp->members);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct member *member = value;
+		const struct sto_record drop = {key, NULL, 0};
+
+		if (member->is_dead &&
+		    now - member->changed >= RECORD_FORGET_MS)
+			gsp->deps.sto.ops->append(gsp->deps.sto.store, &place,
+			    STO_ANY_END, &drop, 1, STORE_TIMEOUT_MS, on_renewed,
+			    gsp);
+	}
+}
+
 static void
 on_members(void *arg, const struct sto_reply *reply)
 {
@@ -276,6 +309,7 @@
 	GHashTableIter iter;
 	void *key, *value;
 	unsigned alive = 1;
+	unsigned rank = 0;
 	clk_ms unread;
 
 	if (reply->status != STO_OK)
@@ -303,11 +337,15 @@
 			lg_event(gsp->deps.lg, LG_NOTICE, "member_dead",
 			    "name=%s unchanged_ms=%lld", (const char *)key,
 			    (long long)(now - member->changed));
-		if (!member->is_dead)
-			alive++;
+		if (member->is_dead)
+			continue;
+		alive++;
+		rank += strcmp(key, gsp->name) < 0;
 	}
+	if (rank == 0)
+		forget_dead(gsp, now);
 	qta_fleet_set(gsp->deps.qta, alive, now);
-	gsp->deps.on_fleet(gsp->deps.arg, alive);
+	gsp->deps.on_fleet(gsp->deps.arg, alive, rank);
 }
 
 static void
@@ -322,16 +360,6 @@
 	    gsp->deps.sto.store, &place, STORE_TIMEOUT_MS, on_members, gsp);
 }
 
-static void
-on_renewed(void *arg, const struct sto_reply *reply)
-{
-	struct gsp *gsp = arg;
-
-	if (reply->status != STO_OK)
-		lg_event(gsp->deps.lg, LG_WARNING, "member_not_renewed",
-		    "status=%d", reply->status);
-}
-
 static void
 renew_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
@@ -351,7 +379,7 @@
 	    (unsigned long long)gsp->incarnation,
 	    (unsigned long long)++gsp->renewals);
 	gsp->deps.sto.ops->append(gsp->deps.sto.store, &place, STO_ANY_END,
-	    &record, STORE_TIMEOUT_MS, on_renewed, gsp);
+	    &record, 1, STORE_TIMEOUT_MS, on_renewed, gsp);
 }
 
 void
@@ -362,7 +390,7 @@
 
 	gsp->leaving = true;
 	gsp->deps.sto.ops->append(gsp->deps.sto.store, &place, STO_ANY_END,
-	    &record, STORE_TIMEOUT_MS, on_renewed, gsp);
+	    &record, 1, STORE_TIMEOUT_MS, on_renewed, gsp);
 }
 
 static void
--- a/src/gossip/gsp.h
+++ b/src/gossip/gsp.h
@@ -31,8 +31,11 @@
 	struct qta *qta;
 	struct act *act;
 	struct plc *plc;
-	/* The number of instances in the fleet has been counted. */
-	void (*on_fleet)(void *arg, unsigned instances);
+	/*
+	 * The instances of the fleet have been counted; rank is this one's
+	 * among them by name, from 0.
+	 */
+	void (*on_fleet)(void *arg, unsigned instances, unsigned rank);
 	void *arg;
 };
 
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -5,11 +5,14 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "budget/bgt.h"
 #include "edge/edg.h"
 #include "gossip/gsp.h"
 #include "http/hsv.h"
 #include "lib/cnt.h"
 #include "quota/qta.h"
+#include "store/swp.h"
+#include "turn/trn.h"
 
 /* Bytes of turns that an instance keeps in memory. */
 #define TURN_CACHE_BYTES ((size_t)12 << 20)
@@ -35,6 +38,11 @@
 #define OPS_TIMEOUT_MS	    (10 * CLK_SECOND)
 #define OPS_MAX_CONNECTIONS 64
 
+static const struct swp_rule sweep_rules[] = {
+    {STO_TURNS, trn_is_expired},
+    {STO_BUDGETS, bgt_is_expired},
+};
+
 struct ins {
 	struct ins_deps deps;
 	struct ins_settings settings;
@@ -44,6 +52,7 @@
 	struct act *act;
 	struct edg *edg;
 	struct gsp *gsp;
+	struct swp *swp;
 	struct hsv *ready;
 	struct hsv *metrics;
 	struct ev_timer tick;
@@ -132,11 +141,12 @@
 }
 
 static void
-on_fleet(void *arg, unsigned instances)
+on_fleet(void *arg, unsigned instances, unsigned rank)
 {
 	struct ins *ins = arg;
 
 	edg_fleet_set(ins->edg, instances);
+	swp_fleet_set(ins->swp, instances, rank);
 }
 
 static struct hsv *
@@ -168,6 +178,8 @@
 	ins->qta = qta_open(&settings->rate_tolerance, now);
 	ins->act = act_open(settings->retention);
 	ins->store_answered = now;
+	ins->swp = swp_open(deps->loop, deps->lg, &deps->sto, sweep_rules,
+	    G_N_ELEMENTS(sweep_rules));
 	edge = (struct edg_deps){deps->loop, deps->clk, deps->lg, ins->cnt,
 	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act};
 	edge_settings = (struct edg_settings){settings->callers, session,
@@ -210,6 +222,7 @@
 		return;
 	ev_timer_stop(ins->deps.loop, &ins->tick);
 	gsp_close(ins->gsp);
+	swp_close(ins->swp);
 	hsv_close(ins->ready);
 	hsv_close(ins->metrics);
 	edg_close(ins->edg);
@@ -224,6 +237,7 @@
 ins_catalogue(struct ins *ins, struct cat *cat)
 {
 	edg_catalogue_set(ins->edg, cat);
+	swp_retention_set(ins->swp, cat_retention(cat));
 }
 
 void
--- a/src/store/sto.h
+++ b/src/store/sto.h
@@ -58,8 +58,9 @@
 #define STO_ANY_END ((int64_t)-1)
 
 /*
- * append(store, place, end, record, timeout, done, arg)
- *	Append a record if the place ends at end, or anyhow with STO_ANY_END.
+ * append(store, place, end, records, count, timeout, done, arg)
+ *	Append records, all or none, if the place ends at end, or anyhow with
+ *	STO_ANY_END.
  * read(store, place, timeout, done, arg)
  *	Read the newest record of each key, and the place's end.
  *
@@ -67,8 +68,8 @@
  */
 struct sto_ops {
 	void (*append)(void *store, const struct sto_place *place, int64_t end,
-	    const struct sto_record *record, clk_ms timeout, sto_done *done,
-	    void *arg);
+	    const struct sto_record *records, size_t count, clk_ms timeout,
+	    sto_done *done, void *arg);
 	void (*read)(void *store, const struct sto_place *place, clk_ms timeout,
 	    sto_done *done, void *arg);
 };
--- a/src/turn/test_trn.c
+++ b/src/turn/test_trn.c
@@ -28,10 +28,12 @@
 
 	g_ptr_array_add(turn->ancestors, g_strdup("t1"));
 	g_ptr_array_add(turn->ancestors, g_strdup("t2"));
+	turn->recorded = 1234567890123;
 	bytes = trn_encode(turn);
 	record = (struct sto_record){"t3", bytes->data, bytes->len};
 	read = trn_decode("t3", &record);
 	g_assert_cmpstr(read->organisation, ==, "o");
+	g_assert_cmpint(read->recorded, ==, 1234567890123);
 	g_assert_cmpuint(read->ancestors->len, ==, 2);
 	g_assert_cmpstr(read->ancestors->pdata[1], ==, "t2");
 	g_assert_cmpmem(read->input->data, read->input->len, "in\n", 3);
@@ -47,6 +49,34 @@
 	}
 }
 
+/*
+ * Guards against a chain whose first turns expire while its last one is
+ * kept: at any time either a record is renewed with the turn after it, or it
+ * outlives that turn's retention.
+ */
+static void
+test_expiry(void)
+{
+	const clk_ms retention = 60000;
+
+	for (clk_ms age = 0; age < 4 * retention; age += 500) {
+		struct trn_turn *turn = make("t", "in", "out");
+		g_autoptr(GByteArray) bytes = NULL;
+		struct sto_record record;
+		clk_ms wall;
+
+		turn->recorded = 1000000;
+		wall = turn->recorded + age;
+		bytes = trn_encode(turn);
+		record = (struct sto_record){"t", bytes->data, bytes->len};
+		g_assert_true(trn_needs_renewal(turn, retention, wall) ||
+		    !trn_is_expired(&record, retention, wall + retention));
+		trn_free(turn);
+	}
+	g_assert_false(trn_is_expired(
+	    &(struct sto_record){"t", "other", 5}, retention, 0));
+}
+
 static void
 test_cache(void)
 {
@@ -75,6 +105,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/trn/record", test_record);
+	g_test_add_func("/trn/expiry", test_expiry);
 	g_test_add_func("/trn/cache", test_cache);
 	return (g_test_run());
 }
--- a/src/turn/trn.c
+++ b/src/turn/trn.c
@@ -3,11 +3,13 @@
 #include <string.h>
 
 /*
- * Record: version, then four strings, each with a length of 4 bytes, the
- * most significant first: organisation, ancestors (separated by spaces),
- * input, output.
+ * Record: version, time of day in ms (8 bytes), then four strings, each with a
+ * length of 4 bytes, the most significant first: organisation, ancestors
+ * (separated by spaces), input, output.
  */
-#define RECORD_VERSION 1
+#define RECORD_VERSION 2
+/* By how much the clocks of instances may differ, and a sweep be late. */
+#define CLOCK_MARGIN_MS (15 * CLK_SECOND)
 
 struct trn_cache {
 	size_t max_bytes;
@@ -59,11 +61,14 @@
 	    g_byte_array_sized_new(turn->input->len + turn->output->len + 256);
 	g_autoptr(GString) ancestors = g_string_new(NULL);
 	guint8 version = RECORD_VERSION;
+	guint64 recorded = GUINT64_TO_BE((guint64)turn->recorded);
 
 	for (guint i = 0; i < turn->ancestors->len; i++)
 		g_string_append_printf(ancestors, "%s%s", i == 0 ? "" : " ",
 		    (const char *)turn->ancestors->pdata[i]);
 	(void)g_byte_array_append(out, &version, 1);
+	(void)g_byte_array_append(
+	    out, (const guint8 *)&recorded, sizeof(recorded));
 	put_string(out, turn->organisation, strlen(turn->organisation));
 	put_string(out, ancestors->str, ancestors->len);
 	put_string(out, turn->input->data, turn->input->len);
@@ -89,6 +94,35 @@
 	return (true);
 }
 
+/* The time of a record; returns false if it is none of a turn. */
+static bool
+get_recorded(const struct sto_record *record, clk_ms *recorded)
+{
+	const guint8 *bytes = record->value;
+	guint64 value;
+
+	if (record->len < 1 + sizeof(value) || bytes[0] != RECORD_VERSION)
+		return (false);
+	memcpy(&value, bytes + 1, sizeof(value));
+	*recorded = (clk_ms)GUINT64_FROM_BE(value);
+	return (true);
+}
+
+bool
+trn_is_expired(const struct sto_record *record, clk_ms retention, clk_ms wall)
+{
+	clk_ms recorded;
+
+	return (get_recorded(record, &recorded) &&
+	    wall - recorded > 2 * retention + CLOCK_MARGIN_MS);
+}
+
+bool
+trn_needs_renewal(const struct trn_turn *turn, clk_ms retention, clk_ms wall)
+{
+	return (wall - turn->recorded > retention);
+}
+
 struct trn_turn *
 trn_decode(const char *id, const struct sto_record *record)
 {
@@ -97,15 +131,18 @@
 	const guint8 *part[4];
 	size_t len[4];
 	struct trn_turn *turn;
+	clk_ms recorded;
 
-	if (record->len == 0 || *at++ != RECORD_VERSION)
+	if (!get_recorded(record, &recorded))
 		return (NULL);
+	at += 1 + sizeof(guint64);
 	for (int i = 0; i < 4; i++) {
 		if (!get_string(&at, end, &part[i], &len[i]))
 			return (NULL);
 	}
 	turn = g_new0(struct trn_turn, 1);
 	turn->id = g_strdup(id);
+	turn->recorded = recorded;
 	turn->organisation = g_strndup((const char *)part[0], len[0]);
 	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
 	if (len[1] > 0) {
@@ -194,6 +231,15 @@
 	return (turn);
 }
 
+void
+trn_cache_renewed(struct trn_cache *cache, const char *id, clk_ms wall)
+{
+	GList *node = g_hash_table_lookup(cache->turns, id);
+
+	if (node != NULL)
+		((struct trn_turn *)node->data)->recorded = wall;
+}
+
 void
 trn_cache_expire(struct trn_cache *cache, clk_ms now)
 {
--- a/src/turn/trn.h
+++ b/src/turn/trn.h
@@ -21,11 +21,10 @@
 	GPtrArray *ancestors;
 	GByteArray *input;
 	GByteArray *output; /* each event's data and a line feed */
+	clk_ms recorded; /* time of day at which the record was written */
 	clk_ms used; /* last, on the instance's clock */
 };
 
-struct trn_cache;
-
 /* trn_new(id, organisation): a turn without ancestors, input and output. */
 struct trn_turn *trn_new(const char *id, const char *organisation);
 void trn_free(struct trn_turn *turn);
@@ -38,6 +37,25 @@
 GByteArray *trn_encode(const struct trn_turn *turn);
 struct trn_turn *trn_decode(const char *id, const struct sto_record *record);
 
+/*
+ * trn_is_expired(record, retention, wall)
+ *	Whether nobody may need the record any more at the time of day wall.
+ *	A record is kept for twice the retention: the turns after it that are
+ *	kept need it too, and are recorded with it no longer than the
+ *	retention before (trn_needs_renewal()).
+ * trn_needs_renewal(turn, retention, wall)
+ *	Whether the turn's record has to be written again when a turn after it
+ *	is recorded.
+ */
+bool
+trn_is_expired(const struct sto_record *record, clk_ms retention, clk_ms wall);
+bool
+trn_needs_renewal(const struct trn_turn *turn, clk_ms retention, clk_ms wall);
+
+/* trn_cache_renewed(cache, id, wall): the record was written again. */
+struct trn_cache;
+void trn_cache_renewed(struct trn_cache *cache, const char *id, clk_ms wall);
+
 /*
  * trn_cache_open(max_bytes, retention)
  *	A cache that drops the turns used least recently above max_bytes, and
