--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -20,6 +20,7 @@
 #include "place/plc.h"
 #include "quota/act.h"
 #include "quota/qta.h"
+#include "sched/crash.h"
 #include "store/sto.h"
 
 struct edg;
@@ -47,6 +48,7 @@
 	struct plc *plc;
 	struct qta *qta;
 	struct act *act;
+	struct sch_crash_table *crashes;
 };
 
 /* edg_open(deps, settings): returns nil and sets errno on failure. */
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -55,6 +55,7 @@
 	/* Budget. */
 	int64_t reserved;
 	/* Upstream. */
+	unsigned char fingerprint[SCH_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
 	struct plc_handle handle;
 	struct plc_handle tried[EDG_MAX_TRIES];
--- a/src/edge/edg_send.c
+++ b/src/edge/edg_send.c
@@ -9,6 +9,8 @@
 #define CONNECT_TIMEOUT_MS 300
 /* Retry-After of a request that found every upstream full or away. */
 #define RETRY_NO_UPSTREAM_MS 300
+/* Retry-After of a request that crashes upstreams. */
+#define RETRY_BLOCKED_MS 5000
 /* An answer to a call of a service that is larger than this is cut off. */
 #define MAX_ANSWER ((size_t)32 << 20)
 /* Expected tokens of a turn whose caller states no length. */
@@ -90,6 +92,54 @@
 		(void)g_byte_array_append(out, data->data, data->len);
 }
 
+/* A request that comes again has the same caller, path and body. */
+static void
+fingerprint(struct edg_call *call)
+{
+	const GByteArray *body = hsv_body(call->client);
+	const GString *target = hsv_head(call->client)->target;
+	const char *organisation =
+	    call->organisation != NULL ? call->organisation->name : "";
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	gsize size = sizeof(call->fingerprint);
+
+	/* The zero bytes keep the parts apart. */
+	g_checksum_update(checksum, (const guchar *)organisation,
+	    (gssize)strlen(organisation) + 1);
+	g_checksum_update(
+	    checksum, (const guchar *)target->str, (gssize)target->len + 1);
+	g_checksum_update(checksum, body->data, body->len);
+	g_checksum_get_digest(checksum, call->fingerprint, &size);
+	g_checksum_free(checksum);
+}
+
+/* The upstream broke off while it may have run the request. */
+static void
+note_crash(struct edg_call *call)
+{
+	struct edg *edg = call->edg;
+	const struct plc_entry *entry = plc_get(edg->deps.plc, call->handle);
+	/* An upstream may start again under the id that it had. */
+	g_autofree char *upstream = g_strdup_printf("%s/%" G_GINT64_FORMAT,
+	    call->upstream_id, entry != NULL ? entry->started : 0);
+
+	fingerprint(call);
+	sch_crash_add(
+	    edg->deps.crashes, call->fingerprint, upstream, true, edg_now(edg));
+}
+
+static bool
+is_blocked(struct edg_call *call)
+{
+	struct edg *edg = call->edg;
+
+	if (sch_crash_is_empty(edg->deps.crashes))
+		return (false);
+	fingerprint(call);
+	return (sch_crash_is_blocked(
+	    edg->deps.crashes, call->fingerprint, edg_now(edg)));
+}
+
 void
 edg_send(struct edg_call *call)
 {
@@ -102,6 +152,11 @@
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autoptr(GString) out = g_string_sized_new(1024);
 
+	if (call->runs == 0 && is_blocked(call)) {
+		edg_refuse_not_run(call, VD_QUEUE_FULL, RETRY_BLOCKED_MS,
+		    "the request has crashed the upstreams that ran it");
+		return;
+	}
 	if (!choose(call)) {
 		refuse_unplaced(call);
 		return;
@@ -317,6 +372,8 @@
 		    timed_out, call->has_reply ? call->reply.status : 0,
 		    call->has_reply && call->reply.is_not_run,
 		    call->has_reply && call->reply.is_misdirected);
+	if (outcome == PLC_FAILED && !timed_out)
+		note_crash(call);
 	if (call->is_streaming) {
 		stream_ended(call, end);
 	} else if (end == HCP_NOT_SENT || is_rejected) {
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -25,10 +25,12 @@
 /* Programs in one datagram. */
 #define PROGRAMS_MAX 60
 /* Upstreams, and prompts sent there, in one datagram. */
-#define LOADS_MAX	 60
-#define KEPT_MAX	 100
+#define LOADS_MAX 60
+#define KEPT_MAX  100
+/* Crashes in one datagram. */
+#define CRASHES_MAX	 8
 #define NAME_MAX_BYTES	 128
-#define PROTOCOL_VERSION 0x53474f34U
+#define PROTOCOL_VERSION 0x53474f35U
 
 struct member {
 	struct sockaddr_in address;
@@ -84,6 +86,16 @@
 	    xdr_uint32_t(xdrs, &kept->upstream));
 }
 
+static bool_t
+xdr_crash(XDR *xdrs, struct sch_crash *crash)
+{
+	char *upstream = crash->upstream;
+
+	return (xdr_opaque(xdrs, (char *)crash->fingerprint,
+		    sizeof(crash->fingerprint)) &&
+	    xdr_string(xdrs, &upstream, sizeof(crash->upstream) - 1));
+}
+
 static bool_t
 xdr_news(XDR *xdrs, uint32_t *version, struct gsp_news *news)
 {
@@ -98,7 +110,9 @@
 	    xdr_array(xdrs, (char **)&news->loads, &news->load_len, LOADS_MAX,
 		sizeof(*news->loads), (xdrproc_t)xdr_load) &&
 	    xdr_array(xdrs, (char **)&news->kept, &news->kept_len, KEPT_MAX,
-		sizeof(*news->kept), (xdrproc_t)xdr_kept));
+		sizeof(*news->kept), (xdrproc_t)xdr_kept) &&
+	    xdr_array(xdrs, (char **)&news->crashes, &news->crash_len,
+		CRASHES_MAX, sizeof(*news->crashes), (xdrproc_t)xdr_crash));
 }
 
 size_t
@@ -141,6 +155,7 @@
 	free(news->programs);
 	free(news->loads);
 	free(news->kept);
+	free(news->crashes);
 	memset(news, 0, sizeof(*news));
 }
 
@@ -152,12 +167,15 @@
 	uint64_t programs[PROGRAMS_MAX];
 	struct plc_load loads[LOADS_MAX];
 	struct plc_kept kept[KEPT_MAX];
+	struct sch_crash crashes[CRASHES_MAX];
+	clk_ms now = clk_now(&gsp->deps.clk);
 	struct gsp_news news = {.name = gsp->name,
 	    .incarnation = gsp->incarnation,
 	    .counts = counts,
 	    .programs = programs,
 	    .loads = loads,
-	    .kept = kept};
+	    .kept = kept,
+	    .crashes = crashes};
 	char buf[DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
@@ -171,6 +189,8 @@
 	    (unsigned)act_news(gsp->deps.act, programs, PROGRAMS_MAX);
 	news.load_len = (unsigned)plc_loads(gsp->deps.plc, loads, LOADS_MAX);
 	news.kept_len = (unsigned)plc_news(gsp->deps.plc, kept, KEPT_MAX);
+	news.crash_len = (unsigned)sch_crash_list(
+	    gsp->deps.crashes, now - 2 * TELL_PERIOD_MS, crashes, CRASHES_MAX);
 	len = gsp_encode(buf, sizeof(buf), &news);
 	qta_tick(gsp->deps.qta);
 	g_hash_table_iter_init(&iter, gsp->members);
@@ -184,6 +204,14 @@
 	}
 }
 
+static void
+crashes_heard(struct gsp *gsp, const struct gsp_news *news, clk_ms now)
+{
+	for (unsigned i = 0; i < news->crash_len; i++)
+		sch_crash_add(gsp->deps.crashes, news->crashes[i].fingerprint,
+		    news->crashes[i].upstream, false, now);
+}
+
 static void
 readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
@@ -209,6 +237,7 @@
 			    news.program_len, now);
 			plc_heard(gsp->deps.plc, news.name, news.loads,
 			    news.load_len, news.kept, news.kept_len, now);
+			crashes_heard(gsp, &news, now);
 		}
 		gsp_news_clear(&news);
 	}
--- a/src/gossip/gsp.h
+++ b/src/gossip/gsp.h
@@ -4,7 +4,8 @@
  * Each instance keeps a record with its address in the store, and finds the
  * others there.  Several times a second it tells each of them how many
  * requests of each organisation it has admitted, which programs have begun
- * there, what it runs at each upstream and which prompts it sent there.  A lost
+ * there, what it runs at each upstream, which prompts it sent there and
+ * which requests crashed an upstream.  A lost
  * datagram does no harm: the numbers are totals, and each program is told
  * twice.
  */
@@ -19,6 +20,7 @@
 #include "place/plc.h"
 #include "quota/act.h"
 #include "quota/qta.h"
+#include "sched/crash.h"
 #include "store/sto.h"
 
 struct gsp;
@@ -31,6 +33,7 @@
 	struct qta *qta;
 	struct act *act;
 	struct plc *plc;
+	struct sch_crash_table *crashes;
 	/*
 	 * The instances of the fleet have been counted; rank is this one's
 	 * among them by name, from 0.
@@ -63,6 +66,8 @@
 	unsigned load_len;
 	struct plc_kept *kept;
 	unsigned kept_len;
+	struct sch_crash *crashes; /* their time is not told */
+	unsigned crash_len;
 };
 
 /*
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -30,6 +30,11 @@
 #define DRAIN_ACCEPT_MS 2500
 /* Time before the end of the grace period at which the process ends. */
 #define GRACE_MARGIN_MS 400
+/*
+ * Different upstreams that a request may crash.  The platform allows three;
+ * fewer could be answers that were lost.
+ */
+#define CRASHES_TO_BLOCK 3
 /* Period of the checks of a planned stop, and of lapsed entries, in s. */
 #define TICK_S 0.1
 /* Limits of the operators' server. */
@@ -50,6 +55,7 @@
 	struct plc *plc;
 	struct qta *qta;
 	struct act *act;
+	struct sch_crash_table *crashes;
 	struct edg *edg;
 	struct gsp *gsp;
 	struct swp *swp;
@@ -177,16 +183,17 @@
 	ins->plc = plc_open(settings->datacentre);
 	ins->qta = qta_open(&settings->rate_tolerance, now);
 	ins->act = act_open(settings->retention);
+	ins->crashes = sch_crash_open(CRASHES_TO_BLOCK);
 	ins->store_answered = now;
 	ins->swp = swp_open(deps->loop, deps->lg, &deps->sto, sweep_rules,
 	    G_N_ELEMENTS(sweep_rules));
 	edge = (struct edg_deps){deps->loop, deps->clk, deps->lg, ins->cnt,
-	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act};
+	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act, ins->crashes};
 	edge_settings = (struct edg_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
 	    settings->max_connections};
 	gossip = (struct gsp_deps){deps->loop, deps->clk, deps->lg, deps->sto,
-	    ins->qta, ins->act, ins->plc, on_fleet, ins};
+	    ins->qta, ins->act, ins->plc, ins->crashes, on_fleet, ins};
 	ins->edg = edg_open(&edge, &edge_settings);
 	if (ins->edg == NULL)
 		goto fail;
@@ -228,6 +235,7 @@
 	edg_close(ins->edg);
 	qta_close(ins->qta);
 	act_close(ins->act);
+	sch_crash_close(ins->crashes);
 	plc_close(ins->plc);
 	cnt_close(ins->cnt);
 	g_free(ins);
--- a/src/sched/crash.c
+++ b/src/sched/crash.c
@@ -4,13 +4,12 @@
 #include <string.h>
 
 #define BLOCK_TIME	 (10 * CLK_MINUTE)
-#define CRASHES_TO_BLOCK 2
 #define MAX_FINGERPRINTS 1024
 #define MAX_OWN		 2048
 
 struct entry {
 	unsigned char fingerprint[SCH_FINGERPRINT_SIZE];
-	char *upstreams[CRASHES_TO_BLOCK];
+	char *upstreams[SCH_CRASH_UPSTREAMS];
 	unsigned count; /* of different upstreams */
 	clk_ms last; /* crash */
 	GList *link; /* in table->order */
@@ -20,6 +19,7 @@
 	GHashTable *entries; /* fingerprint -> struct entry */
 	GQueue order; /* the oldest first */
 	GQueue own; /* struct sch_crash, the oldest first */
+	unsigned upstreams; /* that a request may crash */
 };
 
 static guint
@@ -49,10 +49,11 @@
 }
 
 struct sch_crash_table *
-sch_crash_open(void)
+sch_crash_open(unsigned upstreams)
 {
 	struct sch_crash_table *table = g_new0(struct sch_crash_table, 1);
 
+	table->upstreams = MIN(upstreams, SCH_CRASH_UPSTREAMS);
 	table->entries = g_hash_table_new_full(
 	    fingerprint_hash, fingerprint_equal, NULL, entry_free);
 	return (table);
@@ -125,13 +126,19 @@
 	/* Heartbeats repeat what they told; only a new fact counts. */
 	if (known && !own)
 		return;
-	if (!known && entry->count < CRASHES_TO_BLOCK)
+	if (!known && entry->count < table->upstreams)
 		entry->upstreams[entry->count++] = g_strdup(name);
 	entry->last = now;
 	if (own)
 		add_own(table, fingerprint, name, now);
 }
 
+bool
+sch_crash_is_empty(const struct sch_crash_table *table)
+{
+	return (g_queue_is_empty((GQueue *)&table->order));
+}
+
 bool
 sch_crash_is_blocked(const struct sch_crash_table *table,
     const unsigned char *fingerprint, clk_ms now)
@@ -139,7 +146,7 @@
 	const struct entry *entry =
 	    g_hash_table_lookup(table->entries, fingerprint);
 
-	return (entry != NULL && entry->count >= CRASHES_TO_BLOCK &&
+	return (entry != NULL && entry->count >= table->upstreams &&
 	    now - entry->last < BLOCK_TIME);
 }
 
--- a/src/sched/sch.c
+++ b/src/sched/sch.c
@@ -6,12 +6,14 @@
 #include "sched/crash.h"
 #include "upstream/heap.h"
 
-#define MAX_WAITING  4096
-#define AGE_MS	     (2 * CLK_SECOND)
-#define OVERDUE_MS   (10 * CLK_SECOND)
-#define RETRY_SHARE  0.1
-#define RETRY_MAX    10.0
-#define MAX_ATTEMPTS 4
+/* Different upstreams that a request may crash. */
+#define CRASHES_TO_BLOCK 2
+#define MAX_WAITING	 4096
+#define AGE_MS		 (2 * CLK_SECOND)
+#define OVERDUE_MS	 (10 * CLK_SECOND)
+#define RETRY_SHARE	 0.1
+#define RETRY_MAX	 10.0
+#define MAX_ATTEMPTS	 4
 /* One start in so many goes to the calls that have waited too long. */
 #define OVERDUE_SHARE 4
 #define OVERDUE	      0 /* level of these calls; the classes follow it */
@@ -167,7 +169,7 @@
 	sch->shared = organisation_new("");
 	sch->queues = g_ptr_array_new();
 	ups_heap_init(&sch->expiries);
-	sch->crashes = sch_crash_open();
+	sch->crashes = sch_crash_open(CRASHES_TO_BLOCK);
 	sch->retries = RETRY_MAX;
 	return (sch);
 }
