--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -110,7 +110,8 @@
 
 	if (client == NULL)
 		return;
-	if (call->is_counted && verdict->ran == VD_NOT_RUN)
+	if (call->is_counted && call->organisation != NULL &&
+	    verdict->ran == VD_NOT_RUN)
 		qta_refund(call->edg->deps.qta, call->organisation->name);
 	body = vd_body(verdict, call->request.id);
 	call->edg->deps.wire->verdict_encode(fields, verdict, call->request.id);
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -19,17 +19,18 @@
 /* The first of the others drops its record after this time. */
 #define RECORD_FORGET_MS 60000
 #define STORE_TIMEOUT_MS 500
-#define DATAGRAM_MAX	 4096
-/* Organisations in one datagram, and bytes of a name. */
-#define COUNTS_MAX 70
-/* Programs in one datagram. */
-#define PROGRAMS_MAX 60
-/* Upstreams, and prompts sent there, in one datagram. */
-#define LOADS_MAX 60
-#define KEPT_MAX  100
-/* Crashes in one datagram. */
-#define CRASHES_MAX	 8
-#define NAME_MAX_BYTES	 128
+/*
+ * Bytes of a datagram, and the most that it holds of each kind: what an
+ * instance of the users' deployments has to tell, several times over.
+ */
+#define DATAGRAM_MAX   4096
+#define COUNTS_MAX     70
+#define PROGRAMS_MAX   60
+#define LOADS_MAX      60
+#define KEPT_MAX       100
+#define CRASHES_MAX    8
+#define NAME_MAX_BYTES 128
+/* "SGO" and a number that changes with the format. */
 #define PROTOCOL_VERSION 0x53474f35U
 
 struct member {
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -495,18 +495,6 @@
 	g_free(hcp);
 }
 
-void
-hcp_drop_idle(struct hcp *hcp, const struct sockaddr_in *address)
-{
-	struct hcp_call *next;
-
-	for (struct hcp_call *call = hcp->calls; call != NULL; call = next) {
-		next = call->next;
-		if (call->idle && is_same_address(&call->address, address))
-			call_close(call);
-	}
-}
-
 unsigned long
 hcp_opened(const struct hcp *hcp)
 {
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -74,9 +74,6 @@
 /* hcp_cancel(call): close the call's connection; on_end is not called. */
 void hcp_cancel(struct hcp_call *call);
 
-/* hcp_drop_idle(hcp, address): close the idle connections to address. */
-void hcp_drop_idle(struct hcp *hcp, const struct sockaddr_in *address);
-
 /* hcp_opened(hcp): how many connections have been opened so far. */
 unsigned long hcp_opened(const struct hcp *hcp);
 
