Tell a slow store from a lost one; name a deadline that passed in the store

A request whose deadline passed while it waited for the store was logged as no_upstream. Open: short programs run out of time while the store is slow.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -8,9 +8,10 @@
 #define HOUSEKEEPING_S 0.25
 /*
  * An instance whose catalogue was last confirmed longer ago has lost the
- * store; others may not have.  Twice the time between two confirmations.
+ * store; others may not have.  A confirmation is up to two calls old, each of
+ * which may wait for 0.5 s and take 0.4 s.
  */
-#define STORE_LOST_MS 1200
+#define STORE_LOST_MS 2000
 /*
  * Bounds of the Retry-After while the store is away.  Callers follow it up to
  * a third of their time left, which is 1 to 1.7 s on the users' sheets.
@@ -146,9 +147,12 @@
 	if (call->runs > 0 || call->upstream != NULL)
 		verdict = vd_make(VD_MAYBE, VD_UPSTREAM_TIMEOUT,
 		    "the upstream did not answer in time");
-	else
+	else if (call->tries > 0)
 		verdict = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM,
 		    "no upstream took the request in time");
+	else
+		verdict = vd_make(VD_NOT_RUN, VD_HISTORY_UNPROVEN,
+		    "the store did not answer in time");
 	edg_refuse(call, &verdict);
 }
 
