Wait longer for a rate coordinator that does not answer

Cause: a request without a token waited 150 ms for a grant whether its coordinator had refused or had not answered at all.

Ruled out: the organisation's rate (no request had been made before), and a repeat in the test (a refusal inside the rate is the fault).

--- a/src/rate/rat.c
+++ b/src/rate/rat.c
@@ -586,7 +586,7 @@
 
 struct waiter {
 	void *tag;
-	clk_ms deadline;
+	clk_ms since;
 };
 
 struct account {
@@ -755,7 +755,7 @@
 	}
 	waiter = g_new(struct waiter, 1);
 	waiter->tag = tag;
-	waiter->deadline = now + RAT_WAIT;
+	waiter->since = now;
 	g_queue_push_tail(&account->waiting, waiter);
 	return (RAT_WAITING);
 }
@@ -965,11 +965,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct account *account = value;
 		struct waiter *waiter;
+		clk_ms wait = account->refused ? RAT_WAIT : RAT_SILENT_WAIT;
 
 		account_expire(account, now);
 		while (
 		    (waiter = g_queue_peek_head(&account->waiting)) != NULL &&
-		    waiter->deadline <= now) {
+		    now - waiter->since >= wait) {
 			over = g_new(struct over, 1);
 			over->tag = waiter->tag;
 			over->retry_after = account_retry(account);
--- a/src/rate/rat.h
+++ b/src/rate/rat.h
@@ -24,7 +24,15 @@
 
 #define RAT_DRIFT_PPM	   1000 /* largest error of a clock's rate */
 #define RAT_GRANT_LIFETIME (2 * CLK_SECOND)
-#define RAT_WAIT	   ((clk_ms)150) /* longest wait for a grant */
+/* Longest wait for a token after the coordinator said that it has none. */
+#define RAT_WAIT ((clk_ms)150)
+/*
+ * Longest wait for a coordinator that does not answer: after a start, or on
+ * a busy machine, its answer takes longer than RAT_WAIT, and a request inside
+ * the rate must not be refused for that.  Bounded by the 1.1 s in which the
+ * first token is due.
+ */
+#define RAT_SILENT_WAIT	   ((clk_ms)1000)
 #define RAT_WAITERS_MAX	   1024 /* for each organisation and instance */
 
 /* The share of a data centre in an organisation's rate and burst. */
@@ -143,7 +151,7 @@
 
 enum rat_outcome {
 	RAT_TAKEN,
-	RAT_WAITING, /* on_done follows within RAT_WAIT */
+	RAT_WAITING, /* on_done follows within RAT_SILENT_WAIT */
 	RAT_REFUSED /* *retry_after is set */
 };
 
@@ -191,7 +199,8 @@
  *	failed or was refused.  Waiting requests are served in order.  A late
  *	answer is used for the rest of its lifetime; a duplicate is ignored.
  * rat_holder_tick(holder, now)
- *	End waits that are over.  To be called every 25 ms.  Costs O(active
+ *	End waits that are over: after RAT_WAIT if the coordinator's last answer
+ *	was a refusal, else after RAT_SILENT_WAIT.  To be called every 25 ms.  Costs O(active
  *	organisations).  Organisations without activity are forgotten.
  * rat_holder_active(holder)
  *	The number of organisations in memory.
