Know where shared parts of prompts are kept in a large fleet

Cause: an instance was told of the last part of each prompt only, and took a part for kept only if it knew all parts before it.

Change: where a part is kept, those before it are. Parts that are new at an engine, or not used there for 10 s, are told, not only the last one. Both tests fail on the former code. /plc/locality-heard expected one part to be told; it is two now.

--- a/src/place/plc.c
+++ b/src/place/plc.c
@@ -37,6 +37,11 @@
 #define AVOID_FULL_MS 50
 /* A part of a prompt is taken as kept by an engine for this time. */
 #define PART_KEPT_MS (60 * CLK_SECOND)
+/*
+ * A part that was used at an engine after this time is told again: often
+ * enough that instances that started meanwhile learn of it.
+ */
+#define PART_TELL_MS (10 * CLK_SECOND)
 /* What a peer told is dropped if it was not heard for this time. */
 #define PEER_SILENT_MS 1000
 /* Parts remembered of one upstream. */
@@ -337,23 +342,26 @@
 	    upstream != NULL && !upstream->is_gone ? &upstream->entry : NULL);
 }
 
-/* Prompt tokens that the upstream would have to read. */
+/*
+ * Prompt tokens that the upstream would have to read.  Parts yield in the
+ * order of their last use, and the use of a part uses all parts before it:
+ * where a part is kept, those before it are kept too, also if this instance
+ * was told of the last one only.
+ */
 static double
 uncached_tokens(const struct upstream *upstream,
     const struct plc_request *request, clk_ms now)
 {
 	double tokens = 0;
-	bool is_kept = true;
 
-	for (size_t i = 0; i < request->part_count; i++) {
-		const struct plc_part *part = &request->parts[i];
+	for (size_t i = request->part_count; i > 0; i--) {
+		const struct plc_part *part = &request->parts[i - 1];
 		const clk_ms *used =
 		    g_hash_table_lookup(upstream->parts, &part->id);
 
-		/* A part is kept only with all parts before it. */
-		is_kept = is_kept && used != NULL && now - *used < PART_KEPT_MS;
-		if (!is_kept)
-			tokens += part->tokens;
+		if (used != NULL && now - *used < PART_KEPT_MS)
+			break;
+		tokens += part->tokens;
 	}
 	return (tokens);
 }
@@ -437,33 +445,39 @@
 	return (false);
 }
 
-static void
+/* Returns whether the part was not known, or not used for a while. */
+static bool
 remember_part(struct upstream *upstream, uint64_t part, clk_ms now)
 {
 	clk_ms *used = g_hash_table_lookup(upstream->parts, &part);
+	bool is_news;
 
 	if (used != NULL) {
+		is_news = now - *used >= PART_TELL_MS;
 		*used = now;
-		return;
+		return (is_news);
 	}
 	if (g_hash_table_size(upstream->parts) >= PARTS_MAX)
 		g_hash_table_remove_all(upstream->parts);
 	(void)g_hash_table_insert(upstream->parts,
 	    g_memdup2(&part, sizeof(part)), g_memdup2(&now, sizeof(now)));
+	return (true);
 }
 
-/* The request is about to be sent: what will be kept, and told. */
+/*
+ * The request is about to be sent: what will be kept, and told.  The parts
+ * that many programs share stand at the front and are never the last one.
+ */
 static void
 remember_parts(struct plc *plc, struct upstream *upstream,
     const struct plc_request *request, clk_ms now)
 {
-	struct plc_kept kept = {.upstream = upstream->hash};
+	for (size_t i = 0; i < request->part_count; i++) {
+		const struct plc_kept kept = {
+		    request->parts[i].id, upstream->hash};
 
-	for (size_t i = 0; i < request->part_count; i++)
-		remember_part(upstream, request->parts[i].id, now);
-	if (request->part_count > 0) {
-		kept.part = request->parts[request->part_count - 1].id;
-		g_array_append_val(plc->news, kept);
+		if (remember_part(upstream, kept.part, now))
+			g_array_append_val(plc->news, kept);
 	}
 }
 
@@ -519,7 +533,7 @@
 		struct upstream *upstream = find_hash(plc, kept[i].upstream);
 
 		if (upstream != NULL)
-			remember_part(upstream, kept[i].part, now);
+			(void)remember_part(upstream, kept[i].part, now);
 	}
 }
 
--- a/src/place/plc.h
+++ b/src/place/plc.h
@@ -88,7 +88,7 @@
 };
 
 struct plc_kept {
-	uint64_t part; /* the last part of a prompt */
+	uint64_t part; /* of a prompt */
 	uint32_t upstream; /* that has read it */
 };
 
@@ -96,8 +96,8 @@
  * plc_loads(plc, loads, max)
  *	Write what this instance runs at each upstream, to be told now.
  * plc_news(plc, kept, max)
- *	Write the prompts sent since the call before the last one, so that
- *	each is told twice.
+ *	Write the parts of prompts sent since the call before the last one
+ *	that the others may not know of, so that each is told twice.
  * plc_heard(plc, peer, loads, n, kept, kept_n, now)
  *	Another instance told.
  */
--- a/src/place/test_plc.c
+++ b/src/place/test_plc.c
@@ -108,13 +108,80 @@
 	}
 	first = choose(a, parts, 2, 0, &handle);
 	n = plc_news(a, kept, 4);
-	g_assert_cmpuint(n, ==, 1);
+	g_assert_cmpuint(n, ==, 2);
 	plc_heard(b, "a", NULL, 0, kept, n, 0);
 	g_assert_cmpstr(choose(b, parts, 2, 0, &handle), ==, first);
 	plc_close(a);
 	plc_close(b);
 }
 
+/*
+ * Load pattern: a fleet so large that an instance has sent the shared part
+ * of few programs to few engines.  A line is told by its last part only once
+ * its other parts are known; it must stay at its engine nevertheless.
+ */
+static void
+test_last_part_heard(void)
+{
+	struct plc *plc = plc_open("a");
+
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+
+		add(plc, id, 1 + i);
+	}
+	for (uint64_t line = 0; line < 16; line++) {
+		g_autofree char *id = g_strdup_printf("u%d", (int)line % 8);
+		const struct plc_part parts[] = {
+		    {1, 12600}, {100 + line, 8000}, {200 + line, 800}};
+		const struct plc_kept kept = {
+		    parts[1].id, (uint32_t)g_str_hash(id)};
+		struct plc_handle handle;
+
+		plc_heard(plc, "peer", NULL, 0, &kept, 1, 0);
+		g_assert_cmpstr(choose(plc, parts, 3, 0, &handle), ==, id);
+		plc_done(plc, handle, PLC_SERVED, 0);
+	}
+	plc_close(plc);
+}
+
+/*
+ * Guards against a part shared by many programs that each instance has every
+ * engine read anew, because nobody tells where it is kept.
+ */
+static void
+test_shared_part_heard(void)
+{
+	struct plc *a = plc_open("a");
+	struct plc *b = plc_open("a");
+	struct plc_kept kept[8];
+	struct plc_handle handle;
+	const char *first;
+	size_t n;
+
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+
+		add(a, id, 1 + i);
+		add(b, id, 1 + i);
+	}
+	first = choose(
+	    a, (const struct plc_part[]){{1, 12600}, {2, 800}}, 2, 0, &handle);
+	n = plc_news(a, kept, 8);
+	/* Ties are broken in turn: b would not choose as a did. */
+	g_assert_nonnull(choose(b, NULL, 0, 0, &handle));
+	plc_done(b, handle, PLC_SERVED, 0);
+	plc_heard(b, "a", NULL, 0, kept, n, 0);
+	for (uint64_t line = 0; line < 8; line++) {
+		const struct plc_part parts[] = {{1, 12600}, {10 + line, 800}};
+
+		g_assert_cmpstr(choose(b, parts, 2, 0, &handle), ==, first);
+		plc_done(b, handle, PLC_SERVED, 0);
+	}
+	plc_close(a);
+	plc_close(b);
+}
+
 /*
  * Load pattern: one engine is three times as fast, and all instances know.
  * Between two datagrams they may not all choose it.
@@ -279,6 +346,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/locality-heard", test_locality_heard);
+	g_test_add_func("/plc/last-part-heard", test_last_part_heard);
+	g_test_add_func("/plc/shared-part-heard", test_shared_part_heard);
 	g_test_add_func("/plc/no-herd", test_no_herd);
 	g_test_add_func("/plc/loads-heard", test_loads_heard);
 	g_test_add_func("/plc/failures", test_failures);
--- a/src/rate/rat.h
+++ b/src/rate/rat.h
@@ -32,8 +32,8 @@
  * the rate must not be refused for that.  Bounded by the 1.1 s in which the
  * first token is due.
  */
-#define RAT_SILENT_WAIT	   ((clk_ms)1000)
-#define RAT_WAITERS_MAX	   1024 /* for each organisation and instance */
+#define RAT_SILENT_WAIT ((clk_ms)1000)
+#define RAT_WAITERS_MAX 1024 /* for each organisation and instance */
 
 /* The share of a data centre in an organisation's rate and burst. */
 struct rat_limit {
@@ -200,8 +200,8 @@
  *	answer is used for the rest of its lifetime; a duplicate is ignored.
  * rat_holder_tick(holder, now)
  *	End waits that are over: after RAT_WAIT if the coordinator's last answer
- *	was a refusal, else after RAT_SILENT_WAIT.  To be called every 25 ms.  Costs O(active
- *	organisations).  Organisations without activity are forgotten.
+ *	was a refusal, else after RAT_SILENT_WAIT.  To be called every 25 ms.
+ *Costs O(active organisations).  Organisations without activity are forgotten.
  * rat_holder_active(holder)
  *	The number of organisations in memory.
  */
