Lend tokens of budgets between instances instead of changing the ledger

A turn's record was refused for 1.7 s and the stream broken off: 189,000 calls in 55 s are above the 1,500 writing calls a second that the store takes. Two of three calls were for budgets. A program's turns come through 4.5 instances on average (63 of 100 calls come through another one than the call before), and each instance took a grant and gave it back after 100 ms.

Change: the session that takes the first grant of a program takes it for three turns and lends to the others by datagrams; it gives back when the program has been idle for 4 s, or at once when it is about to stop. Instances know from the datagrams about new programs where each began. A loan counts as used until it is repaid, and is repaid once at most, so that a lost datagram can only make the budget smaller. An instance that has just started is found by its datagrams, not only by the next read of the members.

--- a/src/budget/bgt.c
+++ b/src/budget/bgt.c
@@ -3,8 +3,14 @@
 #include <jansson.h>
 #include <string.h>
 
-/* A grant is enough for so many turns, as far as the budget reaches. */
-#define GRANT_TURNS 2
+/*
+ * Turns that a grant is enough for, as far as the budget reaches.  The first
+ * session lends to others, so that a program of four turns, each of which
+ * generates about half of its most, seldom needs a second grant.  Another
+ * session takes what one turn needs.
+ */
+#define GRANT_TURNS_FIRST 3
+#define GRANT_TURNS_OTHER 1
 /* By how much the clocks of instances may differ, and a sweep be late. */
 #define CLOCK_MARGIN_MS (15 * CLK_SECOND)
 
@@ -14,6 +20,7 @@
 	int64_t used; /* by turns that ended here */
 	int64_t reserved; /* by turns that run here */
 	bool is_spent; /* nothing is left, and no other session holds any */
+	bool is_first; /* no other session held any at the last grant */
 	bool is_returning; /* a record that gives tokens back is on its way */
 	clk_ms held_until; /* other sessions hold what is left */
 	clk_ms last; /* turn */
@@ -200,7 +207,7 @@
 	struct program *program = ensure_program(bgt, id, now);
 	struct ledger ledger;
 	enum bgt_taken taken = BGT_WRITE;
-	int64_t left, sum, take;
+	int64_t left, sum, take, turns;
 
 	*value = NULL;
 	if (available(program) >= turn_max)
@@ -210,7 +217,9 @@
 	ledger_parse(&ledger, program, budget);
 	sum = ledger_sum(&ledger);
 	left = ledger.budget - sum;
-	take = MIN(GRANT_TURNS * turn_max - available(program), left);
+	program->is_first = sum == program->granted;
+	turns = program->is_first ? GRANT_TURNS_FIRST : GRANT_TURNS_OTHER;
+	take = MIN(turns * turn_max - available(program), left);
 	if (available(program) + take < turn_max) {
 		program->is_spent = sum == program->granted;
 		taken = program->is_spent ? BGT_NONE : BGT_HELD;
@@ -225,12 +234,46 @@
 }
 
 bool
-bgt_idle(const struct bgt *bgt, const char *id)
+bgt_idle(const struct bgt *bgt, const char *id, clk_ms since)
 {
 	const struct program *program = g_hash_table_lookup(bgt->programs, id);
 
 	return (program != NULL && program->reserved == 0 &&
-	    program->granted > program->used);
+	    program->granted > program->used && program->last <= since);
+}
+
+bool
+bgt_is_first(const struct bgt *bgt, const char *id)
+{
+	const struct program *program = g_hash_table_lookup(bgt->programs, id);
+
+	return (program != NULL && program->is_first);
+}
+
+char *
+bgt_holder(const struct bgt *bgt, const char *id)
+{
+	const struct program *program = g_hash_table_lookup(bgt->programs, id);
+	struct ledger ledger;
+	const char *session, *holder = NULL;
+	json_t *value;
+	json_int_t most = 0;
+	char *copy;
+
+	if (program == NULL || !program->is_known)
+		return (NULL);
+	ledger_parse(&ledger, program, 0);
+	json_object_foreach(ledger.grants, session, value)
+	{
+		if (strcmp(session, bgt->session) != 0 &&
+		    json_integer_value(value) > most) {
+			most = json_integer_value(value);
+			holder = session;
+		}
+	}
+	copy = g_strdup(holder);
+	json_decref(ledger.grants);
+	return (copy);
 }
 
 enum bgt_taken
@@ -241,7 +284,7 @@
 	struct ledger ledger;
 
 	*value = NULL;
-	if (!bgt_idle(bgt, id))
+	if (!bgt_idle(bgt, id, INT64_MAX))
 		return (BGT_NONE);
 	/* Until the outcome is known, nothing more runs from this grant. */
 	program->is_returning = true;
--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -3,8 +3,9 @@
  *
  * A program's budget lies in the store as a ledger: how much of it has been
  * granted to which session of an instance.  An instance takes a grant before
- * it runs a turn, runs further turns from what is left of the grant, and
- * gives the rest back when the program has been idle here for a short time.
+ * it runs a turn, runs further turns from what is left of the grant, lends to
+ * other instances (loan.h), and gives the rest back when the program has been
+ * idle for a while.
  * Each change of a ledger is refused by the store if another session has
  * changed it since it was read, so the sum over all instances never exceeds
  * the budget.  What an instance that died had not given back stays spent.
@@ -103,10 +104,19 @@
 void bgt_held(struct bgt *bgt, const char *program, clk_ms until);
 
 /*
- * bgt_idle(bgt, program): whether no turn of it runs here, and a part of its
- * grant is unused.
+ * bgt_idle(bgt, program, since)
+ *	Whether no turn of it runs here, none has since that time, and a part
+ *	of its grant is unused.
+ * bgt_is_first(bgt, program)
+ *	Whether this session got a grant when no other one had any: it lends
+ *	to the others, and gives back late.
+ * bgt_holder(bgt, program)
+ *	Return the other session with the largest grant, as the ledger was
+ *	read last, to be freed by g_free(), or nil.
  */
-bool bgt_idle(const struct bgt *bgt, const char *program);
+bool bgt_idle(const struct bgt *bgt, const char *program, clk_ms since);
+bool bgt_is_first(const struct bgt *bgt, const char *program);
+char *bgt_holder(const struct bgt *bgt, const char *program);
 
 /*
  * bgt_is_expired(record, retention, wall)
--- /dev/null
+++ b/src/budget/test_loan.c
@@ -0,0 +1,258 @@
+/*
+ * Loans of tokens: messages that are cut or foreign, datagrams that are lost
+ * or come twice or late, and the budget over all of them.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "budget/bgt.h"
+#include "budget/loan.h"
+
+#define ORDERS	 20000
+#define STEPS	 80
+#define TURN_MAX 60
+#define BUDGET	 600
+
+static void
+test_message(void)
+{
+	const struct loan_message message = {LOAN_ANSWER, (char *)"front-1/5f",
+	    1ULL << 40, (char *)"p1", 576, 4608, LOAN_SPENT};
+	struct loan_message decoded;
+	char buf[LOAN_MESSAGE_MAX];
+	size_t len = loan_encode(buf, sizeof(buf), &message);
+
+	g_assert_cmpuint(len, >, 0);
+	g_assert_true(loan_is_message(buf, len));
+	g_assert_true(loan_decode(buf, len, &decoded));
+	g_assert_cmpuint(decoded.kind, ==, LOAN_ANSWER);
+	g_assert_cmpstr(decoded.sender, ==, "front-1/5f");
+	g_assert_cmpuint(decoded.serial, ==, 1ULL << 40);
+	g_assert_cmpstr(decoded.program, ==, "p1");
+	g_assert_cmpint(decoded.tokens, ==, 576);
+	g_assert_cmpint(decoded.budget, ==, 4608);
+	g_assert_cmpuint(decoded.outcome, ==, LOAN_SPENT);
+	loan_message_clear(&decoded);
+}
+
+/* Guards against datagrams that are cut, foreign or out of range. */
+static void
+test_message_refused(void)
+{
+	struct loan_message message = {
+	    LOAN_REPAY, (char *)"a/1", 1, (char *)"p", 60, 0, LOAN_GRANTED};
+	struct loan_message decoded;
+	char buf[LOAN_MESSAGE_MAX];
+	size_t len = loan_encode(buf, sizeof(buf), &message);
+
+	for (size_t cut = 0; cut < len; cut++)
+		g_assert_false(loan_decode(buf, cut, &decoded));
+	buf[3]++;
+	g_assert_false(loan_is_message(buf, len));
+	g_assert_false(loan_decode(buf, len, &decoded));
+	message.tokens = -1;
+	len = loan_encode(buf, sizeof(buf), &message);
+	g_assert_false(loan_decode(buf, len, &decoded));
+	message.tokens = 1;
+	message.kind = LOAN_REPAY + 1;
+	len = loan_encode(buf, sizeof(buf), &message);
+	g_assert_false(loan_decode(buf, len, &decoded));
+}
+
+static void
+test_book(void)
+{
+	struct loan_book *book = loan_book_open();
+	struct loan *loan;
+
+	g_assert_true(loan_book_add(book, "a/1", 7, "p", 60, 100));
+	g_assert_false(loan_book_add(book, "a/1", 7, "p", 60, 110));
+	g_assert_true(loan_book_add(book, "b/1", 7, "p", 50, 200));
+	/* The instance started again and counts its loans anew. */
+	g_assert_null(loan_book_repay(book, "a/2", 7));
+	loan = loan_book_repay(book, "a/1", 7);
+	g_assert_cmpint(loan->tokens, ==, 60);
+	loan_free(loan);
+	g_assert_null(loan_book_repay(book, "a/1", 7));
+	g_assert_null(loan_book_expired(book, 200));
+	loan = loan_book_expired(book, 201);
+	g_assert_cmpint(loan->tokens, ==, 50);
+	loan_free(loan);
+	loan_book_close(book);
+}
+
+struct world {
+	GRand *rand;
+	struct bgt *lender;
+	struct loan_book *book;
+	char *ledger;
+	int64_t end;
+	uint64_t serial;
+	GArray *running; /* serials of loans from which a turn runs */
+	int64_t used; /* tokens handed to callers */
+	unsigned turns;
+	bool trusting; /* a lender that keeps no book */
+};
+
+static bool
+chance(struct world *w, double probability)
+{
+	return (g_rand_double(w->rand) < probability);
+}
+
+static void
+take(struct world *w)
+{
+	g_autofree char *value = NULL;
+	struct sto_record record;
+	int64_t end;
+
+	switch (
+	    bgt_take(w->lender, "p", BUDGET, TURN_MAX, &value, &end, 0, 0)) {
+	case BGT_READ:
+		bgt_ledger_set(w->lender, "p", NULL, w->end, 0);
+		break;
+	case BGT_WRITE:
+		record = (struct sto_record){"p", value, strlen(value)};
+		bgt_ledger_set(w->lender, "p", &record, ++w->end, 0);
+		break;
+	default:
+		break;
+	}
+}
+
+/* A datagram that asks for a loan arrives; returns whether it was given. */
+static bool
+lend(struct world *w, uint64_t serial)
+{
+	enum bgt_verdict verdict = bgt_reserve(w->lender, "p", TURN_MAX, 0);
+
+	if (verdict == BGT_TAKE)
+		take(w);
+	if (verdict != BGT_RUN)
+		return (false);
+	if (!loan_book_add(w->book, "b/1", serial, "p", TURN_MAX, 0)) {
+		bgt_settle(w->lender, "p", TURN_MAX, 0, 0);
+		return (false);
+	}
+	return (true);
+}
+
+static void
+repay(struct world *w, uint64_t serial, int64_t unused)
+{
+	struct loan *loan = loan_book_repay(w->book, "b/1", serial);
+
+	if (loan != NULL)
+		bgt_settle(
+		    w->lender, "p", loan->tokens, loan->tokens - unused, 0);
+	else if (w->trusting)
+		bgt_settle(w->lender, "p", 0, -unused, 0);
+	loan_free(loan);
+}
+
+static void
+turn_end(struct world *w)
+{
+	guint which =
+	    (guint)g_rand_int_range(w->rand, 0, (gint)w->running->len);
+	uint64_t serial = g_array_index(w->running, uint64_t, which);
+	int64_t used = g_rand_int_range(w->rand, 0, TURN_MAX + 1);
+	unsigned copies = chance(w, 0.15) ? 0 : chance(w, 0.2) ? 2 : 1;
+
+	(void)g_array_remove_index_fast(w->running, which);
+	w->used += used;
+	while (copies-- > 0)
+		repay(w, serial, TURN_MAX - used);
+}
+
+static void
+step(struct world *w)
+{
+	struct loan *loan;
+
+	if (w->running->len > 0 && chance(w, 0.5)) {
+		turn_end(w);
+	} else if (w->serial > 0 && chance(w, 0.1)) {
+		/* A datagram that comes a second time. */
+		(void)lend(w,
+		    1 +
+			(uint64_t)g_rand_int_range(
+			    w->rand, 0, (gint)w->serial));
+	} else if (chance(w, 0.02)) {
+		loan = loan_book_expired(w->book, 1);
+		if (loan != NULL)
+			bgt_settle(
+			    w->lender, "p", loan->tokens, loan->tokens, 0);
+		loan_free(loan);
+	} else if (lend(w, ++w->serial) && !chance(w, 0.1)) {
+		g_array_append_val(w->running, w->serial);
+		w->turns++;
+	}
+}
+
+/* Play an order of events; returns false if the budget was exceeded. */
+static bool
+play(guint32 seed, bool trusting, unsigned *turns)
+{
+	struct world w = {.rand = g_rand_new_with_seed(seed),
+	    .lender = bgt_open("a/1", 60000),
+	    .book = loan_book_open(),
+	    .running = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	    .trusting = trusting};
+	bool kept = true;
+
+	for (int n = 0; n < STEPS && kept; n++) {
+		step(&w);
+		kept = w.used <= BUDGET;
+	}
+	*turns += w.turns;
+	bgt_close(w.lender);
+	loan_book_close(w.book);
+	g_array_free(w.running, TRUE);
+	g_rand_free(w.rand);
+	return (kept);
+}
+
+/*
+ * The property: what turns generate from loans never exceeds the budget, in
+ * any order of asking, repaying, and datagrams that are lost, come twice or
+ * belong to a loan that has expired.
+ */
+static void
+test_orders(void)
+{
+	unsigned turns = 0;
+
+	for (guint32 seed = 1; seed <= ORDERS; seed++) {
+		if (!play(seed, false, &turns))
+			g_error("seed %u: budget exceeded", seed);
+	}
+	g_print("# figure: %d orders, %u turns, 0 above the budget\n", ORDERS,
+	    turns);
+	g_assert_cmpuint(turns, >, 5 * ORDERS);
+}
+
+/* The property's check can fail: a lender that books no loans. */
+static void
+test_orders_trusting(void)
+{
+	unsigned turns = 0;
+	unsigned exceeded = 0;
+
+	for (guint32 seed = 1; seed <= 2000; seed++)
+		exceeded += !play(seed, true, &turns);
+	g_assert_cmpuint(exceeded, >, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/loan/message", test_message);
+	g_test_add_func("/loan/message-refused", test_message_refused);
+	g_test_add_func("/loan/book", test_book);
+	g_test_add_func("/loan/orders", test_orders);
+	g_test_add_func("/loan/orders-trusting", test_orders_trusting);
+	return (g_test_run());
+}
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -58,6 +58,7 @@
 	if (call->reply_body != NULL)
 		(void)g_byte_array_unref(call->reply_body);
 	sse_clear(&call->sse);
+	g_free(call->lender);
 	g_free(call->request.parts);
 	cat_unref(call->cat);
 	g_free(call);
@@ -319,6 +320,7 @@
 	/* Callers come back through the balancer, to an instance in touch. */
 	hsv_drain_set(edg->hsv, edg->draining || is_store_lost(edg));
 	trn_cache_expire(edg->turns, now);
+	edg_loan_expire(edg);
 	bgt_expire(edg->bgt, now);
 	act_expire(edg->deps.act, now);
 	cnt_set(cnt_gauge(edg->deps.cnt, "turn_cache_bytes",
@@ -348,8 +350,11 @@
 	cat_unref(defaults);
 	edg->deps = *deps;
 	edg->settings = *settings;
+	edg->session = g_strdup(settings->session);
+	edg->settings.session = edg->session;
 	edg->hsv = hsv_open(deps->loop, &settings->listen, &server, &handler);
 	if (edg->hsv == NULL) {
+		g_free(edg->session);
 		g_free(edg);
 		return (NULL);
 	}
@@ -357,6 +362,7 @@
 	edg->bgt = bgt_open(settings->session, settings->retention);
 	edg->turns = trn_cache_open(settings->cache_bytes, settings->retention);
 	edg_budget_open(edg);
+	edg_loan_open(edg);
 	edg->rand = g_rand_new();
 	edg->instances = 1;
 	edg->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -376,11 +382,13 @@
 	ev_timer_stop(edg->deps.loop, &edg->housekeeping);
 	hsv_close(edg->hsv);
 	hcp_close(edg->hcp);
+	edg_loan_close(edg);
 	edg_budget_close(edg);
 	bgt_close(edg->bgt);
 	trn_cache_close(edg->turns);
 	g_rand_free(edg->rand);
 	cat_unref(edg->cat);
+	g_free(edg->session);
 	g_free(edg);
 }
 
@@ -421,6 +429,7 @@
 {
 	edg->draining = true;
 	hsv_drain_set(edg->hsv, true);
+	edg_budget_drain(edg);
 }
 
 void
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -49,6 +49,13 @@
 	struct qta *qta;
 	struct act *act;
 	struct sch_crash_table *crashes;
+	/* Address of another instance by name; false if it is not known. */
+	bool (*instance_address)(
+	    void *arg, const char *name, struct sockaddr_in *address);
+	/* Send a datagram; false if that is not possible. */
+	bool (*instance_send)(void *arg, const struct sockaddr_in *to,
+	    const void *data, size_t len);
+	void *arg;
 };
 
 /* edg_open(deps, settings): returns nil and sets errno on failure. */
@@ -79,6 +86,10 @@
 void edg_stop(struct edg *edg);
 size_t edg_active(const struct edg *edg);
 
+/* edg_loan_received(edg, from, data, len): another instance's message. */
+void edg_loan_received(
+    struct edg *edg, const struct sockaddr_in *from, char *data, size_t len);
+
 /* edg_fleet_set(edg, instances): how many instances share the upstreams. */
 void edg_fleet_set(struct edg *edg, unsigned instances);
 
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -14,11 +14,15 @@
 /* Turns that got no grant in this time are refused. */
 #define TAKE_PATIENCE_MS 1200
 /*
- * A program without a turn here for this time gives its grant back.  Turns
- * that ended 1 s ago must count with what they used.
+ * A program without a turn here for this time gives its grant back.  The
+ * first session lends what others need and gives back when the program has
+ * ended, or waits longer than the longest call of a tool, 2 s on the users'
+ * sheets.  Others, which do not lend, keep the rest of a grant as long as a
+ * sub-agent takes to follow.
  */
-#define IDLE_RETURN_MS 100
-#define IDLE_PERIOD_S  0.05
+#define IDLE_RETURN_FIRST_MS 4000
+#define IDLE_RETURN_MS	     100
+#define IDLE_PERIOD_S	     0.05
 /* Time and number of attempts to wait for what other sessions give back. */
 #define HELD_PAUSE_MS 150
 #define HELD_ATTEMPTS 3
@@ -28,7 +32,7 @@
 struct edg_ledger {
 	struct edg *edg;
 	char *program;
-	GQueue waiting; /* struct edg_call, each with a reference */
+	GQueue waiting; /* struct wish */
 	clk_ms begun;
 	char *value; /* record that is being appended */
 	clk_ms pause; /* before the next attempt after a failure */
@@ -36,72 +40,112 @@
 	struct ev_timer timer;
 };
 
+/* What waits for a grant: a turn here, or a loan to another instance. */
+struct wish {
+	struct edg_call *call; /* with a reference; nil: a loan */
+	struct edg_loan loan;
+	int64_t tokens;
+	int64_t budget;
+};
+
 static void ledger_proceed(struct edg_ledger *ledger);
 
+static void
+wish_free(struct wish *wish)
+{
+	if (wish->call != NULL)
+		edg_call_unref(wish->call);
+	g_free(wish->loan.borrower);
+	g_free(wish);
+}
+
 static void
 ledger_free(void *data)
 {
 	struct edg_ledger *ledger = data;
-	struct edg_call *call;
+	struct wish *wish;
 
-	while ((call = g_queue_pop_head(&ledger->waiting)) != NULL)
-		edg_call_unref(call);
+	while ((wish = g_queue_pop_head(&ledger->waiting)) != NULL)
+		wish_free(wish);
 	ev_timer_stop(ledger->edg->deps.loop, &ledger->timer);
 	g_free(ledger->program);
 	g_free(ledger->value);
 	g_free(ledger);
 }
 
-/* The next turn that waits and whose caller is still there, or nil. */
-static struct edg_call *
+/* The next wish whose caller is still there, or nil. */
+static struct wish *
 first_waiting(struct edg_ledger *ledger)
 {
-	struct edg_call *call;
+	struct wish *wish;
 
-	while ((call = g_queue_peek_head(&ledger->waiting)) != NULL &&
-	    call->client == NULL) {
+	while ((wish = g_queue_peek_head(&ledger->waiting)) != NULL &&
+	    wish->call != NULL && wish->call->client == NULL) {
 		(void)g_queue_pop_head(&ledger->waiting);
-		edg_call_unref(call);
+		wish_free(wish);
 	}
-	return (call);
+	return (wish);
+}
+
+/* The tokens of the wish are reserved. */
+static void
+wish_grant(struct edg *edg, const char *program, struct wish *wish)
+{
+	if (wish->call != NULL) {
+		wish->call->reserved = wish->tokens;
+		edg_send(wish->call);
+	} else {
+		edg_loan_give(edg, &wish->loan, program, wish->tokens);
+	}
+}
+
+static void
+wish_refuse(struct edg *edg, const char *program, struct wish *wish,
+    enum vd_code code, clk_ms retry_after, const char *detail)
+{
+	if (wish->call != NULL)
+		edg_refuse_not_run(wish->call, code, retry_after, detail);
+	else
+		edg_loan_refuse(edg, &wish->loan, program,
+		    code == VD_BUDGET_EXCEEDED ? LOAN_SPENT : LOAN_UNAVAILABLE);
 }
 
 static void
 refuse_waiting(struct edg_ledger *ledger, enum vd_code code, clk_ms retry_after,
     const char *detail)
 {
-	struct edg_call *call;
+	struct wish *wish;
 
-	while ((call = g_queue_pop_head(&ledger->waiting)) != NULL) {
-		edg_refuse_not_run(call, code, retry_after, detail);
-		edg_call_unref(call);
+	while ((wish = g_queue_pop_head(&ledger->waiting)) != NULL) {
+		wish_refuse(ledger->edg, ledger->program, wish, code,
+		    retry_after, detail);
+		wish_free(wish);
 	}
 }
 
-/* Serve the turns for which the grant suffices. */
+/* Serve the wishes for which the grant suffices. */
 static void
 ledger_continue(struct edg_ledger *ledger)
 {
 	struct edg *edg = ledger->edg;
-	struct edg_call *call;
+	struct wish *wish;
 
-	while ((call = first_waiting(ledger)) != NULL) {
-		enum bgt_verdict verdict = bgt_reserve(edg->bgt,
-		    ledger->program, call->request.turn_max, edg_now(edg));
+	while ((wish = first_waiting(ledger)) != NULL) {
+		enum bgt_verdict verdict = bgt_reserve(
+		    edg->bgt, ledger->program, wish->tokens, edg_now(edg));
 
 		if (verdict == BGT_TAKE) {
 			ledger_proceed(ledger);
 			return;
 		}
 		(void)g_queue_pop_head(&ledger->waiting);
-		if (verdict == BGT_RUN) {
-			call->reserved = call->request.turn_max;
-			edg_send(call);
-		} else {
-			edg_refuse_not_run(call, VD_BUDGET_EXCEEDED, 0,
+		if (verdict == BGT_RUN)
+			wish_grant(edg, ledger->program, wish);
+		else
+			wish_refuse(edg, ledger->program, wish,
+			    VD_BUDGET_EXCEEDED, 0,
 			    "the program's budget is spent");
-		}
-		edg_call_unref(call);
+		wish_free(wish);
 	}
 	(void)g_hash_table_remove(edg->ledgers, ledger->program);
 }
@@ -191,12 +235,38 @@
 	ledger_proceed(ledger);
 }
 
-/* Other sessions hold what is left: they give back what they don't use. */
+/* Let the turns that wait ask the session that holds most for a loan. */
+static void
+borrow_waiting(struct edg_ledger *ledger)
+{
+	g_autofree char *holder = bgt_holder(ledger->edg->bgt, ledger->program);
+	GList *next;
+
+	if (holder == NULL)
+		return;
+	for (GList *l = ledger->waiting.head; l != NULL; l = next) {
+		struct wish *wish = l->data;
+
+		next = l->next;
+		if (wish->call == NULL || wish->call->client == NULL ||
+		    !edg_loan_ask(wish->call, holder))
+			continue;
+		g_queue_delete_link(&ledger->waiting, l);
+		wish_free(wish);
+	}
+}
+
+/* Other sessions hold what is left: they lend it, or give it back. */
 static void
 ledger_held(struct edg_ledger *ledger)
 {
 	struct edg *edg = ledger->edg;
 
+	borrow_waiting(ledger);
+	if (first_waiting(ledger) == NULL) {
+		(void)g_hash_table_remove(edg->ledgers, ledger->program);
+		return;
+	}
 	if (++ledger->held < HELD_ATTEMPTS) {
 		bgt_ledger_forget(edg->bgt, ledger->program);
 		ledger_pause(ledger, HELD_PAUSE_MS);
@@ -213,17 +283,17 @@
 {
 	struct edg *edg = ledger->edg;
 	const struct sto *sto = &edg->deps.sto;
-	const struct edg_call *call = first_waiting(ledger);
+	const struct wish *wish = first_waiting(ledger);
 	struct sto_place place = {STO_BUDGETS, sto_slot(ledger->program)};
 	struct sto_record record;
 	enum bgt_taken taken;
 	int64_t end = 0;
 
 	g_clear_pointer(&ledger->value, g_free);
-	if (call != NULL)
-		taken = bgt_take(edg->bgt, ledger->program,
-		    call->request.budget, call->request.turn_max,
-		    &ledger->value, &end, edg_now(edg), clk_wall_ms());
+	if (wish != NULL)
+		taken = bgt_take(edg->bgt, ledger->program, wish->budget,
+		    wish->tokens, &ledger->value, &end, edg_now(edg),
+		    clk_wall_ms());
 	else
 		taken = bgt_return(edg->bgt, ledger->program, &ledger->value,
 		    &end, clk_wall_ms());
@@ -282,22 +352,30 @@
 }
 
 static void
-idle_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+idle_return(struct edg *edg, GQueue *queue, clk_ms due)
 {
-	struct edg *edg = watcher->data;
-	clk_ms due = edg_now(edg) - IDLE_RETURN_MS;
 	struct idle *idle;
 
-	(void)events;
-	while ((idle = g_queue_peek_head(&edg->idle)) != NULL &&
-	    idle->since <= due) {
-		(void)g_queue_pop_head(&edg->idle);
-		if (bgt_idle(edg->bgt, idle->program) &&
+	while (
+	    (idle = g_queue_peek_head(queue)) != NULL && idle->since <= due) {
+		(void)g_queue_pop_head(queue);
+		if (bgt_idle(edg->bgt, idle->program, due) &&
 		    !g_hash_table_contains(edg->ledgers, idle->program))
 			ledger_proceed(ledger_begin(edg, idle->program));
 		idle_free(idle);
 	}
-	if (g_queue_is_empty(&edg->idle))
+}
+
+static void
+idle_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct edg *edg = watcher->data;
+	clk_ms now = edg_now(edg);
+
+	(void)events;
+	idle_return(edg, &edg->idle, now - IDLE_RETURN_MS);
+	idle_return(edg, &edg->idle_first, now - IDLE_RETURN_FIRST_MS);
+	if (g_queue_is_empty(&edg->idle) && g_queue_is_empty(&edg->idle_first))
 		ev_timer_stop(loop, watcher);
 }
 
@@ -318,56 +396,113 @@
 	ev_timer_stop(edg->deps.loop, &edg->idle_timer);
 	while ((idle = g_queue_pop_head(&edg->idle)) != NULL)
 		idle_free(idle);
+	while ((idle = g_queue_pop_head(&edg->idle_first)) != NULL)
+		idle_free(idle);
 	g_hash_table_destroy(edg->ledgers);
 }
 
+void
+edg_budget_drain(struct edg *edg)
+{
+	idle_return(edg, &edg->idle, INT64_MAX);
+	idle_return(edg, &edg->idle_first, INT64_MAX);
+}
+
 static void
 idle_add(struct edg *edg, const char *program)
 {
-	struct idle *idle = g_new0(struct idle, 1);
+	struct idle *idle;
+	GQueue *queue = bgt_is_first(edg->bgt, program) && !edg->draining
+	    ? &edg->idle_first
+	    : &edg->idle;
 
+	if (!bgt_idle(edg->bgt, program, INT64_MAX))
+		return;
+	idle = g_new0(struct idle, 1);
 	idle->program = g_strdup(program);
 	idle->since = edg_now(edg);
-	g_queue_push_tail(&edg->idle, idle);
+	g_queue_push_tail(queue, idle);
 	if (!ev_is_active(&edg->idle_timer)) {
 		ev_timer_set(&edg->idle_timer, IDLE_PERIOD_S, IDLE_PERIOD_S);
 		ev_timer_start(edg->deps.loop, &edg->idle_timer);
 	}
 }
 
+void
+edg_budget_free(
+    struct edg *edg, const char *program, int64_t reserved, int64_t used)
+{
+	bgt_settle(edg->bgt, program, reserved, used, edg_now(edg));
+	idle_add(edg, program);
+}
+
+/* ---- Taking ---- */
+
+/* Serve the wish now, or let it wait for an exchange with the ledger. */
+static void
+wish_begin(struct edg *edg, const char *program, struct wish *wish)
+{
+	struct edg_ledger *ledger = g_hash_table_lookup(edg->ledgers, program);
+
+	if (ledger != NULL) {
+		g_queue_push_tail(&ledger->waiting, wish);
+		return;
+	}
+	switch (bgt_reserve(edg->bgt, program, wish->tokens, edg_now(edg))) {
+	case BGT_RUN:
+		wish_grant(edg, program, wish);
+		break;
+	case BGT_SPENT:
+		wish_refuse(edg, program, wish, VD_BUDGET_EXCEEDED, 0,
+		    "the program's budget is spent");
+		break;
+	case BGT_TAKE:
+		ledger = ledger_begin(edg, program);
+		g_queue_push_tail(&ledger->waiting, wish);
+		ledger_proceed(ledger);
+		return;
+	}
+	wish_free(wish);
+}
+
+void
+edg_budget_take_own(struct edg_call *call)
+{
+	struct wish *wish = g_new0(struct wish, 1);
+
+	*wish = (struct wish){.call = edg_call_ref(call),
+	    .tokens = call->request.turn_max,
+	    .budget = call->request.budget};
+	wish_begin(call->edg, call->request.program, wish);
+}
+
+void
+edg_budget_lend(struct edg *edg, const struct edg_loan *loan,
+    const char *program, int64_t tokens, int64_t budget)
+{
+	struct wish *wish = g_new0(struct wish, 1);
+
+	wish->loan = *loan;
+	wish->loan.borrower = g_strdup(loan->borrower);
+	wish->tokens = tokens;
+	wish->budget = budget;
+	wish_begin(edg, program, wish);
+}
+
 void
 edg_budget_take(struct edg_call *call)
 {
-	struct edg *edg = call->edg;
 	const char *program = call->request.program;
-	struct edg_ledger *ledger;
+	const char *home;
 
 	if (call->request.budget == EDG_NO_BUDGET || program == NULL ||
 	    call->request.turn_max <= 0) {
 		edg_send(call);
 		return;
 	}
-	ledger = g_hash_table_lookup(edg->ledgers, program);
-	if (ledger == NULL) {
-		switch (bgt_reserve(
-		    edg->bgt, program, call->request.turn_max, edg_now(edg))) {
-		case BGT_RUN:
-			call->reserved = call->request.turn_max;
-			edg_send(call);
-			return;
-		case BGT_SPENT:
-			edg_refuse_not_run(call, VD_BUDGET_EXCEEDED, 0,
-			    "the program's budget is spent");
-			return;
-		case BGT_TAKE:
-			break;
-		}
-		ledger = ledger_begin(edg, program);
-		g_queue_push_tail(&ledger->waiting, edg_call_ref(call));
-		ledger_proceed(ledger);
-		return;
-	}
-	g_queue_push_tail(&ledger->waiting, edg_call_ref(call));
+	home = act_home(call->edg->deps.act, program);
+	if (home == NULL || !edg_loan_ask(call, home))
+		edg_budget_take_own(call);
 }
 
 void
@@ -375,14 +510,16 @@
 {
 	int64_t tokens_per_event =
 	    call->service != NULL ? call->service->tokens_per_event : 0;
+	int64_t reserved = call->reserved;
 	int64_t used;
 
-	if (call->reserved == 0)
+	if (reserved == 0)
 		return;
 	used = call->events * MAX(tokens_per_event, 1);
-	bgt_settle(call->edg->bgt, call->request.program, call->reserved, used,
-	    edg_now(call->edg));
 	call->reserved = 0;
-	if (bgt_idle(call->edg->bgt, call->request.program))
-		idle_add(call->edg, call->request.program);
+	if (call->loan_serial != 0)
+		edg_loan_repay(call, MAX(reserved - used, 0));
+	else
+		edg_budget_free(
+		    call->edg, call->request.program, reserved, used);
 }
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -5,6 +5,7 @@
 #define SAMPHIRESHED_EDG_IMPL_H
 
 #include "budget/bgt.h"
+#include "budget/loan.h"
 #include "edge/edg.h"
 #include "edge/sse.h"
 #include "http/hcp.h"
@@ -17,6 +18,7 @@
 struct edg {
 	struct edg_deps deps;
 	struct edg_settings settings;
+	char *session; /* that settings point to */
 	struct hsv *hsv;
 	struct hcp *hcp;
 	struct cat *cat; /* nil: none known yet */
@@ -25,6 +27,10 @@
 	struct trn_cache *turns;
 	GHashTable *ledgers; /* program -> struct edg_ledger in progress */
 	GQueue idle; /* programs that may give their grants back */
+	GQueue idle_first; /* the same, of grants from which this one lends */
+	struct loan_book *loans; /* given */
+	GHashTable *borrowing; /* serial -> struct edg_call, with a reference */
+	uint64_t loan_serial; /* of the last loan asked for */
 	struct ev_timer idle_timer;
 	GRand *rand;
 	struct ev_timer housekeeping;
@@ -54,6 +60,12 @@
 	clk_ms record_since; /* first attempt to record the turn */
 	/* Budget. */
 	int64_t reserved;
+	char *lender; /* name of the instance asked last */
+	struct sockaddr_in lender_address;
+	uint64_t loan_serial; /* 0: reserved from this instance's grant */
+	clk_ms loan_asked;
+	unsigned loans_asked; /* for this turn */
+	struct ev_timer loan_timer;
 	/* Upstream. */
 	unsigned char fingerprint[SCH_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
@@ -106,6 +118,54 @@
 /* edg_budget_settle(call): give the unused part of the reservation back. */
 void edg_budget_settle(struct edg_call *call);
 
+/* A loan to another instance. */
+struct edg_loan {
+	char *borrower; /* session */
+	struct sockaddr_in address; /* of the borrower */
+	uint64_t serial;
+};
+
+/*
+ * edg_budget_take_own(call)
+ *	Reserve for the turn from this instance's grant, and take one if need
+ *	be.
+ * edg_budget_lend(edg, loan, program, tokens, budget)
+ *	Reserve for another instance: edg_loan_give() or edg_loan_refuse()
+ *	follows.
+ * edg_budget_free(edg, program, reserved, used)
+ *	A reservation ended: used tokens of it are spent.
+ * edg_budget_drain(edg)
+ *	Give back all grants: this instance is about to stop.
+ */
+void edg_budget_take_own(struct edg_call *call);
+void edg_budget_lend(struct edg *edg, const struct edg_loan *loan,
+    const char *program, int64_t tokens, int64_t budget);
+void edg_budget_free(
+    struct edg *edg, const char *program, int64_t reserved, int64_t used);
+void edg_budget_drain(struct edg *edg);
+
+/*
+ * edg_loan_ask(call, lender)
+ *	Ask another instance, by name or session, for what the turn may
+ *	generate; the next stage follows.  Returns false if that one was asked
+ *	for this turn just before, too many were, or it can't be reached.
+ * edg_loan_repay(call, tokens)
+ *	The turn that ran from a loan ended with so many tokens unused.
+ * edg_loan_give(edg, loan, program, tokens), edg_loan_refuse(...)
+ *	Answer a borrower.
+ * edg_loan_expire(edg)
+ *	Count loans that are not repaid for too long as spent.
+ */
+bool edg_loan_ask(struct edg_call *call, const char *lender);
+void edg_loan_repay(struct edg_call *call, int64_t tokens);
+void edg_loan_give(struct edg *edg, const struct edg_loan *loan,
+    const char *program, int64_t tokens);
+void edg_loan_refuse(struct edg *edg, const struct edg_loan *loan,
+    const char *program, enum loan_outcome outcome);
+void edg_loan_expire(struct edg *edg);
+void edg_loan_open(struct edg *edg);
+void edg_loan_close(struct edg *edg);
+
 /* edg_send_cancel(call): close the upstream's connection, if any. */
 void edg_send_cancel(struct edg_call *call);
 
--- a/src/gossip/gsp.c
+++ b/src/gossip/gsp.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "budget/loan.h"
+
 /* Period at which instances tell each other, in ms. */
 #define TELL_PERIOD_MS 200
 /* Periods of this instance's record and of reading the others', in ms. */
@@ -213,28 +215,58 @@
 		    news->crashes[i].upstream, false, now);
 }
 
+/*
+ * An instance that has just started finds the others in the store at once,
+ * and they find it by what it tells.
+ */
+static void
+member_heard(struct gsp *gsp, const char *name, const struct sockaddr_in *from,
+    clk_ms now)
+{
+	struct member *member;
+
+	if (g_hash_table_contains(gsp->members, name))
+		return;
+	member = g_new0(struct member, 1);
+	member->address = *from;
+	member->changed = now;
+	(void)g_hash_table_insert(gsp->members, g_strdup(name), member);
+	lg_event(gsp->deps.lg, LG_NOTICE, "member_found", "name=%s by=datagram",
+	    name);
+}
+
 static void
 readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
 	struct gsp *gsp = watcher->data;
 	char buf[DATAGRAM_MAX];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
 	ssize_t len;
 
 	(void)loop;
 	(void)events;
-	while ((len = recv(gsp->fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
+	while ((len = recvfrom(gsp->fd, buf, sizeof(buf), MSG_DONTWAIT,
+		    (struct sockaddr *)&from, &from_len)) > 0) {
 		struct gsp_news news;
 		clk_ms now = clk_now(&gsp->deps.clk);
 
+		from_len = sizeof(from);
+		if (loan_is_message(buf, (size_t)len)) {
+			gsp->deps.on_loan(
+			    gsp->deps.arg, &from, buf, (size_t)len);
+			continue;
+		}
 		if (!gsp_decode(buf, (size_t)len, &news)) {
 			lg_event(gsp->deps.lg, LG_WARNING, "datagram_refused",
 			    "bytes=%zd", len);
 			continue;
 		}
 		if (strcmp(news.name, gsp->name) != 0) {
+			member_heard(gsp, news.name, &from, now);
 			qta_heard(gsp->deps.qta, news.name, news.incarnation,
 			    news.counts, news.count_len, now);
-			act_heard(gsp->deps.act, news.programs,
+			act_heard(gsp->deps.act, news.name, news.programs,
 			    news.program_len, now);
 			plc_heard(gsp->deps.plc, news.name, news.loads,
 			    news.load_len, news.kept, news.kept_len, now);
@@ -412,6 +444,26 @@
 	    &record, 1, STORE_TIMEOUT_MS, on_renewed, gsp);
 }
 
+bool
+gsp_address(
+    const struct gsp *gsp, const char *name, struct sockaddr_in *address)
+{
+	const struct member *member = g_hash_table_lookup(gsp->members, name);
+
+	if (member == NULL || member->is_dead)
+		return (false);
+	*address = member->address;
+	return (true);
+}
+
+bool
+gsp_send(
+    struct gsp *gsp, const struct sockaddr_in *to, const void *data, size_t len)
+{
+	return (sendto(gsp->fd, data, len, MSG_DONTWAIT,
+		    (const struct sockaddr *)to, sizeof(*to)) == (ssize_t)len);
+}
+
 void
 gsp_leave(struct gsp *gsp)
 {
--- a/src/gossip/gsp.h
+++ b/src/gossip/gsp.h
@@ -39,6 +39,9 @@
 	 * among them by name, from 0.
 	 */
 	void (*on_fleet)(void *arg, unsigned instances, unsigned rank);
+	/* A message about a loan has come, see budget/loan.h. */
+	void (*on_loan)(
+	    void *arg, const struct sockaddr_in *from, char *data, size_t len);
 	void *arg;
 };
 
@@ -51,6 +54,17 @@
     uint64_t incarnation, const struct sockaddr_in *address);
 void gsp_close(struct gsp *gsp);
 
+/*
+ * gsp_address(gsp, name, address)
+ *	The address of another instance; false if it is not known or is dead.
+ * gsp_send(gsp, to, data, len)
+ *	Send a datagram, which may be lost.  Returns false if it can't be sent.
+ */
+bool gsp_address(
+    const struct gsp *gsp, const char *name, struct sockaddr_in *address);
+bool gsp_send(struct gsp *gsp, const struct sockaddr_in *to, const void *data,
+    size_t len);
+
 /* gsp_leave(gsp): drop this instance's record; it is about to stop. */
 void gsp_leave(struct gsp *gsp);
 
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -155,6 +155,31 @@
 	swp_fleet_set(ins->swp, instances, rank);
 }
 
+static void
+on_loan(void *arg, const struct sockaddr_in *from, char *data, size_t len)
+{
+	struct ins *ins = arg;
+
+	edg_loan_received(ins->edg, from, data, len);
+}
+
+static bool
+instance_address(void *arg, const char *name, struct sockaddr_in *address)
+{
+	const struct ins *ins = arg;
+
+	return (ins->gsp != NULL && gsp_address(ins->gsp, name, address));
+}
+
+static bool
+instance_send(
+    void *arg, const struct sockaddr_in *to, const void *data, size_t len)
+{
+	const struct ins *ins = arg;
+
+	return (ins->gsp != NULL && gsp_send(ins->gsp, to, data, len));
+}
+
 static struct hsv *
 ops_open(struct ins *ins, const struct sockaddr_in *address)
 {
@@ -188,12 +213,13 @@
 	ins->swp = swp_open(deps->loop, deps->lg, &deps->sto, sweep_rules,
 	    G_N_ELEMENTS(sweep_rules));
 	edge = (struct edg_deps){deps->loop, deps->clk, deps->lg, ins->cnt,
-	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act, ins->crashes};
+	    deps->wire, deps->sto, ins->plc, ins->qta, ins->act, ins->crashes,
+	    instance_address, instance_send, ins};
 	edge_settings = (struct edg_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
 	    settings->max_connections};
 	gossip = (struct gsp_deps){deps->loop, deps->clk, deps->lg, deps->sto,
-	    ins->qta, ins->act, ins->plc, ins->crashes, on_fleet, ins};
+	    ins->qta, ins->act, ins->plc, ins->crashes, on_fleet, on_loan, ins};
 	ins->edg = edg_open(&edge, &edge_settings);
 	if (ins->edg == NULL)
 		goto fail;
@@ -229,6 +255,7 @@
 		return;
 	ev_timer_stop(ins->deps.loop, &ins->tick);
 	gsp_close(ins->gsp);
+	ins->gsp = NULL;
 	swp_close(ins->swp);
 	hsv_close(ins->ready);
 	hsv_close(ins->metrics);
--- a/src/quota/act.c
+++ b/src/quota/act.c
@@ -4,8 +4,13 @@
 
 #include "lib/fnv.h"
 
+struct program {
+	clk_ms last; /* request */
+	const char *home; /* interned name of the first instance; nil: here */
+};
+
 struct act {
-	GHashTable *programs; /* hash -> time of the last request */
+	GHashTable *programs; /* hash -> struct program */
 	GArray *news; /* hashes not told yet */
 	GArray *told; /* hashes told once */
 	clk_ms retention;
@@ -45,16 +50,19 @@
 
 /* Returns whether the program was not known. */
 static bool
-note(struct act *act, uint64_t hash, clk_ms now)
+note(struct act *act, const char *peer, uint64_t hash, clk_ms now)
 {
-	clk_ms *last = g_hash_table_lookup(act->programs, &hash);
+	struct program *program = g_hash_table_lookup(act->programs, &hash);
 
-	if (last != NULL) {
-		*last = now;
+	if (program != NULL) {
+		program->last = now;
 		return (false);
 	}
-	(void)g_hash_table_insert(act->programs, g_memdup2(&hash, sizeof(hash)),
-	    g_memdup2(&now, sizeof(now)));
+	program = g_new0(struct program, 1);
+	/* The names of a fleet's instances are few. */
+	*program = (struct program){now, g_intern_string(peer)};
+	(void)g_hash_table_insert(
+	    act->programs, g_memdup2(&hash, sizeof(hash)), program);
 	return (true);
 }
 
@@ -63,15 +71,41 @@
 {
 	uint64_t hash = fnv_hash(program);
 
-	if (note(act, hash, now))
+	if (note(act, NULL, hash, now))
 		g_array_append_val(act->news, hash);
 }
 
 void
-act_heard(struct act *act, const uint64_t *hashes, size_t n, clk_ms now)
+act_heard(struct act *act, const char *peer, const uint64_t *hashes, size_t n,
+    clk_ms now)
 {
 	for (size_t i = 0; i < n; i++)
-		(void)note(act, hashes[i], now);
+		(void)note(act, peer, hashes[i], now);
+}
+
+static struct program *
+find(const struct act *act, const char *program)
+{
+	uint64_t hash = fnv_hash(program);
+
+	return (g_hash_table_lookup(act->programs, &hash));
+}
+
+const char *
+act_home(const struct act *act, const char *program)
+{
+	const struct program *known = find(act, program);
+
+	return (known != NULL ? known->home : NULL);
+}
+
+void
+act_home_forget(struct act *act, const char *program)
+{
+	struct program *known = find(act, program);
+
+	if (known != NULL)
+		known->home = NULL;
 }
 
 size_t
@@ -98,7 +132,8 @@
 
 	g_hash_table_iter_init(&iter, act->programs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now - *(const clk_ms *)value >= act->retention)
+		if (now - ((const struct program *)value)->last >=
+		    act->retention)
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/quota/act.h
+++ b/src/quota/act.h
@@ -25,8 +25,19 @@
 /* act_seen(act, program, now): a request of it was admitted here. */
 void act_seen(struct act *act, const char *program, clk_ms now);
 
-/* act_heard(act, hashes, n, now): another instance has seen programs. */
-void act_heard(struct act *act, const uint64_t *hashes, size_t n, clk_ms now);
+/*
+ * act_heard(act, peer, hashes, n, now)
+ *	Another instance, named peer, has seen programs first.
+ * act_home(act, program)
+ *	Return the name of the instance that told of the program first, or
+ *	nil if it was seen here before, or is not known.
+ * act_home_forget(act, program)
+ *	That instance does not answer, or is leaving.
+ */
+void act_heard(struct act *act, const char *peer, const uint64_t *hashes,
+    size_t n, clk_ms now);
+const char *act_home(const struct act *act, const char *program);
+void act_home_forget(struct act *act, const char *program);
 
 /*
  * act_news(act, hashes, max)
--- a/src/quota/test_qta.c
+++ b/src/quota/test_qta.c
@@ -290,7 +290,7 @@
 	/* The first datagram is lost; each program is told twice. */
 	n = act_news(a, hashes, 4);
 	g_assert_cmpuint(n, ==, 1);
-	act_heard(b, hashes, n, 20);
+	act_heard(b, "a", hashes, n, 20);
 	g_assert_true(act_known(b, "p1"));
 	g_assert_false(act_known(b, "p2"));
 	g_assert_cmpuint(act_news(a, hashes, 4), ==, 0);
