Add a fault soak of instances as processes

Four instances (SOAK_INSTANCES up to 40), a proxy on each way to the store, the upstreams and the callers, and 16 callers that run programs while faults overlap: links that are cut (both ways or one), delayed, reset, silenced, refused or lose answers; instances that are killed, stopped past their bounds, ended as planned, reloaded, alone or all; a store that refuses, is silent, loses answers or its history; upstreams that are full, close, cut, answer twice, unsigned, late or never; configurations that take a key away and give it back.

Checked from what upstreams and callers see: no request that may not repeat runs twice, no answer that says "not run" is untrue, each turn runs with its whole history and nothing else, for its organisation, an answer is the upstream's whole answer, no turn is lost, no budget exceeded, a withdrawn key stops in time, no instance ends by itself, and every program goes on within 12 s of the last fault. /soak/checks shows that the checks fail.

Not covered: clocks that step, cuts of the datagrams between instances, rates.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #	make lint       run the linter over the tree
 #	make format     format the tree
 #	make capacity   measure the slopes of docs/CAPACITY.md
+#	make soak       run the fault soak: SEEDS=N SEED=S SECONDS=T
 #	make fuzz       run the fuzz targets for a fixed number of inputs
 #	make xdr        regenerate the XDR code from src/peer/peer.x
 
@@ -105,6 +106,18 @@
 
 tests: $(TESTS)
 
+# The fault soak: SEEDS seeds from SEED on, SECONDS under faults each.
+SEED ?= 1000
+SEEDS ?= 10
+SECONDS ?= 12
+soak: deps
+	@$(MAKE) --no-print-directory BUILD=build-san SANITIZE=1 CFLAGS="-O1 -g" \
+	    build-san/tests/test_soak all
+	@echo "seed $(SEED), $(SEEDS) seeds, $(SECONDS) s each"
+	@SAMPHIRESHED_BUILD=build-san ASAN_OPTIONS=abort_on_error=1 \
+	    SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) \
+	    build-san/tests/test_soak --tap -p /soak/seeds
+
 demo: deps
 	@$(MAKE) --no-print-directory all
 	@scripts/demo.sh
@@ -154,4 +167,4 @@
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 .PHONY: all check clean capacity demo deps format format-check fuzz lint \
-    tests xdr
+    soak tests xdr
