--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 BENCH_SRC = $(wildcard bench/*.c)
 ALL_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch]) \
 	$(wildcard platform/*.[ch]) $(wildcard platform/standin/*.[ch]) \
+	$(wildcard platform/soak/*.[ch]) \
 	$(wildcard fakes/*.[ch]) $(wildcard bench/*.[ch]) \
 	$(wildcard tests/*.[ch]) $(wildcard fuzz/*.[ch]))
 
@@ -76,7 +77,8 @@
 # What the test programs of tests/ and of platform/ share.
 HARNESS_OBJ = $(patsubst %.c,$(BUILD)/%.o,\
 	$(filter-out $(wildcard tests/test_*.c),$(wildcard tests/*.c)))
-STANDIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/standin/*.c))
+STANDIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/standin/*.c) \
+	$(wildcard platform/soak/*.c))
 
 define test_rule
 $(BUILD)/tests/$(notdir $(basename $(1))): $(1:%.c=$(BUILD)/%.o) \
