--- a/src/budget/test_loan.c
+++ b/src/budget/test_loan.c
@@ -59,6 +59,28 @@
 	g_assert_false(loan_decode(buf, len, &decoded));
 }
 
+/* Guards against bytes of another protocol, and huge lengths. */
+static void
+test_noise(void)
+{
+	const struct loan_message message = {
+	    LOAN_ASK, (char *)"a/1", 1, (char *)"p", 60, 0, LOAN_GRANTED};
+	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+
+	for (int i = 0; i < 20000; i++) {
+		char buf[LOAN_MESSAGE_MAX];
+		size_t len = loan_encode(buf, sizeof(buf), &message);
+		struct loan_message decoded;
+
+		/* The version stays, so that decoding goes on. */
+		for (int k = g_rand_int_range(rand, 1, 8); k > 0; k--)
+			buf[g_rand_int_range(rand, 4, (gint)len)] =
+			    (char)g_rand_int(rand);
+		if (loan_decode(buf, len, &decoded))
+			loan_message_clear(&decoded);
+	}
+}
+
 static void
 test_book(void)
 {
@@ -251,6 +273,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/loan/message", test_message);
 	g_test_add_func("/loan/message-refused", test_message_refused);
+	g_test_add_func("/loan/noise", test_noise);
 	g_test_add_func("/loan/book", test_book);
 	g_test_add_func("/loan/orders", test_orders);
 	g_test_add_func("/loan/orders-trusting", test_orders_trusting);
