--- a/bench/measure.sh
+++ b/bench/measure.sh
@@ -21,21 +21,10 @@
 mkdir -p "$OUT"
 trap stop_all EXIT
 
+OPERATOR=measure
 INSTANCES="atl-1-1 atl-1-2 atl-1-3 atl-2-1 atl-2-2 atl-2-3 clt-1-1 clt-1-2 clt-1-3"
 HZ=$(getconf CLK_TCK)
 
-ip_of() {
-	sed -n "/^callers:/,/listen/s/.*listen: '\(.*\):.*'/\1/p" \
-	    "$OUT/generated/instances/$1.yaml"
-}
-
-ctl() {
-	local instance=$1
-	shift
-	"$BIN/samphireshed" ctl --instance "http://$(ip_of "$instance"):18081" \
-	    --operator measure "$@"
-}
-
 # snapshot FILE: name, processor time in ticks and resident memory in KB.
 snapshot() {
 	local name pid
@@ -89,15 +78,7 @@
 	wait_url "http://$(ip_of "$name"):18081/readyz" 20
 	instances+=("--instance=http://$(ip_of "$name"):18080")
 done
-for _ in $(seq 100); do
-	owned=0
-	for name in $INSTANCES; do
-		n=$(ctl "$name" --json status | json_field shards_owned)
-		owned=$((owned + n))
-	done
-	[ "$owned" -ge 192 ] && break
-	sleep 0.2
-done
+wait_shards 192
 echo "$owned of 192 shards have an owner"
 sleep 3
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,21 +15,9 @@
 mkdir -p "$OUT"
 trap stop_all EXIT
 
+OPERATOR=demo
 INSTANCES="atl-1-1 atl-1-2 atl-1-3 atl-2-1 atl-2-2 atl-2-3 clt-1-1 clt-1-2 clt-1-3"
 
-# ip_of NAME: the loopback address of an instance.
-ip_of() {
-	sed -n "/^callers:/,/listen/s/.*listen: '\(.*\):.*'/\1/p" \
-	    "$OUT/generated/instances/$1.yaml"
-}
-
-ctl() {
-	local instance=$1
-	shift
-	"$BIN/samphireshed" ctl --instance "http://$(ip_of "$instance"):18081" \
-	    --operator demo "$@"
-}
-
 # call INSTANCE METHOD PATH BODY [CURL OPTION...]: print the reply's body and
 # leave its status in $STATUS.  A request that was refused because of the
 # organisation's rate (429, not run) waits and is sent again.
@@ -91,16 +79,7 @@
 for name in $INSTANCES; do
 	wait_url "http://$(ip_of "$name"):18081/readyz" 20
 done
-# Shards get their owners within a few seconds of the start.
-for _ in $(seq 100); do
-	owned=0
-	for name in $INSTANCES; do
-		n=$(ctl "$name" --json status | json_field shards_owned)
-		owned=$((owned + n))
-	done
-	[ "$owned" -ge 192 ] && break
-	sleep 0.2
-done
+wait_shards 192
 echo "   $owned of 192 shards have an owner"
 [ "$owned" -ge 192 ] || fail "shards without an owner"
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,7 @@
 # Functions that start and stop a small fleet with its stand-ins, for
-# demo.sh.  The including script sets OUT, a directory for
-# generated files and logs, and BIN, the directory of the programs.
+# demo.sh and bench/measure.sh.  The including script sets OUT, a directory
+# for generated files and logs, BIN, the directory of the programs, INSTANCES,
+# the names of the instances, and OPERATOR, who acts in the operators' client.
 
 PIDS=""
 
@@ -63,3 +64,33 @@
 	printf '%s\n' "$(sed -n \
 	    "s/.*\"$1\": *\"\{0,1\}\([^\",}]*\).*/\1/p" | head -n 1)"
 }
+
+# ip_of NAME: the loopback address of an instance.
+ip_of() {
+	sed -n "/^callers:/,/listen/s/.*listen: '\(.*\):.*'/\1/p" \
+	    "$OUT/generated/instances/$1.yaml"
+}
+
+# ctl INSTANCE ARGUMENT...: the operators' client, as the user $OPERATOR.
+ctl() {
+	local instance=$1
+	shift
+	"$BIN/samphireshed" ctl --instance "http://$(ip_of "$instance"):18081" \
+	    --operator "$OPERATOR" "$@"
+}
+
+# wait_shards COUNT: wait until the instances of $INSTANCES own so many, for
+# 20 s at most; the number is left in $owned.
+wait_shards() {
+	local name n
+	for _ in $(seq 100); do
+		owned=0
+		for name in $INSTANCES; do
+			n=$(ctl "$name" --json status | json_field shards_owned)
+			owned=$((owned + n))
+		done
+		[ "$owned" -ge "$1" ] && break
+		sleep 0.2
+	done
+	return 0
+}
