Share the seed and the variant check of the tests of random orders

test_cpy, test_prg and test_rat had the same seed function and the same loop over variants that must break their property; they are in src/lib/test_orders.h. The assertions stay.

--- a/src/program/test_cpy.c
+++ b/src/program/test_cpy.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/test_orders.h"
 #include "program/cpy.h"
 #include "program/prg.h"
 
@@ -448,21 +449,12 @@
 	}
 }
 
-static uint32_t
-test_seed(void)
-{
-	const char *text = g_getenv("SAMPHIRESHED_SEED");
-
-	return (text != NULL ? (uint32_t)g_ascii_strtoull(text, NULL, 10)
-			     : 20260801);
-}
-
 /* Guards against a replica that says it is complete and differs. */
 static void
 test_orders(void)
 {
 	struct totals totals;
-	uint32_t seed = test_seed();
+	uint32_t seed = orders_seed();
 	unsigned orders = 20000;
 
 	run_orders(seed, orders, 18, PROTECTED, &totals);
@@ -473,28 +465,26 @@
 	g_assert_cmpuint(totals.records, >, orders);
 }
 
+static unsigned
+variant_violated(uint32_t seed, unsigned orders, int variant)
+{
+	struct totals totals;
+
+	run_orders(seed, orders, 40, (enum variant)variant, &totals);
+	return (totals.orders_violated);
+}
+
 /* Guards against a check that passes whatever happens. */
 static void
 test_variants(void)
 {
-	static const struct {
-		enum variant variant;
-		const char *name;
-	} variants[] = {
+	static const struct orders_variant variants[] = {
 	    {OLD_EPOCH_RELABELLED, "epoch"},
 	    {GAP_IGNORED, "gap_check"},
 	};
-	uint32_t seed = test_seed();
-
-	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
-		struct totals totals;
 
-		run_orders(seed, 1000, 40, variants[i].variant, &totals);
-		g_print("# figure replicas_without_%s orders=1000 "
-			"orders_violated=%u seed=%u\n",
-		    variants[i].name, totals.orders_violated, seed);
-		g_assert_cmpuint(totals.orders_violated, >, 0);
-	}
+	orders_variants_check("replicas", 1000, variants,
+	    G_N_ELEMENTS(variants), variant_violated);
 }
 
 /* Guards against an export that overwrites a state nobody has read. */
--- a/src/program/test_prg.c
+++ b/src/program/test_prg.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/test_orders.h"
 #include "program/cpy.h"
 #include "program/prg.h"
 
@@ -1141,21 +1142,12 @@
 	g_free(sim);
 }
 
-static uint32_t
-test_seed(void)
-{
-	const char *text = g_getenv("SAMPHIRESHED_SEED");
-
-	return (text != NULL ? (uint32_t)g_ascii_strtoull(text, NULL, 10)
-			     : 20260801);
-}
-
 /* Guards against a break of P1, P2, P3, P4, P10 or P11 in any order. */
 static void
 test_orders(void)
 {
 	struct totals totals;
-	uint32_t seed = test_seed();
+	uint32_t seed = orders_seed();
 	unsigned orders = 20000;
 
 	run_orders(seed, orders, 50, PROTECTED, &totals);
@@ -1170,14 +1162,20 @@
 	g_assert_cmpuint(totals.unproven, >, 0);
 }
 
+static unsigned
+variant_violated(uint32_t seed, unsigned orders, int variant)
+{
+	struct totals totals;
+
+	run_orders(seed, orders, 120, (enum variant)variant, &totals);
+	return (totals.orders_violated);
+}
+
 /* Guards against a check that passes whatever happens. */
 static void
 test_variants(void)
 {
-	static const struct {
-		enum variant variant;
-		const char *name;
-	} variants[] = {
+	static const struct orders_variant variants[] = {
 	    {NO_BEGIN_WAIT, "begin_wait"},
 	    {NO_END_WAIT, "end_wait"},
 	    {ALWAYS_PROVEN, "proof"},
@@ -1185,17 +1183,9 @@
 	    {NO_FETCH, "fetch_first"},
 	    {CUT_IS_NOT_RUN, "maybe"},
 	};
-	uint32_t seed = test_seed();
-
-	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
-		struct totals totals;
 
-		run_orders(seed, 2000, 120, variants[i].variant, &totals);
-		g_print("# figure programs_without_%s orders=2000 "
-			"orders_violated=%u seed=%u\n",
-		    variants[i].name, totals.orders_violated, seed);
-		g_assert_cmpuint(totals.orders_violated, >, 0);
-	}
+	orders_variants_check("programs", 2000, variants,
+	    G_N_ELEMENTS(variants), variant_violated);
 }
 
 /*
--- a/src/rate/test_rat.c
+++ b/src/rate/test_rat.c
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "lib/test_orders.h"
 #include "rate/rat.h"
 
 #define ORGANISATION "copiadora"
@@ -648,21 +649,12 @@
 	g_free(sim);
 }
 
-static uint32_t
-test_seed(void)
-{
-	const char *text = g_getenv("SAMPHIRESHED_SEED");
-
-	return (text != NULL ? (uint32_t)g_ascii_strtoull(text, NULL, 10)
-			     : 20260801);
-}
-
 /* Guards against more than r*w + b on any path of section 9. */
 static void
 test_orders(void)
 {
 	struct totals totals;
-	uint32_t seed = test_seed();
+	uint32_t seed = orders_seed();
 	unsigned orders = 20000;
 
 	run_orders(seed, orders, PROTECTED, &totals);
@@ -674,14 +666,20 @@
 	g_assert_cmpuint(totals.spent, >, orders);
 }
 
+static unsigned
+variant_violated(uint32_t seed, unsigned orders, int variant)
+{
+	struct totals totals;
+
+	run_orders(seed, orders, (enum variant)variant, &totals);
+	return (totals.orders_violated);
+}
+
 /* Guards against a check that passes whatever happens. */
 static void
 test_variants(void)
 {
-	static const struct {
-		enum variant variant;
-		const char *name;
-	} variants[] = {
+	static const struct orders_variant variants[] = {
 	    {LIFETIME_FROM_RECEIPT, "lifetime_from_receipt"},
 	    {DRIFT_TOO_LARGE, "drift_too_large"},
 	    {EARLY_TAKEOVER, "early_takeover"},
@@ -689,17 +687,9 @@
 	    {NO_HORIZON, "no_horizon"},
 	    {RETURNS_KEPT, "returns_kept"},
 	};
-	uint32_t seed = test_seed();
 
-	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
-		struct totals totals;
-
-		run_orders(seed, 2000, variants[i].variant, &totals);
-		g_print("# figure rate_without_%s orders=2000 "
-			"orders_violated=%u seed=%u\n",
-		    variants[i].name, totals.orders_violated, seed);
-		g_assert_cmpuint(totals.orders_violated, >, 0);
-	}
+	orders_variants_check(
+	    "rate", 2000, variants, G_N_ELEMENTS(variants), variant_violated);
 }
 
 /* Guards against shares that do not add up to the organisation's limit. */
