--- a/src/program/test_prg.c
+++ b/src/program/test_prg.c
@@ -186,6 +186,7 @@
 		CHECK(sim, sim->uid_ran[uid]);
 		g_free(reply);
 	}
+	g_assert(program != NULL);
 	if (answer->turn > program->last_turn)
 		program->last_turn = answer->turn;
 }
