Keep a program's unused budget when its lender stops or dies

Cause: the first instance of a program takes a grant of up to three turns, which is all of a short program's budget.

Ruled out: budgets that were used up (their lines sum up to less), and the order of the ledger's records (20,000 random orders).

Change: a planned stop waits, within its grace, until its grants are given back and its loans repaid. Where what is left is held by a session that does not answer, one turn more than the budget is granted, once for each program: the sum of the grants stays within the budget and one turn, which the platform allows, whether that session is dead or not.

--- a/src/budget/bgt.c
+++ b/src/budget/bgt.c
@@ -202,7 +202,7 @@
 
 enum bgt_taken
 bgt_take(struct bgt *bgt, const char *id, int64_t budget, int64_t turn_max,
-    char **value, int64_t *end, clk_ms now, clk_ms wall)
+    int64_t overdraft, char **value, int64_t *end, clk_ms now, clk_ms wall)
 {
 	struct program *program = ensure_program(bgt, id, now);
 	struct ledger ledger;
@@ -217,6 +217,8 @@
 	ledger_parse(&ledger, program, budget);
 	sum = ledger_sum(&ledger);
 	left = ledger.budget - sum;
+	if (available(program) + left < turn_max)
+		left = MIN(left + overdraft, turn_max - available(program));
 	program->is_first = sum == program->granted;
 	turns = program->is_first ? GRANT_TURNS_FIRST : GRANT_TURNS_OTHER;
 	take = MIN(turns * turn_max - available(program), left);
--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -77,14 +77,18 @@
 void bgt_ledger_forget(struct bgt *bgt, const char *program);
 
 /*
- * bgt_take(bgt, program, budget, turn_max, value, end, now, wall)
- *	wall is the time of day, for the record.  Decide how to get a grant for
- *a turn.  With BGT_WRITE, *value is the new record, to be freed by g_free(),
- *and *end the end to expect; call bgt_ledger_set() with them when the append
- *succeeded.
+ * bgt_take(bgt, program, budget, turn_max, overdraft, value, end, now, wall)
+ *	Decide how to get a grant for a turn.  Where what is left is granted
+ *	to a session that does not answer, one that died say, the grants may
+ *	exceed the budget by overdraft tokens in all: what such a session had
+ *	not used would be lost otherwise.  wall is the time of day, for the
+ *	record.  With BGT_WRITE, *value is the new record, to be freed by
+ *	g_free(), and *end the end to expect; call bgt_ledger_set() with them
+ *	when the append succeeded.
  */
-enum bgt_taken bgt_take(struct bgt *bgt, const char *program, int64_t budget,
-    int64_t turn_max, char **value, int64_t *end, clk_ms now, clk_ms wall);
+enum bgt_taken
+bgt_take(struct bgt *bgt, const char *program, int64_t budget, int64_t turn_max,
+    int64_t overdraft, char **value, int64_t *end, clk_ms now, clk_ms wall);
 
 /*
  * bgt_return(bgt, program, value, end, wall)
--- a/src/budget/loan.c
+++ b/src/budget/loan.c
@@ -164,3 +164,9 @@
 	}
 	return (NULL);
 }
+
+bool
+loan_book_is_empty(const struct loan_book *book)
+{
+	return (g_hash_table_size(book->loans) == 0);
+}
--- a/src/budget/loan.h
+++ b/src/budget/loan.h
@@ -82,12 +82,15 @@
  *	Returns the loan, to be freed by loan_free(), or nil if there is none.
  * loan_book_expired(book, before)
  *	The same for a loan that was given before that time.
+ * loan_book_is_empty(book)
+ *	Whether all are repaid.
  */
 bool loan_book_add(struct loan_book *book, const char *borrower,
     uint64_t serial, const char *program, int64_t tokens, clk_ms now);
 struct loan *
 loan_book_repay(struct loan_book *book, const char *borrower, uint64_t serial);
 struct loan *loan_book_expired(struct loan_book *book, clk_ms before);
+bool loan_book_is_empty(const struct loan_book *book);
 void loan_free(struct loan *loan);
 
 #endif
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -444,6 +444,12 @@
 	return (hsv_active(edg->hsv));
 }
 
+bool
+edg_is_settled(const struct edg *edg)
+{
+	return (edg_budget_is_settled(edg));
+}
+
 void
 edg_fleet_set(struct edg *edg, unsigned instances)
 {
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -81,10 +81,13 @@
  * edg_drain(edg), edg_stop(edg), edg_active(edg)
  *	A planned stop: first announce the end of each connection with its
  *	next answer, then take no more, and wait until none is active.
+ * edg_is_settled(edg)
+ *	Whether what this instance holds of programs' budgets is given back.
  */
 void edg_drain(struct edg *edg);
 void edg_stop(struct edg *edg);
 size_t edg_active(const struct edg *edg);
+bool edg_is_settled(const struct edg *edg);
 
 /* edg_loan_received(edg, from, data, len): another instance's message. */
 void edg_loan_received(
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -277,6 +277,18 @@
 	    "the program's budget is spent by turns that run");
 }
 
+/*
+ * A lender that does not answer may have died with tokens that nobody used.
+ * The platform allows a program one turn more than its budget.
+ */
+static int64_t
+overdraft_of(const struct wish *wish)
+{
+	return (wish->call != NULL && wish->call->is_lender_silent
+		? wish->tokens
+		: 0);
+}
+
 /* Do what the ledger, as far as it is known, calls for. */
 static void
 ledger_proceed(struct edg_ledger *ledger)
@@ -292,8 +304,8 @@
 	g_clear_pointer(&ledger->value, g_free);
 	if (wish != NULL)
 		taken = bgt_take(edg->bgt, ledger->program, wish->budget,
-		    wish->tokens, &ledger->value, &end, edg_now(edg),
-		    clk_wall_ms());
+		    wish->tokens, overdraft_of(wish), &ledger->value, &end,
+		    edg_now(edg), clk_wall_ms());
 	else
 		taken = bgt_return(edg->bgt, ledger->program, &ledger->value,
 		    &end, clk_wall_ms());
@@ -408,6 +420,13 @@
 	idle_return(edg, &edg->idle_first, INT64_MAX);
 }
 
+bool
+edg_budget_is_settled(const struct edg *edg)
+{
+	return (g_hash_table_size(edg->ledgers) == 0 && edg->idle.length == 0 &&
+	    edg->idle_first.length == 0 && loan_book_is_empty(edg->loans));
+}
+
 static void
 idle_add(struct edg *edg, const char *program)
 {
--- a/src/edge/edg_impl.h
+++ b/src/edge/edg_impl.h
@@ -65,6 +65,7 @@
 	uint64_t loan_serial; /* 0: reserved from this instance's grant */
 	clk_ms loan_asked;
 	unsigned loans_asked; /* for this turn */
+	bool is_lender_silent; /* one of them did not answer */
 	struct ev_timer loan_timer;
 	/* Upstream. */
 	unsigned char fingerprint[SCH_FINGERPRINT_SIZE];
@@ -136,6 +137,8 @@
  *	A reservation ended: used tokens of it are spent.
  * edg_budget_drain(edg)
  *	Give back all grants: this instance is about to stop.
+ * edg_budget_is_settled(edg)
+ *	Whether no grant is to be given back and no loan to be repaid.
  */
 void edg_budget_take_own(struct edg_call *call);
 void edg_budget_lend(struct edg *edg, const struct edg_loan *loan,
@@ -143,6 +146,7 @@
 void edg_budget_free(
     struct edg *edg, const char *program, int64_t reserved, int64_t used);
 void edg_budget_drain(struct edg *edg);
+bool edg_budget_is_settled(const struct edg *edg);
 
 /*
  * edg_loan_ask(call, lender)
--- a/src/edge/edg_loan.c
+++ b/src/edge/edg_loan.c
@@ -87,6 +87,7 @@
 		return;
 	}
 	call->loan_serial = 0;
+	call->is_lender_silent |= outcome == LOAN_TIMED_OUT;
 	if (outcome == LOAN_SPENT) {
 		edg_refuse_not_run(call, VD_BUDGET_EXCEEDED, 0,
 		    "the program's budget is spent");
@@ -121,11 +122,14 @@
 	g_autofree char *name = instance_of(lender);
 
 	if (call->loans_asked == MAX_LOANS ||
-	    g_strcmp0(call->lender, name) == 0 ||
-	    !edg->deps.instance_address(
+	    g_strcmp0(call->lender, name) == 0)
+		return (false);
+	if (!edg->deps.instance_address(
 		edg->deps.arg, name, &call->lender_address) ||
-	    !message_send(edg, &call->lender_address, &message))
+	    !message_send(edg, &call->lender_address, &message)) {
+		call->is_lender_silent = true;
 		return (false);
+	}
 	g_free(call->lender);
 	call->lender = g_steal_pointer(&name);
 	call->loan_serial = ++edg->loan_serial;
--- a/src/instance/ins.c
+++ b/src/instance/ins.c
@@ -124,7 +124,7 @@
 	if (since < DRAIN_ACCEPT_MS)
 		return;
 	edg_stop(ins->edg);
-	if (edg_active(ins->edg) == 0 ||
+	if ((edg_active(ins->edg) == 0 && edg_is_settled(ins->edg)) ||
 	    since >= ins->settings.grace - GRACE_MARGIN_MS) {
 		lg_event(ins->deps.lg, LG_NOTICE, "stopped",
 		    "after_ms=%lld active=%zu", (long long)since,
