--- a/src/budget/bgt.h
+++ b/src/budget/bgt.h
@@ -8,7 +8,8 @@
  * idle for a while.
  * Each change of a ledger is refused by the store if another session has
  * changed it since it was read, so the sum over all instances never exceeds
- * the budget.  What an instance that died had not given back stays spent.
+ * the budget, or, after a session did not answer, the budget and an overdraft.
+ * What an instance that died had not given back stays spent.
  *
  * Answers the load pattern of programs whose lines of turns move between
  * instances, and of programs that start sub-agents without end.
--- a/src/edge/edg_budget.c
+++ b/src/edge/edg_budget.c
@@ -1,6 +1,6 @@
 /*
  * Grants from programs' budgets: one exchange with the store at a time for
- * each program, and the turns that wait for it.
+ * each program, and the turns and loans that wait for it.
  */
 #include <string.h>
 
