Log what left the datagrams out, and the bucket at each admission

Change: request lines have rate_level and rate_unreported; each list of a datagram has a counter of the entries left out and a line gossip_cut; a datagram that does not fit is logged (gossip_too_long). The functions that fill the lists return how many entries there are, like snprintf(). No decision changes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -79,8 +79,8 @@
 	    "status=%d upstream=%s tries=%u runs=%u events=%" G_GINT64_FORMAT
 	    " took_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
 	    " upstream_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
-	    " catalogue=%" G_GINT64_FORMAT
-	    " catalogue_age_ms=%" G_GINT64_FORMAT,
+	    " catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
+	    " rate_level=%.1f rate_unreported=%u",
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
 	    call->route != NULL ? call->route->name : "-",
@@ -93,7 +93,7 @@
 	    call->first_event_ms, call->sent_at > 0 ? now - call->sent_at : 0,
 	    call->deadline - now,
 	    call->catalogue != NULL ? catalogue_version(call->catalogue) : 0,
-	    now - edge->confirmed);
+	    now - edge->confirmed, call->rate.level, call->rate.unreported);
 	cnt_observe(edge->latency, now - call->arrived);
 	cnt_add(cnt_counter(edge->deps.cnt, "requests_total",
 		    "Requests by outcome.", "outcome", outcome),
@@ -211,16 +211,18 @@
 	priority = request_priority(call);
 	call->is_counted = quota_admit(deps->quota, organisation->name,
 	    organisation->rate, organisation->burst, priority, now, &wait);
+	state = quota_state(deps->quota, organisation->name, now);
+	call->rate = state;
 	if (call->is_counted)
 		return (true);
-	state = quota_state(deps->quota, organisation->name, now);
 	lg_event(deps->lg, LG_INFO, "rate",
 	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
 	    "level=%.1f expected=%.1f part=%.3f share=%.3f own_tick=%u "
-	    "wait_ms=%" G_GINT64_FORMAT,
+	    "unreported=%u wait_ms=%" G_GINT64_FORMAT,
 	    call->request.id, organisation->name, organisation->rate,
 	    organisation->burst, priority == QUOTA_NEW_PROGRAM, state.level,
-	    state.expected, state.part, state.share, state.own_tick, wait);
+	    state.expected, state.part, state.share, state.own_tick,
+	    state.unreported, wait);
 	edge_refuse_not_run(call, VD_RATE_EXCEEDED,
 	    MAX(wait,
 		priority == QUOTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MIN_MS
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -54,6 +54,7 @@
 	clk_ms deadline;
 	struct ev_timer timer;
 	bool is_counted; /* against the organisation's rate */
+	struct quota_state rate; /* after its admission or refusal */
 	/* History. */
 	struct turn *turn; /* nil: not recorded */
 	GByteArray *history; /* inputs and outputs of the previous turns */
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -34,6 +34,19 @@
 /* "SGO" and the version of the format. */
 #define PROTOCOL_VERSION 0x53474f35U
 
+/* The lists of a message. */
+enum gossip_list {
+	GOSSIP_COUNTS,
+	GOSSIP_PROGRAMS,
+	GOSSIP_LOADS,
+	GOSSIP_CACHED_PARTS,
+	GOSSIP_CRASHES,
+	GOSSIP_LISTS
+};
+
+static const char *const list_names[GOSSIP_LISTS] = {
+    "counts", "programs", "loads", "cached_parts", "crashes"};
+
 struct gossip_peer {
 	struct sockaddr_in address;
 	char *record;
@@ -52,6 +65,7 @@
 	struct ev_timer renew_timer;
 	struct ev_timer read_timer;
 	uint64_t renewals;
+	struct cnt_metric *left_out[GOSSIP_LISTS];
 	clk_ms last_read; /* last successful read of the records; 0: none */
 	int fd;
 	bool leaving;
@@ -164,6 +178,22 @@
 	memset(message, 0, sizeof(*message));
 }
 
+/*
+ * Returns the number of entries to send, given that total entries exist of
+ * which the list takes max; the others are left out of this message.
+ */
+static unsigned
+list_len(struct gossip *gossip, enum gossip_list list, size_t total, size_t max)
+{
+	if (total <= max)
+		return ((unsigned)total);
+	cnt_add(gossip->left_out[list], (int64_t)(total - max));
+	lg_event(gossip->deps.lg, LG_WARNING, "gossip_cut",
+	    "list=%s sent=%zu left_out=%zu", list_names[list], max,
+	    total - max);
+	return ((unsigned)max);
+}
+
 static void
 send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
@@ -188,17 +218,30 @@
 
 	(void)loop;
 	(void)events;
-	message.count_len = (unsigned)quota_counts_collect(
-	    gossip->deps.quota, counts, COUNTS_MAX);
-	message.program_len = (unsigned)active_programs_collect(
-	    gossip->deps.activity, programs, PROGRAMS_MAX);
-	message.load_len =
-	    (unsigned)place_loads_collect(gossip->deps.place, loads, LOADS_MAX);
-	message.cached_part_len = (unsigned)place_cached_parts_collect(
-	    gossip->deps.place, cached_parts, CACHED_PARTS_MAX);
-	message.crash_len = (unsigned)crash_table_list(gossip->deps.crashes,
-	    now - 2 * SEND_PERIOD_MS, crashes, CRASHES_MAX);
+	message.count_len = list_len(gossip, GOSSIP_COUNTS,
+	    quota_counts_collect(gossip->deps.quota, counts, COUNTS_MAX),
+	    COUNTS_MAX);
+	message.program_len = list_len(gossip, GOSSIP_PROGRAMS,
+	    active_programs_collect(
+		gossip->deps.activity, programs, PROGRAMS_MAX),
+	    PROGRAMS_MAX);
+	message.load_len = list_len(gossip, GOSSIP_LOADS,
+	    place_loads_collect(gossip->deps.place, loads, LOADS_MAX),
+	    LOADS_MAX);
+	message.cached_part_len = list_len(gossip, GOSSIP_CACHED_PARTS,
+	    place_cached_parts_collect(
+		gossip->deps.place, cached_parts, CACHED_PARTS_MAX),
+	    CACHED_PARTS_MAX);
+	message.crash_len = list_len(gossip, GOSSIP_CRASHES,
+	    crash_table_list(gossip->deps.crashes, now - 2 * SEND_PERIOD_MS,
+		crashes, CRASHES_MAX),
+	    CRASHES_MAX);
 	len = gossip_message_encode(buf, sizeof(buf), &message);
+	if (len == 0)
+		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
+		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u",
+		    message.count_len, message.program_len, message.load_len,
+		    message.cached_part_len, message.crash_len);
 	quota_tick(gossip->deps.quota);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -521,6 +564,11 @@
 	gossip->fd = fd;
 	gossip->peers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, gossip_peer_free);
+	for (int i = 0; i < GOSSIP_LISTS; i++)
+		gossip->left_out[i] =
+		    cnt_counter(deps->cnt, "gossip_left_out_total",
+			"Entries left out of a message to the other instances.",
+			"list", list_names[i]);
 	ev_io_init(&gossip->readable, readable_cb, fd, EV_READ);
 	gossip->readable.data = gossip;
 	ev_io_start(deps->loop, &gossip->readable);
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 
 #include "lib/clk.h"
+#include "lib/cnt.h"
 #include "lib/lg.h"
 #include "place/place.h"
 #include "quota/active_programs.h"
@@ -28,6 +29,7 @@
 	struct ev_loop *loop;
 	struct clk clk;
 	struct lg *lg;
+	struct cnt *cnt;
 	struct store store;
 	struct quota *quota;
 	struct active_programs *activity;
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -227,8 +227,8 @@
 	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
 	    settings->max_connections};
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
-	    deps->store, instance->quota, instance->activity, instance->place,
-	    instance->crashes, on_fleet, on_loan, instance};
+	    instance->cnt, deps->store, instance->quota, instance->activity,
+	    instance->place, instance->crashes, on_fleet, on_loan, instance};
 	instance->edge = edge_open(&edge_deps, &edge_settings);
 	if (instance->edge == NULL)
 		goto fail;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -509,8 +509,10 @@
 		struct upstream *upstream = place->upstreams->pdata[i];
 
 		upstream->unsent = 0;
-		if (upstream->in_use && upstream->running > 0 && n < max)
-			loads[n++] = (struct place_load){
+		if (!upstream->in_use || upstream->running == 0)
+			continue;
+		if (n++ < max)
+			loads[n - 1] = (struct place_load){
 			    upstream->hash, upstream->running};
 	}
 	return (n);
@@ -521,6 +523,7 @@
     struct place *place, struct place_cached_part *cached, size_t max)
 {
 	GArray *resent = place->resend_parts;
+	size_t total = place->unsent_parts->len + resent->len;
 	size_t n = 0;
 
 	for (guint i = 0; i < place->unsent_parts->len && n < max; i++)
@@ -532,7 +535,7 @@
 	g_array_set_size(resent, 0);
 	place->resend_parts = place->unsent_parts;
 	place->unsent_parts = resent;
-	return (n);
+	return (total);
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -107,6 +107,7 @@
  *	Write the prompt parts that became cached since the last call, and
  *	those that the last call wrote for the first time: each is sent twice,
  *	as a message may be lost.
+ *	Both return the number of entries, of which at most max are written.
  * place_gossip_merge(place, peer, loads, n, cached, cached_n, now)
  *	Merge a gossip message of another instance.
  */
--- a/src/quota/active_programs.c
+++ b/src/quota/active_programs.c
@@ -120,6 +120,8 @@
 	GArray *resent = programs->resend;
 	size_t n = 0;
 
+	size_t total = programs->unsent->len + resent->len;
+
 	for (guint i = 0; i < programs->unsent->len && n < max; i++)
 		hashes[n++] = g_array_index(programs->unsent, uint64_t, i);
 	for (guint i = 0; i < resent->len && n < max; i++)
@@ -127,7 +129,7 @@
 	g_array_set_size(resent, 0);
 	programs->resend = programs->unsent;
 	programs->unsent = resent;
-	return (n);
+	return (total);
 }
 
 void
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -42,6 +42,7 @@
 	clk_ms updated;
 	uint32_t admitted; /* by this instance */
 	uint32_t begun; /* programs, at this instance */
+	uint32_t reported; /* of admitted, in a message */
 	double fleet_admitted; /* by all instances */
 	double fleet_begun;
 	bool is_filled; /* the initial level has been set */
@@ -301,8 +302,8 @@
 	if (bucket == NULL)
 		return ((struct quota_state){0});
 	return ((struct quota_state){bucket->level, bucket->expected,
-	    tick_part(quota, bucket), live_share(quota, now),
-	    bucket->own_tick});
+	    tick_part(quota, bucket), live_share(quota, now), bucket->own_tick,
+	    bucket->admitted - bucket->reported});
 }
 
 bool
@@ -355,24 +356,28 @@
 	bucket->level = fmin(bucket->level + 1.0, bucket->burst);
 	/* Peers that got the higher count ignore the lower one. */
 	bucket->admitted--;
+	bucket->reported = MIN(bucket->reported, bucket->admitted);
 	if (bucket->own_tick > 0)
 		bucket->own_tick--;
 }
 
 size_t
 quota_counts_collect(
-    const struct quota *quota, struct quota_count *counts, size_t max)
+    struct quota *quota, struct quota_count *counts, size_t max)
 {
 	GHashTableIter iter;
 	void *value;
 	size_t n = 0;
 
 	g_hash_table_iter_init(&iter, quota->buckets);
-	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct bucket *bucket = value;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bucket *bucket = value;
 
-		counts[n++] = (struct quota_count){
+		if (n++ >= max)
+			continue;
+		counts[n - 1] = (struct quota_count){
 		    bucket->hash, bucket->admitted, bucket->begun};
+		bucket->reported = bucket->admitted;
 	}
 	return (n);
 }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -96,9 +96,11 @@
 /*
  * quota_counts_collect(quota, counts, max)
  *	Write what this instance has admitted, for a gossip message.
+ * RETURN VALUES
+ *	The number of organisations, of which at most max are written.
  */
 size_t quota_counts_collect(
-    const struct quota *quota, struct quota_count *counts, size_t max);
+    struct quota *quota, struct quota_count *counts, size_t max);
 
 /* The state of an organisation's bucket, for log lines. */
 struct quota_state {
@@ -107,6 +109,7 @@
 	double part; /* of the bucket, for this instance in an interval */
 	double share; /* of the rate, for this instance and its live peers */
 	unsigned own_tick; /* admitted here since the last tick */
+	unsigned unreported; /* admitted here, in no message yet */
 };
 
 struct quota_state
--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -156,11 +156,11 @@
 {
 	size_t n = 0;
 
-	for (GList *l = table->own.head; l != NULL && n < max; l = l->next) {
+	for (GList *l = table->own.head; l != NULL; l = l->next) {
 		const struct sched_crash *crash = l->data;
 
-		if (crash->time >= since)
-			crashes[n++] = *crash;
+		if (crash->time >= since && n++ < max)
+			crashes[n - 1] = *crash;
 	}
 	return (n);
 }
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -40,7 +40,7 @@
  *	Write up to max crashes that this instance observed at or after since,
  *	the oldest first.
  * RETURN VALUES
- *	The number of crashes written.
+ *	The number of these crashes, of which at most max are written.
  */
 size_t crash_table_list(const struct crash_table *table, clk_ms since,
     struct sched_crash *crashes, size_t max);
