An instance admits again only what it has reported; test at 38,000 organisations

Cause: a datagram has room for 70 organisations, in the order of a hash table, and 76 are in use there. The last six were never reported, and the allowance of an interval was renewed all the same, so that each of 67 instances gave them the whole limit. Change: what an instance may admit is renewed by the report that names the organisation, not by the clock. Reports have the organisations with news first, the oldest first, then in turn those with an admission in the last window; counts start anew after a pause of a window, and receivers drop old ones, so that state and messages grow with the organisations in use. Known counts are bounded below by the tolerance, as what the other side of a partition admitted is not owed twice. The bound stays at 70. Why it works: what the others don't know of is at most one allowance for each instance, whatever a message has room for.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -217,12 +217,11 @@
 		return (true);
 	lg_event(deps->lg, LG_INFO, "rate",
 	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
-	    "level=%.1f expected=%.1f part=%.3f share=%.3f own_tick=%u "
-	    "unreported=%u wait_ms=%" G_GINT64_FORMAT,
+	    "level=%.1f expected=%.1f part=%.3f share=%.3f unreported=%u "
+	    "wait_ms=%" G_GINT64_FORMAT,
 	    call->request.id, organisation->name, organisation->rate,
 	    organisation->burst, priority == QUOTA_NEW_PROGRAM, state.level,
-	    state.expected, state.part, state.share, state.own_tick,
-	    state.unreported, wait);
+	    state.expected, state.part, state.share, state.unreported, wait);
 	edge_refuse_not_run(call, VD_RATE_EXCEEDED,
 	    MAX(wait,
 		priority == QUOTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MIN_MS
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -32,7 +32,7 @@
 #define CRASHES_MAX	 8
 #define NAME_MAX_BYTES	 128
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f35U
+#define PROTOCOL_VERSION 0x53474f36U
 
 /* The lists of a message. */
 enum gossip_list {
@@ -84,6 +84,7 @@
 xdr_count(XDR *xdrs, struct quota_count *count)
 {
 	return (xdr_uint32_t(xdrs, &count->organisation) &&
+	    xdr_uint32_t(xdrs, &count->period) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
 	    xdr_uint32_t(xdrs, &count->programs));
 }
@@ -219,7 +220,7 @@
 	(void)loop;
 	(void)events;
 	message.count_len = list_len(gossip, GOSSIP_COUNTS,
-	    quota_counts_collect(gossip->deps.quota, counts, COUNTS_MAX),
+	    quota_report(gossip->deps.quota, counts, COUNTS_MAX, now),
 	    COUNTS_MAX);
 	message.program_len = list_len(gossip, GOSSIP_PROGRAMS,
 	    active_programs_collect(
@@ -242,7 +243,6 @@
 		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u",
 		    message.count_len, message.program_len, message.load_len,
 		    message.cached_part_len, message.crash_len);
-	quota_tick(gossip->deps.quota);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gossip_peer *peer = value;
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -32,7 +32,7 @@
 /* Part of the tolerance that the instances may use in an interval. */
 #define TOLERANCE_PART 0.6
 /* Weight of the last interval in the moving averages of requests. */
-#define TICK_WEIGHT 0.3
+#define INTERVAL_WEIGHT 0.3
 
 struct bucket {
 	uint32_t hash;
@@ -40,30 +40,45 @@
 	double rate; /* of the last request */
 	double burst;
 	clk_ms updated;
-	uint32_t admitted; /* by this instance */
-	uint32_t begun; /* programs, at this instance */
-	uint32_t reported; /* of admitted, in a message */
+	/* Reports of this instance's admissions: */
+	GList link;
+	GQueue *queue; /* quota->news, quota->repeats, or nil: no period */
+	uint32_t period; /* interval in which the counts began */
+	uint32_t admitted; /* in the period */
+	uint32_t begun; /* programs, in the period */
+	unsigned unreported; /* admitted and in no report yet */
+	clk_ms repeat_until;
 	double fleet_admitted; /* by all instances */
 	double fleet_begun;
 	bool is_filled; /* the initial level has been set */
 	double expected; /* further requests of active programs */
 	double own_average; /* requests an interval at this instance */
 	double peers_average; /* admitted an interval by the peers */
-	/* Since the last tick: */
-	unsigned own_tick; /* admitted by this instance */
-	unsigned requested_tick; /* from this instance */
-	unsigned peers_tick; /* admitted by the peers */
+	/* In the interval: */
+	uint32_t interval;
+	unsigned requested; /* from this instance */
+	unsigned peers_admitted;
+};
+
+/* What a peer last reported of an organisation. */
+struct peer_count {
+	struct quota_count count;
+	clk_ms received;
 };
 
 struct peer {
 	uint64_t incarnation;
 	clk_ms received;
-	GHashTable *counts; /* organisation -> struct quota_count */
+	GHashTable *counts; /* organisation -> struct peer_count */
 };
 
 struct quota {
 	GHashTable *buckets; /* hash -> struct bucket */
 	GHashTable *peers; /* name -> struct peer */
+	GQueue
+	    news; /* struct bucket with unreported admissions, oldest first */
+	GQueue repeats; /* struct bucket, least recently reported first */
+	uint32_t interval; /* number of reports so far */
 	struct quota_tolerance tolerance;
 	unsigned instances;
 	clk_ms start;
@@ -117,6 +132,8 @@
 	if (bucket == NULL) {
 		bucket = g_new0(struct bucket, 1);
 		bucket->hash = hash;
+		bucket->link.data = bucket;
+		bucket->interval = quota->interval;
 		bucket->updated = quota->start;
 		(void)g_hash_table_insert(
 		    quota->buckets, GUINT_TO_POINTER(hash), bucket);
@@ -187,6 +204,29 @@
 	bucket->fleet_begun += begun;
 }
 
+/* Time in which an admission counts against the limit. */
+static clk_ms
+quota_window(const struct quota *quota)
+{
+	return ((clk_ms)(quota->tolerance.window_s * (double)CLK_SECOND));
+}
+
+/* Removes counts whose period has ended at the peer. */
+static void
+peer_counts_expire(const struct quota *quota, struct peer *peer, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, peer->counts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer_count *last = value;
+
+		if (now - last->received >= 2 * quota_window(quota))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 void
 quota_instances_set(struct quota *quota, unsigned instances, clk_ms now)
 {
@@ -196,20 +236,72 @@
 	quota->instances = MAX(instances, 1U);
 	g_hash_table_iter_init(&iter, quota->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
+		struct peer *peer = value;
 
 		if (now - peer->received >= PEER_EXPIRY_MS)
 			g_hash_table_iter_remove(&iter);
+		else
+			peer_counts_expire(quota, peer, now);
 	}
 }
 
+/* Brings the averages up to the interval that has begun. */
+static void
+bucket_advance(const struct quota *quota, struct bucket *bucket)
+{
+	uint32_t intervals = quota->interval - bucket->interval;
+	double decay;
+
+	if (intervals == 0)
+		return;
+	/* Nothing was counted in the intervals after the first. */
+	decay = pow(1.0 - INTERVAL_WEIGHT, intervals - 1);
+	bucket->own_average +=
+	    INTERVAL_WEIGHT * (bucket->requested - bucket->own_average);
+	bucket->own_average *= decay;
+	bucket->peers_average +=
+	    INTERVAL_WEIGHT * (bucket->peers_admitted - bucket->peers_average);
+	bucket->peers_average *= decay;
+	bucket->requested = 0;
+	bucket->peers_admitted = 0;
+	bucket->interval = quota->interval;
+}
+
+/* By how much the fleet may exceed the organisation's limit in a window. */
+static double
+bucket_tolerance(const struct quota *quota, const struct bucket *bucket)
+{
+	const struct quota_tolerance *tolerance = &quota->tolerance;
+
+	return (tolerance->fraction *
+		(bucket->rate * tolerance->window_s + bucket->burst) +
+	    tolerance->requests);
+}
+
+/* Takes what a peer has admitted since its last report. */
+static void
+bucket_merge(struct quota *quota, uint32_t organisation, uint32_t admitted,
+    uint32_t begun, clk_ms now)
+{
+	struct bucket *bucket = bucket_ensure(quota, organisation);
+
+	bucket_advance(quota, bucket);
+	bucket_refill(bucket, bucket->rate, bucket->burst, now);
+	bucket_take(bucket, admitted, begun);
+	/*
+	 * After a partition a report also has what its sender admitted out of
+	 * the share of the rate that this instance did not use.
+	 */
+	bucket->level = fmax(bucket->level, -bucket_tolerance(quota, bucket));
+	bucket->peers_admitted += admitted;
+}
+
 void
 quota_gossip_merge(struct quota *quota, const char *name, uint64_t incarnation,
     const struct quota_count *counts, size_t n, clk_ms now)
 {
 	struct peer *peer = g_hash_table_lookup(quota->peers, name);
 	bool is_new = peer == NULL;
-	struct bucket *bucket;
 
 	if (is_new) {
 		peer = g_new0(struct peer, 1);
@@ -223,54 +315,35 @@
 	peer->received = now;
 	for (size_t i = 0; i < n; i++) {
 		void *key = GUINT_TO_POINTER(counts[i].organisation);
-		struct quota_count *last =
+		struct peer_count *last =
 		    g_hash_table_lookup(peer->counts, key);
-		struct quota_count before =
-		    last != NULL ? *last : (struct quota_count){0};
+		struct quota_count before = {0};
 
 		if (last == NULL) {
-			last = g_new0(struct quota_count, 1);
+			last = g_new0(struct peer_count, 1);
 			(void)g_hash_table_insert(peer->counts, key, last);
+		} else if (last->count.period == counts[i].period) {
+			before = last->count;
+		} else if ((int32_t)(counts[i].period - last->count.period) <
+		    0) {
+			continue;
 		}
+		last->received = now;
 		/* Datagrams may be reordered. */
 		if (counts[i].admitted <= before.admitted)
 			continue;
-		*last = counts[i];
+		last->count = counts[i];
 		/* It isn't known when a new peer admitted these. */
-		if (is_new)
-			continue;
-		bucket = bucket_ensure(quota, counts[i].organisation);
-		bucket_refill(bucket, bucket->rate, bucket->burst, now);
-		bucket_take(bucket,
-		    (double)(counts[i].admitted - before.admitted),
-		    (double)(counts[i].programs - before.programs));
-		bucket->peers_tick += counts[i].admitted - before.admitted;
+		if (!is_new)
+			bucket_merge(quota, counts[i].organisation,
+			    counts[i].admitted - before.admitted,
+			    counts[i].programs - before.programs, now);
 	}
 }
 
-void
-quota_tick(struct quota *quota)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, quota->buckets);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct bucket *bucket = value;
-
-		bucket->own_average += TICK_WEIGHT *
-		    (bucket->requested_tick - bucket->own_average);
-		bucket->peers_average +=
-		    TICK_WEIGHT * (bucket->peers_tick - bucket->peers_average);
-		bucket->own_tick = 0;
-		bucket->requested_tick = 0;
-		bucket->peers_tick = 0;
-	}
-}
-
-/* Part of the bucket for this instance in an interval. */
+/* Part of the bucket for this instance until its next report. */
 static double
-tick_part(const struct quota *quota, const struct bucket *bucket)
+report_part(const struct quota *quota, const struct bucket *bucket)
 {
 	double total = bucket->own_average + bucket->peers_average;
 	double part = total > 0 ? bucket->own_average / total : 0;
@@ -278,18 +351,18 @@
 	return (fmax(part, 1.0 / quota->instances));
 }
 
-/* Requests that this instance may admit in an interval, given level tokens. */
+/*
+ * Requests that this instance may admit before it reports them, given level
+ * tokens.
+ */
 static double
-tick_allowance(
+report_allowance(
     const struct quota *quota, const struct bucket *bucket, double level)
 {
-	const struct quota_tolerance *tolerance = &quota->tolerance;
-	double over = tolerance->fraction *
-		(bucket->rate * tolerance->window_s + bucket->burst) +
-	    tolerance->requests;
+	double over = bucket_tolerance(quota, bucket);
 
 	/* The tolerance covers what the instances admit at the same time. */
-	return (fmax(tick_part(quota, bucket) * (level + bucket->own_tick),
+	return (fmax(report_part(quota, bucket) * (level + bucket->unreported),
 	    fmax(1.0, TOLERANCE_PART * over / quota->instances)));
 }
 
@@ -302,8 +375,34 @@
 	if (bucket == NULL)
 		return ((struct quota_state){0});
 	return ((struct quota_state){bucket->level, bucket->expected,
-	    tick_part(quota, bucket), live_share(quota, now), bucket->own_tick,
-	    bucket->admitted - bucket->reported});
+	    report_part(quota, bucket), live_share(quota, now),
+	    bucket->unreported});
+}
+
+static void
+bucket_queue(struct bucket *bucket, GQueue *queue)
+{
+	if (bucket->queue != NULL)
+		g_queue_unlink(bucket->queue, &bucket->link);
+	bucket->queue = queue;
+	if (queue != NULL)
+		g_queue_push_tail_link(queue, &bucket->link);
+}
+
+/* Counts an admission of this instance, to be reported. */
+static void
+bucket_count(struct quota *quota, struct bucket *bucket, bool is_new_program)
+{
+	if (bucket->queue == NULL) {
+		bucket->period = quota->interval;
+		bucket->admitted = 0;
+		bucket->begun = 0;
+	}
+	bucket->admitted++;
+	bucket->begun += is_new_program;
+	bucket->unreported++;
+	if (bucket->queue != &quota->news)
+		bucket_queue(bucket, &quota->news);
 }
 
 bool
@@ -314,11 +413,10 @@
 	double share, level;
 
 	*wait = 0;
-	bucket = bucket_ensure(quota, quota_hash(name));
-	if (rate <= 0) {
-		bucket->admitted++;
+	if (rate <= 0)
 		return (true);
-	}
+	bucket = bucket_ensure(quota, quota_hash(name));
+	bucket_advance(quota, bucket);
 	bucket->rate = rate;
 	bucket->burst = burst;
 	share = live_share(quota, now);
@@ -327,57 +425,69 @@
 		bucket->level = fmin(bucket->level + START_PART * burst, burst);
 		bucket->is_filled = true;
 	}
-	bucket->requested_tick++;
+	bucket->requested++;
 	level = bucket->level;
 	if (priority == QUOTA_NEW_PROGRAM)
 		level = fmin(level - RESERVED_PART * burst * share,
 		    level + EXPECTED_WITHIN_S * rate * share -
 			bucket->expected - program_requests(bucket));
 	if (level < 1.0 ||
-	    bucket->own_tick >= tick_allowance(quota, bucket, level)) {
+	    bucket->unreported >= report_allowance(quota, bucket, level)) {
 		*wait = (clk_ms)ceil(
 		    fmax(1.0 - level, 0) / (rate * share) * (double)CLK_SECOND);
 		return (false);
 	}
 	bucket_take(bucket, 1.0, priority == QUOTA_NEW_PROGRAM ? 1.0 : 0.0);
-	bucket->own_tick++;
-	bucket->admitted++;
-	bucket->begun += priority == QUOTA_NEW_PROGRAM;
+	bucket_count(quota, bucket, priority == QUOTA_NEW_PROGRAM);
 	return (true);
 }
 
 void
 quota_refund(struct quota *quota, const char *name)
 {
-	struct bucket *bucket = bucket_ensure(quota, quota_hash(name));
+	struct bucket *bucket = g_hash_table_lookup(
+	    quota->buckets, GUINT_TO_POINTER(quota_hash(name)));
 
-	if (bucket->admitted == 0)
+	if (bucket == NULL || bucket->queue == NULL || bucket->admitted == 0)
 		return;
 	bucket->level = fmin(bucket->level + 1.0, bucket->burst);
 	/* Peers that got the higher count ignore the lower one. */
 	bucket->admitted--;
-	bucket->reported = MIN(bucket->reported, bucket->admitted);
-	if (bucket->own_tick > 0)
-		bucket->own_tick--;
+	if (bucket->unreported > 0)
+		bucket->unreported--;
+}
+
+static struct quota_count
+bucket_report(const struct bucket *bucket)
+{
+	return ((struct quota_count){
+	    bucket->hash, bucket->period, bucket->admitted, bucket->begun});
 }
 
 size_t
-quota_counts_collect(
-    struct quota *quota, struct quota_count *counts, size_t max)
+quota_report(
+    struct quota *quota, struct quota_count *counts, size_t max, clk_ms now)
 {
-	GHashTableIter iter;
-	void *value;
+	guint repeats = quota->repeats.length;
+	struct bucket *bucket;
 	size_t n = 0;
 
-	g_hash_table_iter_init(&iter, quota->buckets);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct bucket *bucket = value;
-
-		if (n++ >= max)
+	quota->interval++;
+	while (n < max && (bucket = g_queue_peek_head(&quota->news)) != NULL) {
+		counts[n++] = bucket_report(bucket);
+		bucket->unreported = 0;
+		bucket->repeat_until = now + quota_window(quota);
+		bucket_queue(bucket, &quota->repeats);
+	}
+	/* What is left out stays at the head, for the next report. */
+	for (; n < max && repeats > 0; repeats--) {
+		bucket = g_queue_peek_head(&quota->repeats);
+		if (now >= bucket->repeat_until) {
+			bucket_queue(bucket, NULL);
 			continue;
-		counts[n - 1] = (struct quota_count){
-		    bucket->hash, bucket->admitted, bucket->begun};
-		bucket->reported = bucket->admitted;
+		}
+		counts[n++] = bucket_report(bucket);
+		bucket_queue(bucket, &quota->repeats);
 	}
-	return (n);
+	return (n + quota->news.length + repeats);
 }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -1,11 +1,15 @@
 /*
  * Quotas: limit an organisation's rate and burst over all instances.
  *
- * Several times a second every instance sends its peers the number of
- * requests of each organisation that it has admitted since it started.  Each
- * keeps a token bucket for the whole fleet, without the shares of the peers
- * that have timed out.  An instance without peers has its own share only, so
- * that the limit holds in a partition too.
+ * Several times a second every instance reports to its peers how many requests
+ * of each organisation it has admitted.  Each keeps a token bucket for the
+ * whole fleet, without the shares of the peers that have timed out.  An
+ * instance without peers has its own share only, so that the limit holds in a
+ * partition too.
+ *
+ * An instance may admit only a part of the bucket before it reports what it
+ * has admitted.  The limit therefore holds for any number of organisations:
+ * one that a report has no room for waits for the next one.
  *
  * A refused turn wastes all turns before it.  A new program is therefore
  * refused if the expected requests of the active programs already need the
@@ -22,9 +26,13 @@
 
 struct quota;
 
-/* What one instance admitted of an organisation since it started. */
+/*
+ * What one instance admitted of an organisation in a period, which ends after
+ * a window without admissions.  Later periods have higher numbers.
+ */
 struct quota_count {
 	uint32_t organisation; /* quota_hash() of the name */
+	uint32_t period;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
 };
@@ -86,29 +94,26 @@
 void quota_refund(struct quota *quota, const char *name);
 
 /*
- * quota_tick(quota)
- *	Start an interval; called whenever this instance sends its gossip.
- *	In an interval an instance may use the part of the bucket that
- *	corresponds to its part of the recent requests.
- */
-void quota_tick(struct quota *quota);
-
-/*
- * quota_counts_collect(quota, counts, max)
- *	Write what this instance has admitted, for a gossip message.
+ * quota_report(quota, counts, max, now)
+ *	Write what this instance has admitted, for a gossip message that is
+ *	sent now, and start an interval.  Organisations with admissions that
+ *	no report has yet come first, the oldest first; the instance may again
+ *	admit requests of those that are written, up to the part of the bucket
+ *	that corresponds to its part of the recent requests.  Then come, in
+ *	turn, those with an admission in the last window, as a message may be
+ *	lost.
  * RETURN VALUES
- *	The number of organisations, of which at most max are written.
+ *	The number of these organisations, of which at most max are written.
  */
-size_t quota_counts_collect(
-    struct quota *quota, struct quota_count *counts, size_t max);
+size_t quota_report(
+    struct quota *quota, struct quota_count *counts, size_t max, clk_ms now);
 
 /* The state of an organisation's bucket, for log lines. */
 struct quota_state {
 	double level; /* tokens of the whole fleet */
 	double expected; /* further requests of active programs */
-	double part; /* of the bucket, for this instance in an interval */
+	double part; /* of the bucket, for this instance until it reports */
 	double share; /* of the rate, for this instance and its live peers */
-	unsigned own_tick; /* admitted here since the last tick */
 	unsigned unreported; /* admitted here, in no message yet */
 };
 
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -31,6 +31,7 @@
 	GArray **admitted; /* times, for each organisation */
 	double lost; /* fraction of the datagrams */
 	int cut; /* first instance of the other partition; size: none */
+	guint32 hot; /* the first organisations, which send half of all */
 	unsigned refused;
 };
 
@@ -82,10 +83,9 @@
 		struct quota_count counts[COUNTS_MAX];
 		g_autofree char *name = g_strdup_printf("i%d", i);
 		size_t n =
-		    quota_counts_collect(f->instances[i], counts, COUNTS_MAX);
+		    quota_report(f->instances[i], counts, COUNTS_MAX, now);
 
 		n = MIN(n, COUNTS_MAX);
-		quota_tick(f->instances[i]);
 		for (int j = 0; j < f->size; j++) {
 			if (j == i || (i >= f->cut) != (j >= f->cut) ||
 			    g_rand_double(f->rand) < f->lost)
@@ -121,8 +121,11 @@
 		for (; due > 0; due--) {
 			double skew = g_rand_double(f->rand);
 			int i = (int)(skew * skew * f->size);
-			guint o = (guint)g_rand_int_range(
-			    f->rand, 0, (gint32)f->names->len);
+			guint32 some = f->hot > 0 && g_rand_boolean(f->rand)
+			    ? f->hot
+			    : f->names->len;
+			guint o =
+			    (guint)g_rand_int_range(f->rand, 0, (gint32)some);
 			clk_ms wait;
 
 			if (quota_admit(f->instances[i], f->names->pdata[o],
@@ -270,6 +273,27 @@
 	}
 }
 
+/*
+ * Guards against the same at the size that the design is for: most of the
+ * organisations with news don't fit a report.
+ */
+static void
+test_organisations_of_target(void)
+{
+	struct fleet f;
+	unsigned served = 0;
+
+	fleet_open_size(&f, 1, 12, 38000, 5, 5);
+	f.hot = 40;
+	send_requests(&f, 0, 8000, 12000);
+	g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+	/* Those that send little are served. */
+	for (guint o = f.hot; o < f.names->len; o++)
+		served += f.admitted[o]->len;
+	g_assert_cmpuint(served, >=, 8 * 6000 * 0.95);
+	fleet_close(&f);
+}
+
 /*
  * Guards against an organisation that exceeds its limit because each of many
  * instances admits one of its requests before it hears of the others.
@@ -296,6 +320,7 @@
 test_active_programs_first(void)
 {
 	struct quota *quota = quota_open(&tolerance, 0);
+	struct quota_count counts[4];
 	unsigned refused[2] = {0, 0};
 	unsigned asked[2] = {0, 0};
 	clk_ms wait;
@@ -311,7 +336,7 @@
 			    quota, "o", 250, 250, priority, now, &wait);
 		}
 		if (now % TICK_MS == 1)
-			quota_tick(quota);
+			(void)quota_report(quota, counts, 4, now);
 	}
 	g_assert_cmpuint(refused[1], <=, asked[1] / 50);
 	g_assert_cmpuint(refused[0], >=, asked[0] / 2);
@@ -323,13 +348,14 @@
 test_wait(void)
 {
 	struct quota *quota = quota_open(&tolerance, 0);
+	struct quota_count counts[4];
 	clk_ms wait;
 
 	while (
 	    quota_admit(quota, "o", 10, 10, QUOTA_ACTIVE_PROGRAM, 1000, &wait))
 		continue;
 	g_assert_cmpint(wait, >, 0);
-	quota_tick(quota);
+	(void)quota_report(quota, counts, 4, 1000);
 	g_assert_true(quota_admit(
 	    quota, "o", 10, 10, QUOTA_ACTIVE_PROGRAM, 1000 + wait, &wait));
 	g_assert_true(
@@ -392,6 +418,8 @@
 	g_test_add_func("/qta/restart", test_restart);
 	g_test_add_func("/qta/more-organisations-than-counts",
 	    test_more_organisations_than_counts);
+	g_test_add_func(
+	    "/qta/organisations-of-target", test_organisations_of_target);
 	g_test_add_func("/qta/many-instances", test_many_instances);
 	g_test_add_func("/qta/under-way-first", test_active_programs_first);
 	g_test_add_func("/qta/wait", test_wait);
