The parts of an organisation's bucket add up to one above its rate too

After a pause, an organisation far above its rate gets more than its limit. Cause: an instance compared the requests that it got with the requests that the others admitted. Above the rate most requests are refused, so that each of nine instances took more than half of the bucket for its part. Change: reports also have the number of requests, and the part is this instance's requests of all requests. Why it works: all instances divide by the same sum, up to one interval.

--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -32,7 +32,7 @@
 #define CRASHES_MAX	 8
 #define NAME_MAX_BYTES	 128
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f36U
+#define PROTOCOL_VERSION 0x53474f37U
 
 /* The lists of a message. */
 enum gossip_list {
@@ -85,6 +85,7 @@
 {
 	return (xdr_uint32_t(xdrs, &count->organisation) &&
 	    xdr_uint32_t(xdrs, &count->period) &&
+	    xdr_uint32_t(xdrs, &count->requested) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
 	    xdr_uint32_t(xdrs, &count->programs));
 }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -44,8 +44,9 @@
 	GList link;
 	GQueue *queue; /* quota->news, quota->repeats, or nil: no period */
 	uint32_t period; /* interval in which the counts began */
-	uint32_t admitted; /* in the period */
-	uint32_t begun; /* programs, in the period */
+	uint32_t requested; /* in the period */
+	uint32_t admitted;
+	uint32_t begun; /* programs */
 	unsigned unreported; /* admitted and in no report yet */
 	clk_ms repeat_until;
 	double fleet_admitted; /* by all instances */
@@ -53,11 +54,11 @@
 	bool is_filled; /* the initial level has been set */
 	double expected; /* further requests of active programs */
 	double own_average; /* requests an interval at this instance */
-	double peers_average; /* admitted an interval by the peers */
+	double peers_average; /* requests an interval at the peers */
 	/* In the interval: */
 	uint32_t interval;
-	unsigned requested; /* from this instance */
-	unsigned peers_admitted;
+	unsigned own_requested;
+	unsigned peers_requested;
 };
 
 /* What a peer last reported of an organisation. */
@@ -75,8 +76,7 @@
 struct quota {
 	GHashTable *buckets; /* hash -> struct bucket */
 	GHashTable *peers; /* name -> struct peer */
-	GQueue
-	    news; /* struct bucket with unreported admissions, oldest first */
+	GQueue news; /* struct bucket with unreported requests, oldest first */
 	GQueue repeats; /* struct bucket, least recently reported first */
 	uint32_t interval; /* number of reports so far */
 	struct quota_tolerance tolerance;
@@ -257,13 +257,13 @@
 	/* Nothing was counted in the intervals after the first. */
 	decay = pow(1.0 - INTERVAL_WEIGHT, intervals - 1);
 	bucket->own_average +=
-	    INTERVAL_WEIGHT * (bucket->requested - bucket->own_average);
+	    INTERVAL_WEIGHT * (bucket->own_requested - bucket->own_average);
 	bucket->own_average *= decay;
 	bucket->peers_average +=
-	    INTERVAL_WEIGHT * (bucket->peers_admitted - bucket->peers_average);
+	    INTERVAL_WEIGHT * (bucket->peers_requested - bucket->peers_average);
 	bucket->peers_average *= decay;
-	bucket->requested = 0;
-	bucket->peers_admitted = 0;
+	bucket->own_requested = 0;
+	bucket->peers_requested = 0;
 	bucket->interval = quota->interval;
 }
 
@@ -278,22 +278,34 @@
 	    tolerance->requests);
 }
 
-/* Takes what a peer has admitted since its last report. */
+/* Takes what a peer has counted since its last report. */
 static void
-bucket_merge(struct quota *quota, uint32_t organisation, uint32_t admitted,
-    uint32_t begun, clk_ms now)
+bucket_merge(struct quota *quota, const struct quota_count *news, clk_ms now)
 {
-	struct bucket *bucket = bucket_ensure(quota, organisation);
+	struct bucket *bucket = bucket_ensure(quota, news->organisation);
 
 	bucket_advance(quota, bucket);
 	bucket_refill(bucket, bucket->rate, bucket->burst, now);
-	bucket_take(bucket, admitted, begun);
+	bucket_take(bucket, news->admitted, news->programs);
 	/*
 	 * After a partition a report also has what its sender admitted out of
 	 * the share of the rate that this instance did not use.
 	 */
 	bucket->level = fmax(bucket->level, -bucket_tolerance(quota, bucket));
-	bucket->peers_admitted += admitted;
+	bucket->peers_requested += news->requested;
+}
+
+/* Returns what was counted since before, in the same period. */
+static struct quota_count
+count_since(const struct quota_count *count, const struct quota_count *before)
+{
+	struct quota_count news = *count;
+
+	news.requested -= before->requested;
+	/* Tokens that were given back lower the count. */
+	news.admitted -= MIN(before->admitted, count->admitted);
+	news.programs -= before->programs;
+	return (news);
 }
 
 void
@@ -318,6 +330,7 @@
 		struct peer_count *last =
 		    g_hash_table_lookup(peer->counts, key);
 		struct quota_count before = {0};
+		struct quota_count news;
 
 		if (last == NULL) {
 			last = g_new0(struct peer_count, 1);
@@ -330,14 +343,14 @@
 		}
 		last->received = now;
 		/* Datagrams may be reordered. */
-		if (counts[i].admitted <= before.admitted)
+		if (counts[i].requested <= before.requested)
 			continue;
+		news = count_since(&counts[i], &before);
 		last->count = counts[i];
+		last->count.admitted = MAX(counts[i].admitted, before.admitted);
 		/* It isn't known when a new peer admitted these. */
 		if (!is_new)
-			bucket_merge(quota, counts[i].organisation,
-			    counts[i].admitted - before.admitted,
-			    counts[i].programs - before.programs, now);
+			bucket_merge(quota, &news, now);
 	}
 }
 
@@ -346,6 +359,7 @@
 report_part(const struct quota *quota, const struct bucket *bucket)
 {
 	double total = bucket->own_average + bucket->peers_average;
+
 	double part = total > 0 ? bucket->own_average / total : 0;
 
 	return (fmax(part, 1.0 / quota->instances));
@@ -389,18 +403,18 @@
 		g_queue_push_tail_link(queue, &bucket->link);
 }
 
-/* Counts an admission of this instance, to be reported. */
+/* Counts a request from this instance, to be reported. */
 static void
-bucket_count(struct quota *quota, struct bucket *bucket, bool is_new_program)
+bucket_request_count(struct quota *quota, struct bucket *bucket)
 {
 	if (bucket->queue == NULL) {
 		bucket->period = quota->interval;
+		bucket->requested = 0;
 		bucket->admitted = 0;
 		bucket->begun = 0;
 	}
-	bucket->admitted++;
-	bucket->begun += is_new_program;
-	bucket->unreported++;
+	bucket->requested++;
+	bucket->own_requested++;
 	if (bucket->queue != &quota->news)
 		bucket_queue(bucket, &quota->news);
 }
@@ -425,7 +439,7 @@
 		bucket->level = fmin(bucket->level + START_PART * burst, burst);
 		bucket->is_filled = true;
 	}
-	bucket->requested++;
+	bucket_request_count(quota, bucket);
 	level = bucket->level;
 	if (priority == QUOTA_NEW_PROGRAM)
 		level = fmin(level - RESERVED_PART * burst * share,
@@ -438,7 +452,9 @@
 		return (false);
 	}
 	bucket_take(bucket, 1.0, priority == QUOTA_NEW_PROGRAM ? 1.0 : 0.0);
-	bucket_count(quota, bucket, priority == QUOTA_NEW_PROGRAM);
+	bucket->admitted++;
+	bucket->begun += priority == QUOTA_NEW_PROGRAM;
+	bucket->unreported++;
 	return (true);
 }
 
@@ -460,8 +476,8 @@
 static struct quota_count
 bucket_report(const struct bucket *bucket)
 {
-	return ((struct quota_count){
-	    bucket->hash, bucket->period, bucket->admitted, bucket->begun});
+	return ((struct quota_count){bucket->hash, bucket->period,
+	    bucket->requested, bucket->admitted, bucket->begun});
 }
 
 size_t
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -27,12 +27,13 @@
 struct quota;
 
 /*
- * What one instance admitted of an organisation in a period, which ends after
- * a window without admissions.  Later periods have higher numbers.
+ * The requests of an organisation at one instance in a period, which ends
+ * after a window without any.  Later periods have higher numbers.
  */
 struct quota_count {
 	uint32_t organisation; /* quota_hash() of the name */
 	uint32_t period;
+	uint32_t requested;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
 };
@@ -96,11 +97,11 @@
 /*
  * quota_report(quota, counts, max, now)
  *	Write what this instance has admitted, for a gossip message that is
- *	sent now, and start an interval.  Organisations with admissions that
- *	no report has yet come first, the oldest first; the instance may again
+ *	sent now, and start an interval.  Organisations with requests that no
+ *	report has yet come first, the oldest first; the instance may again
  *	admit requests of those that are written, up to the part of the bucket
  *	that corresponds to its part of the recent requests.  Then come, in
- *	turn, those with an admission in the last window, as a message may be
+ *	turn, those with a request in the last window, as a message may be
  *	lost.
  * RETURN VALUES
  *	The number of these organisations, of which at most max are written.
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -31,6 +31,7 @@
 	GArray **admitted; /* times, for each organisation */
 	double lost; /* fraction of the datagrams */
 	int cut; /* first instance of the other partition; size: none */
+	int first; /* instance that gets requests */
 	guint32 hot; /* the first organisations, which send half of all */
 	unsigned refused;
 };
@@ -120,7 +121,8 @@
 			gossip(f, now);
 		for (; due > 0; due--) {
 			double skew = g_rand_double(f->rand);
-			int i = (int)(skew * skew * f->size);
+			int i = f->first +
+			    (int)(skew * skew * (f->size - f->first));
 			guint32 some = f->hot > 0 && g_rand_boolean(f->rand)
 			    ? f->hot
 			    : f->names->len;
@@ -312,6 +314,46 @@
 	}
 }
 
+/*
+ * Guards against parts of the bucket that add up to more than the whole: above
+ * its rate, an organisation has more requests than admissions.
+ */
+static void
+test_pause_above_rate(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		send_requests(&f, 0, 5000, 15 * RATE);
+		send_requests(&f, 5000, 6400, 0);
+		send_requests(&f, 6400, 10000, 15 * RATE);
+		g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+		fleet_close(&f);
+	}
+}
+
+/*
+ * Guards against a second bucket for instances that get an organisation's
+ * requests only now, while those that got them before use the first one.
+ */
+static void
+test_traffic_spreads(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open(&f, seed);
+		f.first = FLEET / 2;
+		send_requests(&f, 0, 5000, RATE / 2);
+		f.first = 0;
+		send_requests(&f, 5000, 5200, 15 * RATE);
+		send_requests(&f, 5200, 10000, 5 * RATE);
+		g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+		fleet_close(&f);
+	}
+}
+
 /*
  * Guards against programs that are refused after their first turn: above the
  * rate, new programs are refused before requests of active ones.
@@ -421,6 +463,8 @@
 	g_test_add_func(
 	    "/qta/organisations-of-target", test_organisations_of_target);
 	g_test_add_func("/qta/many-instances", test_many_instances);
+	g_test_add_func("/qta/pause-above-rate", test_pause_above_rate);
+	g_test_add_func("/qta/traffic-spreads", test_traffic_spreads);
 	g_test_add_func("/qta/under-way-first", test_active_programs_first);
 	g_test_add_func("/qta/wait", test_wait);
 	g_test_add_func("/qta/refund", test_refund);
