Refill an organisation's bucket at the live share wherever it is refilled

In a partition an organisation gets up to twice its rate. Cause: a bucket was refilled at the share of the rate when a request came, but at the whole rate when a report of a peer came. Of an organisation with few requests an instance hears more often than it is asked. Change: bucket_refill() takes the share itself; it is counted every 50 ms and not for each request. Why it works: there is one place that adds tokens, and it knows the share.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -211,7 +211,7 @@
 	priority = request_priority(call);
 	call->is_counted = quota_admit(deps->quota, organisation->name,
 	    organisation->rate, organisation->burst, priority, now, &wait);
-	state = quota_state(deps->quota, organisation->name, now);
+	state = quota_state(deps->quota, organisation->name);
 	call->rate = state;
 	if (call->is_counted)
 		return (true);
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -15,6 +15,8 @@
 #define START_PART 0.5
 /* A peer that sent no gossip message for this time is removed. */
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
+/* Period of counting the live peers. */
+#define SHARE_PERIOD_MS 50
 /* Lowest share of rate and burst, for an instance without live peers. */
 #define SHARE_MIN 0.02
 /* Part of the burst that is reserved for active programs. */
@@ -81,6 +83,8 @@
 	uint32_t interval; /* number of reports so far */
 	struct quota_tolerance tolerance;
 	unsigned instances;
+	double share;
+	clk_ms share_until; /* when it is to be computed again */
 	clk_ms start;
 };
 
@@ -158,7 +162,6 @@
 	return (live);
 }
 
-/* Share of the limit for this instance and its live peers. */
 static double
 live_share(const struct quota *quota, clk_ms now)
 {
@@ -169,16 +172,29 @@
 	return (fmax((double)group / quota->instances, SHARE_MIN));
 }
 
+/* Share of the limit for this instance and its live peers. */
+static double
+quota_share(struct quota *quota, clk_ms now)
+{
+	if (now >= quota->share_until) {
+		quota->share = live_share(quota, now);
+		quota->share_until = now + SHARE_PERIOD_MS;
+	}
+	return (quota->share);
+}
+
+/* Adds what the share of the rate has given since the last call. */
 static void
-bucket_refill(struct bucket *bucket, double rate, double burst, clk_ms now)
+bucket_refill(struct quota *quota, struct bucket *bucket, clk_ms now)
 {
+	double share = quota_share(quota, now);
 	double elapsed = (double)(now - bucket->updated) / (double)CLK_SECOND;
 
-	if (rate <= 0)
+	if (bucket->rate <= 0)
 		return;
 	if (elapsed > 0)
-		bucket->level += elapsed * rate;
-	bucket->level = fmin(bucket->level, burst);
+		bucket->level += elapsed * bucket->rate * share;
+	bucket->level = fmin(bucket->level, bucket->burst * share);
 	bucket->expected *= exp(-fmax(elapsed, 0) / EXPECTED_DECAY_S);
 	bucket->updated = now;
 }
@@ -234,6 +250,7 @@
 	void *value;
 
 	quota->instances = MAX(instances, 1U);
+	quota->share_until = now;
 	g_hash_table_iter_init(&iter, quota->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
@@ -285,7 +302,7 @@
 	struct bucket *bucket = bucket_ensure(quota, news->organisation);
 
 	bucket_advance(quota, bucket);
-	bucket_refill(bucket, bucket->rate, bucket->burst, now);
+	bucket_refill(quota, bucket, now);
 	bucket_take(bucket, news->admitted, news->programs);
 	/*
 	 * After a partition a report also has what its sender admitted out of
@@ -381,7 +398,7 @@
 }
 
 struct quota_state
-quota_state(const struct quota *quota, const char *name, clk_ms now)
+quota_state(const struct quota *quota, const char *name)
 {
 	const struct bucket *bucket = g_hash_table_lookup(
 	    quota->buckets, GUINT_TO_POINTER(quota_hash(name)));
@@ -389,8 +406,7 @@
 	if (bucket == NULL)
 		return ((struct quota_state){0});
 	return ((struct quota_state){bucket->level, bucket->expected,
-	    report_part(quota, bucket), live_share(quota, now),
-	    bucket->unreported});
+	    report_part(quota, bucket), quota->share, bucket->unreported});
 }
 
 static void
@@ -433,8 +449,8 @@
 	bucket_advance(quota, bucket);
 	bucket->rate = rate;
 	bucket->burst = burst;
-	share = live_share(quota, now);
-	bucket_refill(bucket, rate * share, burst * share, now);
+	share = quota_share(quota, now);
+	bucket_refill(quota, bucket, now);
 	if (!bucket->is_filled) {
 		bucket->level = fmin(bucket->level + START_PART * burst, burst);
 		bucket->is_filled = true;
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -118,8 +118,7 @@
 	unsigned unreported; /* admitted here, in no message yet */
 };
 
-struct quota_state
-quota_state(const struct quota *quota, const char *name, clk_ms now);
+struct quota_state quota_state(const struct quota *quota, const char *name);
 
 /* quota_live_peers(quota, now): number of peers that have not timed out. */
 unsigned quota_live_peers(const struct quota *quota, clk_ms now);
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -333,6 +333,47 @@
 	}
 }
 
+/*
+ * Guards against both sides of a partition using the whole rate: of an
+ * organisation with few requests an instance hears more often than it is
+ * asked.
+ */
+static void
+test_partition_of_many_instances(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open_size(&f, seed, 30, 1, 20, 20);
+		send_requests(&f, 0, 4000, 60);
+		f.cut = 15;
+		send_requests(&f, 4000, 16000, 60);
+		g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+		fleet_close(&f);
+	}
+}
+
+/*
+ * Guards against a full bucket at an instance that gets an organisation's
+ * first request while others have used the bucket up.
+ */
+static void
+test_first_request_at_instance(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open_size(&f, seed, 30, 1, 100, 100);
+		send_requests(&f, 0, 20000, 0);
+		f.first = 15;
+		send_requests(&f, 20000, 24000, 500);
+		f.first = 0;
+		send_requests(&f, 24000, 28000, 1000);
+		g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+		fleet_close(&f);
+	}
+}
+
 /*
  * Guards against a second bucket for instances that get an organisation's
  * requests only now, while those that got them before use the first one.
@@ -464,6 +505,10 @@
 	    "/qta/organisations-of-target", test_organisations_of_target);
 	g_test_add_func("/qta/many-instances", test_many_instances);
 	g_test_add_func("/qta/pause-above-rate", test_pause_above_rate);
+	g_test_add_func("/qta/partition-of-many-instances",
+	    test_partition_of_many_instances);
+	g_test_add_func(
+	    "/qta/first-request-at-instance", test_first_request_at_instance);
 	g_test_add_func("/qta/traffic-spreads", test_traffic_spreads);
 	g_test_add_func("/qta/under-way-first", test_active_programs_first);
 	g_test_add_func("/qta/wait", test_wait);
