Reports state the limit: no full bucket at an instance's first request

An organisation gets one more bucket above its limit when its requests reach instances that had none of it before. Cause: the reports of peers were taken from a bucket whose rate was not known before the first own request, and which was then refilled for all the time since the process had started. The instance took it for full while the others had used it up. Change: each count of a report states rate and burst, so that the bucket is kept from the first report on. A bucket begins with a part of the burst at the start of the process, whether a request or a report is first. Why it works: a bucket is never without the rate that its reports are taken against.

--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -32,7 +32,7 @@
 #define CRASHES_MAX	 8
 #define NAME_MAX_BYTES	 128
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f37U
+#define PROTOCOL_VERSION 0x53474f38U
 
 /* The lists of a message. */
 enum gossip_list {
@@ -87,7 +87,9 @@
 	    xdr_uint32_t(xdrs, &count->period) &&
 	    xdr_uint32_t(xdrs, &count->requested) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
-	    xdr_uint32_t(xdrs, &count->programs));
+	    xdr_uint32_t(xdrs, &count->programs) &&
+	    xdr_uint32_t(xdrs, &count->rate) &&
+	    xdr_uint32_t(xdrs, &count->burst));
 }
 
 static bool_t
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -15,6 +15,8 @@
 #define START_PART 0.5
 /* A peer that sent no gossip message for this time is removed. */
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
+/* A report gives rate and burst in thousandths. */
+#define LIMIT_UNITS 1000.0
 /* Period of counting the live peers. */
 #define SHARE_PERIOD_MS 50
 /* Lowest share of rate and burst, for an instance without live peers. */
@@ -39,7 +41,7 @@
 struct bucket {
 	uint32_t hash;
 	double level; /* tokens; negative if peers admitted more */
-	double rate; /* of the last request */
+	double rate; /* of the last request or report; 0: none */
 	double burst;
 	clk_ms updated;
 	/* Reports of this instance's admissions: */
@@ -53,7 +55,6 @@
 	clk_ms repeat_until;
 	double fleet_admitted; /* by all instances */
 	double fleet_begun;
-	bool is_filled; /* the initial level has been set */
 	double expected; /* further requests of active programs */
 	double own_average; /* requests an interval at this instance */
 	double peers_average; /* requests an interval at the peers */
@@ -138,7 +139,6 @@
 		bucket->hash = hash;
 		bucket->link.data = bucket;
 		bucket->interval = quota->interval;
-		bucket->updated = quota->start;
 		(void)g_hash_table_insert(
 		    quota->buckets, GUINT_TO_POINTER(hash), bucket);
 	}
@@ -183,6 +183,22 @@
 	return (quota->share);
 }
 
+/*
+ * Sets the limit.  A new bucket is taken to be full, as long as this process
+ * has run for long enough.
+ */
+static void
+bucket_limit_set(
+    const struct quota *quota, struct bucket *bucket, double rate, double burst)
+{
+	if (bucket->rate <= 0) {
+		bucket->level = START_PART * burst;
+		bucket->updated = quota->start;
+	}
+	bucket->rate = rate;
+	bucket->burst = burst;
+}
+
 /* Adds what the share of the rate has given since the last call. */
 static void
 bucket_refill(struct quota *quota, struct bucket *bucket, clk_ms now)
@@ -302,6 +318,8 @@
 	struct bucket *bucket = bucket_ensure(quota, news->organisation);
 
 	bucket_advance(quota, bucket);
+	bucket_limit_set(quota, bucket, (double)news->rate / LIMIT_UNITS,
+	    (double)news->burst / LIMIT_UNITS);
 	bucket_refill(quota, bucket, now);
 	bucket_take(bucket, news->admitted, news->programs);
 	/*
@@ -447,14 +465,9 @@
 		return (true);
 	bucket = bucket_ensure(quota, quota_hash(name));
 	bucket_advance(quota, bucket);
-	bucket->rate = rate;
-	bucket->burst = burst;
+	bucket_limit_set(quota, bucket, rate, burst);
 	share = quota_share(quota, now);
 	bucket_refill(quota, bucket, now);
-	if (!bucket->is_filled) {
-		bucket->level = fmin(bucket->level + START_PART * burst, burst);
-		bucket->is_filled = true;
-	}
 	bucket_request_count(quota, bucket);
 	level = bucket->level;
 	if (priority == QUOTA_NEW_PROGRAM)
@@ -493,7 +506,9 @@
 bucket_report(const struct bucket *bucket)
 {
 	return ((struct quota_count){bucket->hash, bucket->period,
-	    bucket->requested, bucket->admitted, bucket->begun});
+	    bucket->requested, bucket->admitted, bucket->begun,
+	    (uint32_t)(bucket->rate * LIMIT_UNITS),
+	    (uint32_t)(bucket->burst * LIMIT_UNITS)});
 }
 
 size_t
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -36,6 +36,8 @@
 	uint32_t requested;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
+	uint32_t rate; /* the limit, in thousandths of a request a second */
+	uint32_t burst; /* in thousandths of a request */
 };
 
 /*
