Homes hold what the tolerance allows an organisation beyond its bucket

In a large fleet an organisation with a small limit gets more than it, if its requests reach many instances at once. Cause: each instance could admit one request before it heard of the others, whatever the tolerance: 67 where 26 are allowed beyond the limit. Change: 0.6 of the tolerance is divided in whole requests; what can't be divided is held by two homes of the organisation, found by rendezvous hashing over the live instances. The others ask them by datagrams, for up to 30 ms each, and return tokens of requests that did not run. An instance's part of the bucket is its part of the requests; as long as there are too few, the first home has it. Why it works: the parts add up to the bucket, and the rest to 0.6 of the tolerance.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -17,10 +17,6 @@
  */
 #define RETRY_STORE_MIN_MS 400
 #define RETRY_STORE_MAX_MS 1500
-/* Minimum Retry-After of a request above its organisation's rate. */
-#define RETRY_RATE_MIN_MS 100
-/* The same for a new program: by then a turn of another program has ended. */
-#define RETRY_NEW_PROGRAM_MIN_MS 250
 /* Timeout of a request if neither its caller nor its route states one. */
 #define DEFAULT_TIMEOUT_MS (30 * CLK_SECOND)
 
@@ -112,9 +108,8 @@
 
 	if (client == NULL)
 		return;
-	if (call->is_counted && call->organisation != NULL &&
-	    verdict->ran == VD_NOT_RUN)
-		quota_refund(call->edge->deps.quota, call->organisation->name);
+	if (verdict->ran == VD_NOT_RUN)
+		edge_rate_refund(call);
 	body = vd_body(verdict, call->request.id);
 	call->edge->deps.wire->verdict_encode(
 	    fields, verdict, call->request.id);
@@ -184,52 +179,6 @@
 	return (true);
 }
 
-static enum quota_priority
-request_priority(const struct edge_call *call)
-{
-	const char *program = call->request.program;
-
-	if (call->route->kind != CATALOGUE_STREAM || program == NULL ||
-	    call->request.previous_turn != NULL ||
-	    active_programs_contains(call->edge->deps.activity, program))
-		return (QUOTA_ACTIVE_PROGRAM);
-	return (QUOTA_NEW_PROGRAM);
-}
-
-static bool
-admit_by_rate(struct edge_call *call)
-{
-	const struct catalogue_organisation *organisation = call->organisation;
-	const struct edge_deps *deps = &call->edge->deps;
-	clk_ms now = edge_now(call->edge);
-	enum quota_priority priority;
-	struct quota_state state;
-	clk_ms wait;
-
-	if (organisation == NULL)
-		return (true);
-	priority = request_priority(call);
-	call->is_counted = quota_admit(deps->quota, organisation->name,
-	    organisation->rate, organisation->burst, priority, now, &wait);
-	state = quota_state(deps->quota, organisation->name);
-	call->rate = state;
-	if (call->is_counted)
-		return (true);
-	lg_event(deps->lg, LG_INFO, "rate",
-	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
-	    "level=%.1f expected=%.1f part=%.3f share=%.3f unreported=%u "
-	    "wait_ms=%" G_GINT64_FORMAT,
-	    call->request.id, organisation->name, organisation->rate,
-	    organisation->burst, priority == QUOTA_NEW_PROGRAM, state.level,
-	    state.expected, state.part, state.share, state.unreported, wait);
-	edge_refuse_not_run(call, VD_RATE_EXCEEDED,
-	    MAX(wait,
-		priority == QUOTA_NEW_PROGRAM ? RETRY_NEW_PROGRAM_MIN_MS
-					      : RETRY_RATE_MIN_MS),
-	    "above the organisation's rate");
-	return (false);
-}
-
 static void
 set_deadline(struct edge_call *call)
 {
@@ -241,6 +190,7 @@
 	if (timeout == 0)
 		timeout = DEFAULT_TIMEOUT_MS;
 	call->deadline = call->arrived + timeout;
+	timeout = MAX(call->deadline - edge_now(call->edge), 1);
 	ev_timer_set(&call->timer, (double)timeout / 1000.0, 0.0);
 	ev_timer_start(call->edge->deps.loop, &call->timer);
 }
@@ -270,8 +220,15 @@
 		edge_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
 		return;
 	}
-	if (!authenticate(call) || !admit_by_rate(call))
-		return;
+	if (authenticate(call))
+		edge_rate_admit(call);
+}
+
+void
+edge_call_admitted(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+
 	if (call->request.program != NULL)
 		active_programs_add(
 		    edge->deps.activity, call->request.program, call->arrived);
@@ -375,6 +332,7 @@
 	    turn_cache_open(settings->cache_bytes, settings->retention);
 	edge_budget_open(edge);
 	edge_loan_open(edge);
+	edge_rate_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
 	edge->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -395,6 +353,7 @@
 	hsv_close(edge->hsv);
 	hcp_close(edge->hcp);
 	edge_loan_close(edge);
+	edge_rate_close(edge);
 	edge_budget_close(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -102,6 +102,13 @@
 void edge_loan_receive(
     struct edge *edge, const struct sockaddr_in *from, char *data, size_t len);
 
+/*
+ * edge_rate_receive(edge, from, data, len)
+ *	Handle a token message of another instance, see quota/token.h.
+ */
+void edge_rate_receive(
+    struct edge *edge, const struct sockaddr_in *from, char *data, size_t len);
+
 /*
  * edge_fleet_size_set(edge, instances)
  *	Set the number of instances that share the upstreams.
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -32,6 +32,8 @@
 	struct loan_book *loans; /* to other instances */
 	GHashTable *borrowing; /* serial -> struct edge_call that waits */
 	uint64_t loan_serial; /* of the last loan requested */
+	GHashTable *asking; /* serial -> struct edge_call that waits */
+	uint64_t ask_serial; /* of the last token asked for */
 	struct ev_timer idle_timer;
 	GRand *rand;
 	struct ev_timer housekeeping;
@@ -53,7 +55,18 @@
 	clk_ms arrived;
 	clk_ms deadline;
 	struct ev_timer timer;
-	bool is_counted; /* against the organisation's rate */
+	/* Rate. */
+	struct quota_limit limit; /* of the organisation */
+	enum quota_priority priority;
+	bool is_counted; /* against the limit */
+	bool is_from_home; /* the token is from home_address */
+	const char *home; /* interned name of the last home asked */
+	struct sockaddr_in home_address;
+	unsigned homes_asked;
+	uint64_t ask_serial;
+	clk_ms asked_at;
+	clk_ms ask_wait; /* stated by the last home */
+	struct ev_timer ask_timer;
 	struct quota_state rate; /* after its admission or refusal */
 	/* History. */
 	struct turn *turn; /* nil: not recorded */
@@ -116,12 +129,27 @@
  */
 clk_ms edge_store_retry_after(const struct edge *edge);
 
-/* The stages of a request, in order; each calls the next one. */
+/*
+ * The stages of a request, in order; each calls the next one, or ends the
+ * call.  edge_call_admitted() follows on edge_rate_admit().
+ */
+void edge_rate_admit(struct edge_call *call);
+void edge_call_admitted(struct edge_call *call);
 void edge_history_load(struct edge_call *call);
 void edge_budget_acquire(struct edge_call *call);
 void edge_upstream_send(struct edge_call *call);
 void edge_turn_record(struct edge_call *call);
 
+/*
+ * edge_rate_refund(call)
+ *	Give back the token of a request that has not run.
+ * edge_rate_open(edge), edge_rate_close(edge)
+ *	Create and free the table of questions to homes.
+ */
+void edge_rate_refund(struct edge_call *call);
+void edge_rate_open(struct edge *edge);
+void edge_rate_close(struct edge *edge);
+
 /*
  * edge_budget_settle(call)
  *	Release the unused part of the reservation.
--- /dev/null
+++ b/src/edge/edge_rate.c
@@ -0,0 +1,282 @@
+/*
+ * Admission of requests within their organisation's rate: tokens of this
+ * instance, or of the organisation's homes.
+ */
+#include <string.h>
+
+#include "edge/edge_internal.h"
+#include "quota/token.h"
+
+/*
+ * Timeout of a question to a home.  An answer takes 3 ms between data centres;
+ * the next home is asked before the caller notices.
+ */
+#define HOME_TIMEOUT_MS 30
+/* Minimum Retry-After of a request above its organisation's rate. */
+#define RETRY_RATE_MIN_MS 100
+/* The same for a new program: by then a turn of another program has ended. */
+#define RETRY_NEW_PROGRAM_MIN_MS 250
+
+static void home_ask(struct edge_call *call);
+
+static void
+rate_refuse(struct edge_call *call, clk_ms wait)
+{
+	const struct quota_state *state = &call->rate;
+	const struct catalogue_organisation *organisation = call->organisation;
+	bool is_new_program = call->priority == QUOTA_NEW_PROGRAM;
+
+	lg_event(call->edge->deps.lg, LG_INFO, "rate",
+	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
+	    "level=%.1f expected=%.1f part=%.3f share=%.3f unreported=%u "
+	    "asked=%u wait_ms=%" G_GINT64_FORMAT,
+	    call->request.id, organisation->name, organisation->rate,
+	    organisation->burst, is_new_program, state->level, state->expected,
+	    state->part, state->share, state->unreported, call->homes_asked,
+	    wait);
+	edge_refuse_not_run(call, VD_RATE_EXCEEDED,
+	    MAX(wait,
+		is_new_program ? RETRY_NEW_PROGRAM_MIN_MS : RETRY_RATE_MIN_MS),
+	    "above the organisation's rate");
+}
+
+static bool
+message_send(struct edge *edge, const struct sockaddr_in *to,
+    const struct token_message *message)
+{
+	char buf[TOKEN_MESSAGE_MAX];
+	size_t len = token_encode(buf, sizeof(buf), message);
+
+	return (
+	    len > 0 && edge->deps.instance_send(edge->deps.arg, to, buf, len));
+}
+
+static void
+token_return(struct edge *edge, const struct sockaddr_in *home,
+    const struct quota_limit *limit)
+{
+	const struct token_message message = {
+	    .kind = TOKEN_RETURN, .limit = *limit};
+
+	if (!message_send(edge, home, &message))
+		lg_event(edge->deps.lg, LG_INFO, "token_not_returned",
+		    "organisation_hash=%u", limit->organisation);
+}
+
+static void
+asking_free(void *data)
+{
+	struct edge_call *call = data;
+
+	ev_timer_stop(call->edge->deps.loop, &call->ask_timer);
+	edge_call_unref(call);
+}
+
+static void
+ask_record(struct edge_call *call, const char *outcome)
+{
+	struct edge *edge = call->edge;
+
+	lg_event(edge->deps.lg, LG_INFO, "token",
+	    "request=%s organisation=%s home=%s outcome=%s "
+	    "waited_ms=%" G_GINT64_FORMAT,
+	    call->request.id, call->organisation->name, call->home, outcome,
+	    edge_now(edge) - call->asked_at);
+	cnt_add(cnt_counter(edge->deps.cnt, "tokens_asked_total",
+		    "Tokens asked of homes, by outcome.", "outcome", outcome),
+	    1);
+}
+
+static void
+timeout_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct edge_call *call = edge_call_ref(watcher->data);
+
+	(void)loop;
+	(void)events;
+	(void)g_hash_table_remove(call->edge->asking, &call->ask_serial);
+	if (call->client != NULL) {
+		ask_record(call, "timed_out");
+		home_ask(call);
+	}
+	edge_call_unref(call);
+}
+
+static void
+ask_wait(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+
+	call->asked_at = edge_now(edge);
+	ev_timer_init(&call->ask_timer, timeout_cb,
+	    (double)HOME_TIMEOUT_MS / 1000.0, 0.0);
+	call->ask_timer.data = call;
+	ev_timer_start(edge->deps.loop, &call->ask_timer);
+	(void)g_hash_table_insert(
+	    edge->asking, &call->ask_serial, edge_call_ref(call));
+}
+
+/* Asks the next home, or refuses the request if there is none. */
+static void
+home_ask(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	struct token_message message = {.kind = TOKEN_ASK,
+	    .limit = call->limit,
+	    .priority = call->priority};
+
+	while (call->homes_asked < QUOTA_HOMES) {
+		call->home =
+		    quota_home(edge->deps.quota, call->limit.organisation,
+			call->homes_asked++, edge_now(edge));
+		message.serial = edge->ask_serial + 1;
+		if (call->home != NULL &&
+		    edge->deps.instance_address(
+			edge->deps.arg, call->home, &call->home_address) &&
+		    message_send(edge, &call->home_address, &message)) {
+			call->home = g_intern_string(call->home);
+			call->ask_serial = ++edge->ask_serial;
+			ask_wait(call);
+			return;
+		}
+	}
+	rate_refuse(call, call->ask_wait);
+}
+
+static void
+on_answer(struct edge *edge, const struct sockaddr_in *from,
+    const struct token_message *message)
+{
+	struct edge_call *call =
+	    g_hash_table_lookup(edge->asking, &message->serial);
+
+	if (call == NULL) {
+		/* The question timed out, or the caller has disconnected. */
+		if (message->is_granted)
+			token_return(edge, from, &message->limit);
+		return;
+	}
+	call = edge_call_ref(call);
+	(void)g_hash_table_remove(edge->asking, &message->serial);
+	if (call->client == NULL) {
+		if (message->is_granted)
+			token_return(edge, from, &message->limit);
+	} else if (message->is_granted) {
+		ask_record(call, "granted");
+		call->is_counted = true;
+		call->is_from_home = true;
+		edge_call_admitted(call);
+	} else {
+		ask_record(call, "refused");
+		call->ask_wait = message->wait_ms;
+		home_ask(call);
+	}
+	edge_call_unref(call);
+}
+
+static void
+on_ask(struct edge *edge, const struct sockaddr_in *from,
+    const struct token_message *message)
+{
+	struct token_message answer = *message;
+	clk_ms wait;
+
+	answer.kind = TOKEN_ANSWER;
+	answer.is_granted = quota_grant(edge->deps.quota, &message->limit,
+	    (enum quota_priority)message->priority, edge_now(edge), &wait);
+	answer.wait_ms = (uint32_t)CLAMP(wait, 0, UINT32_MAX);
+	/* If the answer isn't sent, the question times out. */
+	(void)message_send(edge, from, &answer);
+}
+
+void
+edge_rate_receive(
+    struct edge *edge, const struct sockaddr_in *from, char *data, size_t len)
+{
+	struct token_message message;
+
+	if (!token_decode(data, len, &message)) {
+		lg_event(edge->deps.lg, LG_WARNING, "datagram_refused",
+		    "bytes=%zu", len);
+		return;
+	}
+	switch ((enum token_kind)message.kind) {
+	case TOKEN_ASK:
+		on_ask(edge, from, &message);
+		break;
+	case TOKEN_ANSWER:
+		on_answer(edge, from, &message);
+		break;
+	case TOKEN_RETURN:
+		quota_refund(edge->deps.quota, message.limit.organisation);
+		break;
+	}
+}
+
+static enum quota_priority
+request_priority(const struct edge_call *call)
+{
+	const char *program = call->request.program;
+
+	if (call->route->kind != CATALOGUE_STREAM || program == NULL ||
+	    call->request.previous_turn != NULL ||
+	    active_programs_contains(call->edge->deps.activity, program))
+		return (QUOTA_ACTIVE_PROGRAM);
+	return (QUOTA_NEW_PROGRAM);
+}
+
+void
+edge_rate_admit(struct edge_call *call)
+{
+	const struct catalogue_organisation *organisation = call->organisation;
+	struct quota *quota = call->edge->deps.quota;
+	enum quota_answer answer = QUOTA_ADMITTED;
+	clk_ms wait;
+
+	if (organisation == NULL) {
+		edge_call_admitted(call);
+		return;
+	}
+	call->priority = request_priority(call);
+	call->limit = quota_limit_make(
+	    organisation->name, organisation->rate, organisation->burst);
+	answer = quota_admit(
+	    quota, &call->limit, call->priority, edge_now(call->edge), &wait);
+	call->rate = quota_state(quota, call->limit.organisation);
+	switch (answer) {
+	case QUOTA_ADMITTED:
+		call->is_counted = true;
+		edge_call_admitted(call);
+		break;
+	case QUOTA_ASK:
+		home_ask(call);
+		break;
+	case QUOTA_REFUSED:
+		rate_refuse(call, wait);
+		break;
+	}
+}
+
+void
+edge_rate_refund(struct edge_call *call)
+{
+	if (!call->is_counted)
+		return;
+	if (call->is_from_home)
+		token_return(call->edge, &call->home_address, &call->limit);
+	else
+		quota_refund(call->edge->deps.quota, call->limit.organisation);
+}
+
+void
+edge_rate_open(struct edge *edge)
+{
+	edge->asking = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, asking_free);
+}
+
+void
+edge_rate_close(struct edge *edge)
+{
+	g_hash_table_destroy(edge->asking);
+}
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -9,8 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "budget/loan.h"
-
 #define SEND_PERIOD_MS 200
 /* Periods of renewing this instance's record and reading the others'. */
 #define RENEW_PERIOD_MS 4000
@@ -32,7 +30,7 @@
 #define CRASHES_MAX	 8
 #define NAME_MAX_BYTES	 128
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f38U
+#define PROTOCOL_VERSION 0x53474f39U
 
 /* The lists of a message. */
 enum gossip_list {
@@ -83,13 +81,13 @@
 static bool_t
 xdr_count(XDR *xdrs, struct quota_count *count)
 {
-	return (xdr_uint32_t(xdrs, &count->organisation) &&
+	return (xdr_uint32_t(xdrs, &count->limit.organisation) &&
+	    xdr_uint32_t(xdrs, &count->limit.rate) &&
+	    xdr_uint32_t(xdrs, &count->limit.burst) &&
 	    xdr_uint32_t(xdrs, &count->period) &&
 	    xdr_uint32_t(xdrs, &count->requested) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
-	    xdr_uint32_t(xdrs, &count->programs) &&
-	    xdr_uint32_t(xdrs, &count->rate) &&
-	    xdr_uint32_t(xdrs, &count->burst));
+	    xdr_uint32_t(xdrs, &count->programs));
 }
 
 static bool_t
@@ -304,11 +302,9 @@
 		clk_ms now = clk_now(&gossip->deps.clk);
 
 		from_len = sizeof(from);
-		if (loan_is_message(buf, (size_t)len)) {
-			gossip->deps.on_loan(
-			    gossip->deps.arg, &from, buf, (size_t)len);
+		if (gossip->deps.on_datagram(
+			gossip->deps.arg, &from, buf, (size_t)len))
 			continue;
-		}
 		if (!gossip_message_decode(buf, (size_t)len, &message)) {
 			lg_event(gossip->deps.lg, LG_WARNING,
 			    "datagram_refused", "bytes=%zd", len);
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -40,8 +40,11 @@
 	 * and the rank of this one among their sorted names, from 0.
 	 */
 	void (*on_fleet)(void *arg, unsigned instances, unsigned rank);
-	/* Called for each loan message received, see budget/loan.h. */
-	void (*on_loan)(
+	/*
+	 * Called for each datagram received.  Returns whether it is a message
+	 * of another module.
+	 */
+	bool (*on_datagram)(
 	    void *arg, const struct sockaddr_in *from, char *data, size_t len);
 	void *arg;
 };
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -10,7 +10,7 @@
 test_datagram(void)
 {
 	struct quota_count counts[] = {
-	    {1, 4, 15, 10, 2, 7000, 8000}, {2, 5, 25, 20, 3, 9000, 9500}};
+	    {{1, 7000, 8000}, 4, 15, 10, 2}, {{2, 9000, 9500}, 5, 25, 20, 3}};
 	uint64_t programs[] = {7, 8, 9};
 	struct place_load loads[] = {{5, 6}};
 	struct place_cached_part cached_parts[] = {{11, 12}};
@@ -30,8 +30,8 @@
 	g_assert_cmpuint(read.counts[1].requested, ==, 25);
 	g_assert_cmpuint(read.counts[1].admitted, ==, 20);
 	g_assert_cmpuint(read.counts[1].programs, ==, 3);
-	g_assert_cmpuint(read.counts[1].rate, ==, 9000);
-	g_assert_cmpuint(read.counts[1].burst, ==, 9500);
+	g_assert_cmpuint(read.counts[1].limit.rate, ==, 9000);
+	g_assert_cmpuint(read.counts[1].limit.burst, ==, 9500);
 	g_assert_cmpuint(read.programs[2], ==, 9);
 	g_assert_cmpuint(read.loads[0].running, ==, 6);
 	g_assert_cmpuint(read.cached_parts[0].upstream, ==, 12);
@@ -63,7 +63,7 @@
 		buf[0] = 0x53;
 		buf[1] = 0x47;
 		buf[2] = 0x4f;
-		buf[3] = 0x38;
+		buf[3] = 0x39;
 		if (gossip_message_decode(buf, sizeof(buf), &read))
 			gossip_message_clear(&read);
 	}
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -6,11 +6,13 @@
 #include <unistd.h>
 
 #include "budget/budget.h"
+#include "budget/loan.h"
 #include "edge/edge.h"
 #include "gossip/gossip.h"
 #include "http/hsv.h"
 #include "lib/cnt.h"
 #include "quota/quota.h"
+#include "quota/token.h"
 #include "store/sweeper.h"
 #include "turn/turn.h"
 
@@ -158,12 +160,18 @@
 	sweeper_fleet_set(instance->sweeper, instances, rank);
 }
 
-static void
-on_loan(void *arg, const struct sockaddr_in *from, char *data, size_t len)
+static bool
+on_datagram(void *arg, const struct sockaddr_in *from, char *data, size_t len)
 {
 	struct inst *instance = arg;
 
-	edge_loan_receive(instance->edge, from, data, len);
+	if (loan_is_message(data, len))
+		edge_loan_receive(instance->edge, from, data, len);
+	else if (token_is_message(data, len))
+		edge_rate_receive(instance->edge, from, data, len);
+	else
+		return (false);
+	return (true);
 }
 
 static bool
@@ -213,7 +221,8 @@
 	instance->settings = *settings;
 	instance->cnt = cnt_open();
 	instance->place = place_open(settings->datacentre);
-	instance->quota = quota_open(&settings->rate_tolerance, now);
+	instance->quota =
+	    quota_open(settings->name, &settings->rate_tolerance, now);
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
 	instance->store_answered = now;
@@ -228,7 +237,8 @@
 	    settings->max_connections};
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->store, instance->quota, instance->activity,
-	    instance->place, instance->crashes, on_fleet, on_loan, instance};
+	    instance->place, instance->crashes, on_fleet, on_datagram,
+	    instance};
 	instance->edge = edge_open(&edge_deps, &edge_settings);
 	if (instance->edge == NULL)
 		goto fail;
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -71,6 +71,7 @@
 };
 
 struct peer {
+	uint32_t hash; /* of the name */
 	uint64_t incarnation;
 	clk_ms received;
 	GHashTable *counts; /* organisation -> struct peer_count */
@@ -79,6 +80,7 @@
 struct quota {
 	GHashTable *buckets; /* hash -> struct bucket */
 	GHashTable *peers; /* name -> struct peer */
+	uint32_t hash; /* of this instance's name */
 	GQueue news; /* struct bucket with unreported requests, oldest first */
 	GQueue repeats; /* struct bucket, least recently reported first */
 	uint32_t interval; /* number of reports so far */
@@ -99,13 +101,15 @@
 }
 
 struct quota *
-quota_open(const struct quota_tolerance *tolerance, clk_ms start)
+quota_open(
+    const char *name, const struct quota_tolerance *tolerance, clk_ms start)
 {
 	struct quota *quota = g_new0(struct quota, 1);
 
 	quota->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	quota->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
+	quota->hash = quota_hash(name);
 	quota->tolerance = *tolerance;
 	quota->instances = 1;
 	quota->start = start;
@@ -128,6 +132,20 @@
 	return ((uint32_t)g_str_hash(name));
 }
 
+/* A limit that is set is never rounded to none. */
+static uint32_t
+limit_units(double value)
+{
+	return (value > 0 ? MAX((uint32_t)(value * LIMIT_UNITS), 1U) : 0);
+}
+
+struct quota_limit
+quota_limit_make(const char *name, double rate, double burst)
+{
+	return ((struct quota_limit){
+	    quota_hash(name), limit_units(rate), limit_units(burst)});
+}
+
 static struct bucket *
 bucket_ensure(struct quota *quota, uint32_t hash)
 {
@@ -145,6 +163,12 @@
 	return (bucket);
 }
 
+static bool
+peer_is_live(const struct peer *peer, clk_ms now)
+{
+	return (now - peer->received < PEER_TIMEOUT_MS);
+}
+
 unsigned
 quota_live_peers(const struct quota *quota, clk_ms now)
 {
@@ -153,13 +177,69 @@
 	unsigned live = 0;
 
 	g_hash_table_iter_init(&iter, quota->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		live += peer_is_live(value, now);
+	return (live);
+}
+
+/* Score of an instance for an organisation; the homes have the highest. */
+static uint32_t
+home_score(uint32_t organisation, uint32_t instance)
+{
+	uint32_t hash = organisation ^ (instance * 0x9e3779b1U);
+
+	hash = (hash ^ (hash >> 16)) * 0x7feb352dU;
+	hash = (hash ^ (hash >> 15)) * 0x846ca68bU;
+	return (hash ^ (hash >> 16));
+}
+
+/* Finds the names of the homes; nil for this instance, and for none. */
+static void
+homes_find(const struct quota *quota, uint32_t organisation, clk_ms now,
+    const char *names[QUOTA_HOMES], bool is_home[QUOTA_HOMES])
+{
+	uint64_t scores[QUOTA_HOMES] = {
+	    1 + (uint64_t)home_score(organisation, quota->hash)};
+	GHashTableIter iter;
+	void *key, *value;
+
+	for (int i = 0; i < QUOTA_HOMES; i++) {
+		names[i] = NULL;
+		is_home[i] = i == 0;
+	}
+	g_hash_table_iter_init(&iter, quota->peers);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct peer *peer = value;
+		uint64_t score =
+		    1 + (uint64_t)home_score(organisation, peer->hash);
+		int at = QUOTA_HOMES;
 
-		if (now - peer->received < PEER_TIMEOUT_MS)
-			live++;
+		if (!peer_is_live(peer, now))
+			continue;
+		while (at > 0 && score > scores[at - 1])
+			at--;
+		for (int i = QUOTA_HOMES - 1; i > at; i--) {
+			scores[i] = scores[i - 1];
+			names[i] = names[i - 1];
+			is_home[i] = is_home[i - 1];
+		}
+		if (at == QUOTA_HOMES)
+			continue;
+		scores[at] = score;
+		names[at] = key;
+		is_home[at] = false;
 	}
-	return (live);
+}
+
+const char *
+quota_home(
+    const struct quota *quota, uint32_t organisation, unsigned rank, clk_ms now)
+{
+	const char *names[QUOTA_HOMES];
+	bool is_home[QUOTA_HOMES];
+
+	homes_find(quota, organisation, now, names, is_home);
+	return (names[rank]);
 }
 
 static double
@@ -188,14 +268,16 @@
  * has run for long enough.
  */
 static void
-bucket_limit_set(
-    const struct quota *quota, struct bucket *bucket, double rate, double burst)
+bucket_limit_set(const struct quota *quota, struct bucket *bucket,
+    const struct quota_limit *limit)
 {
+	double burst = limit->burst / LIMIT_UNITS;
+
 	if (bucket->rate <= 0) {
 		bucket->level = START_PART * burst;
 		bucket->updated = quota->start;
 	}
-	bucket->rate = rate;
+	bucket->rate = limit->rate / LIMIT_UNITS;
 	bucket->burst = burst;
 }
 
@@ -315,11 +397,10 @@
 static void
 bucket_merge(struct quota *quota, const struct quota_count *news, clk_ms now)
 {
-	struct bucket *bucket = bucket_ensure(quota, news->organisation);
+	struct bucket *bucket = bucket_ensure(quota, news->limit.organisation);
 
 	bucket_advance(quota, bucket);
-	bucket_limit_set(quota, bucket, (double)news->rate / LIMIT_UNITS,
-	    (double)news->burst / LIMIT_UNITS);
+	bucket_limit_set(quota, bucket, &news->limit);
 	bucket_refill(quota, bucket, now);
 	bucket_take(bucket, news->admitted, news->programs);
 	/*
@@ -336,10 +417,10 @@
 {
 	struct quota_count news = *count;
 
-	news.requested -= before->requested;
 	/* Tokens that were given back lower the count. */
 	news.admitted -= MIN(before->admitted, count->admitted);
-	news.programs -= before->programs;
+	news.requested -= MIN(before->requested, count->requested);
+	news.programs -= MIN(before->programs, count->programs);
 	return (news);
 }
 
@@ -352,6 +433,7 @@
 
 	if (is_new) {
 		peer = g_new0(struct peer, 1);
+		peer->hash = quota_hash(name);
 		peer->counts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		(void)g_hash_table_insert(quota->peers, g_strdup(name), peer);
 	} else if (peer->incarnation != incarnation) {
@@ -361,7 +443,7 @@
 	peer->incarnation = incarnation;
 	peer->received = now;
 	for (size_t i = 0; i < n; i++) {
-		void *key = GUINT_TO_POINTER(counts[i].organisation);
+		void *key = GUINT_TO_POINTER(counts[i].limit.organisation);
 		struct peer_count *last =
 		    g_hash_table_lookup(peer->counts, key);
 		struct quota_count before = {0};
@@ -378,7 +460,8 @@
 		}
 		last->received = now;
 		/* Datagrams may be reordered. */
-		if (counts[i].requested <= before.requested)
+		if (counts[i].requested <= before.requested &&
+		    counts[i].admitted <= before.admitted)
 			continue;
 		news = count_since(&counts[i], &before);
 		last->count = counts[i];
@@ -389,42 +472,58 @@
 	}
 }
 
-/* Part of the bucket for this instance until its next report. */
+/* This instance's part of the recent requests. */
 static double
-report_part(const struct quota *quota, const struct bucket *bucket)
+request_part(const struct bucket *bucket)
 {
 	double total = bucket->own_average + bucket->peers_average;
 
-	double part = total > 0 ? bucket->own_average / total : 0;
-
-	return (fmax(part, 1.0 / quota->instances));
+	return (total > 0 ? bucket->own_average / total : 0);
 }
 
 /*
  * Requests that this instance may admit before it reports them, given level
- * tokens.
+ * tokens.  Over all instances it is at most level and a part of the tolerance:
+ * each instance has its part of level and an equal number of requests of the
+ * tolerance, and the homes have what remains of both.
  */
 static double
-report_allowance(
-    const struct quota *quota, const struct bucket *bucket, double level)
+report_allowance(const struct quota *quota, const struct bucket *bucket,
+    double level, clk_ms now)
 {
-	double over = bucket_tolerance(quota, bucket);
-
-	/* The tolerance covers what the instances admit at the same time. */
-	return (fmax(report_part(quota, bucket) * (level + bucket->unreported),
-	    fmax(1.0, TOLERANCE_PART * over / quota->instances)));
+	double over = TOLERANCE_PART * bucket_tolerance(quota, bucket);
+	double each = floor(over / quota->instances);
+	double allowance;
+	/* Without requests there are no parts of them. */
+	double divided = fmin(1.0, bucket->own_average + bucket->peers_average);
+	const char *names[QUOTA_HOMES];
+	bool is_home[QUOTA_HOMES];
+
+	level += bucket->unreported;
+	allowance = divided * request_part(bucket) * level + each;
+	if (bucket->unreported + 1.0 <= allowance)
+		return (allowance);
+	homes_find(quota, bucket->hash, now, names, is_home);
+	for (int i = 0; i < QUOTA_HOMES; i++) {
+		if (is_home[i])
+			allowance +=
+			    (over - each * quota->instances) / QUOTA_HOMES;
+	}
+	if (is_home[0])
+		allowance += (1.0 - divided) * level;
+	return (allowance);
 }
 
 struct quota_state
-quota_state(const struct quota *quota, const char *name)
+quota_state(const struct quota *quota, uint32_t organisation)
 {
-	const struct bucket *bucket = g_hash_table_lookup(
-	    quota->buckets, GUINT_TO_POINTER(quota_hash(name)));
+	const struct bucket *bucket =
+	    g_hash_table_lookup(quota->buckets, GUINT_TO_POINTER(organisation));
 
 	if (bucket == NULL)
 		return ((struct quota_state){0});
 	return ((struct quota_state){bucket->level, bucket->expected,
-	    report_part(quota, bucket), quota->share, bucket->unreported});
+	    request_part(bucket), quota->share, bucket->unreported});
 }
 
 static void
@@ -437,9 +536,9 @@
 		g_queue_push_tail_link(queue, &bucket->link);
 }
 
-/* Counts a request from this instance, to be reported. */
+/* Has the bucket in the next report. */
 static void
-bucket_request_count(struct quota *quota, struct bucket *bucket)
+bucket_report_soon(struct quota *quota, struct bucket *bucket)
 {
 	if (bucket->queue == NULL) {
 		bucket->period = quota->interval;
@@ -447,51 +546,80 @@
 		bucket->admitted = 0;
 		bucket->begun = 0;
 	}
-	bucket->requested++;
-	bucket->own_requested++;
 	if (bucket->queue != &quota->news)
 		bucket_queue(bucket, &quota->news);
 }
 
-bool
-quota_admit(struct quota *quota, const char *name, double rate, double burst,
+static enum quota_answer
+bucket_admit(struct quota *quota, struct bucket *bucket,
     enum quota_priority priority, clk_ms now, clk_ms *wait)
 {
-	struct bucket *bucket;
-	double share, level;
+	double share = quota_share(quota, now);
+	double level = bucket->level;
 
 	*wait = 0;
-	if (rate <= 0)
-		return (true);
-	bucket = bucket_ensure(quota, quota_hash(name));
-	bucket_advance(quota, bucket);
-	bucket_limit_set(quota, bucket, rate, burst);
-	share = quota_share(quota, now);
-	bucket_refill(quota, bucket, now);
-	bucket_request_count(quota, bucket);
-	level = bucket->level;
 	if (priority == QUOTA_NEW_PROGRAM)
-		level = fmin(level - RESERVED_PART * burst * share,
-		    level + EXPECTED_WITHIN_S * rate * share -
+		level = fmin(level - RESERVED_PART * bucket->burst * share,
+		    level + EXPECTED_WITHIN_S * bucket->rate * share -
 			bucket->expected - program_requests(bucket));
-	if (level < 1.0 ||
-	    bucket->unreported >= report_allowance(quota, bucket, level)) {
-		*wait = (clk_ms)ceil(
-		    fmax(1.0 - level, 0) / (rate * share) * (double)CLK_SECOND);
-		return (false);
+	if (level < 1.0) {
+		*wait = (clk_ms)ceil((1.0 - level) / (bucket->rate * share) *
+		    (double)CLK_SECOND);
+		return (QUOTA_REFUSED);
 	}
+	if (bucket->unreported + 1.0 >
+	    report_allowance(quota, bucket, level, now))
+		return (QUOTA_ASK);
 	bucket_take(bucket, 1.0, priority == QUOTA_NEW_PROGRAM ? 1.0 : 0.0);
+	bucket_report_soon(quota, bucket);
 	bucket->admitted++;
 	bucket->begun += priority == QUOTA_NEW_PROGRAM;
 	bucket->unreported++;
-	return (true);
+	return (QUOTA_ADMITTED);
+}
+
+static struct bucket *
+bucket_prepare(struct quota *quota, const struct quota_limit *limit, clk_ms now)
+{
+	struct bucket *bucket = bucket_ensure(quota, limit->organisation);
+
+	bucket_advance(quota, bucket);
+	bucket_limit_set(quota, bucket, limit);
+	bucket_refill(quota, bucket, now);
+	return (bucket);
+}
+
+enum quota_answer
+quota_admit(struct quota *quota, const struct quota_limit *limit,
+    enum quota_priority priority, clk_ms now, clk_ms *wait)
+{
+	struct bucket *bucket;
+
+	*wait = 0;
+	if (limit->rate == 0)
+		return (QUOTA_ADMITTED);
+	bucket = bucket_prepare(quota, limit, now);
+	bucket_report_soon(quota, bucket);
+	bucket->requested++;
+	bucket->own_requested++;
+	return (bucket_admit(quota, bucket, priority, now, wait));
+}
+
+bool
+quota_grant(struct quota *quota, const struct quota_limit *limit,
+    enum quota_priority priority, clk_ms now, clk_ms *wait)
+{
+	*wait = 0;
+	return (limit->rate > 0 &&
+	    bucket_admit(quota, bucket_prepare(quota, limit, now), priority,
+		now, wait) == QUOTA_ADMITTED);
 }
 
 void
-quota_refund(struct quota *quota, const char *name)
+quota_refund(struct quota *quota, uint32_t organisation)
 {
-	struct bucket *bucket = g_hash_table_lookup(
-	    quota->buckets, GUINT_TO_POINTER(quota_hash(name)));
+	struct bucket *bucket =
+	    g_hash_table_lookup(quota->buckets, GUINT_TO_POINTER(organisation));
 
 	if (bucket == NULL || bucket->queue == NULL || bucket->admitted == 0)
 		return;
@@ -505,10 +633,11 @@
 static struct quota_count
 bucket_report(const struct bucket *bucket)
 {
-	return ((struct quota_count){bucket->hash, bucket->period,
-	    bucket->requested, bucket->admitted, bucket->begun,
-	    (uint32_t)(bucket->rate * LIMIT_UNITS),
-	    (uint32_t)(bucket->burst * LIMIT_UNITS)});
+	const struct quota_limit limit = {bucket->hash,
+	    limit_units(bucket->rate), limit_units(bucket->burst)};
+
+	return ((struct quota_count){limit, bucket->period, bucket->requested,
+	    bucket->admitted, bucket->begun});
 }
 
 size_t
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -11,6 +11,10 @@
  * has admitted.  The limit therefore holds for any number of organisations:
  * one that a report has no room for waits for the next one.
  *
+ * What the tolerance allows beyond the bucket is divided among the instances.
+ * In a large fleet that is less than one request each; two instances, the
+ * organisation's homes, then hold it, and the others ask them for tokens.
+ *
  * A refused turn wastes all turns before it.  A new program is therefore
  * refused if the expected requests of the active programs already need the
  * tokens that the rate will give.
@@ -26,18 +30,23 @@
 
 struct quota;
 
+/* An organisation's limit. */
+struct quota_limit {
+	uint32_t organisation; /* quota_hash() of the name */
+	uint32_t rate; /* thousandths of a request a second; 0: no limit */
+	uint32_t burst; /* thousandths of a request */
+};
+
 /*
  * The requests of an organisation at one instance in a period, which ends
  * after a window without any.  Later periods have higher numbers.
  */
 struct quota_count {
-	uint32_t organisation; /* quota_hash() of the name */
+	struct quota_limit limit;
 	uint32_t period;
 	uint32_t requested;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
-	uint32_t rate; /* the limit, in thousandths of a request a second */
-	uint32_t burst; /* in thousandths of a request */
 };
 
 /*
@@ -51,15 +60,21 @@
 };
 
 /*
- * quota_open(tolerance, start)
- *	Buckets start with a part of the burst: the processes before this one
- *	may have used the rest just before they stopped.
+ * quota_open(name, tolerance, start)
+ *	name is this instance's.  Buckets start with a part of the burst: the
+ *	processes before this one may have used the rest just before they
+ *	stopped.
  */
-struct quota *quota_open(const struct quota_tolerance *tolerance, clk_ms start);
+struct quota *quota_open(
+    const char *name, const struct quota_tolerance *tolerance, clk_ms start);
 void quota_close(struct quota *quota);
 
 uint32_t quota_hash(const char *name);
 
+/* quota_limit_make(name, rate, burst): requests a second, and requests. */
+struct quota_limit
+quota_limit_make(const char *name, double rate, double burst);
+
 /*
  * quota_instances_set(quota, instances, now)
  *	Set the number of instances that may admit requests, this one
@@ -81,20 +96,42 @@
 	QUOTA_NEW_PROGRAM /* the first turn of a program */
 };
 
+enum quota_answer {
+	QUOTA_REFUSED,
+	QUOTA_ADMITTED,
+	QUOTA_ASK /* the bucket has tokens, but not for this instance */
+};
+
+/* Number of an organisation's homes. */
+#define QUOTA_HOMES 2
+
 /*
- * quota_admit(quota, name, rate, burst, priority, now, wait)
- *	Take a token from an organisation's bucket.  rate 0: no limit.
- * RETURN VALUES
- *	false if there is none; *wait is then the time until there is one.
+ * quota_admit(quota, limit, priority, now, wait)
+ *	Take a token from an organisation's bucket for a request that came to
+ *	this instance.  If it is refused, *wait is the time until there is a
+ *	token.
+ * quota_home(quota, organisation, rank, now)
+ *	Return the name of a home to ask, of rank 0 to QUOTA_HOMES - 1, or nil
+ *	if there is none or it is this instance.  The homes are the same at
+ *	all instances that hear of each other.
+ * quota_grant(quota, limit, priority, now, wait)
+ *	Take a token for a request that came to another instance, which asks
+ *	this one as a home.  Returns whether there is one.
  */
-bool quota_admit(struct quota *quota, const char *name, double rate,
-    double burst, enum quota_priority priority, clk_ms now, clk_ms *wait);
+enum quota_answer
+quota_admit(struct quota *quota, const struct quota_limit *limit,
+    enum quota_priority priority, clk_ms now, clk_ms *wait);
+const char *quota_home(const struct quota *quota, uint32_t organisation,
+    unsigned rank, clk_ms now);
+bool quota_grant(struct quota *quota, const struct quota_limit *limit,
+    enum quota_priority priority, clk_ms now, clk_ms *wait);
 
 /*
- * quota_refund(quota, name)
- *	Give back the token of a request that was admitted and did not run.
+ * quota_refund(quota, organisation)
+ *	Give back the token of a request that did not run, at the instance
+ *	that admitted it or granted the token.
  */
-void quota_refund(struct quota *quota, const char *name);
+void quota_refund(struct quota *quota, uint32_t organisation);
 
 /*
  * quota_report(quota, counts, max, now)
@@ -115,12 +152,13 @@
 struct quota_state {
 	double level; /* tokens of the whole fleet */
 	double expected; /* further requests of active programs */
-	double part; /* of the bucket, for this instance until it reports */
+	double part; /* of the recent requests, at this instance */
 	double share; /* of the rate, for this instance and its live peers */
 	unsigned unreported; /* admitted here, in no message yet */
 };
 
-struct quota_state quota_state(const struct quota *quota, const char *name);
+struct quota_state
+quota_state(const struct quota *quota, uint32_t organisation);
 
 /* quota_live_peers(quota, now): number of peers that have not timed out. */
 unsigned quota_live_peers(const struct quota *quota, clk_ms now);
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -4,10 +4,12 @@
  */
 #include <glib.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "quota/active_programs.h"
 #include "quota/quota.h"
+#include "quota/token.h"
 
 #define FLEET	  9
 #define FLEET_MAX 67
@@ -54,7 +56,9 @@
 	}
 	f->cut = size;
 	for (int i = 0; i < size; i++) {
-		f->instances[i] = quota_open(&tolerance, 0);
+		g_autofree char *name = g_strdup_printf("i%d", i);
+
+		f->instances[i] = quota_open(name, &tolerance, 0);
 		quota_instances_set(f->instances[i], (unsigned)size, 0);
 	}
 }
@@ -100,12 +104,47 @@
 static void
 restart(struct fleet *f, int i, clk_ms now)
 {
+	g_autofree char *name = g_strdup_printf("i%d", i);
+
 	quota_close(f->instances[i]);
-	f->instances[i] = quota_open(&tolerance, now);
+	f->instances[i] = quota_open(name, &tolerance, now);
 	quota_instances_set(f->instances[i], (unsigned)f->size, now);
 	f->incarnation[i]++;
 }
 
+/* Whether a question and its answer cross a partition, or one is lost. */
+static bool
+is_unanswered(struct fleet *f, int i, int j)
+{
+	return ((i >= f->cut) != (j >= f->cut) ||
+	    g_rand_double(f->rand) < f->lost ||
+	    g_rand_double(f->rand) < f->lost);
+}
+
+/* A request at instance i, which asks the homes if it must. */
+static bool
+admit(struct fleet *f, int i, const char *organisation,
+    enum quota_priority priority, clk_ms now)
+{
+	const struct quota_limit limit =
+	    quota_limit_make(organisation, f->rate, f->burst);
+	clk_ms wait;
+	enum quota_answer answer =
+	    quota_admit(f->instances[i], &limit, priority, now, &wait);
+
+	for (unsigned rank = 0; answer == QUOTA_ASK && rank < QUOTA_HOMES;
+	     rank++) {
+		const char *home =
+		    quota_home(f->instances[i], limit.organisation, rank, now);
+		int j = home != NULL ? atoi(home + 1) : i;
+
+		if (home != NULL && !is_unanswered(f, i, j) &&
+		    quota_grant(f->instances[j], &limit, priority, now, &wait))
+			answer = QUOTA_ADMITTED;
+	}
+	return (answer == QUOTA_ADMITTED);
+}
+
 /*
  * Sends per_s requests a second, more of them to the first instances and each
  * of a random organisation.  One in ten is the first of a program.
@@ -128,14 +167,12 @@
 			    : f->names->len;
 			guint o =
 			    (guint)g_rand_int_range(f->rand, 0, (gint32)some);
-			clk_ms wait;
 
-			if (quota_admit(f->instances[i], f->names->pdata[o],
-				f->rate, f->burst,
+			if (admit(f, i, f->names->pdata[o],
 				g_rand_int_range(f->rand, 0, 10) == 0
 				    ? QUOTA_NEW_PROGRAM
 				    : QUOTA_ACTIVE_PROGRAM,
-				now, &wait))
+				now))
 				g_array_append_val(f->admitted[o], now);
 			else
 				f->refused++;
@@ -314,6 +351,27 @@
 	}
 }
 
+/*
+ * The same, if the organisation's requests grow over seconds, so that the
+ * instances know of the others' before they reach the limit.
+ */
+static void
+test_many_instances_growing(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet f;
+
+		fleet_open_size(&f, seed, FLEET_MAX, 1, 10, 10);
+		send_requests(&f, 0, 3000, 8);
+		for (int step = 1; step <= 10; step++)
+			send_requests(&f, 2800 + 200 * step, 3000 + 200 * step,
+			    60 * step);
+		send_requests(&f, 5000, 12000, 600);
+		g_assert_cmpuint(worst_window(&f), <=, window_limit(&f));
+		fleet_close(&f);
+	}
+}
+
 /*
  * Guards against parts of the bucket that add up to more than the whole: above
  * its rate, an organisation has more requests than admissions.
@@ -402,7 +460,8 @@
 static void
 test_active_programs_first(void)
 {
-	struct quota *quota = quota_open(&tolerance, 0);
+	struct quota *quota = quota_open("i0", &tolerance, 0);
+	const struct quota_limit limit = quota_limit_make("o", 250, 250);
 	struct quota_count counts[4];
 	unsigned refused[2] = {0, 0};
 	unsigned asked[2] = {0, 0};
@@ -415,8 +474,8 @@
 			    i == 0 ? QUOTA_NEW_PROGRAM : QUOTA_ACTIVE_PROGRAM;
 
 			asked[i]++;
-			refused[i] += !quota_admit(
-			    quota, "o", 250, 250, priority, now, &wait);
+			refused[i] += quota_admit(quota, &limit, priority, now,
+					  &wait) != QUOTA_ADMITTED;
 		}
 		if (now % TICK_MS == 1)
 			(void)quota_report(quota, counts, 4, now);
@@ -430,19 +489,24 @@
 static void
 test_wait(void)
 {
-	struct quota *quota = quota_open(&tolerance, 0);
+	struct quota *quota = quota_open("i0", &tolerance, 0);
+	const struct quota_limit limit = quota_limit_make("o", 10, 10);
+	const struct quota_limit none = quota_limit_make("free", 0, 0);
 	struct quota_count counts[4];
 	clk_ms wait;
 
-	while (
-	    quota_admit(quota, "o", 10, 10, QUOTA_ACTIVE_PROGRAM, 1000, &wait))
+	quota_instances_set(quota, 1, 0);
+	while (quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM, 1000, &wait) ==
+	    QUOTA_ADMITTED)
 		continue;
 	g_assert_cmpint(wait, >, 0);
 	(void)quota_report(quota, counts, 4, 1000);
-	g_assert_true(quota_admit(
-	    quota, "o", 10, 10, QUOTA_ACTIVE_PROGRAM, 1000 + wait, &wait));
-	g_assert_true(
-	    quota_admit(quota, "free", 0, 0, QUOTA_ACTIVE_PROGRAM, 1, &wait));
+	g_assert_cmpint(quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM,
+			    1000 + wait, &wait),
+	    ==, QUOTA_ADMITTED);
+	g_assert_cmpint(
+	    quota_admit(quota, &none, QUOTA_ACTIVE_PROGRAM, 1, &wait), ==,
+	    QUOTA_ADMITTED);
 	quota_close(quota);
 }
 
@@ -453,17 +517,55 @@
 static void
 test_refund(void)
 {
-	struct quota *quota = quota_open(&tolerance, 0);
+	struct quota *quota = quota_open("i0", &tolerance, 0);
+	const struct quota_limit limit = quota_limit_make("o", 10, 10);
 	clk_ms wait;
 
+	quota_instances_set(quota, 1, 0);
 	for (int i = 0; i < 1000; i++) {
-		g_assert_true(quota_admit(
-		    quota, "o", 10, 10, QUOTA_ACTIVE_PROGRAM, 1000, &wait));
-		quota_refund(quota, "o");
+		g_assert_cmpint(quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM,
+				    1000, &wait),
+		    ==, QUOTA_ADMITTED);
+		quota_refund(quota, limit.organisation);
 	}
 	quota_close(quota);
 }
 
+/*
+ * All instances name the same homes of an organisation, and the homes are
+ * spread over the instances.
+ */
+static void
+test_homes(void)
+{
+	struct fleet f;
+	int homes[FLEET] = {0};
+
+	fleet_open(&f, 1);
+	gossip(&f, 1);
+	for (uint32_t organisation = 1; organisation <= 900; organisation++) {
+		const char *home = NULL;
+
+		for (int i = 0; i < FLEET; i++) {
+			const char *name =
+			    quota_home(f.instances[i], organisation, 0, 1);
+
+			/* One instance, which is the home, names none. */
+			if (name != NULL && home != NULL)
+				g_assert_cmpstr(name, ==, home);
+			if (name != NULL)
+				home = name;
+		}
+		g_assert_nonnull(home);
+		homes[atoi(home + 1)]++;
+		g_assert_null(quota_home(
+		    f.instances[atoi(home + 1)], organisation, 0, 1));
+	}
+	for (int i = 0; i < FLEET; i++)
+		g_assert_cmpint(homes[i], >=, 50);
+	fleet_close(&f);
+}
+
 /* A program is active at the instances that got its gossip, and expires. */
 static void
 test_active_programs(void)
@@ -491,6 +593,36 @@
 	active_programs_close(b);
 }
 
+/* Token messages, and malformed ones. */
+static void
+test_token_message(void)
+{
+	const struct token_message message = {TOKEN_ANSWER, 9,
+	    quota_limit_make("o", 7, 8), QUOTA_NEW_PROGRAM, true, 250};
+	struct token_message read;
+	char buf[TOKEN_MESSAGE_MAX];
+	size_t len = token_encode(buf, sizeof(buf), &message);
+
+	g_assert_cmpuint(len, >, 0);
+	g_assert_true(token_is_message(buf, len));
+	g_assert_true(token_decode(buf, len, &read));
+	g_assert_cmpuint(read.kind, ==, TOKEN_ANSWER);
+	g_assert_cmpuint(read.serial, ==, 9);
+	g_assert_cmpuint(read.limit.organisation, ==, quota_hash("o"));
+	g_assert_cmpuint(read.limit.rate, ==, 7000);
+	g_assert_cmpuint(read.limit.burst, ==, 8000);
+	g_assert_cmpuint(read.priority, ==, QUOTA_NEW_PROGRAM);
+	g_assert_true(read.is_granted);
+	g_assert_cmpuint(read.wait_ms, ==, 250);
+	for (size_t cut = 0; cut < len; cut++) {
+		g_assert_false(token_decode(buf, cut, &read));
+		g_assert_cmpuint(token_encode(buf, cut, &message), ==, 0);
+	}
+	/* An unknown kind. */
+	buf[7] = 9;
+	g_assert_false(token_decode(buf, len, &read));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -504,6 +636,8 @@
 	g_test_add_func(
 	    "/qta/organisations-of-target", test_organisations_of_target);
 	g_test_add_func("/qta/many-instances", test_many_instances);
+	g_test_add_func(
+	    "/qta/many-instances-growing", test_many_instances_growing);
 	g_test_add_func("/qta/pause-above-rate", test_pause_above_rate);
 	g_test_add_func("/qta/partition-of-many-instances",
 	    test_partition_of_many_instances);
@@ -513,6 +647,8 @@
 	g_test_add_func("/qta/under-way-first", test_active_programs_first);
 	g_test_add_func("/qta/wait", test_wait);
 	g_test_add_func("/qta/refund", test_refund);
+	g_test_add_func("/qta/homes", test_homes);
+	g_test_add_func("/qta/token-message", test_token_message);
 	g_test_add_func("/qta/active-programs", test_active_programs);
 	return (g_test_run());
 }
