A gossip message with all lists full fits its datagram

What callers saw: nothing; found by asking what becomes of a message at its maximum. Change: 6,144 bytes; the maxima stand in the header, where the test takes them from. An instance whose name is too long for a message does not start.

--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -18,17 +18,6 @@
 /* The live instance with rank 0 removes its record after this time. */
 #define RECORD_DROP_MS	 60000
 #define STORE_TIMEOUT_MS 500
-/*
- * Size of a datagram, and number of entries of each kind: several times what
- * an instance of a known deployment sends.
- */
-#define DATAGRAM_MAX	 4096
-#define COUNTS_MAX	 70
-#define PROGRAMS_MAX	 60
-#define LOADS_MAX	 60
-#define CACHED_PARTS_MAX 100
-#define CRASHES_MAX	 8
-#define NAME_MAX_BYTES	 128
 /* "SGO" and the version of the format. */
 #define PROTOCOL_VERSION 0x53474f39U
 
@@ -118,20 +107,23 @@
 xdr_message(XDR *xdrs, uint32_t *version, struct gossip_message *message)
 {
 	return (xdr_uint32_t(xdrs, version) &&
-	    xdr_string(xdrs, &message->name, NAME_MAX_BYTES) &&
+	    xdr_string(xdrs, &message->name, GOSSIP_NAME_MAX) &&
 	    xdr_uint64_t(xdrs, &message->incarnation) &&
 	    xdr_array(xdrs, (char **)&message->counts, &message->count_len,
-		COUNTS_MAX, sizeof(*message->counts), (xdrproc_t)xdr_count) &&
+		GOSSIP_COUNTS_MAX, sizeof(*message->counts),
+		(xdrproc_t)xdr_count) &&
 	    xdr_array(xdrs, (char **)&message->programs, &message->program_len,
-		PROGRAMS_MAX, sizeof(*message->programs),
+		GOSSIP_PROGRAMS_MAX, sizeof(*message->programs),
 		(xdrproc_t)xdr_uint64_t) &&
 	    xdr_array(xdrs, (char **)&message->loads, &message->load_len,
-		LOADS_MAX, sizeof(*message->loads), (xdrproc_t)xdr_load) &&
+		GOSSIP_LOADS_MAX, sizeof(*message->loads),
+		(xdrproc_t)xdr_load) &&
 	    xdr_array(xdrs, (char **)&message->cached_parts,
-		&message->cached_part_len, CACHED_PARTS_MAX,
+		&message->cached_part_len, GOSSIP_CACHED_PARTS_MAX,
 		sizeof(*message->cached_parts), (xdrproc_t)xdr_cached_part) &&
 	    xdr_array(xdrs, (char **)&message->crashes, &message->crash_len,
-		CRASHES_MAX, sizeof(*message->crashes), (xdrproc_t)xdr_crash));
+		GOSSIP_CRASHES_MAX, sizeof(*message->crashes),
+		(xdrproc_t)xdr_crash));
 }
 
 size_t
@@ -200,11 +192,11 @@
 send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
 	struct gossip *gossip = watcher->data;
-	struct quota_count counts[COUNTS_MAX];
-	uint64_t programs[PROGRAMS_MAX];
-	struct place_load loads[LOADS_MAX];
-	struct place_cached_part cached_parts[CACHED_PARTS_MAX];
-	struct sched_crash crashes[CRASHES_MAX];
+	struct quota_count counts[GOSSIP_COUNTS_MAX];
+	uint64_t programs[GOSSIP_PROGRAMS_MAX];
+	struct place_load loads[GOSSIP_LOADS_MAX];
+	struct place_cached_part cached_parts[GOSSIP_CACHED_PARTS_MAX];
+	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
 	clk_ms now = clk_now(&gossip->deps.clk);
 	struct gossip_message message = {.name = gossip->name,
 	    .incarnation = gossip->incarnation,
@@ -213,7 +205,7 @@
 	    .loads = loads,
 	    .cached_parts = cached_parts,
 	    .crashes = crashes};
-	char buf[DATAGRAM_MAX];
+	char buf[GOSSIP_DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
 	size_t len;
@@ -221,23 +213,23 @@
 	(void)loop;
 	(void)events;
 	message.count_len = list_len(gossip, GOSSIP_COUNTS,
-	    quota_report(gossip->deps.quota, counts, COUNTS_MAX, now),
-	    COUNTS_MAX);
+	    quota_report(gossip->deps.quota, counts, GOSSIP_COUNTS_MAX, now),
+	    GOSSIP_COUNTS_MAX);
 	message.program_len = list_len(gossip, GOSSIP_PROGRAMS,
 	    active_programs_collect(
-		gossip->deps.activity, programs, PROGRAMS_MAX),
-	    PROGRAMS_MAX);
+		gossip->deps.activity, programs, GOSSIP_PROGRAMS_MAX),
+	    GOSSIP_PROGRAMS_MAX);
 	message.load_len = list_len(gossip, GOSSIP_LOADS,
-	    place_loads_collect(gossip->deps.place, loads, LOADS_MAX),
-	    LOADS_MAX);
+	    place_loads_collect(gossip->deps.place, loads, GOSSIP_LOADS_MAX),
+	    GOSSIP_LOADS_MAX);
 	message.cached_part_len = list_len(gossip, GOSSIP_CACHED_PARTS,
 	    place_cached_parts_collect(
-		gossip->deps.place, cached_parts, CACHED_PARTS_MAX),
-	    CACHED_PARTS_MAX);
+		gossip->deps.place, cached_parts, GOSSIP_CACHED_PARTS_MAX),
+	    GOSSIP_CACHED_PARTS_MAX);
 	message.crash_len = list_len(gossip, GOSSIP_CRASHES,
 	    crash_table_list(gossip->deps.crashes, now - 2 * SEND_PERIOD_MS,
-		crashes, CRASHES_MAX),
-	    CRASHES_MAX);
+		crashes, GOSSIP_CRASHES_MAX),
+	    GOSSIP_CRASHES_MAX);
 	len = gossip_message_encode(buf, sizeof(buf), &message);
 	if (len == 0)
 		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
@@ -289,7 +281,7 @@
 readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
 	struct gossip *gossip = watcher->data;
-	char buf[DATAGRAM_MAX];
+	char buf[GOSSIP_DATAGRAM_MAX];
 	struct sockaddr_in from;
 	socklen_t from_len = sizeof(from);
 	ssize_t len;
@@ -545,8 +537,13 @@
 {
 	struct gossip *gossip;
 	int saved;
-	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd;
 
+	if (strlen(name) > GOSSIP_NAME_MAX) {
+		errno = ENAMETOOLONG;
+		return (NULL);
+	}
+	fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return (NULL);
 	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -73,6 +73,16 @@
 /* gossip_leave(gossip): remove this instance's record before it stops. */
 void gossip_leave(struct gossip *gossip);
 
+/* Longest datagram and longest name of an instance, in bytes. */
+#define GOSSIP_DATAGRAM_MAX 6144
+#define GOSSIP_NAME_MAX	    128
+/* Number of entries of each list of a message. */
+#define GOSSIP_COUNTS_MAX	70
+#define GOSSIP_PROGRAMS_MAX	60
+#define GOSSIP_LOADS_MAX	60
+#define GOSSIP_CACHED_PARTS_MAX 100
+#define GOSSIP_CRASHES_MAX	8
+
 /* The state that an instance sends.  Clear it after decoding. */
 struct gossip_message {
 	char *name;
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -47,6 +47,38 @@
 		    gossip_message_encode(buf, size, &message), ==, 0);
 }
 
+/*
+ * Guards against an instance that falls silent under load: a message whose
+ * lists are all full fits a datagram.
+ */
+static void
+test_full_message(void)
+{
+	struct quota_count counts[GOSSIP_COUNTS_MAX] = {0};
+	uint64_t programs[GOSSIP_PROGRAMS_MAX] = {0};
+	struct place_load loads[GOSSIP_LOADS_MAX] = {0};
+	struct place_cached_part parts[GOSSIP_CACHED_PARTS_MAX] = {0};
+	struct sched_crash crashes[GOSSIP_CRASHES_MAX] = {0};
+	char name[GOSSIP_NAME_MAX + 1] = {0};
+	const struct gossip_message message = {name, 17, counts,
+	    GOSSIP_COUNTS_MAX, programs, GOSSIP_PROGRAMS_MAX, loads,
+	    GOSSIP_LOADS_MAX, parts, GOSSIP_CACHED_PARTS_MAX, crashes,
+	    GOSSIP_CRASHES_MAX};
+	struct gossip_message read;
+	char buf[GOSSIP_DATAGRAM_MAX];
+	size_t len;
+
+	memset(name, 'n', GOSSIP_NAME_MAX);
+	for (int i = 0; i < GOSSIP_CRASHES_MAX; i++)
+		memset(
+		    crashes[i].upstream, 'u', sizeof(crashes[i].upstream) - 1);
+	len = gossip_message_encode(buf, sizeof(buf), &message);
+	g_assert_cmpuint(len, >, 0);
+	g_assert_true(gossip_message_decode(buf, len, &read));
+	g_assert_cmpuint(read.crash_len, ==, GOSSIP_CRASHES_MAX);
+	gossip_message_clear(&read);
+}
+
 /* Random bytes, including huge lengths, must not crash the decoder. */
 static void
 test_noise(void)
@@ -74,6 +106,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gossip/datagram", test_datagram);
+	g_test_add_func("/gossip/full-message", test_full_message);
 	g_test_add_func("/gossip/noise", test_noise);
 	return (g_test_run());
 }
