What does not fit a gossip message waits for the next one

Cause: of the programs that began and the prompt parts that became cached, each message took the first ones, and the rest was put aside as sent; of crashes, the oldest eight of the last 400 ms were sent and the others aged out; of loads, the first 60 upstreams in the order of the table. A program that no other instance hears of is turned away as a new one and pays for a ledger, and a request that crashes upstreams goes on at the others. Change: src/lib/outbox holds entries that are sent twice each, in any number of messages, and counts what it has to drop; it replaces the twins in active_programs and place and serves the crashes. Upstreams take turns in the loads. Why it works: an entry leaves the outbox by being sent twice, or is counted.

--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -227,8 +227,8 @@
 		gossip->deps.place, cached_parts, GOSSIP_CACHED_PARTS_MAX),
 	    GOSSIP_CACHED_PARTS_MAX);
 	message.crash_len = list_len(gossip, GOSSIP_CRASHES,
-	    crash_table_list(gossip->deps.crashes, now - 2 * SEND_PERIOD_MS,
-		crashes, GOSSIP_CRASHES_MAX),
+	    crash_table_collect(
+		gossip->deps.crashes, crashes, GOSSIP_CRASHES_MAX),
 	    GOSSIP_CRASHES_MAX);
 	len = gossip_message_encode(buf, sizeof(buf), &message);
 	if (len == 0)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "lib/outbox.h"
+
 /*
  * Time to generate a token at an idle engine, until there is a sample.
  * Engines in use need 0.77 to 1.29 ms.
@@ -45,6 +47,8 @@
 #define PART_RESEND_MS (10 * CLK_SECOND)
 /* Loads of a peer that sent no gossip message for this time are dropped. */
 #define PEER_TIMEOUT_MS 1000
+/* Cached parts that wait to be sent, some seconds of the busiest instance. */
+#define UNSENT_PARTS_MAX 8192
 /* Maximum number of cached parts that are recorded for one upstream. */
 #define PARTS_MAX 8192
 
@@ -77,8 +81,8 @@
 struct place {
 	char *datacentre;
 	GHashTable *peers; /* name -> struct peer */
-	GArray *unsent_parts; /* struct place_cached_part */
-	GArray *resend_parts; /* struct place_cached_part, sent once */
+	struct outbox *parts; /* struct place_cached_part */
+	guint first_load; /* upstream at which the next message begins */
 	GPtrArray *upstreams; /* struct upstream */
 	GHashTable *by_id; /* id -> struct upstream, unless removed */
 	GHashTable *by_hash; /* hash of the id -> struct upstream, as by_id */
@@ -103,10 +107,8 @@
 
 	place->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
-	place->unsent_parts =
-	    g_array_new(FALSE, FALSE, sizeof(struct place_cached_part));
-	place->resend_parts =
-	    g_array_new(FALSE, FALSE, sizeof(struct place_cached_part));
+	place->parts =
+	    outbox_open(sizeof(struct place_cached_part), UNSENT_PARTS_MAX);
 
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
@@ -141,8 +143,7 @@
 	g_hash_table_destroy(place->by_id);
 	g_hash_table_destroy(place->by_hash);
 	g_hash_table_destroy(place->peers);
-	g_array_free(place->unsent_parts, TRUE);
-	g_array_free(place->resend_parts, TRUE);
+	outbox_close(place->parts);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -496,21 +497,27 @@
 		    request->parts[i].id, upstream->hash};
 
 		if (part_record(upstream, cached.part, now))
-			g_array_append_val(place->unsent_parts, cached);
+			outbox_add(place->parts, &cached);
 	}
 }
 
 size_t
 place_loads_collect(struct place *place, struct place_load *loads, size_t max)
 {
+	guint len = place->upstreams->len;
+	guint first = len > 0 ? place->first_load % len : 0;
 	size_t n = 0;
 
-	for (guint i = 0; i < place->upstreams->len; i++) {
+	for (guint k = 0; k < len; k++) {
+		guint i = (first + k) % len;
 		struct upstream *upstream = place->upstreams->pdata[i];
 
 		upstream->unsent = 0;
 		if (!upstream->in_use || upstream->running == 0)
 			continue;
+		/* What is left out comes first in the next message. */
+		if (n == max)
+			place->first_load = i;
 		if (n++ < max)
 			loads[n - 1] = (struct place_load){
 			    upstream->hash, upstream->running};
@@ -522,20 +529,7 @@
 place_cached_parts_collect(
     struct place *place, struct place_cached_part *cached, size_t max)
 {
-	GArray *resent = place->resend_parts;
-	size_t total = place->unsent_parts->len + resent->len;
-	size_t n = 0;
-
-	for (guint i = 0; i < place->unsent_parts->len && n < max; i++)
-		cached[n++] = g_array_index(
-		    place->unsent_parts, struct place_cached_part, i);
-	for (guint i = 0; i < resent->len && n < max; i++)
-		cached[n++] =
-		    g_array_index(resent, struct place_cached_part, i);
-	g_array_set_size(resent, 0);
-	place->resend_parts = place->unsent_parts;
-	place->unsent_parts = resent;
-	return (total);
+	return (outbox_take(place->parts, cached, max));
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -102,11 +102,11 @@
 /*
  * place_loads_collect(place, loads, max)
  *	Write the number of requests that this instance runs at each
- *	upstream, for a gossip message that is sent now.
+ *	upstream, for a gossip message that is sent now.  If there are more
+ *	than max, the upstreams take turns.
  * place_cached_parts_collect(place, cached, max)
- *	Write the prompt parts that became cached since the last call, and
- *	those that the last call wrote for the first time: each is sent twice,
- *	as a message may be lost.
+ *	Write prompt parts that became cached, to be sent to the peers: each
+ *	is written by two calls, see lib/outbox.h.
  *	Both return the number of entries, of which at most max are written.
  * place_gossip_merge(place, peer, loads, n, cached, cached_n, now)
  *	Merge a gossip message of another instance.
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -345,6 +345,35 @@
 	place_close(place);
 }
 
+/*
+ * Guards against upstreams whose load the peers never hear of, because more
+ * are in use than a message has room for.
+ */
+static void
+test_loads_take_turns(void)
+{
+	struct place *place = place_open("a");
+	struct place_load loads[4];
+	struct place_handle handle;
+	g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
+
+	for (int i = 1; i <= 10; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+
+		add(place, id, i);
+	}
+	for (int i = 0; i < 10; i++)
+		g_assert_nonnull(choose(place, NULL, 0, 0, &handle));
+	for (int message = 0; message < 3; message++) {
+		g_assert_cmpuint(place_loads_collect(place, loads, 4), ==, 10);
+		for (int i = 0; i < 4; i++)
+			(void)g_hash_table_add(
+			    seen, GUINT_TO_POINTER(loads[i].upstream));
+	}
+	g_assert_cmpuint(g_hash_table_size(seen), ==, 10);
+	place_close(place);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -360,5 +389,6 @@
 	    "/plc/tried-and-connections", test_tried_and_connections);
 	g_test_add_func("/plc/entries", test_entries);
 	g_test_add_func("/plc/started-anew", test_restarted_upstream);
+	g_test_add_func("/plc/loads-take-turns", test_loads_take_turns);
 	return (g_test_run());
 }
--- a/src/quota/active_programs.c
+++ b/src/quota/active_programs.c
@@ -3,6 +3,10 @@
 #include <string.h>
 
 #include "lib/fnv.h"
+#include "lib/outbox.h"
+
+/* Programs that wait to be sent, some seconds of the busiest instance. */
+#define UNSENT_MAX 4096
 
 struct program {
 	clk_ms used; /* last request or gossip */
@@ -11,8 +15,7 @@
 
 struct active_programs {
 	GHashTable *by_hash; /* hash -> struct program */
-	GArray *unsent; /* hashes */
-	GArray *resend; /* hashes, sent once */
+	struct outbox *outbox; /* hashes */
 	clk_ms retention;
 };
 
@@ -23,8 +26,7 @@
 
 	programs->by_hash =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	programs->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	programs->resend = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	programs->outbox = outbox_open(sizeof(uint64_t), UNSENT_MAX);
 	programs->retention = retention;
 	return (programs);
 }
@@ -35,8 +37,7 @@
 	if (programs == NULL)
 		return;
 	g_hash_table_destroy(programs->by_hash);
-	g_array_free(programs->unsent, TRUE);
-	g_array_free(programs->resend, TRUE);
+	outbox_close(programs->outbox);
 	g_free(programs);
 }
 
@@ -75,7 +76,7 @@
 	uint64_t hash = fnv_hash(program);
 
 	if (program_update(programs, NULL, hash, now))
-		g_array_append_val(programs->unsent, hash);
+		outbox_add(programs->outbox, &hash);
 }
 
 void
@@ -117,19 +118,7 @@
 active_programs_collect(
     struct active_programs *programs, uint64_t *hashes, size_t max)
 {
-	GArray *resent = programs->resend;
-	size_t n = 0;
-
-	size_t total = programs->unsent->len + resent->len;
-
-	for (guint i = 0; i < programs->unsent->len && n < max; i++)
-		hashes[n++] = g_array_index(programs->unsent, uint64_t, i);
-	for (guint i = 0; i < resent->len && n < max; i++)
-		hashes[n++] = g_array_index(resent, uint64_t, i);
-	g_array_set_size(resent, 0);
-	programs->resend = programs->unsent;
-	programs->unsent = resent;
-	return (total);
+	return (outbox_take(programs->outbox, hashes, max));
 }
 
 void
--- a/src/quota/active_programs.h
+++ b/src/quota/active_programs.h
@@ -55,11 +55,10 @@
 
 /*
  * active_programs_collect(programs, hashes, max)
- *	Write the programs whose first request came to this instance since
- *	the last call, and those that the last call wrote for the first time:
- *	each is sent twice, as a message may be lost.
+ *	Write programs whose first request came to this instance, to be sent
+ *	to the peers: each is written by two calls, see lib/outbox.h.
  * RETURN VALUES
- *	The number of these programs, of which at most max are written.
+ *	The number of programs to send, of which at most max are written.
  */
 size_t active_programs_collect(
     struct active_programs *programs, uint64_t *hashes, size_t max);
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -593,6 +593,36 @@
 	active_programs_close(b);
 }
 
+/*
+ * Guards against programs that the other instances never hear of, because more
+ * began than a message has room for.
+ */
+static void
+test_more_programs_than_message(void)
+{
+	struct active_programs *a = active_programs_open(1000);
+	struct active_programs *b = active_programs_open(1000);
+	uint64_t hashes[4];
+
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *program = g_strdup_printf("p%d", i);
+
+		active_programs_add(a, program, 0);
+	}
+	for (int message = 0; message < 10; message++) {
+		size_t n = active_programs_collect(a, hashes, 4);
+
+		active_programs_merge(b, "a", hashes, MIN(n, 4), 0);
+	}
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *program = g_strdup_printf("p%d", i);
+
+		g_assert_true(active_programs_contains(b, program));
+	}
+	active_programs_close(a);
+	active_programs_close(b);
+}
+
 /* Token messages, and malformed ones. */
 static void
 test_token_message(void)
@@ -650,5 +680,7 @@
 	g_test_add_func("/qta/homes", test_homes);
 	g_test_add_func("/qta/token-message", test_token_message);
 	g_test_add_func("/qta/active-programs", test_active_programs);
+	g_test_add_func(
+	    "/qta/more-programs-than-message", test_more_programs_than_message);
 	return (g_test_run());
 }
--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "lib/outbox.h"
+
 #define BLOCK_TIME_MS	 (10 * CLK_MINUTE)
 #define FINGERPRINTS_MAX 1024
 #define OWN_CRASHES_MAX	 2048
@@ -19,6 +21,7 @@
 	GHashTable *entries; /* fingerprint -> struct entry */
 	GQueue order; /* struct entry, the oldest first */
 	GQueue own; /* struct sched_crash of this instance, oldest first */
+	struct outbox *outbox; /* the same, to be sent */
 	unsigned upstreams; /* crashed ones that block a request */
 };
 
@@ -54,6 +57,8 @@
 	struct crash_table *table = g_new0(struct crash_table, 1);
 
 	table->upstreams = MIN(upstreams, CRASH_TABLE_UPSTREAMS_MAX);
+	table->outbox =
+	    outbox_open(sizeof(struct sched_crash), OWN_CRASHES_MAX);
 	table->entries = g_hash_table_new_full(
 	    fingerprint_hash, fingerprint_equal, NULL, entry_free);
 	return (table);
@@ -65,6 +70,7 @@
 	g_hash_table_destroy(table->entries);
 	g_queue_clear(&table->order);
 	g_queue_clear_full(&table->own, g_free);
+	outbox_close(table->outbox);
 	g_free(table);
 }
 
@@ -107,6 +113,7 @@
 	(void)g_strlcpy(crash->upstream, upstream, sizeof(crash->upstream));
 	crash->time = now;
 	g_queue_push_tail(&table->own, crash);
+	outbox_add(table->outbox, crash);
 	if (table->own.length > OWN_CRASHES_MAX)
 		g_free(g_queue_pop_head(&table->own));
 }
@@ -156,11 +163,18 @@
 {
 	size_t n = 0;
 
-	for (GList *l = table->own.head; l != NULL; l = l->next) {
+	for (GList *l = table->own.head; l != NULL && n < max; l = l->next) {
 		const struct sched_crash *crash = l->data;
 
-		if (crash->time >= since && n++ < max)
-			crashes[n - 1] = *crash;
+		if (crash->time >= since)
+			crashes[n++] = *crash;
 	}
 	return (n);
 }
+
+size_t
+crash_table_collect(
+    struct crash_table *table, struct sched_crash *crashes, size_t max)
+{
+	return (outbox_take(table->outbox, crashes, max));
+}
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -40,9 +40,19 @@
  *	Write up to max crashes that this instance observed at or after since,
  *	the oldest first.
  * RETURN VALUES
- *	The number of these crashes, of which at most max are written.
+ *	The number of crashes written.
  */
 size_t crash_table_list(const struct crash_table *table, clk_ms since,
     struct sched_crash *crashes, size_t max);
 
+/*
+ * crash_table_collect(table, crashes, max)
+ *	Write crashes that this instance observed, to be sent to the peers:
+ *	each is written by two calls, see lib/outbox.h.
+ * RETURN VALUES
+ *	The number of crashes to send, of which at most max are written.
+ */
+size_t crash_table_collect(
+    struct crash_table *table, struct sched_crash *crashes, size_t max);
+
 #endif
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -927,7 +927,5 @@
 sched_crash_list(const struct sched *sched, clk_ms since,
     struct sched_crash *crashes, size_t max)
 {
-	size_t total = crash_table_list(sched->crashes, since, crashes, max);
-
-	return (MIN(total, max));
+	return (crash_table_list(sched->crashes, since, crashes, max));
 }
