Give up an upstream whose answer does not end

An upstream that sends bytes without end takes the instance's memory and time until the caller's deadline: a plain body was read on to the deadline and its data over 32 MB dropped, and an event without end, or a turn's output, grew without a bound. Answers to other requests were skipped without a bound too, and a body that had lost data could go out as complete. Change: a call has a limit of bytes, of heads and skipped answers included, and of skipped answers; an event, a turn's output and all answers in progress have limits. Beyond them the connection is closed and the attempt has failed, as for an answer that is cut. Why it works: the bytes are counted where they are read, before anything is known of them.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -50,6 +50,7 @@
 		(void)g_byte_array_unref(call->history);
 	if (call->reply_fields != NULL)
 		(void)g_string_free(call->reply_fields, TRUE);
+	edge_reply_clear(call);
 	if (call->reply_body != NULL)
 		(void)g_byte_array_unref(call->reply_body);
 	sse_clear(&call->sse);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -26,6 +26,7 @@
 	clk_ms confirmed; /* when catalogue was last known to be the newest */
 	struct budgets *budgets;
 	struct turn_cache *turns;
+	size_t reply_bytes; /* of answers that are not complete yet */
 	GHashTable *ledgers; /* program -> struct edge_ledger in progress */
 	GQueue idle; /* programs whose grants may be returned */
 	GQueue idle_first; /* the same, if their first session is this one */
@@ -150,6 +151,9 @@
 void edge_rate_open(struct edge *edge);
 void edge_rate_close(struct edge *edge);
 
+/* edge_reply_clear(call): drop what has arrived of the response's body. */
+void edge_reply_clear(struct edge_call *call);
+
 /*
  * edge_budget_settle(call)
  *	Release the unused part of the reservation.
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -10,8 +10,19 @@
 #define RETRY_NO_UPSTREAM_MS 300
 /* Retry-After of a request that crashes upstreams. */
 #define RETRY_BLOCKED_MS 5000
-/* Data of a response body beyond this size is dropped. */
-#define MAX_ANSWER_BYTES ((size_t)32 << 20)
+/*
+ * Bytes of a response, its head included, and of a stream.  Beyond them the
+ * attempt has failed.
+ */
+#define ANSWER_BYTES_MAX ((size_t)4 << 20)
+#define STREAM_BYTES_MAX ((size_t)16 << 20)
+/* Output of a turn; the store takes less. */
+#define TURN_OUTPUT_MAX ((size_t)1 << 20)
+/*
+ * Bytes of all responses that are not complete yet: a part of the memory of
+ * the smallest instance.
+ */
+#define ANSWERS_BYTES_MAX ((size_t)24 << 20)
 /* Expected output of a turn whose caller gives no length hint. */
 #define DEFAULT_OUTPUT_TOKENS 256
 /* Lower bound of an instance's share of the connections to an upstream. */
@@ -184,6 +195,9 @@
 	    .body = body->data,
 	    .body_len = body->len,
 	    .connect_timeout = CONNECT_TIMEOUT_MS,
+	    .max_bytes = call->route->kind == CATALOGUE_STREAM
+		? STREAM_BYTES_MAX
+		: ANSWER_BYTES_MAX,
 	    .is_head = strcmp(head->method, "HEAD") == 0,
 	    .handler = &upstream_handler,
 	    .arg = call,
@@ -203,6 +217,15 @@
 	    edge_now(call->edge));
 }
 
+void
+edge_reply_clear(struct edge_call *call)
+{
+	if (call->reply_body == NULL)
+		return;
+	call->edge->reply_bytes -= call->reply_body->len;
+	(void)g_byte_array_set_size(call->reply_body, 0);
+}
+
 static enum hcp_take
 on_head(void *arg, const struct hmsg_head *head)
 {
@@ -220,7 +243,7 @@
 	if (call->reply_body == NULL)
 		call->reply_body = g_byte_array_new();
 	(void)g_string_truncate(call->reply_fields, 0);
-	(void)g_byte_array_set_size(call->reply_body, 0);
+	edge_reply_clear(call);
 	edge->deps.wire->reply_encode(call->reply_fields, head);
 	place_first_byte_record(edge->deps.place, call->handle,
 	    (double)(edge_now(edge) - call->sent_at));
@@ -257,6 +280,14 @@
 	hsv_stream_data(call->client, event, len);
 }
 
+/* Give up an upstream whose response does not end. */
+static void
+attempt_cut(struct edge_call *call)
+{
+	hcp_cancel(call->upstream);
+	on_end(call, HCP_CUT, false);
+}
+
 static void
 on_data(void *arg, const char *data, size_t len)
 {
@@ -265,8 +296,16 @@
 	if (call->is_streaming) {
 		(void)edge_call_ref(call);
 		sse_push(&call->sse, data, len, on_event, call);
+		if (call->client != NULL &&
+		    (call->sse.is_too_long ||
+			(call->turn != NULL &&
+			    call->turn->output->len > TURN_OUTPUT_MAX)))
+			attempt_cut(call);
 		edge_call_unref(call);
-	} else if (call->reply_body->len + len <= MAX_ANSWER_BYTES) {
+	} else if (call->edge->reply_bytes + len > ANSWERS_BYTES_MAX) {
+		attempt_cut(call);
+	} else {
+		call->edge->reply_bytes += len;
 		(void)g_byte_array_append(
 		    call->reply_body, (const guint8 *)data, (guint)len);
 	}
@@ -281,6 +320,7 @@
 	GString *fields = call->reply_fields;
 	GByteArray *body = call->reply_body;
 
+	call->edge->reply_bytes -= body->len;
 	call->reply_fields = NULL;
 	call->reply_body = NULL;
 	edge_call_end(
--- a/src/edge/sse.c
+++ b/src/edge/sse.c
@@ -1,12 +1,12 @@
 #include "edge/sse.h"
 
-#include <stdbool.h>
 #include <string.h>
 
 void
 sse_init(struct sse *sse)
 {
 	sse->partial = g_byte_array_new();
+	sse->is_too_long = false;
 }
 
 void
@@ -41,6 +41,8 @@
 	size_t from = partial->len > 2 ? partial->len - 2 : 0;
 	size_t n;
 
+	if (sse->is_too_long)
+		goto done;
 	(void)g_byte_array_append(partial, (const guint8 *)data, (guint)len);
 	/* The callback may clear sse: hold a reference to the buffer. */
 	while ((n = event_length((const char *)partial->data + done,
@@ -53,6 +55,8 @@
 	}
 	if (done > 0)
 		(void)g_byte_array_remove_range(partial, 0, (guint)done);
+	sse->is_too_long = partial->len > SSE_EVENT_MAX;
+done:
 	g_byte_array_unref(partial);
 }
 
--- a/src/edge/sse.h
+++ b/src/edge/sse.h
@@ -5,10 +5,15 @@
 #define SAMPHIRESHED_SSE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 
+/* Longest event, in bytes. */
+#define SSE_EVENT_MAX ((size_t)1 << 20)
+
 struct sse {
 	GByteArray *partial; /* received part of the current event */
+	bool is_too_long; /* the current event exceeds SSE_EVENT_MAX */
 };
 
 /*
@@ -23,6 +28,7 @@
 /*
  * sse_push(sse, data, len, on_event, arg)
  *	Add received data; call on_event for each event that is complete.
+ *	Once an event is too long, data is dropped and is_too_long is set.
  */
 void sse_push(struct sse *sse, const char *data, size_t len,
     sse_event *on_event, void *arg);
--- a/src/edge/test_sse.c
+++ b/src/edge/test_sse.c
@@ -52,10 +52,32 @@
 	}
 }
 
+/* An event without end is kept up to a bound. */
+static void
+test_too_long(void)
+{
+	struct events events = {
+	    g_ptr_array_new_with_free_func(g_free), g_byte_array_new()};
+	struct sse sse;
+	char block[65536];
+
+	memset(block, 'x', sizeof(block));
+	sse_init(&sse);
+	for (int i = 0; i < 100; i++)
+		sse_push(&sse, block, sizeof(block), on_event, &events);
+	g_assert_true(sse.is_too_long);
+	g_assert_cmpuint(sse.partial->len, <=, SSE_EVENT_MAX + sizeof(block));
+	g_assert_cmpuint(events.texts->len, ==, 0);
+	sse_clear(&sse);
+	g_ptr_array_free(events.texts, TRUE);
+	(void)g_byte_array_unref(events.data);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/sse/divisions", test_divisions);
+	g_test_add_func("/sse/too-long", test_too_long);
 	return (g_test_run());
 }
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -9,6 +9,8 @@
 
 #define READ_SIZE 16384
 #define MAX_HEAD  65536
+/* Answers to other requests, or 1xx, before the answer to a call. */
+#define MAX_SKIPPED 16
 /* Idle time after which a connection is closed if the server states none. */
 #define DEFAULT_IDLE_MS (4 * CLK_SECOND)
 /* Time before the server's stated idle timeout at which ours ends. */
@@ -33,6 +35,9 @@
 	struct ev_io writable;
 	struct ev_timer timer; /* of the call, or of the idle connection */
 	struct ev_timer connect_timer;
+	size_t max_bytes; /* of the call; 0: no limit */
+	size_t received;
+	unsigned skipped; /* answers */
 	clk_ms idle_limit;
 	double idle_since;
 	int fd;
@@ -246,7 +251,7 @@
 			answer_ended(call, len > 0);
 			return;
 		}
-		if (!call->reusable) {
+		if (!call->reusable || ++call->skipped > MAX_SKIPPED) {
 			call_failed(call, false);
 			return;
 		}
@@ -270,7 +275,11 @@
 		/* A close, or bytes that belong to no request. */
 		call_close(call);
 	} else if (n > 0) {
-		process(call, buf, (size_t)n);
+		call->received += (size_t)n;
+		if (call->max_bytes > 0 && call->received > call->max_bytes)
+			call_failed(call, false);
+		else
+			process(call, buf, (size_t)n);
 	} else {
 		call->reusable = false;
 		if (n == 0 && hmsg_reader_finish(&call->reader) &&
@@ -444,6 +453,9 @@
 	call->reader.skip_body = request->is_head;
 	call->handler = request->handler;
 	call->arg = request->arg;
+	call->max_bytes = request->max_bytes;
+	call->received = 0;
+	call->skipped = 0;
 	call->out_done = 0;
 	(void)g_byte_array_set_size(call->out, 0);
 	(void)g_byte_array_append(call->out, (const guint8 *)request->head->str,
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -52,6 +52,11 @@
 	size_t body_len;
 	clk_ms connect_timeout;
 	clk_ms timeout; /* of the whole call; 0: none */
+	/*
+	 * The call fails if more bytes arrive, those of heads and of skipped
+	 * answers included; 0: no limit.
+	 */
+	size_t max_bytes;
 	/* A longer idle connection isn't reused for this call; 0: no limit. */
 	clk_ms max_idle;
 	bool is_head; /* a HEAD request, whose answer has no body */
