Do not begin a read of the store anew while it makes progress

Cause: a read that was not complete within 400 ms was dropped and begun anew. After a loss of all power no turn is in memory, every continued turn reads its chain, and a read returns a whole slot. Instances with a link of 22 Mbit/s and 0.09 of a core spent the link on reads that they dropped: all refusals history_unproven of the last seconds were theirs. Ruled out: the store (it answered the others), the rate (few 429 there). Why it works: bytes that were carried are used, so that the load of the link is that of the reads asked for. Evidence: /instance/store-slow-link failed (503) and passes.

--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -35,6 +35,7 @@
 	struct ev_io writable;
 	struct ev_timer timer; /* of the call, or of the idle connection */
 	struct ev_timer connect_timer;
+	struct ev_timer stall_timer;
 	size_t max_bytes; /* of the call; 0: no limit */
 	size_t received;
 	unsigned skipped; /* answers */
@@ -104,6 +105,7 @@
 	ev_io_stop(loop, &call->writable);
 	ev_timer_stop(loop, &call->timer);
 	ev_timer_stop(loop, &call->connect_timer);
+	ev_timer_stop(loop, &call->stall_timer);
 	if (call->fd >= 0)
 		(void)close(call->fd);
 	list_remove(call);
@@ -159,6 +161,7 @@
 	call->idle_since = ev_now(call->hcp->loop);
 	list_remove(call);
 	list_push(call);
+	ev_timer_stop(call->hcp->loop, &call->stall_timer);
 	ev_timer_stop(call->hcp->loop, &call->timer);
 	ev_timer_set(&call->timer, (double)call->idle_limit / 1000.0, 0.0);
 	ev_timer_start(call->hcp->loop, &call->timer);
@@ -276,6 +279,8 @@
 		call_close(call);
 	} else if (n > 0) {
 		call->received += (size_t)n;
+		if (ev_is_active(&call->stall_timer))
+			ev_timer_again(loop, &call->stall_timer);
 		if (call->max_bytes > 0 && call->received > call->max_bytes)
 			call_failed(call, false);
 		else
@@ -414,10 +419,12 @@
 	ev_io_init(&call->writable, writable_cb, call->fd, EV_WRITE);
 	ev_timer_init(&call->timer, timer_cb, 0.0, 0.0);
 	ev_timer_init(&call->connect_timer, timer_cb, 0.0, 0.0);
+	ev_timer_init(&call->stall_timer, timer_cb, 0.0, 0.0);
 	call->readable.data = call;
 	call->writable.data = call;
 	call->timer.data = call;
 	call->connect_timer.data = call;
+	call->stall_timer.data = call;
 	list_push(call);
 	hcp->opened++;
 	return (call);
@@ -468,6 +475,9 @@
 		    &call->timer, (double)request->timeout / 1000.0, 0.0);
 		ev_timer_start(hcp->loop, &call->timer);
 	}
+	call->stall_timer.repeat = (double)request->stall / 1000.0;
+	/* Starts it, or stops it if there is no limit. */
+	ev_timer_again(hcp->loop, &call->stall_timer);
 	if (!call->connected)
 		connect_begin(call, request->connect_timeout);
 	else
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -52,6 +52,7 @@
 	size_t body_len;
 	clk_ms connect_timeout;
 	clk_ms timeout; /* of the whole call; 0: none */
+	clk_ms stall; /* longest time without a byte of the answer; 0: none */
 	/*
 	 * The call fails if more bytes arrive, those of heads and of skipped
 	 * answers included; 0: no limit.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -66,6 +66,8 @@
  * read(store, partition, timeout, done, arg)
  *	Read the newest record of each key, and the partition's end offset.
  *
+ * timeout is the longest time without progress; a long answer that makes some
+ * may take several times as long.
  * done is called once, asynchronously, unless the store is closed first.
  */
 struct store_ops {
