--- a/src/budget/loan.c
+++ b/src/budget/loan.c
@@ -1,9 +1,10 @@
 #include "budget/loan.h"
 
-#include <rpc/rpc.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/dgram.h"
+
 /* "SLN" and the version of the format. */
 #define PROTOCOL_VERSION 0x534c4e31U
 /* Longest session name or program id in a message. */
@@ -14,10 +15,11 @@
 };
 
 static bool_t
-xdr_message(XDR *xdrs, uint32_t *version, struct loan_message *message)
+xdr_message(XDR *xdrs, void *data)
 {
-	return (xdr_uint32_t(xdrs, version) &&
-	    xdr_uint32_t(xdrs, &message->kind) &&
+	struct loan_message *message = data;
+
+	return (xdr_uint32_t(xdrs, &message->kind) &&
 	    xdr_string(xdrs, &message->sender, STRING_MAX_BYTES) &&
 	    xdr_uint64_t(xdrs, &message->serial) &&
 	    xdr_string(xdrs, &message->program, STRING_MAX_BYTES) &&
@@ -29,31 +31,20 @@
 size_t
 loan_encode(char *buf, size_t size, const struct loan_message *message)
 {
-	XDR xdrs;
-	uint32_t version = PROTOCOL_VERSION;
 	struct loan_message copy = *message;
-	size_t len = 0;
 
-	xdrmem_create(&xdrs, buf, (u_int)size, XDR_ENCODE);
-	if (xdr_message(&xdrs, &version, &copy))
-		len = xdr_getpos(&xdrs);
-	xdr_destroy(&xdrs);
-	return (len);
+	return (dgram_encode(buf, size, PROTOCOL_VERSION, xdr_message, &copy));
 }
 
 bool
 loan_decode(char *buf, size_t len, struct loan_message *message)
 {
-	XDR xdrs;
-	uint32_t version = 0;
 	bool ok;
 
 	memset(message, 0, sizeof(*message));
-	xdrmem_create(&xdrs, buf, (u_int)len, XDR_DECODE);
-	ok = xdr_message(&xdrs, &version, message) &&
-	    version == PROTOCOL_VERSION && message->kind <= LOAN_REPAY &&
+	ok = dgram_decode(buf, len, PROTOCOL_VERSION, xdr_message, message) &&
+	    message->kind <= LOAN_REPAY &&
 	    message->outcome <= LOAN_UNAVAILABLE && message->tokens >= 0;
-	xdr_destroy(&xdrs);
 	if (!ok)
 		loan_message_clear(message);
 	return (ok);
@@ -71,12 +62,7 @@
 bool
 loan_is_message(const char *buf, size_t len)
 {
-	guint32 version;
-
-	if (len < sizeof(version))
-		return (false);
-	memcpy(&version, buf, sizeof(version));
-	return (GUINT32_FROM_BE(version) == PROTOCOL_VERSION);
+	return (dgram_has_version(buf, len, PROTOCOL_VERSION));
 }
 
 void
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -2,13 +2,14 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <rpc/rpc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "lib/dgram.h"
+
 #define SEND_PERIOD_MS 200
 /* Periods of renewing this instance's record and reading the others'. */
 #define RENEW_PERIOD_MS 4000
@@ -104,10 +105,11 @@
 }
 
 static bool_t
-xdr_message(XDR *xdrs, uint32_t *version, struct gossip_message *message)
+xdr_message(XDR *xdrs, void *data)
 {
-	return (xdr_uint32_t(xdrs, version) &&
-	    xdr_string(xdrs, &message->name, GOSSIP_NAME_MAX) &&
+	struct gossip_message *message = data;
+
+	return (xdr_string(xdrs, &message->name, GOSSIP_NAME_MAX) &&
 	    xdr_uint64_t(xdrs, &message->incarnation) &&
 	    xdr_array(xdrs, (char **)&message->counts, &message->count_len,
 		GOSSIP_COUNTS_MAX, sizeof(*message->counts),
@@ -130,30 +132,18 @@
 gossip_message_encode(
     char *buf, size_t size, const struct gossip_message *message)
 {
-	XDR xdrs;
-	uint32_t version = PROTOCOL_VERSION;
 	struct gossip_message copy = *message;
-	size_t len = 0;
 
-	xdrmem_create(&xdrs, buf, (u_int)size, XDR_ENCODE);
-	if (xdr_message(&xdrs, &version, &copy))
-		len = xdr_getpos(&xdrs);
-	xdr_destroy(&xdrs);
-	return (len);
+	return (dgram_encode(buf, size, PROTOCOL_VERSION, xdr_message, &copy));
 }
 
 bool
 gossip_message_decode(char *buf, size_t len, struct gossip_message *message)
 {
-	XDR xdrs;
-	uint32_t version = 0;
 	bool ok;
 
 	memset(message, 0, sizeof(*message));
-	xdrmem_create(&xdrs, buf, (u_int)len, XDR_DECODE);
-	ok = xdr_message(&xdrs, &version, message) &&
-	    version == PROTOCOL_VERSION;
-	xdr_destroy(&xdrs);
+	ok = dgram_decode(buf, len, PROTOCOL_VERSION, xdr_message, message);
 	if (!ok)
 		gossip_message_clear(message);
 	return (ok);
