--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -2,8 +2,6 @@
  * Admission of requests within their organisation's rate: tokens of this
  * instance, or of the organisation's homes.
  */
-#include <string.h>
-
 #include "edge/edge_internal.h"
 #include "quota/token.h"
 
@@ -230,7 +228,7 @@
 {
 	const struct catalogue_organisation *organisation = call->organisation;
 	struct quota *quota = call->edge->deps.quota;
-	enum quota_answer answer = QUOTA_ADMITTED;
+	enum quota_answer answer;
 	clk_ms wait;
 
 	if (organisation == NULL) {
