The roster: liveness, share and homes of the fleet apart from quotas

Cause: which peers are alive and which instance is the home of a key was known inside src/quota only. The limits that upstreams name need the same. Change: src/roster, one copy of these functions; no change of behaviour.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "place/place.h"
 #include "quota/active_programs.h"
 #include "quota/quota.h"
+#include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
 
@@ -47,6 +48,7 @@
 	const struct edge_wire *wire;
 	struct store store;
 	struct place *place;
+	struct roster *roster;
 	struct quota *quota;
 	struct active_programs *activity;
 	struct crash_table *crashes;
--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -123,9 +123,9 @@
 	    .limit = call->limit,
 	    .priority = call->priority};
 
-	while (call->homes_asked < QUOTA_HOMES) {
+	while (call->homes_asked < ROSTER_HOMES) {
 		call->home =
-		    quota_home(edge->deps.quota, call->limit.organisation,
+		    roster_home(edge->deps.roster, call->limit.organisation,
 			call->homes_asked++, edge_now(edge));
 		message.serial = edge->ask_serial + 1;
 		if (call->home != NULL &&
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -294,6 +294,8 @@
 		}
 		if (strcmp(message.name, gossip->name) != 0) {
 			gossip_peer_add(gossip, message.name, &from, now);
+			roster_peer_heard(
+			    gossip->deps.roster, message.name, now);
 			quota_gossip_merge(gossip->deps.quota, message.name,
 			    message.incarnation, message.counts,
 			    message.count_len, now);
@@ -440,7 +442,8 @@
 	}
 	if (rank == 0)
 		drop_dead_records(gossip, now);
-	quota_instances_set(gossip->deps.quota, alive, now);
+	roster_size_set(gossip->deps.roster, alive, now);
+	quota_expire(gossip->deps.quota, now);
 	gossip->deps.on_fleet(gossip->deps.arg, alive, rank);
 }
 
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -20,6 +20,7 @@
 #include "place/place.h"
 #include "quota/active_programs.h"
 #include "quota/quota.h"
+#include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
 
@@ -31,6 +32,7 @@
 	struct lg *lg;
 	struct cnt *cnt;
 	struct store store;
+	struct roster *roster;
 	struct quota *quota;
 	struct active_programs *activity;
 	struct place *place;
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -2,11 +2,6 @@
 
 #include <math.h>
 
-/*
- * A peer that sent no gossip message for this time has timed out: one and a
- * half intervals.  A lost message costs the peer's share until the next one.
- */
-#define PEER_TIMEOUT_MS 300
 /*
  * Part of the burst in a new process's bucket.  The processes before it may
  * have used all of it, but admit nothing while they restart: with a burst of
@@ -17,12 +12,6 @@
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
 /* A report gives rate and burst in thousandths. */
 #define LIMIT_UNITS 1000.0
-/* Period of counting the live peers. */
-#define SHARE_PERIOD_MS 20
-/* Number of instances that is assumed until one is known. */
-#define UNKNOWN_FLEET 50
-/* Lowest share of rate and burst, for an instance without live peers. */
-#define SHARE_MIN 0.02
 /* Part of the burst that is reserved for active programs. */
 #define RESERVED_PART 0.5
 /*
@@ -73,7 +62,6 @@
 };
 
 struct peer {
-	uint32_t hash; /* of the name */
 	uint64_t incarnation;
 	clk_ms received;
 	GHashTable *counts; /* organisation -> struct peer_count */
@@ -82,15 +70,13 @@
 struct quota {
 	GHashTable *buckets; /* hash -> struct bucket */
 	GHashTable *peers; /* name -> struct peer */
-	uint32_t hash; /* of this instance's name */
+	struct roster *roster;
 	GQueue news; /* struct bucket with unreported requests, oldest first */
 	GQueue repeats; /* struct bucket, least recently reported first */
 	uint32_t interval; /* number of reports so far */
 	bool is_behind; /* the last report had no room for some of the news */
 	struct quota_tolerance tolerance;
-	unsigned instances;
 	double share; /* of the limit, for this instance and its live peers */
-	clk_ms share_until; /* when it is to be computed again */
 	clk_ms start;
 };
 
@@ -104,17 +90,16 @@
 }
 
 struct quota *
-quota_open(
-    const char *name, const struct quota_tolerance *tolerance, clk_ms start)
+quota_open(struct roster *roster, const struct quota_tolerance *tolerance,
+    clk_ms start)
 {
 	struct quota *quota = g_new0(struct quota, 1);
 
 	quota->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	quota->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
-	quota->hash = quota_hash(name);
+	quota->roster = roster;
 	quota->tolerance = *tolerance;
-	quota->instances = UNKNOWN_FLEET;
 	quota->start = start;
 	return (quota);
 }
@@ -132,7 +117,7 @@
 uint32_t
 quota_hash(const char *name)
 {
-	return ((uint32_t)g_str_hash(name));
+	return (roster_hash(name));
 }
 
 /* A limit that is set is never rounded to none. */
@@ -166,95 +151,6 @@
 	return (bucket);
 }
 
-static bool
-peer_is_live(const struct peer *peer, clk_ms now)
-{
-	return (now - peer->received < PEER_TIMEOUT_MS);
-}
-
-unsigned
-quota_live_peers(const struct quota *quota, clk_ms now)
-{
-	GHashTableIter iter;
-	void *value;
-	unsigned live = 0;
-
-	g_hash_table_iter_init(&iter, quota->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		live += peer_is_live(value, now);
-	return (live);
-}
-
-/* Score of an instance for an organisation; the homes have the highest. */
-static uint32_t
-home_score(uint32_t organisation, uint32_t instance)
-{
-	uint32_t hash = organisation ^ (instance * 0x9e3779b1U);
-
-	hash = (hash ^ (hash >> 16)) * 0x7feb352dU;
-	hash = (hash ^ (hash >> 15)) * 0x846ca68bU;
-	return (hash ^ (hash >> 16));
-}
-
-/* Finds the names of the homes; nil for this instance, and for none. */
-static void
-homes_find(const struct quota *quota, uint32_t organisation, clk_ms now,
-    const char *names[QUOTA_HOMES], bool is_home[QUOTA_HOMES])
-{
-	uint64_t scores[QUOTA_HOMES] = {
-	    1 + (uint64_t)home_score(organisation, quota->hash)};
-	GHashTableIter iter;
-	void *key, *value;
-
-	for (int i = 0; i < QUOTA_HOMES; i++) {
-		names[i] = NULL;
-		is_home[i] = i == 0;
-	}
-	g_hash_table_iter_init(&iter, quota->peers);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct peer *peer = value;
-		uint64_t score =
-		    1 + (uint64_t)home_score(organisation, peer->hash);
-		int at = QUOTA_HOMES;
-
-		if (!peer_is_live(peer, now))
-			continue;
-		while (at > 0 && score > scores[at - 1])
-			at--;
-		for (int i = QUOTA_HOMES - 1; i > at; i--) {
-			scores[i] = scores[i - 1];
-			names[i] = names[i - 1];
-			is_home[i] = is_home[i - 1];
-		}
-		if (at == QUOTA_HOMES)
-			continue;
-		scores[at] = score;
-		names[at] = key;
-		is_home[at] = false;
-	}
-}
-
-const char *
-quota_home(
-    const struct quota *quota, uint32_t organisation, unsigned rank, clk_ms now)
-{
-	const char *names[QUOTA_HOMES];
-	bool is_home[QUOTA_HOMES];
-
-	homes_find(quota, organisation, now, names, is_home);
-	return (names[rank]);
-}
-
-static void
-share_update(struct quota *quota, clk_ms now)
-{
-	double share =
-	    (double)(quota_live_peers(quota, now) + 1) / quota->instances;
-
-	quota->share = CLAMP(share, SHARE_MIN, 1.0);
-	quota->share_until = now + SHARE_PERIOD_MS;
-}
-
 /*
  * Sets the limit.  A new bucket is taken to be full, as long as this process
  * has run for long enough.
@@ -279,8 +175,7 @@
 {
 	double elapsed = (double)(now - bucket->updated) / (double)CLK_SECOND;
 
-	if (now >= quota->share_until)
-		share_update(quota, now);
+	quota->share = roster_share(quota->roster, now);
 	if (bucket->rate <= 0)
 		return;
 	if (elapsed > 0)
@@ -335,13 +230,11 @@
 }
 
 void
-quota_instances_set(struct quota *quota, unsigned instances, clk_ms now)
+quota_expire(struct quota *quota, clk_ms now)
 {
 	GHashTableIter iter;
 	void *value;
 
-	quota->instances = MAX(instances, 1U);
-	quota->share_until = now;
 	g_hash_table_iter_init(&iter, quota->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
@@ -426,7 +319,6 @@
 
 	if (is_new) {
 		peer = g_new0(struct peer, 1);
-		peer->hash = quota_hash(name);
 		peer->counts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		(void)g_hash_table_insert(quota->peers, g_strdup(name), peer);
 	} else if (peer->incarnation != incarnation) {
@@ -485,7 +377,8 @@
     double level, clk_ms now)
 {
 	double over = TOLERANCE_PART * bucket_tolerance(quota, bucket);
-	double each = floor(over / quota->instances);
+	unsigned instances = roster_size(quota->roster);
+	double each = floor(over / instances);
 	/*
 	 * Without requests there are no parts of them.  If the reports are
 	 * behind, so is what is known of the parts.
@@ -494,20 +387,16 @@
 	    ? 0
 	    : fmin(1.0, bucket->own_average + bucket->peers_average);
 	double allowance;
-	const char *names[QUOTA_HOMES];
-	bool is_home[QUOTA_HOMES];
 
 	level += bucket->unreported;
 	allowance = divided * request_part(bucket) * level + each;
 	if (bucket->unreported + 1.0 <= allowance)
 		return (allowance);
-	homes_find(quota, bucket->hash, now, names, is_home);
-	for (int i = 0; i < QUOTA_HOMES; i++) {
-		if (is_home[i])
-			allowance +=
-			    (over - each * quota->instances) / QUOTA_HOMES;
+	for (unsigned i = 0; i < ROSTER_HOMES; i++) {
+		if (roster_is_home(quota->roster, bucket->hash, i, now))
+			allowance += (over - each * instances) / ROSTER_HOMES;
 	}
-	if (is_home[0])
+	if (roster_is_home(quota->roster, bucket->hash, 0, now))
 		allowance += (1.0 - divided) * level;
 	return (allowance);
 }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -26,6 +26,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "roster/roster.h"
 #include "lib/clk.h"
 
 struct quota;
@@ -60,13 +61,12 @@
 };
 
 /*
- * quota_open(name, tolerance, start)
- *	name is this instance's.  Buckets start with a part of the burst: the
- *	processes before this one may have used the rest just before they
- *	stopped.
+ * quota_open(roster, tolerance, start)
+ *	Buckets start with a part of the burst: the processes before this one
+ *	may have used the rest just before they stopped.
  */
-struct quota *quota_open(
-    const char *name, const struct quota_tolerance *tolerance, clk_ms start);
+struct quota *quota_open(struct roster *roster,
+    const struct quota_tolerance *tolerance, clk_ms start);
 void quota_close(struct quota *quota);
 
 uint32_t quota_hash(const char *name);
@@ -75,12 +75,8 @@
 struct quota_limit
 quota_limit_make(const char *name, double rate, double burst);
 
-/*
- * quota_instances_set(quota, instances, now)
- *	Set the number of instances that may admit requests, this one
- *	included.  Until it is known, this instance has a small share.
- */
-void quota_instances_set(struct quota *quota, unsigned instances, clk_ms now);
+/* quota_expire(quota, now): drop what peers reported long ago. */
+void quota_expire(struct quota *quota, clk_ms now);
 
 /*
  * quota_gossip_merge(quota, peer, incarnation, counts, n, now)
@@ -102,27 +98,18 @@
 	QUOTA_ASK /* the bucket has tokens, but not for this instance */
 };
 
-/* Number of an organisation's homes. */
-#define QUOTA_HOMES 2
-
 /*
  * quota_admit(quota, limit, priority, now, wait)
  *	Take a token from an organisation's bucket for a request that came to
  *	this instance.  If it is refused, *wait is the time until there is a
  *	token.
- * quota_home(quota, organisation, rank, now)
- *	Return the name of a home to ask, of rank 0 to QUOTA_HOMES - 1, or nil
- *	if there is none or it is this instance.  The homes are the same at
- *	all instances that hear of each other.
  * quota_grant(quota, limit, priority, now, wait)
  *	Take a token for a request that came to another instance, which asks
- *	this one as a home.  Returns whether there is one.
+ *	this one as a home, see roster_home().  Returns whether there is one.
  */
 enum quota_answer
 quota_admit(struct quota *quota, const struct quota_limit *limit,
     enum quota_priority priority, clk_ms now, clk_ms *wait);
-const char *quota_home(const struct quota *quota, uint32_t organisation,
-    unsigned rank, clk_ms now);
 bool quota_grant(struct quota *quota, const struct quota_limit *limit,
     enum quota_priority priority, clk_ms now, clk_ms *wait);
 
@@ -160,7 +147,4 @@
 struct quota_state
 quota_state(const struct quota *quota, uint32_t organisation);
 
-/* quota_live_peers(quota, now): number of peers that have not timed out. */
-unsigned quota_live_peers(const struct quota *quota, clk_ms now);
-
 #endif
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -23,6 +23,7 @@
 static const struct quota_tolerance tolerance = {5, 0.1, 20};
 
 struct fleet {
+	struct roster *rosters[FLEET_MAX];
 	struct quota *instances[FLEET_MAX];
 	uint64_t incarnation[FLEET_MAX];
 	int size;
@@ -59,8 +60,9 @@
 	for (int i = 0; i < size; i++) {
 		g_autofree char *name = g_strdup_printf("i%d", i);
 
-		f->instances[i] = quota_open(name, &tolerance, 0);
-		quota_instances_set(f->instances[i], (unsigned)size, 0);
+		f->rosters[i] = roster_open(name);
+		f->instances[i] = quota_open(f->rosters[i], &tolerance, 0);
+		roster_size_set(f->rosters[i], (unsigned)size, 0);
 	}
 }
 
@@ -73,8 +75,10 @@
 static void
 fleet_close(struct fleet *f)
 {
-	for (int i = 0; i < f->size; i++)
+	for (int i = 0; i < f->size; i++) {
 		quota_close(f->instances[i]);
+		roster_close(f->rosters[i]);
+	}
 	for (guint i = 0; i < f->names->len; i++)
 		g_array_free(f->admitted[i], TRUE);
 	g_free(f->admitted);
@@ -96,6 +100,7 @@
 			if (j == i || (i >= f->cut) != (j >= f->cut) ||
 			    g_rand_double(f->rand) < f->lost)
 				continue;
+			roster_peer_heard(f->rosters[j], name, now);
 			quota_gossip_merge(f->instances[j], name,
 			    f->incarnation[i], counts, n, now);
 		}
@@ -108,9 +113,11 @@
 	g_autofree char *name = g_strdup_printf("i%d", i);
 
 	quota_close(f->instances[i]);
-	f->instances[i] = quota_open(name, &tolerance, now);
+	roster_close(f->rosters[i]);
+	f->rosters[i] = roster_open(name);
+	f->instances[i] = quota_open(f->rosters[i], &tolerance, now);
 	if (!f->is_size_unknown)
-		quota_instances_set(f->instances[i], (unsigned)f->size, now);
+		roster_size_set(f->rosters[i], (unsigned)f->size, now);
 	f->incarnation[i]++;
 }
 
@@ -134,10 +141,10 @@
 	enum quota_answer answer =
 	    quota_admit(f->instances[i], &limit, priority, now, &wait);
 
-	for (unsigned rank = 0; answer == QUOTA_ASK && rank < QUOTA_HOMES;
+	for (unsigned rank = 0; answer == QUOTA_ASK && rank < ROSTER_HOMES;
 	     rank++) {
 		const char *home =
-		    quota_home(f->instances[i], limit.organisation, rank, now);
+		    roster_home(f->rosters[i], limit.organisation, rank, now);
 		int j = home != NULL ? atoi(home + 1) : i;
 
 		if (home != NULL && !is_unanswered(f, i, j) &&
@@ -550,14 +557,15 @@
 static void
 test_active_programs_first(void)
 {
-	struct quota *quota = quota_open("i0", &tolerance, 0);
+	struct roster *roster = roster_open("i0");
+	struct quota *quota = quota_open(roster, &tolerance, 0);
 	const struct quota_limit limit = quota_limit_make("o", 250, 250);
 	struct quota_count counts[4];
 	unsigned refused[2] = {0, 0};
 	unsigned asked[2] = {0, 0};
 	clk_ms wait;
 
-	quota_instances_set(quota, 1, 0);
+	roster_size_set(roster, 1, 0);
 	for (clk_ms now = 1; now < 30000; now += 5) {
 		/* 400 requests a second, half of them of new programs. */
 		for (int i = 0; i < 2; i++) {
@@ -574,19 +582,21 @@
 	g_assert_cmpuint(refused[1], <=, asked[1] / 50);
 	g_assert_cmpuint(refused[0], >=, asked[0] / 2);
 	quota_close(quota);
+	roster_close(roster);
 }
 
 /* After the wait that a refusal states, a request is admitted. */
 static void
 test_wait(void)
 {
-	struct quota *quota = quota_open("i0", &tolerance, 0);
+	struct roster *roster = roster_open("i0");
+	struct quota *quota = quota_open(roster, &tolerance, 0);
 	const struct quota_limit limit = quota_limit_make("o", 10, 10);
 	const struct quota_limit none = quota_limit_make("free", 0, 0);
 	struct quota_count counts[4];
 	clk_ms wait;
 
-	quota_instances_set(quota, 1, 0);
+	roster_size_set(roster, 1, 0);
 	while (quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM, 1000, &wait) ==
 	    QUOTA_ADMITTED)
 		continue;
@@ -599,6 +609,7 @@
 	    quota_admit(quota, &none, QUOTA_ACTIVE_PROGRAM, 1, &wait), ==,
 	    QUOTA_ADMITTED);
 	quota_close(quota);
+	roster_close(roster);
 }
 
 /*
@@ -608,11 +619,12 @@
 static void
 test_refund(void)
 {
-	struct quota *quota = quota_open("i0", &tolerance, 0);
+	struct roster *roster = roster_open("i0");
+	struct quota *quota = quota_open(roster, &tolerance, 0);
 	const struct quota_limit limit = quota_limit_make("o", 10, 10);
 	clk_ms wait;
 
-	quota_instances_set(quota, 1, 0);
+	roster_size_set(roster, 1, 0);
 	for (int i = 0; i < 1000; i++) {
 		g_assert_cmpint(quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM,
 				    1000, &wait),
@@ -620,6 +632,7 @@
 		quota_refund(quota, limit.organisation);
 	}
 	quota_close(quota);
+	roster_close(roster);
 }
 
 /*
@@ -639,7 +652,7 @@
 
 		for (int i = 0; i < FLEET; i++) {
 			const char *name =
-			    quota_home(f.instances[i], organisation, 0, 1);
+			    roster_home(f.rosters[i], organisation, 0, 1);
 
 			/* One instance, which is the home, names none. */
 			if (name != NULL && home != NULL)
@@ -649,8 +662,8 @@
 		}
 		g_assert_nonnull(home);
 		homes[atoi(home + 1)]++;
-		g_assert_null(quota_home(
-		    f.instances[atoi(home + 1)], organisation, 0, 1));
+		g_assert_null(
+		    roster_home(f.rosters[atoi(home + 1)], organisation, 0, 1));
 	}
 	for (int i = 0; i < FLEET; i++)
 		g_assert_cmpint(homes[i], >=, 50);
--- /dev/null
+++ b/src/roster/roster.c
@@ -0,0 +1,193 @@
+#include "roster/roster.h"
+
+#include <glib.h>
+
+/*
+ * A peer that sent no gossip message for this time has timed out: one and a
+ * half intervals.  A lost message costs the peer's share until the next one.
+ */
+#define PEER_TIMEOUT_MS 300
+/* A peer that sent no gossip message for this time is removed. */
+#define PEER_EXPIRY_MS (30 * CLK_SECOND)
+/* Period of counting the live peers. */
+#define SHARE_PERIOD_MS 20
+/* Number of instances that is assumed until one is known. */
+#define UNKNOWN_FLEET 50
+/* Lowest share, for an instance without live peers. */
+#define SHARE_MIN 0.02
+
+struct peer {
+	uint32_t hash; /* of the name */
+	clk_ms heard;
+};
+
+struct roster {
+	GHashTable *peers; /* name -> struct peer */
+	uint32_t hash; /* of this instance's name */
+	unsigned instances;
+	double share;
+	clk_ms share_until; /* when it is to be computed again */
+};
+
+struct roster *
+roster_open(const char *name)
+{
+	struct roster *roster = g_new0(struct roster, 1);
+
+	roster->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	roster->hash = roster_hash(name);
+	roster->instances = UNKNOWN_FLEET;
+	return (roster);
+}
+
+void
+roster_close(struct roster *roster)
+{
+	if (roster == NULL)
+		return;
+	g_hash_table_destroy(roster->peers);
+	g_free(roster);
+}
+
+uint32_t
+roster_hash(const char *text)
+{
+	return ((uint32_t)g_str_hash(text));
+}
+
+void
+roster_size_set(struct roster *roster, unsigned instances, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	roster->instances = MAX(instances, 1U);
+	roster->share_until = now;
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (now - ((const struct peer *)value)->heard >= PEER_EXPIRY_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+roster_peer_heard(struct roster *roster, const char *name, clk_ms now)
+{
+	struct peer *peer = g_hash_table_lookup(roster->peers, name);
+
+	if (peer == NULL) {
+		peer = g_new0(struct peer, 1);
+		peer->hash = roster_hash(name);
+		(void)g_hash_table_insert(roster->peers, g_strdup(name), peer);
+	}
+	peer->heard = now;
+}
+
+static bool
+peer_is_live(const struct peer *peer, clk_ms now)
+{
+	return (now - peer->heard < PEER_TIMEOUT_MS);
+}
+
+unsigned
+roster_size(const struct roster *roster)
+{
+	return (roster->instances);
+}
+
+unsigned
+roster_live_peers(const struct roster *roster, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+	unsigned live = 0;
+
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		live += peer_is_live(value, now);
+	return (live);
+}
+
+double
+roster_share(struct roster *roster, clk_ms now)
+{
+	double live;
+
+	if (now < roster->share_until)
+		return (roster->share);
+	live = (double)(roster_live_peers(roster, now) + 1);
+	roster->share = CLAMP(live / roster->instances, SHARE_MIN, 1.0);
+	roster->share_until = now + SHARE_PERIOD_MS;
+	return (roster->share);
+}
+
+/* Score of an instance for a key; the homes have the highest. */
+static uint32_t
+home_score(uint32_t key, uint32_t instance)
+{
+	uint32_t hash = key ^ (instance * 0x9e3779b1U);
+
+	hash = (hash ^ (hash >> 16)) * 0x7feb352dU;
+	hash = (hash ^ (hash >> 15)) * 0x846ca68bU;
+	return (hash ^ (hash >> 16));
+}
+
+/* Finds the names of the homes; nil for this instance, and for none. */
+static void
+homes_find(const struct roster *roster, uint32_t key, clk_ms now,
+    const char *names[ROSTER_HOMES], bool is_self[ROSTER_HOMES])
+{
+	uint64_t scores[ROSTER_HOMES] = {
+	    1 + (uint64_t)home_score(key, roster->hash)};
+	GHashTableIter iter;
+	void *name, *value;
+
+	for (int i = 0; i < ROSTER_HOMES; i++) {
+		names[i] = NULL;
+		is_self[i] = i == 0;
+	}
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct peer *peer = value;
+		uint64_t score = 1 + (uint64_t)home_score(key, peer->hash);
+		int at = ROSTER_HOMES;
+
+		if (!peer_is_live(peer, now))
+			continue;
+		while (at > 0 && score > scores[at - 1])
+			at--;
+		for (int i = ROSTER_HOMES - 1; i > at; i--) {
+			scores[i] = scores[i - 1];
+			names[i] = names[i - 1];
+			is_self[i] = is_self[i - 1];
+		}
+		if (at == ROSTER_HOMES)
+			continue;
+		scores[at] = score;
+		names[at] = name;
+		is_self[at] = false;
+	}
+}
+
+const char *
+roster_home(
+    const struct roster *roster, uint32_t key, unsigned rank, clk_ms now)
+{
+	const char *names[ROSTER_HOMES];
+	bool is_self[ROSTER_HOMES];
+
+	homes_find(roster, key, now, names, is_self);
+	return (names[rank]);
+}
+
+bool
+roster_is_home(
+    const struct roster *roster, uint32_t key, unsigned rank, clk_ms now)
+{
+	const char *names[ROSTER_HOMES];
+	bool is_self[ROSTER_HOMES];
+
+	homes_find(roster, key, now, names, is_self);
+	return (is_self[rank]);
+}
--- /dev/null
+++ b/src/roster/roster.h
@@ -0,0 +1,62 @@
+/*
+ * roster: which instances are alive, as heard from their gossip messages, and
+ * which of them is responsible for a key.
+ *
+ * Every instance names the same homes for a key as long as it hears the same
+ * peers.  In a partition each side has homes of its own; the share tells how
+ * large a part of the fleet a side is.
+ */
+#ifndef SAMPHIRESHED_ROSTER_H
+#define SAMPHIRESHED_ROSTER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/clk.h"
+
+struct roster;
+
+/* roster_open(name): name is this instance's. */
+struct roster *roster_open(const char *name);
+void roster_close(struct roster *roster);
+
+/* roster_hash(text): hash of a name or key, the same at all instances. */
+uint32_t roster_hash(const char *text);
+
+/*
+ * roster_size_set(roster, instances, now)
+ *	Set the number of instances, this one included.  Until it is known,
+ *	the share of this instance and its peers is small.  Removes the peers
+ *	that have not been heard for long.
+ * roster_peer_heard(roster, name, now)
+ *	A gossip message of a peer has arrived.
+ */
+void roster_size_set(struct roster *roster, unsigned instances, clk_ms now);
+void roster_peer_heard(struct roster *roster, const char *name, clk_ms now);
+
+/*
+ * roster_size(roster): the number of instances.
+ * roster_live_peers(roster, now): number of peers that have not timed out.
+ * roster_share(roster, now)
+ *	This instance and its live peers as a part of all instances.
+ */
+unsigned roster_size(const struct roster *roster);
+unsigned roster_live_peers(const struct roster *roster, clk_ms now);
+double roster_share(struct roster *roster, clk_ms now);
+
+/* Number of homes of a key. */
+#define ROSTER_HOMES 2
+
+/*
+ * roster_home(roster, key, rank, now)
+ *	Return the name of a home of the key, of rank 0 to ROSTER_HOMES - 1, or
+ *	nil if there is none or it is this instance.
+ * roster_is_home(roster, key, rank, now)
+ *	Whether this instance is the home of that rank.
+ */
+const char *roster_home(
+    const struct roster *roster, uint32_t key, unsigned rank, clk_ms now);
+bool roster_is_home(
+    const struct roster *roster, uint32_t key, unsigned rank, clk_ms now);
+
+#endif
