Remember, log and exchange the rates that upstreams name

Log line upstream_limit for each change, gauge upstreams_limited. No request is held to a limit yet; the functions that do it are tested only.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -295,6 +295,9 @@
 	cnt_set(cnt_gauge(edge->deps.cnt, "turn_cache_bytes",
 		    "Turns kept in memory.", NULL, NULL),
 	    (int64_t)turn_cache_bytes(edge->turns));
+	cnt_set(cnt_gauge(edge->deps.cnt, "upstreams_limited",
+		    "Upstreams that name the rate they take.", NULL, NULL),
+	    throttle_limited(edge->deps.throttle));
 	cnt_set(cnt_gauge(edge->deps.cnt, "upstream_connections_opened",
 		    "Connections opened to upstreams.", NULL, NULL),
 	    (int64_t)hcp_opened(edge->hcp));
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -24,6 +24,7 @@
 #include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
+#include "throttle/throttle.h"
 
 struct edge;
 
@@ -50,6 +51,7 @@
 	struct place *place;
 	struct roster *roster;
 	struct quota *quota;
+	struct throttle *throttle;
 	struct active_programs *activity;
 	struct crash_table *crashes;
 	/* Look up an instance's address by name; false if unknown. */
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -226,6 +226,31 @@
 	(void)g_byte_array_set_size(call->reply_body, 0);
 }
 
+/*
+ * Remember the rate that the upstream names.  Only a whole answer of its own
+ * without one says that there is none.
+ */
+static void
+limit_observe(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	const struct edge_reply *reply = &call->reply;
+	uint32_t rate = throttle_rate(reply->rate_limit);
+	uint32_t before;
+
+	if (reply->is_misdirected || (rate == 0 && !reply->is_signed))
+		return;
+	before = throttle_observe(edge->deps.throttle,
+	    roster_hash(call->upstream_id), rate, edge_now(edge));
+	if (before == rate)
+		return;
+	lg_event(edge->deps.lg, LG_INFO, "upstream_limit",
+	    "request=%s upstream=%s limit_per_s=%.1f before_per_s=%.1f "
+	    "limited=%u",
+	    call->request.id, call->upstream_id, reply->rate_limit,
+	    before / 1000.0, throttle_limited(edge->deps.throttle));
+}
+
 static enum hcp_take
 on_head(void *arg, const struct hmsg_head *head)
 {
@@ -238,6 +263,7 @@
 	    !reply->is_misdirected)
 		return (HCP_SKIP);
 	call->has_reply = true;
+	limit_observe(call);
 	if (call->reply_fields == NULL)
 		call->reply_fields = g_string_new(NULL);
 	if (call->reply_body == NULL)
--- a/src/edge/wire.h
+++ b/src/edge/wire.h
@@ -50,6 +50,8 @@
 	bool is_not_run; /* it states that it did not run the request */
 	bool is_misdirected; /* the address belongs to another upstream */
 	bool is_encoded; /* the body is not the upstream's own bytes */
+	/* Requests a second that the upstream takes from all; 0: no limit. */
+	double rate_limit;
 };
 
 struct edge_wire {
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -20,7 +20,7 @@
 #define RECORD_DROP_MS	 60000
 #define STORE_TIMEOUT_MS 500
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f39U
+#define PROTOCOL_VERSION 0x53474f3aU
 
 /* The lists of a message. */
 enum gossip_list {
@@ -29,11 +29,12 @@
 	GOSSIP_LOADS,
 	GOSSIP_CACHED_PARTS,
 	GOSSIP_CRASHES,
+	GOSSIP_LIMITS,
 	GOSSIP_LISTS
 };
 
 static const char *const list_names[GOSSIP_LISTS] = {
-    "counts", "programs", "loads", "cached_parts", "crashes"};
+    "counts", "programs", "loads", "cached_parts", "crashes", "limits"};
 
 struct gossip_peer {
 	struct sockaddr_in address;
@@ -104,6 +105,14 @@
 	    xdr_string(xdrs, &upstream, sizeof(crash->upstream) - 1));
 }
 
+static bool_t
+xdr_limit(XDR *xdrs, struct throttle_limit *limit)
+{
+	return (xdr_uint32_t(xdrs, &limit->upstream) &&
+	    xdr_uint32_t(xdrs, &limit->rate) &&
+	    xdr_uint32_t(xdrs, &limit->age));
+}
+
 static bool_t
 xdr_message(XDR *xdrs, void *data)
 {
@@ -125,7 +134,10 @@
 		sizeof(*message->cached_parts), (xdrproc_t)xdr_cached_part) &&
 	    xdr_array(xdrs, (char **)&message->crashes, &message->crash_len,
 		GOSSIP_CRASHES_MAX, sizeof(*message->crashes),
-		(xdrproc_t)xdr_crash));
+		(xdrproc_t)xdr_crash) &&
+	    xdr_array(xdrs, (char **)&message->limits, &message->limit_len,
+		GOSSIP_LIMITS_MAX, sizeof(*message->limits),
+		(xdrproc_t)xdr_limit));
 }
 
 size_t
@@ -159,6 +171,7 @@
 	free(message->loads);
 	free(message->cached_parts);
 	free(message->crashes);
+	free(message->limits);
 	memset(message, 0, sizeof(*message));
 }
 
@@ -187,6 +200,7 @@
 	struct place_load loads[GOSSIP_LOADS_MAX];
 	struct place_cached_part cached_parts[GOSSIP_CACHED_PARTS_MAX];
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
+	struct throttle_limit limits[GOSSIP_LIMITS_MAX];
 	clk_ms now = clk_now(&gossip->deps.clk);
 	struct gossip_message message = {.name = gossip->name,
 	    .incarnation = gossip->incarnation,
@@ -194,7 +208,8 @@
 	    .programs = programs,
 	    .loads = loads,
 	    .cached_parts = cached_parts,
-	    .crashes = crashes};
+	    .crashes = crashes,
+	    .limits = limits};
 	char buf[GOSSIP_DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
@@ -220,12 +235,18 @@
 	    crash_table_collect(
 		gossip->deps.crashes, crashes, GOSSIP_CRASHES_MAX),
 	    GOSSIP_CRASHES_MAX);
+	message.limit_len = list_len(gossip, GOSSIP_LIMITS,
+	    throttle_collect(
+		gossip->deps.throttle, limits, GOSSIP_LIMITS_MAX, now),
+	    GOSSIP_LIMITS_MAX);
 	len = gossip_message_encode(buf, sizeof(buf), &message);
 	if (len == 0)
 		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
-		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u",
+		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u "
+		    "limits=%u",
 		    message.count_len, message.program_len, message.load_len,
-		    message.cached_part_len, message.crash_len);
+		    message.cached_part_len, message.crash_len,
+		    message.limit_len);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gossip_peer *peer = value;
@@ -305,6 +326,8 @@
 			place_gossip_merge(gossip->deps.place, message.name,
 			    message.loads, message.load_len,
 			    message.cached_parts, message.cached_part_len, now);
+			throttle_merge(gossip->deps.throttle, message.limits,
+			    message.limit_len, now);
 			crashes_apply(gossip, &message, now);
 		}
 		gossip_message_clear(&message);
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -4,9 +4,9 @@
  * Each instance keeps a record with its address in the store, and finds the
  * others there.  Several times a second it sends each of them its counts of
  * admitted requests by organisation, the programs that began at it, its load
- * and recent prompts at each upstream, and the requests that crashed an
- * upstream.  Lost datagrams are tolerated: the counts are totals, and each
- * program is sent twice.
+ * and recent prompts at each upstream, the requests that crashed an upstream,
+ * and the rates that upstreams named.  Lost datagrams are tolerated: the counts
+ * are totals, and each program is sent twice.
  */
 #ifndef SAMPHIRESHED_GOSSIP_H
 #define SAMPHIRESHED_GOSSIP_H
@@ -23,6 +23,7 @@
 #include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
+#include "throttle/throttle.h"
 
 struct gossip;
 
@@ -34,6 +35,7 @@
 	struct store store;
 	struct roster *roster;
 	struct quota *quota;
+	struct throttle *throttle;
 	struct active_programs *activity;
 	struct place *place;
 	struct crash_table *crashes;
@@ -84,6 +86,7 @@
 #define GOSSIP_LOADS_MAX	60
 #define GOSSIP_CACHED_PARTS_MAX 100
 #define GOSSIP_CRASHES_MAX	8
+#define GOSSIP_LIMITS_MAX	40
 
 /* The state that an instance sends.  Clear it after decoding. */
 struct gossip_message {
@@ -99,6 +102,8 @@
 	unsigned cached_part_len;
 	struct sched_crash *crashes; /* without their times */
 	unsigned crash_len;
+	struct throttle_limit *limits; /* that upstreams named */
+	unsigned limit_len;
 };
 
 /*
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -15,8 +15,9 @@
 	struct place_load loads[] = {{5, 6}};
 	struct place_cached_part cached_parts[] = {{11, 12}};
 	struct sched_crash crashes[] = {{{1, 2, 3}, "u-1", 0}};
+	struct throttle_limit limits[] = {{13, 3500, 120}, {14, 0, 9}};
 	const struct gossip_message message = {(char *)"i-1", 17, counts, 2,
-	    programs, 3, loads, 1, cached_parts, 1, crashes, 1};
+	    programs, 3, loads, 1, cached_parts, 1, crashes, 1, limits, 2};
 	char buf[1024];
 	struct gossip_message read;
 	size_t len = gossip_message_encode(buf, sizeof(buf), &message);
@@ -36,6 +37,9 @@
 	g_assert_cmpuint(read.loads[0].running, ==, 6);
 	g_assert_cmpuint(read.cached_parts[0].upstream, ==, 12);
 	g_assert_cmpstr(read.crashes[0].upstream, ==, "u-1");
+	g_assert_cmpuint(read.limit_len, ==, 2);
+	g_assert_cmpuint(read.limits[0].rate, ==, 3500);
+	g_assert_cmpuint(read.limits[1].age, ==, 9);
 	g_assert_cmpmem(read.crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE,
 	    crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE);
 	gossip_message_clear(&read);
@@ -59,11 +63,12 @@
 	struct place_load loads[GOSSIP_LOADS_MAX] = {0};
 	struct place_cached_part parts[GOSSIP_CACHED_PARTS_MAX] = {0};
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX] = {0};
+	struct throttle_limit limits[GOSSIP_LIMITS_MAX] = {0};
 	char name[GOSSIP_NAME_MAX + 1] = {0};
 	const struct gossip_message message = {name, 17, counts,
 	    GOSSIP_COUNTS_MAX, programs, GOSSIP_PROGRAMS_MAX, loads,
 	    GOSSIP_LOADS_MAX, parts, GOSSIP_CACHED_PARTS_MAX, crashes,
-	    GOSSIP_CRASHES_MAX};
+	    GOSSIP_CRASHES_MAX, limits, GOSSIP_LIMITS_MAX};
 	struct gossip_message read;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	size_t len;
@@ -76,6 +81,7 @@
 	g_assert_cmpuint(len, >, 0);
 	g_assert_true(gossip_message_decode(buf, len, &read));
 	g_assert_cmpuint(read.crash_len, ==, GOSSIP_CRASHES_MAX);
+	g_assert_cmpuint(read.limit_len, ==, GOSSIP_LIMITS_MAX);
 	gossip_message_clear(&read);
 }
 
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -15,6 +15,7 @@
 #include "quota/token.h"
 #include "roster/roster.h"
 #include "store/sweeper.h"
+#include "throttle/throttle.h"
 #include "turn/turn.h"
 
 #define TURN_CACHE_BYTES ((size_t)12 << 20)
@@ -57,6 +58,7 @@
 	struct place *place;
 	struct roster *roster;
 	struct quota *quota;
+	struct throttle *throttle;
 	struct active_programs *activity;
 	struct crash_table *crashes;
 	struct edge *edge;
@@ -226,23 +228,24 @@
 	instance->roster = roster_open(settings->name);
 	instance->quota =
 	    quota_open(instance->roster, &settings->rate_tolerance, now);
+	instance->throttle = throttle_open(instance->roster);
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
 	instance->store_answered = now;
 	instance->sweeper = sweeper_open(deps->loop, deps->lg, &deps->store,
 	    sweep_rules, G_N_ELEMENTS(sweep_rules));
-	edge_deps =
-	    (struct edge_deps){deps->loop, deps->clk, deps->lg, instance->cnt,
-		deps->wire, deps->store, instance->place, instance->roster,
-		instance->quota, instance->activity, instance->crashes,
-		lookup_instance_address, send_to_instance, instance};
+	edge_deps = (struct edge_deps){deps->loop, deps->clk, deps->lg,
+	    instance->cnt, deps->wire, deps->store, instance->place,
+	    instance->roster, instance->quota, instance->throttle,
+	    instance->activity, instance->crashes, lookup_instance_address,
+	    send_to_instance, instance};
 	edge_settings = (struct edge_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
 	    settings->max_connections};
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->store, instance->roster, instance->quota,
-	    instance->activity, instance->place, instance->crashes, on_fleet,
-	    on_datagram, instance};
+	    instance->throttle, instance->activity, instance->place,
+	    instance->crashes, on_fleet, on_datagram, instance};
 	instance->edge = edge_open(&edge_deps, &edge_settings);
 	if (instance->edge == NULL)
 		goto fail;
@@ -283,6 +286,7 @@
 	hsv_close(instance->ready);
 	hsv_close(instance->metrics);
 	edge_close(instance->edge);
+	throttle_close(instance->throttle);
 	quota_close(instance->quota);
 	roster_close(instance->roster);
 	active_programs_close(instance->activity);
--- /dev/null
+++ b/src/throttle/test_throttle.c
@@ -0,0 +1,452 @@
+/*
+ * The rates that upstreams name, over fleets of instances with lost messages,
+ * restarts, partitions and limits that change.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "throttle/throttle.h"
+
+#define SIZE_MAX_TEST 67
+#define GOSSIP_MS     200
+#define UPSTREAM      4711U
+/* Time of a message between two instances. */
+#define MESSAGE_MS 2
+#define LIMITS_MAX 40
+/*
+ * The rule of the users: in any window, at most a limit's requests, half as
+ * many again, and five.
+ */
+#define WINDOW_MS      4000
+#define TOLERANCE_PART 0.5
+#define TOLERANCE      5.0
+
+struct instance {
+	struct roster *roster;
+	struct throttle *throttle;
+};
+
+struct fleet {
+	struct instance instances[SIZE_MAX_TEST];
+	int size;
+	GRand *rand;
+	double lost; /* fraction of the messages */
+	int cut; /* first instance of the other side; size: none */
+	clk_ms frozen_until; /* of instance 0 */
+	double rate; /* that the upstream names; 0: none */
+	clk_ms changed; /* when the upstream last changed what it names */
+	GArray *sent; /* times */
+};
+
+static void
+instance_open(struct fleet *f, int i, clk_ms now)
+{
+	g_autofree char *name = g_strdup_printf("i%d", i);
+	struct instance *instance = &f->instances[i];
+
+	instance->roster = roster_open(name);
+	instance->throttle = throttle_open(instance->roster);
+	roster_size_set(instance->roster, (unsigned)f->size, now);
+}
+
+static void
+instance_close(struct fleet *f, int i)
+{
+	throttle_close(f->instances[i].throttle);
+	roster_close(f->instances[i].roster);
+}
+
+static void
+fleet_open(struct fleet *f, guint32 seed, int size, double rate)
+{
+	memset(f, 0, sizeof(*f));
+	f->size = size;
+	f->cut = size;
+	f->rate = rate;
+	f->rand = g_rand_new_with_seed(seed);
+	f->sent = g_array_new(FALSE, FALSE, sizeof(clk_ms));
+	for (int i = 0; i < size; i++)
+		instance_open(f, i, 0);
+}
+
+static void
+fleet_close(struct fleet *f)
+{
+	for (int i = 0; i < f->size; i++)
+		instance_close(f, i);
+	g_array_free(f->sent, TRUE);
+	g_rand_free(f->rand);
+}
+
+static bool
+is_frozen(const struct fleet *f, int i, clk_ms now)
+{
+	return (i == 0 && now < f->frozen_until);
+}
+
+static bool
+is_delivered(struct fleet *f, int i, int j, clk_ms now)
+{
+	return ((i >= f->cut) == (j >= f->cut) && !is_frozen(f, i, now) &&
+	    !is_frozen(f, j, now) && g_rand_double(f->rand) >= f->lost);
+}
+
+static void
+gossip(struct fleet *f, clk_ms now)
+{
+	for (int i = 0; i < f->size; i++) {
+		struct throttle_limit limits[LIMITS_MAX];
+		g_autofree char *name = g_strdup_printf("i%d", i);
+		size_t n;
+
+		if (is_frozen(f, i, now))
+			continue;
+		n = throttle_collect(
+		    f->instances[i].throttle, limits, LIMITS_MAX, now);
+		for (int j = 0; j < f->size; j++) {
+			if (j == i || !is_delivered(f, i, j, now))
+				continue;
+			roster_peer_heard(f->instances[j].roster, name, now);
+			throttle_merge(f->instances[j].throttle, limits,
+			    MIN(n, LIMITS_MAX), now);
+		}
+	}
+}
+
+/* A request at instance i; returns whether it was sent to the upstream. */
+static bool
+request_send(struct fleet *f, int i, clk_ms now)
+{
+	struct instance *self = &f->instances[i];
+	enum throttle_answer answer;
+	clk_ms wait;
+
+	if (now < throttle_held_until(self->throttle, UPSTREAM))
+		return (false);
+	answer = throttle_take(self->throttle, UPSTREAM, 0, now, &wait);
+	if (answer == THROTTLE_ASK) {
+		const char *home = roster_home(self->roster, UPSTREAM, 0, now);
+		int j = atoi(home + 1);
+		struct throttle_limit limit =
+		    throttle_get(self->throttle, UPSTREAM, now);
+
+		wait = 100;
+		answer = THROTTLE_REFUSED;
+		if (is_delivered(f, i, j, now)) {
+			enum throttle_answer granted =
+			    throttle_grant(f->instances[j].throttle, &limit, 0,
+				now + MESSAGE_MS, &wait);
+
+			limit = throttle_get(f->instances[j].throttle, UPSTREAM,
+			    now + MESSAGE_MS);
+			if (is_delivered(f, i, j, now)) {
+				answer = granted;
+				throttle_merge(self->throttle, &limit, 1, now);
+			}
+		}
+	}
+	if (answer == THROTTLE_REFUSED) {
+		throttle_hold(self->throttle, UPSTREAM, now + wait);
+		return (false);
+	}
+	g_array_append_val(f->sent, now);
+	(void)throttle_observe(
+	    self->throttle, UPSTREAM, throttle_rate(f->rate), now);
+	return (true);
+}
+
+/* per_s requests a second at random instances; returns how many were sent. */
+static unsigned
+requests_send(struct fleet *f, clk_ms from, clk_ms to, double per_s)
+{
+	unsigned sent = 0;
+
+	for (clk_ms now = from; now < to; now++) {
+		int due = (int)(per_s / 1000.0 + g_rand_double(f->rand));
+
+		if (now % GOSSIP_MS == 0)
+			gossip(f, now);
+		for (; due > 0; due--) {
+			int i = g_rand_int_range(f->rand, 0, f->size);
+
+			if (!is_frozen(f, i, now))
+				sent += request_send(f, i, now);
+		}
+	}
+	return (sent);
+}
+
+/* The most requests of a window that were sent after from. */
+static unsigned
+worst_window(const struct fleet *f, clk_ms from)
+{
+	unsigned worst = 0;
+	guint first = 0;
+
+	for (guint i = 0; i < f->sent->len; i++) {
+		clk_ms at = g_array_index(f->sent, clk_ms, i);
+
+		while (g_array_index(f->sent, clk_ms, first) < from ||
+		    at - g_array_index(f->sent, clk_ms, first) >= WINDOW_MS) {
+			if (first++ == i)
+				break;
+		}
+		if (first <= i)
+			worst = MAX(worst, i - first + 1);
+	}
+	return (worst);
+}
+
+static double
+allowed(double rate)
+{
+	return (rate * WINDOW_MS / 1000.0 * (1.0 + TOLERANCE_PART) + TOLERANCE);
+}
+
+static const double rates[] = {1.1, 3.0, 6.2, 17.5, 120.0};
+static const int sizes[] = {1, 9, 67};
+
+/*
+ * Guards against an upstream that gets more than the rate that it named, and
+ * against one that gets much less while more is asked for.
+ */
+static void
+test_kept_and_used(void)
+{
+	for (size_t s = 0; s < G_N_ELEMENTS(sizes); s++) {
+		for (size_t r = 0; r < G_N_ELEMENTS(rates); r++) {
+			struct fleet f;
+			unsigned sent;
+
+			fleet_open(&f, 1, sizes[s], rates[r]);
+			f.lost = 0.02;
+			(void)requests_send(&f, 0, 500, 20 * rates[r]);
+			sent = requests_send(&f, 500, 20500, 20 * rates[r]);
+			g_assert_cmpfloat(
+			    worst_window(&f, 500), <=, allowed(rates[r]));
+			g_assert_cmpfloat(sent, >=, 20 * rates[r] * 0.8);
+			fleet_close(&f);
+		}
+	}
+}
+
+/*
+ * Guards against limits that outlive what the upstream says, also where no
+ * request has been sent to it in between.
+ */
+static void
+test_ends(void)
+{
+	struct fleet f;
+	unsigned sent;
+
+	fleet_open(&f, 2, 9, 3.0);
+	(void)requests_send(&f, 0, 3000, 100);
+	f.rate = 0;
+	(void)requests_send(&f, 3000, 13000, 0);
+	(void)requests_send(&f, 13000, 13400, 1000);
+	sent = requests_send(&f, 13400, 14400, 1000);
+	g_assert_cmpuint(sent, >=, 900);
+	/* And it holds again once it is named anew. */
+	f.rate = 3.0;
+	(void)requests_send(&f, 14400, 14900, 100);
+	(void)requests_send(&f, 14900, 24900, 100);
+	g_assert_cmpfloat(worst_window(&f, 14900), <=, allowed(3.0));
+	fleet_close(&f);
+}
+
+/* Guards against a limit that falls and is kept at its higher value. */
+static void
+test_falls(void)
+{
+	struct fleet f;
+
+	fleet_open(&f, 3, 67, 30.0);
+	(void)requests_send(&f, 0, 5000, 200);
+	f.rate = 3.0;
+	(void)requests_send(&f, 5000, 5500, 200);
+	(void)requests_send(&f, 5500, 20000, 200);
+	g_assert_cmpfloat(worst_window(&f, 5500), <=, allowed(3.0));
+	fleet_close(&f);
+}
+
+/* A token of the near future is reserved, and the wait of a refusal holds. */
+static void
+test_wait(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+	clk_ms wait, refused;
+
+	roster_size_set(roster, 1, 0);
+	(void)throttle_observe(throttle, UPSTREAM, throttle_rate(5.0), 0);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 0, &refused), ==,
+	    THROTTLE_REFUSED);
+	g_assert_cmpint(refused, ==, 200);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 300, 0, &wait), ==,
+	    THROTTLE_GRANTED);
+	g_assert_cmpint(wait, ==, 200);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 300, 0, &wait), ==,
+	    THROTTLE_REFUSED);
+	g_assert_cmpint(wait, ==, 400);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 399, &wait), ==,
+	    THROTTLE_REFUSED);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 400, &wait), ==,
+	    THROTTLE_GRANTED);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM + 1, 0, 400, &wait),
+	    ==, THROTTLE_FREE);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
+/* What there is no room for in a message comes in a later one. */
+static void
+test_more_limits_than_room(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+	struct throttle_limit limits[LIMITS_MAX];
+	g_autoptr(GHashTable) told = g_hash_table_new(NULL, NULL);
+
+	for (uint32_t i = 1; i <= 3 * LIMITS_MAX; i++)
+		(void)throttle_observe(throttle, i, throttle_rate(2.0), 0);
+	for (clk_ms now = 0; now < 3; now++) {
+		g_assert_cmpuint(
+		    throttle_collect(throttle, limits, LIMITS_MAX, now), ==,
+		    3 * LIMITS_MAX);
+		for (int i = 0; i < LIMITS_MAX; i++)
+			(void)g_hash_table_add(
+			    told, GUINT_TO_POINTER(limits[i].upstream));
+	}
+	g_assert_cmpuint(g_hash_table_size(told), ==, 3 * LIMITS_MAX);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
+/*
+ * A random order of restarts, a freeze, a partition, lost messages and
+ * changes of what is asked for.  The limit holds from half a second after it
+ * was named.  Returns whether it did.
+ */
+static bool
+order_play(guint32 seed, int size, double rate)
+{
+	struct fleet f;
+	clk_ms now = 500;
+	bool is_kept;
+
+	fleet_open(&f, seed, size, rate);
+	f.lost = g_rand_double_range(f.rand, 0, 0.1);
+	(void)requests_send(&f, 0, now, 10 * rate + 2 * size);
+	for (int step = 0; step < 8; step++) {
+		clk_ms until = now + g_rand_int_range(f.rand, 100, 1500);
+		int i;
+
+		switch (g_rand_int_range(f.rand, 0, 5)) {
+		case 0:
+			i = g_rand_int_range(f.rand, 0, size);
+			instance_close(&f, i);
+			instance_open(&f, i, now);
+			break;
+		case 1:
+			f.cut = g_rand_int_range(f.rand, 1, size + 1);
+			break;
+		case 2:
+			f.cut = size;
+			break;
+		case 3:
+			f.frozen_until = until;
+			break;
+		default:
+			break;
+		}
+		(void)requests_send(&f, now, until,
+		    g_rand_double_range(f.rand, 0, 10 * rate + 2 * size));
+		now = until;
+	}
+	is_kept = worst_window(&f, 500) <= allowed(rate);
+	if (!is_kept)
+		g_test_message("seed %u, %d instances, %.1f a second: %u in a "
+			       "window, %.1f allowed",
+		    seed, size, rate, worst_window(&f, 500), allowed(rate));
+	fleet_close(&f);
+	return (is_kept);
+}
+
+#define ORDERS 120
+
+/*
+ * Guards against tokens of two homes at once, and of one that has been
+ * replaced: the limit holds over random orders of faults.
+ */
+static void
+test_orders(void)
+{
+	unsigned broken = 0;
+
+	for (guint32 seed = 1; seed <= ORDERS; seed++) {
+		for (size_t r = 0; r < G_N_ELEMENTS(rates); r++)
+			broken +=
+			    !order_play(seed, sizes[1 + seed % 2], rates[r]);
+	}
+	g_test_message("%u orders, %u broken",
+	    (unsigned)(ORDERS * G_N_ELEMENTS(rates)), broken);
+	g_assert_cmpuint(broken, ==, 0);
+}
+
+/*
+ * The check of the orders can fail: an upstream whose limit the instances do
+ * not know gets more.
+ */
+static void
+test_check_can_fail(void)
+{
+	struct fleet f;
+
+	fleet_open(&f, 1, 9, 0);
+	(void)requests_send(&f, 0, 5000, 30);
+	g_assert_cmpfloat(worst_window(&f, 0), >, allowed(3.0));
+	fleet_close(&f);
+}
+
+static void
+test_message(void)
+{
+	const struct throttle_message message = {
+	    .kind = THROTTLE_MESSAGE_ANSWER,
+	    .serial = 77,
+	    .limit = {UPSTREAM, 3500, 120},
+	    .max_wait = 9,
+	    .is_granted = true,
+	    .wait = 150};
+	struct throttle_message decoded;
+	char buf[THROTTLE_MESSAGE_MAX];
+	size_t len = throttle_message_encode(buf, sizeof(buf), &message);
+
+	g_assert_cmpuint(len, >, 0);
+	g_assert_true(throttle_is_message(buf, len));
+	g_assert_true(throttle_message_decode(buf, len, &decoded));
+	g_assert_cmpuint(decoded.limit.rate, ==, 3500);
+	g_assert_cmpuint(decoded.limit.age, ==, 120);
+	g_assert_cmpuint(decoded.serial, ==, 77);
+	g_assert_true(decoded.is_granted);
+	g_assert_cmpuint(decoded.wait, ==, 150);
+	g_assert_false(throttle_message_decode(buf, len - 1, &decoded));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/throttle/kept-and-used", test_kept_and_used);
+	g_test_add_func("/throttle/ends", test_ends);
+	g_test_add_func("/throttle/falls", test_falls);
+	g_test_add_func("/throttle/wait", test_wait);
+	g_test_add_func(
+	    "/throttle/more-limits-than-room", test_more_limits_than_room);
+	g_test_add_func("/throttle/orders", test_orders);
+	g_test_add_func("/throttle/check-can-fail", test_check_can_fail);
+	g_test_add_func("/throttle/message", test_message);
+	return (g_test_run());
+}
--- /dev/null
+++ b/src/throttle/throttle.c
@@ -0,0 +1,271 @@
+#include "throttle/throttle.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* A limit gives its rate in thousandths. */
+#define RATE_UNITS 1000.0
+/* Time of the rate that a bucket holds, beside the one token at least. */
+#define BURST_S 0.25
+/* Part of the rate for the share of a side with half of the fleet or less. */
+#define SMALLER_SIDE_PART 0.5
+/* Wait of a request whose home takes another instance for the home. */
+#define NOT_HOME_WAIT_MS 100
+/* Time for which the end of a limit is told to the peers. */
+#define END_TOLD_MS (5 * CLK_SECOND)
+/* What an upstream said longer ago is forgotten. */
+#define MEMORY_MS (3600 * CLK_SECOND)
+
+struct ceiling {
+	uint32_t upstream;
+	uint32_t rate; /* thousandths of a request a second; 0: no limit */
+	clk_ms said;
+	double level; /* tokens; negative if some of the future are reserved */
+	clk_ms updated;
+	clk_ms held_until; /* no token is to be had before */
+};
+
+struct throttle {
+	struct roster *roster;
+	GHashTable *by_upstream; /* hash of the id -> struct ceiling */
+	GPtrArray *ceilings; /* the same, in the order of their turns */
+	unsigned limited;
+	guint first; /* with which the next message begins */
+};
+
+struct throttle *
+throttle_open(struct roster *roster)
+{
+	struct throttle *throttle = g_new0(struct throttle, 1);
+
+	throttle->roster = roster;
+	throttle->by_upstream = g_hash_table_new(NULL, NULL);
+	throttle->ceilings = g_ptr_array_new_with_free_func(g_free);
+	return (throttle);
+}
+
+void
+throttle_close(struct throttle *throttle)
+{
+	if (throttle == NULL)
+		return;
+	g_hash_table_destroy(throttle->by_upstream);
+	g_ptr_array_free(throttle->ceilings, TRUE);
+	g_free(throttle);
+}
+
+uint32_t
+throttle_rate(double per_s)
+{
+	if (!(per_s > 0))
+		return (0);
+	/* A limit is never rounded to none. */
+	return (MAX((uint32_t)fmin(per_s * RATE_UNITS, UINT32_MAX), 1U));
+}
+
+static struct ceiling *
+ceiling_find(const struct throttle *throttle, uint32_t upstream)
+{
+	return (g_hash_table_lookup(
+	    throttle->by_upstream, GUINT_TO_POINTER(upstream)));
+}
+
+/* Sets the rate; a bucket that begins is empty. */
+static void
+ceiling_set(struct throttle *throttle, struct ceiling *ceiling, uint32_t rate,
+    clk_ms said, clk_ms now)
+{
+	throttle->limited += (rate > 0) - (ceiling->rate > 0);
+	if (ceiling->rate == 0) {
+		ceiling->level = 0;
+		ceiling->updated = now;
+	}
+	if (rate == 0 || rate > ceiling->rate)
+		ceiling->held_until = 0;
+	ceiling->rate = rate;
+	ceiling->said = said;
+}
+
+static void
+limit_apply(struct throttle *throttle, uint32_t upstream, uint32_t rate,
+    clk_ms said, clk_ms now)
+{
+	struct ceiling *ceiling = ceiling_find(throttle, upstream);
+
+	if (ceiling == NULL) {
+		if (rate == 0)
+			return;
+		ceiling = g_new0(struct ceiling, 1);
+		ceiling->upstream = upstream;
+		(void)g_hash_table_insert(
+		    throttle->by_upstream, GUINT_TO_POINTER(upstream), ceiling);
+		g_ptr_array_add(throttle->ceilings, ceiling);
+	} else if (said < ceiling->said) {
+		return;
+	}
+	ceiling_set(throttle, ceiling, rate, said, now);
+}
+
+uint32_t
+throttle_observe(
+    struct throttle *throttle, uint32_t upstream, uint32_t rate, clk_ms now)
+{
+	const struct ceiling *ceiling = ceiling_find(throttle, upstream);
+	uint32_t before = ceiling != NULL ? ceiling->rate : 0;
+
+	limit_apply(throttle, upstream, rate, now, now);
+	return (before);
+}
+
+void
+throttle_merge(struct throttle *throttle, const struct throttle_limit *limits,
+    size_t n, clk_ms now)
+{
+	for (size_t i = 0; i < n; i++)
+		limit_apply(throttle, limits[i].upstream, limits[i].rate,
+		    now - (clk_ms)limits[i].age, now);
+}
+
+static struct throttle_limit
+ceiling_limit(const struct ceiling *ceiling, clk_ms now)
+{
+	return ((struct throttle_limit){ceiling->upstream, ceiling->rate,
+	    (uint32_t)CLAMP(now - ceiling->said, 0, UINT32_MAX)});
+}
+
+struct throttle_limit
+throttle_get(const struct throttle *throttle, uint32_t upstream, clk_ms now)
+{
+	const struct ceiling *ceiling = ceiling_find(throttle, upstream);
+
+	if (ceiling == NULL)
+		return ((struct throttle_limit){upstream, 0, 0});
+	return (ceiling_limit(ceiling, now));
+}
+
+unsigned
+throttle_limited(const struct throttle *throttle)
+{
+	return (throttle->limited);
+}
+
+static void
+ceilings_expire(struct throttle *throttle, clk_ms now)
+{
+	for (guint i = throttle->ceilings->len; i > 0; i--) {
+		struct ceiling *ceiling = throttle->ceilings->pdata[i - 1];
+
+		if (now - ceiling->said < MEMORY_MS)
+			continue;
+		throttle->limited -= ceiling->rate > 0;
+		(void)g_hash_table_remove(
+		    throttle->by_upstream, GUINT_TO_POINTER(ceiling->upstream));
+		(void)g_ptr_array_remove_index_fast(throttle->ceilings, i - 1);
+	}
+}
+
+size_t
+throttle_collect(struct throttle *throttle, struct throttle_limit *limits,
+    size_t max, clk_ms now)
+{
+	guint len, start;
+	size_t n = 0;
+
+	ceilings_expire(throttle, now);
+	len = throttle->ceilings->len;
+	start = len > 0 ? throttle->first % len : 0;
+	for (guint k = 0; k < len; k++) {
+		guint i = (start + k) % len;
+		const struct ceiling *ceiling = throttle->ceilings->pdata[i];
+
+		if (ceiling->rate == 0 && now - ceiling->said >= END_TOLD_MS)
+			continue;
+		/* What is left out comes first in the next message. */
+		if (n == max)
+			throttle->first = i;
+		if (n++ < max)
+			limits[n - 1] = ceiling_limit(ceiling, now);
+	}
+	return (n);
+}
+
+/* Tokens a second that this instance may grant as the home. */
+static double
+ceiling_rate(
+    const struct throttle *throttle, const struct ceiling *ceiling, clk_ms now)
+{
+	double rate = ceiling->rate / RATE_UNITS;
+	double share = roster_share(throttle->roster, now);
+
+	return (share > 0.5 ? rate : rate * share * SMALLER_SIDE_PART);
+}
+
+static enum throttle_answer
+ceiling_take(const struct throttle *throttle, struct ceiling *ceiling,
+    clk_ms max_wait, clk_ms now, clk_ms *wait)
+{
+	double rate = ceiling_rate(throttle, ceiling, now);
+	double elapsed = (double)(now - ceiling->updated) / (double)CLK_SECOND;
+
+	ceiling->level = fmin(
+	    ceiling->level + fmax(elapsed, 0) * rate, 1.0 + BURST_S * rate);
+	ceiling->updated = now;
+	*wait = ceiling->level >= 1.0
+	    ? 0
+	    : (clk_ms)ceil((1.0 - ceiling->level) / rate * (double)CLK_SECOND);
+	if (*wait > max_wait)
+		return (THROTTLE_REFUSED);
+	ceiling->level -= 1.0;
+	return (THROTTLE_GRANTED);
+}
+
+enum throttle_answer
+throttle_take(struct throttle *throttle, uint32_t upstream, clk_ms max_wait,
+    clk_ms now, clk_ms *wait)
+{
+	struct ceiling *ceiling;
+
+	*wait = 0;
+	if (throttle->limited == 0)
+		return (THROTTLE_FREE);
+	ceiling = ceiling_find(throttle, upstream);
+	if (ceiling == NULL || ceiling->rate == 0)
+		return (THROTTLE_FREE);
+	if (!roster_is_home(throttle->roster, upstream, 0, now))
+		return (THROTTLE_ASK);
+	return (ceiling_take(throttle, ceiling, max_wait, now, wait));
+}
+
+enum throttle_answer
+throttle_grant(struct throttle *throttle, const struct throttle_limit *limit,
+    clk_ms max_wait, clk_ms now, clk_ms *wait)
+{
+	enum throttle_answer answer;
+
+	throttle_merge(throttle, limit, 1, now);
+	answer = throttle_take(throttle, limit->upstream, max_wait, now, wait);
+	if (answer != THROTTLE_ASK)
+		return (answer);
+	*wait = NOT_HOME_WAIT_MS;
+	return (THROTTLE_REFUSED);
+}
+
+void
+throttle_hold(struct throttle *throttle, uint32_t upstream, clk_ms until)
+{
+	struct ceiling *ceiling = ceiling_find(throttle, upstream);
+
+	if (ceiling != NULL && ceiling->rate > 0)
+		ceiling->held_until = until;
+}
+
+clk_ms
+throttle_held_until(const struct throttle *throttle, uint32_t upstream)
+{
+	const struct ceiling *ceiling;
+
+	if (throttle->limited == 0)
+		return (0);
+	ceiling = ceiling_find(throttle, upstream);
+	return (ceiling != NULL ? ceiling->held_until : 0);
+}
--- /dev/null
+++ b/src/throttle/throttle.h
@@ -0,0 +1,132 @@
+/*
+ * throttle: the rates that upstreams name, kept by all instances together.
+ *
+ * An upstream in need names in its answers the requests a second that it
+ * takes from the whole fleet.  Every instance remembers what each upstream
+ * said last, and learns from its peers' gossip what it said to them.
+ *
+ * A request for such an upstream needs a token.  All tokens of an upstream
+ * come from one bucket, at the upstream's home (roster.h), so that the limit
+ * holds for any number of instances and for limits below one request a second
+ * for each of them.  A lost message can only leave a token unused.  A home
+ * grants tokens as long as it takes itself for the home, and a side of a
+ * partition that is not the larger one grants a part of the rate.
+ */
+#ifndef SAMPHIRESHED_THROTTLE_H
+#define SAMPHIRESHED_THROTTLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/clk.h"
+#include "roster/roster.h"
+
+struct throttle;
+
+/* What an upstream said of its limit. */
+struct throttle_limit {
+	uint32_t upstream; /* roster_hash() of its id */
+	uint32_t rate; /* thousandths of a request a second; 0: no limit */
+	uint32_t age; /* ms since the upstream said so */
+};
+
+struct throttle *throttle_open(struct roster *roster);
+void throttle_close(struct throttle *throttle);
+
+/* throttle_rate(per_s): requests a second as the rate of a limit. */
+uint32_t throttle_rate(double per_s);
+
+/*
+ * throttle_observe(throttle, upstream, rate, now)
+ *	An upstream has answered this instance.
+ * RETURN VALUES
+ *	The rate before.
+ */
+uint32_t throttle_observe(
+    struct throttle *throttle, uint32_t upstream, uint32_t rate, clk_ms now);
+
+/*
+ * throttle_merge(throttle, limits, n, now)
+ *	Take what upstreams said to another instance, where it is newer.
+ * throttle_collect(throttle, limits, max, now)
+ *	Write the limits for a gossip message that is sent now, and those that
+ *	ended of late.  If there are more than max, they take turns.  Returns
+ *	the number there are.
+ */
+void throttle_merge(struct throttle *throttle,
+    const struct throttle_limit *limits, size_t n, clk_ms now);
+size_t throttle_collect(struct throttle *throttle,
+    struct throttle_limit *limits, size_t max, clk_ms now);
+
+/* throttle_get(throttle, upstream, now): the limit as it is known here. */
+struct throttle_limit
+throttle_get(const struct throttle *throttle, uint32_t upstream, clk_ms now);
+
+/* throttle_limited(throttle): number of upstreams with a limit. */
+unsigned throttle_limited(const struct throttle *throttle);
+
+enum throttle_answer {
+	THROTTLE_FREE, /* the upstream has no limit */
+	THROTTLE_GRANTED, /* a token, to be used after *wait ms */
+	THROTTLE_ASK, /* the home has the tokens */
+	THROTTLE_REFUSED /* no token for at least *wait ms */
+};
+
+/*
+ * throttle_take(throttle, upstream, max_wait, now, wait)
+ *	Take a token for a request that this instance is about to send.  With
+ *	a max_wait, a token of the near future may be reserved.
+ * throttle_grant(throttle, limit, max_wait, now, wait)
+ *	Take a token for another instance, which asks this one as the home
+ *	and states the limit as it knows it.  Never THROTTLE_ASK.
+ */
+enum throttle_answer throttle_take(struct throttle *throttle, uint32_t upstream,
+    clk_ms max_wait, clk_ms now, clk_ms *wait);
+enum throttle_answer
+throttle_grant(struct throttle *throttle, const struct throttle_limit *limit,
+    clk_ms max_wait, clk_ms now, clk_ms *wait);
+
+/*
+ * throttle_hold(throttle, upstream, until)
+ *	The home has refused a token until then; no further one is asked for.
+ * throttle_held_until(throttle, upstream)
+ *	Return that time, or 0 if there is none or the limit has ended.
+ */
+void throttle_hold(struct throttle *throttle, uint32_t upstream, clk_ms until);
+clk_ms throttle_held_until(const struct throttle *throttle, uint32_t upstream);
+
+/* ---- Messages between instances, in datagrams ---- */
+
+/* Longest message, in bytes. */
+#define THROTTLE_MESSAGE_MAX 64
+
+enum throttle_kind {
+	THROTTLE_MESSAGE_ASK, /* to the home */
+	THROTTLE_MESSAGE_ANSWER /* from the home */
+};
+
+struct throttle_message {
+	uint32_t kind; /* enum throttle_kind */
+	uint64_t serial; /* assigned by the instance that asks */
+	struct throttle_limit limit; /* as the sender knows it */
+	uint32_t max_wait; /* ms, of a question */
+	bool is_granted; /* of an answer; also if there is no limit */
+	uint32_t wait; /* ms, of an answer: see enum throttle_answer */
+};
+
+/*
+ * throttle_message_encode(buf, size, message)
+ *	Returns the length, or 0 if the message does not fit.
+ * throttle_message_decode(buf, len, message)
+ *	Returns false if the bytes are not a valid message.
+ * throttle_is_message(buf, len)
+ *	Whether the bytes start with the protocol version of these messages.
+ */
+size_t throttle_message_encode(
+    char *buf, size_t size, const struct throttle_message *message);
+bool throttle_message_decode(
+    char *buf, size_t len, struct throttle_message *message);
+bool throttle_is_message(const char *buf, size_t len);
+
+#endif
