--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -337,6 +337,7 @@
 	edge_budget_open(edge);
 	edge_loan_open(edge);
 	edge_rate_open(edge);
+	edge_throttle_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
 	edge->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -358,6 +359,7 @@
 	hcp_close(edge->hcp);
 	edge_loan_close(edge);
 	edge_rate_close(edge);
+	edge_throttle_close(edge);
 	edge_budget_close(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -113,6 +113,14 @@
 void edge_rate_receive(
     struct edge *edge, const struct sockaddr_in *from, char *data, size_t len);
 
+/*
+ * edge_throttle_receive(edge, from, data, len)
+ *	Handle a message of another instance about an upstream's limit, see
+ *	throttle/throttle.h.
+ */
+void edge_throttle_receive(
+    struct edge *edge, const struct sockaddr_in *from, char *data, size_t len);
+
 /*
  * edge_fleet_size_set(edge, instances)
  *	Set the number of instances that share the upstreams.
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -35,6 +35,9 @@
 	uint64_t loan_serial; /* of the last loan requested */
 	GHashTable *asking; /* serial -> struct edge_call that waits */
 	uint64_t ask_serial; /* of the last token asked for */
+	/* serial -> struct edge_call that waits for an upstream's token */
+	GHashTable *throttled;
+	uint64_t throttle_serial; /* of the last such wait */
 	struct ev_timer idle_timer;
 	GRand *rand;
 	struct ev_timer housekeeping;
@@ -83,6 +86,13 @@
 	unsigned loan_requests; /* for this turn */
 	bool is_lender_silent; /* a lender did not answer */
 	struct ev_timer loan_timer;
+	/* Token of an upstream that names a limit. */
+	uint64_t throttle_serial; /* 0: not waiting */
+	bool has_throttle_token; /* it waits until it may use it */
+	clk_ms throttle_max_wait;
+	clk_ms throttle_since;
+	unsigned throttle_asks;
+	struct ev_timer throttle_timer;
 	/* Upstream. */
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
@@ -141,6 +151,30 @@
 void edge_upstream_send(struct edge_call *call);
 void edge_turn_record(struct edge_call *call);
 
+/*
+ * edge_throttle_acquire(call)
+ *	Take a token for the upstream that was chosen, if it names a limit.
+ *	Continues with edge_upstream_start(), or with edge_upstream_refused()
+ *	if there is none.
+ * edge_throttle_cancel(call)
+ *	Stop waiting for a token.  Returns whether the call did wait.
+ * edge_throttle_open(edge), edge_throttle_close(edge)
+ *	Create and free the table of calls that wait.
+ */
+void edge_throttle_acquire(struct edge_call *call);
+bool edge_throttle_cancel(struct edge_call *call);
+void edge_throttle_open(struct edge *edge);
+void edge_throttle_close(struct edge *edge);
+
+/*
+ * edge_upstream_start(call)
+ *	Send the request to the upstream that was chosen.
+ * edge_upstream_refused(call)
+ *	The upstream that was chosen has no token: choose another one.
+ */
+void edge_upstream_start(struct edge_call *call);
+void edge_upstream_refused(struct edge_call *call);
+
 /*
  * edge_rate_refund(call)
  *	Give back the token of a request that has not run.
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -1,6 +1,7 @@
 /*
  * Sends a request to upstreams, with retries, and the response to the caller.
  */
+#include <math.h>
 #include <string.h>
 
 #include "edge/edge_internal.h"
@@ -8,6 +9,16 @@
 #define CONNECT_TIMEOUT_MS 300
 /* Retry-After when every upstream is full or unreachable. */
 #define RETRY_NO_UPSTREAM_MS 300
+/*
+ * Part of the time in which an answer should come that a request waits for an
+ * upstream's token, and part of the time that its caller has left.
+ */
+#define TOKEN_WAIT_PART	     0.5
+#define TOKEN_WAIT_LEFT_PART 0.25
+/* Lowest Retry-After when no upstream has a token. */
+#define RETRY_NO_TOKEN_MIN_MS 50
+/* Upstreams whose tokens one request asks for. */
+#define TOKEN_ASKS_MAX 8
 /* Retry-After of a request that crashes upstreams. */
 #define RETRY_BLOCKED_MS 5000
 /*
@@ -53,10 +64,20 @@
 	return (MAX(share, MIN_CONNECTIONS));
 }
 
-static bool
-upstream_choose(struct edge_call *call)
+/* The longest time that a request may wait for an upstream's token. */
+static clk_ms
+token_wait_max(const struct edge_call *call)
+{
+	clk_ms left = call->deadline - edge_now(call->edge);
+
+	return ((clk_ms)fmax(0,
+	    fmin(TOKEN_WAIT_PART * (double)call->route->target_latency,
+		TOKEN_WAIT_LEFT_PART * (double)left)));
+}
+
+static struct place_request
+place_request_make(const struct edge_call *call)
 {
-	struct edge *edge = call->edge;
 	unsigned tokens = call->request.length_hint;
 	struct place_request request = {
 	    .service = call->service_name,
@@ -65,6 +86,8 @@
 	    .max_connections = connection_share(call),
 	    .tried = call->tried,
 	    .tried_count = call->attempts,
+	    .throttle = call->edge->deps.throttle,
+	    .max_wait = token_wait_max(call),
 	};
 
 	if (tokens == 0)
@@ -73,14 +96,43 @@
 	    tokens > call->request.turn_max_tokens)
 		tokens = (unsigned)call->request.turn_max_tokens;
 	request.output_tokens = tokens;
+	return (request);
+}
+
+static bool
+upstream_choose(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	const struct place_request request = place_request_make(call);
+
 	if (call->attempts == EDGE_MAX_ATTEMPTS ||
+	    call->throttle_asks == TOKEN_ASKS_MAX ||
 	    !place_choose(
 		edge->deps.place, &request, edge_now(edge), &call->handle))
 		return (false);
 	call->tried[call->attempts++] = call->handle;
+	call->throttle_max_wait = request.max_wait;
 	return (true);
 }
 
+/* Time after which a request that no upstream takes now may come again. */
+static clk_ms
+retry_after(const struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	const struct place_request request = place_request_make(call);
+	clk_ms now = edge_now(edge);
+	clk_ms until = place_held_until(edge->deps.place, &request, now);
+	double spread;
+
+	if (until == 0)
+		return (RETRY_NO_UPSTREAM_MS);
+	/* Callers that are refused together don't return together. */
+	spread = g_rand_double_range(edge->rand, 1.0, 2.0);
+	return (MAX(
+	    (clk_ms)((double)(until - now) * spread), RETRY_NO_TOKEN_MIN_MS));
+}
+
 static void
 refuse_no_upstream(struct edge_call *call)
 {
@@ -92,7 +144,7 @@
 	} else {
 		verdict = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM,
 		    "no upstream can take the request now");
-		verdict.retry_after = RETRY_NO_UPSTREAM_MS;
+		verdict.retry_after = retry_after(call);
 	}
 	edge_refuse(call, &verdict);
 }
@@ -156,14 +208,7 @@
 void
 edge_upstream_send(struct edge_call *call)
 {
-	struct edge *edge = call->edge;
-	const struct hmsg_head *head = hsv_head(call->client);
-	const GByteArray *input = hsv_body(call->client);
 	const struct place_entry *upstream;
-	struct edge_forward forward;
-	struct hcp_request request;
-	g_autoptr(GByteArray) body = g_byte_array_new();
-	g_autoptr(GString) out = g_string_sized_new(1024);
 
 	if (call->runs == 0 && is_blocked(call)) {
 		edge_refuse_not_run(call, VD_QUEUE_FULL, RETRY_BLOCKED_MS,
@@ -174,13 +219,45 @@
 		refuse_no_upstream(call);
 		return;
 	}
-	upstream = place_entry_get(edge->deps.place, call->handle);
+	upstream = place_entry_get(call->edge->deps.place, call->handle);
+	(void)g_strlcpy(
+	    call->upstream_id, upstream->id, sizeof(call->upstream_id));
+	edge_throttle_acquire(call);
+}
+
+void
+edge_upstream_refused(struct edge_call *call)
+{
+	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
+	    edge_now(call->edge));
+	call->attempts--;
+	edge_upstream_send(call);
+}
+
+void
+edge_upstream_start(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	const struct hmsg_head *head = hsv_head(call->client);
+	const GByteArray *input = hsv_body(call->client);
+	const struct place_entry *upstream =
+	    place_entry_get(edge->deps.place, call->handle);
+	struct edge_forward forward;
+	struct hcp_request request;
+	g_autoptr(GByteArray) body = g_byte_array_new();
+	g_autoptr(GString) out = g_string_sized_new(1024);
+
+	if (upstream == NULL) {
+		/* It was removed while the request waited for its token. */
+		edge_upstream_refused(call);
+		return;
+	}
+	place_parts_record(edge->deps.place, call->handle, call->request.parts,
+	    call->request.part_count, edge_now(edge));
 	body_append(body, call->history);
 	body_append(body, input);
 	call->sent_at = edge_now(edge);
 	call->last_event = 0;
-	(void)g_strlcpy(
-	    call->upstream_id, upstream->id, sizeof(call->upstream_id));
 	forward = (struct edge_forward){
 	    .upstream_id = upstream->id,
 	    .organisation =
@@ -209,9 +286,10 @@
 void
 edge_upstream_cancel(struct edge_call *call)
 {
-	if (call->upstream == NULL)
+	if (call->upstream == NULL && !edge_throttle_cancel(call))
 		return;
-	hcp_cancel(call->upstream);
+	if (call->upstream != NULL)
+		hcp_cancel(call->upstream);
 	call->upstream = NULL;
 	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
 	    edge_now(call->edge));
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -173,6 +173,8 @@
 		edge_loan_receive(instance->edge, from, data, len);
 	else if (token_is_message(data, len))
 		edge_rate_receive(instance->edge, from, data, len);
+	else if (throttle_is_message(data, len))
+		edge_throttle_receive(instance->edge, from, data, len);
 	else
 		return (false);
 	return (true);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -38,6 +38,11 @@
 #define BACKOFF_FULL_MS 50
 /* Added to the cost of an upstream in backoff: it is used as a last resort. */
 #define BACKOFF_COST_MS 1e6
+/*
+ * Cost of each ms until an upstream may have a token: those without one come
+ * after all others, the earliest first.
+ */
+#define HELD_COST_MS 1e7
 /* Time after which a prompt part counts as evicted from an engine's cache. */
 #define PART_CACHED_MS (60 * CLK_SECOND)
 /*
@@ -208,7 +213,7 @@
 	if (upstream == NULL) {
 		upstream = upstream_new(place);
 		upstream->id = g_strdup(entry->id);
-		upstream->hash = (uint32_t)g_str_hash(entry->id);
+		upstream->hash = roster_hash(entry->id);
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
 		(void)g_hash_table_insert(place->by_id, upstream->id, upstream);
@@ -221,6 +226,7 @@
 	upstream->entry.id = upstream->id;
 	upstream->entry.service = upstream->service;
 	upstream->entry.datacentre = upstream->datacentre;
+	upstream->entry.hash = upstream->hash;
 }
 
 void
@@ -488,13 +494,15 @@
  * Records all parts of the prompt as cached, not only the last one: parts
  * that many programs share come first and are never the last.
  */
-static void
-parts_record(struct place *place, struct upstream *upstream,
-    const struct place_request *request, clk_ms now)
+void
+place_parts_record(struct place *place, struct place_handle handle,
+    const struct place_part *parts, size_t count, clk_ms now)
 {
-	for (size_t i = 0; i < request->part_count; i++) {
+	struct upstream *upstream = lookup(place, handle);
+
+	for (size_t i = 0; upstream != NULL && i < count; i++) {
 		const struct place_cached_part cached = {
-		    request->parts[i].id, upstream->hash};
+		    parts[i].id, upstream->hash};
 
 		if (part_record(upstream, cached.part, now))
 			outbox_add(place->parts, &cached);
@@ -558,6 +566,51 @@
 	}
 }
 
+/* Whether the upstream could run the request, if it has a token. */
+static bool
+is_eligible(
+    const struct place *place, const struct place_request *request, guint index)
+{
+	const struct upstream *upstream = place->upstreams->pdata[index];
+
+	return (upstream->in_use && !upstream->is_removed &&
+	    upstream->entry.is_ready &&
+	    strcmp(upstream->service, request->service) == 0 &&
+	    !was_tried(request, index, upstream->generation) &&
+	    (request->max_connections == 0 ||
+		upstream->running < request->max_connections));
+}
+
+/* The time before which the upstream has no token; 0: there may be one. */
+static clk_ms
+held_until(const struct upstream *upstream, const struct place_request *request,
+    clk_ms now)
+{
+	clk_ms until = request->throttle != NULL
+	    ? throttle_held_until(request->throttle, upstream->hash)
+	    : 0;
+
+	return (until > now ? until : 0);
+}
+
+clk_ms
+place_held_until(
+    const struct place *place, const struct place_request *request, clk_ms now)
+{
+	clk_ms earliest = 0;
+
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		clk_ms until;
+
+		if (!is_eligible(place, request, i))
+			continue;
+		until = held_until(place->upstreams->pdata[i], request, now);
+		if (until > 0 && (earliest == 0 || until < earliest))
+			earliest = until;
+	}
+	return (earliest);
+}
+
 bool
 place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle)
@@ -574,18 +627,19 @@
 	for (guint n = 0; n < place->upstreams->len; n++) {
 		guint i = (start + n) % place->upstreams->len;
 		struct upstream *upstream = place->upstreams->pdata[i];
+		clk_ms until;
 		double ms;
 
-		if (!upstream->in_use || upstream->is_removed ||
-		    !upstream->entry.is_ready ||
-		    strcmp(upstream->service, request->service) != 0 ||
-		    was_tried(request, i, upstream->generation) ||
-		    (request->max_connections > 0 &&
-			upstream->running >= request->max_connections))
+		if (!is_eligible(place, request, i))
+			continue;
+		until = held_until(upstream, request, now);
+		if (until > 0 && until - now > request->max_wait)
 			continue;
 		ms = cost_ms(place, upstream, request, best_sample_ms, now);
 		if (now < upstream->backoff_until)
 			ms += BACKOFF_COST_MS;
+		if (until > 0)
+			ms += HELD_COST_MS * (double)(until - now);
 		if (best == NULL || ms < best_ms) {
 			best = upstream;
 			best_ms = ms;
@@ -597,7 +651,6 @@
 		return (false);
 	best->running++;
 	best->unsent++;
-	parts_record(place, best, request, now);
 	return (true);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -20,6 +20,7 @@
 #include <stdint.h>
 
 #include "lib/clk.h"
+#include "throttle/throttle.h"
 
 struct place;
 
@@ -34,6 +35,7 @@
 	const char *id;
 	const char *service;
 	const char *datacentre;
+	uint32_t hash; /* roster_hash() of the id; set by place */
 	struct sockaddr_in address;
 	unsigned slots; /* requests that it runs at once */
 	bool is_ready; /* false: it is stopping */
@@ -55,6 +57,9 @@
 	unsigned max_connections; /* to one upstream from this instance */
 	const struct place_handle *tried; /* excluded from the choice */
 	size_t tried_count;
+	/* Upstreams with no token for a while are excluded; nil: none are. */
+	const struct throttle *throttle;
+	clk_ms max_wait; /* for a token, if no other upstream can take it */
 };
 
 /* place_open(datacentre): datacentre is this instance's. */
@@ -137,6 +142,22 @@
 bool place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle);
 
+/*
+ * place_parts_record(place, handle, parts, count, now)
+ *	A request with these parts is sent to the upstream.
+ */
+void place_parts_record(struct place *place, struct place_handle handle,
+    const struct place_part *parts, size_t count, clk_ms now);
+
+/*
+ * place_held_until(place, request, now)
+ *	Return the earliest time at which an upstream that could run the
+ *	request, but has no token, may have one; 0 if there is no such
+ *	upstream.
+ */
+clk_ms place_held_until(
+    const struct place *place, const struct place_request *request, clk_ms now);
+
 /*
  * place_entry_get(place, handle)
  *	Return the upstream's entry, or nil if it was removed.
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -40,6 +40,7 @@
 
 	if (!place_choose(place, &request, now, handle))
 		return (NULL);
+	place_parts_record(place, *handle, parts, n, now);
 	return (place_entry_get(place, *handle)->id);
 }
 
@@ -294,6 +295,52 @@
 	place_close(place);
 }
 
+/*
+ * Guards against requests that are sent to an upstream whose limit is reached,
+ * and against ones that are refused while another upstream can take them: one
+ * without a token is used last, and only if its next token comes in time.
+ */
+static void
+test_no_token(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+	struct place *place = place_open("a");
+	struct place_handle handle;
+	struct place_request request = {
+	    .service = "pool", .throttle = throttle, .max_wait = 100};
+
+	add(place, "u1", 1);
+	add(place, "u2", 2);
+	for (int i = 0; i < 2; i++) {
+		const char *id = i == 0 ? "u1" : "u2";
+
+		(void)throttle_observe(
+		    throttle, roster_hash(id), throttle_rate(3.0), 0);
+		throttle_hold(throttle, roster_hash(id), 400 + 100 * i);
+		if (i > 0)
+			break;
+		g_assert_cmpint(place_held_until(place, &request, 0), ==, 400);
+		for (int n = 0; n < 20; n++) {
+			g_assert_true(
+			    place_choose(place, &request, 350, &handle));
+			g_assert_cmpstr(
+			    place_entry_get(place, handle)->id, ==, "u2");
+		}
+	}
+	g_assert_false(place_choose(place, &request, 299, &handle));
+	g_assert_cmpint(place_held_until(place, &request, 299), ==, 400);
+	g_assert_true(place_choose(place, &request, 300, &handle));
+	g_assert_cmpstr(place_entry_get(place, handle)->id, ==, "u1");
+	/* The limits end. */
+	(void)throttle_observe(throttle, roster_hash("u2"), 0, 300);
+	g_assert_true(place_choose(place, &request, 300, &handle));
+	g_assert_cmpstr(place_entry_get(place, handle)->id, ==, "u2");
+	place_close(place);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
 /*
  * An entry that expires while the store is unavailable is used until its
  * removal time, and stays if it is updated before.  An upstream that is
@@ -378,6 +425,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/place/no-token", test_no_token);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
 	g_test_add_func("/plc/last-part-heard", test_last_part_gossip);
