Name the test of upstreams without a token like its neighbours

Cause: the path /place/no-token differed from the other paths of the program. Change: /plc/no-token. No change of the test.

--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -425,7 +425,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/place/no-token", test_no_token);
+	g_test_add_func("/plc/no-token", test_no_token);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
 	g_test_add_func("/plc/last-part-heard", test_last_part_gossip);
