--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -87,7 +87,6 @@
 	    .tried = call->tried,
 	    .tried_count = call->attempts,
 	    .throttle = call->edge->deps.throttle,
-	    .max_wait = token_wait_max(call),
 	};
 
 	if (tokens == 0)
@@ -99,17 +98,23 @@
 	return (request);
 }
 
+/* Chooses an upstream that may have a token, or else one that will soon. */
 static bool
 upstream_choose(struct edge_call *call)
 {
 	struct edge *edge = call->edge;
-	const struct place_request request = place_request_make(call);
+	struct place_request request = place_request_make(call);
+	clk_ms now = edge_now(edge);
 
 	if (call->attempts == EDGE_MAX_ATTEMPTS ||
-	    call->throttle_asks == TOKEN_ASKS_MAX ||
-	    !place_choose(
-		edge->deps.place, &request, edge_now(edge), &call->handle))
+	    call->throttle_asks == TOKEN_ASKS_MAX)
 		return (false);
+	if (!place_choose(edge->deps.place, &request, now, &call->handle)) {
+		request.max_wait = token_wait_max(call);
+		if (!place_choose(
+			edge->deps.place, &request, now, &call->handle))
+			return (false);
+	}
 	call->tried[call->attempts++] = call->handle;
 	call->throttle_max_wait = request.max_wait;
 	return (true);
@@ -247,8 +252,8 @@
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autoptr(GString) out = g_string_sized_new(1024);
 
-	if (upstream == NULL) {
-		/* It was removed while the request waited for its token. */
+	if (upstream == NULL || !upstream->is_ready) {
+		/* It has left while the request waited for its token. */
 		edge_upstream_refused(call);
 		return;
 	}
@@ -319,7 +324,8 @@
 	if (reply->is_misdirected || (rate == 0 && !reply->is_signed))
 		return;
 	before = throttle_observe(edge->deps.throttle,
-	    roster_hash(call->upstream_id), rate, edge_now(edge));
+	    roster_hash(call->upstream_id), rate, call->sent_at,
+	    edge_now(edge));
 	if (before == rate)
 		return;
 	lg_event(edge->deps.lg, LG_INFO, "upstream_limit",
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -226,7 +226,6 @@
 	upstream->entry.id = upstream->id;
 	upstream->entry.service = upstream->service;
 	upstream->entry.datacentre = upstream->datacentre;
-	upstream->entry.hash = upstream->hash;
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -35,7 +35,6 @@
 	const char *id;
 	const char *service;
 	const char *datacentre;
-	uint32_t hash; /* roster_hash() of the id; set by place */
 	struct sockaddr_in address;
 	unsigned slots; /* requests that it runs at once */
 	bool is_ready; /* false: it is stopping */
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -316,7 +316,7 @@
 		const char *id = i == 0 ? "u1" : "u2";
 
 		(void)throttle_observe(
-		    throttle, roster_hash(id), throttle_rate(3.0), 0);
+		    throttle, roster_hash(id), throttle_rate(3.0), 0, 0);
 		throttle_hold(throttle, roster_hash(id), 400 + 100 * i);
 		if (i > 0)
 			break;
@@ -333,7 +333,7 @@
 	g_assert_true(place_choose(place, &request, 300, &handle));
 	g_assert_cmpstr(place_entry_get(place, handle)->id, ==, "u1");
 	/* The limits end. */
-	(void)throttle_observe(throttle, roster_hash("u2"), 0, 300);
+	(void)throttle_observe(throttle, roster_hash("u2"), 0, 300, 300);
 	g_assert_true(place_choose(place, &request, 300, &handle));
 	g_assert_cmpstr(place_entry_get(place, handle)->id, ==, "u2");
 	place_close(place);
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -152,7 +152,7 @@
 	}
 	g_array_append_val(f->sent, now);
 	(void)throttle_observe(
-	    self->throttle, UPSTREAM, throttle_rate(f->rate), now);
+	    self->throttle, UPSTREAM, throttle_rate(f->rate), now, now);
 	return (true);
 }
 
@@ -271,6 +271,56 @@
 	fleet_close(&f);
 }
 
+/*
+ * Guards against an answer on its way that ends a limit which was named after
+ * its request was sent.
+ */
+static void
+test_late_answer(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+
+	roster_size_set(roster, 1, 0);
+	(void)throttle_observe(throttle, UPSTREAM, throttle_rate(5.0), 50, 100);
+	g_assert_cmpuint(
+	    throttle_observe(throttle, UPSTREAM, 0, 90, 200), ==, 5000);
+	g_assert_cmpuint(throttle_get(throttle, UPSTREAM, 200).rate, ==, 5000);
+	(void)throttle_observe(throttle, UPSTREAM, 0, 101, 200);
+	g_assert_cmpuint(throttle_get(throttle, UPSTREAM, 200).rate, ==, 0);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
+/* Guards against tokens that every new home grants anew. */
+static void
+test_homes_replaced(void)
+{
+	for (size_t s = 1; s < G_N_ELEMENTS(sizes); s++) {
+		for (size_t r = 0; r < G_N_ELEMENTS(rates); r++) {
+			struct fleet f;
+			clk_ms now = 500;
+
+			fleet_open(&f, 4, sizes[s], rates[r]);
+			f.lost = 0.02;
+			(void)requests_send(&f, 0, now, 20 * rates[r]);
+			for (int i = 0; i < 20; i++, now += 700) {
+				const char *home = roster_home(
+				    f.instances[0].roster, UPSTREAM, 0, now);
+				int j = home != NULL ? atoi(home + 1) : 0;
+
+				instance_close(&f, j);
+				instance_open(&f, j, now);
+				(void)requests_send(
+				    &f, now, now + 700, 20 * rates[r]);
+			}
+			g_assert_cmpfloat(
+			    worst_window(&f, 500), <=, allowed(rates[r]));
+			fleet_close(&f);
+		}
+	}
+}
+
 /* A token of the near future is reserved, and the wait of a refusal holds. */
 static void
 test_wait(void)
@@ -280,7 +330,7 @@
 	clk_ms wait, refused;
 
 	roster_size_set(roster, 1, 0);
-	(void)throttle_observe(throttle, UPSTREAM, throttle_rate(5.0), 0);
+	(void)throttle_observe(throttle, UPSTREAM, throttle_rate(5.0), 0, 0);
 	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 0, &refused), ==,
 	    THROTTLE_REFUSED);
 	g_assert_cmpint(refused, ==, 200);
@@ -310,7 +360,7 @@
 	g_autoptr(GHashTable) told = g_hash_table_new(NULL, NULL);
 
 	for (uint32_t i = 1; i <= 3 * LIMITS_MAX; i++)
-		(void)throttle_observe(throttle, i, throttle_rate(2.0), 0);
+		(void)throttle_observe(throttle, i, throttle_rate(2.0), 0, 0);
 	for (clk_ms now = 0; now < 3; now++) {
 		g_assert_cmpuint(
 		    throttle_collect(throttle, limits, LIMITS_MAX, now), ==,
@@ -442,6 +492,8 @@
 	g_test_add_func("/throttle/kept-and-used", test_kept_and_used);
 	g_test_add_func("/throttle/ends", test_ends);
 	g_test_add_func("/throttle/falls", test_falls);
+	g_test_add_func("/throttle/late-answer", test_late_answer);
+	g_test_add_func("/throttle/homes-replaced", test_homes_replaced);
 	g_test_add_func("/throttle/wait", test_wait);
 	g_test_add_func(
 	    "/throttle/more-limits-than-room", test_more_limits_than_room);
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -8,11 +8,11 @@
 /* Time of the rate that a bucket holds, beside the one token at least. */
 #define BURST_S 0.25
 /* Part of the rate for the share of a side with half of the fleet or less. */
-#define SMALLER_SIDE_PART 0.5
+#define SMALLER_SIDE_PART 0.25
 /* Wait of a request whose home takes another instance for the home. */
 #define NOT_HOME_WAIT_MS 100
-/* Time for which the end of a limit is told to the peers. */
-#define END_TOLD_MS (5 * CLK_SECOND)
+/* Time for which the peers are told what an upstream said. */
+#define TOLD_MS (5 * CLK_SECOND)
 /* What an upstream said longer ago is forgotten. */
 #define MEMORY_MS (3600 * CLK_SECOND)
 
@@ -100,20 +100,22 @@
 		(void)g_hash_table_insert(
 		    throttle->by_upstream, GUINT_TO_POINTER(upstream), ceiling);
 		g_ptr_array_add(throttle->ceilings, ceiling);
-	} else if (said < ceiling->said) {
+	} else if (said < ceiling->said ||
+	    (said == ceiling->said && rate == 0)) {
 		return;
 	}
 	ceiling_set(throttle, ceiling, rate, said, now);
 }
 
 uint32_t
-throttle_observe(
-    struct throttle *throttle, uint32_t upstream, uint32_t rate, clk_ms now)
+throttle_observe(struct throttle *throttle, uint32_t upstream, uint32_t rate,
+    clk_ms asked, clk_ms now)
 {
 	const struct ceiling *ceiling = ceiling_find(throttle, upstream);
 	uint32_t before = ceiling != NULL ? ceiling->rate : 0;
 
-	limit_apply(throttle, upstream, rate, now, now);
+	/* Whichever of two answers is the newer one: a limit holds. */
+	limit_apply(throttle, upstream, rate, rate > 0 ? now : asked, now);
 	return (before);
 }
 
@@ -149,12 +151,23 @@
 	return (throttle->limited);
 }
 
+/*
+ * Empties the buckets of which this instance is not the home, so that a new
+ * home doesn't grant again what the one before has granted.  Drops what is too
+ * old.
+ */
 static void
-ceilings_expire(struct throttle *throttle, clk_ms now)
+ceilings_refresh(struct throttle *throttle, clk_ms now)
 {
 	for (guint i = throttle->ceilings->len; i > 0; i--) {
 		struct ceiling *ceiling = throttle->ceilings->pdata[i - 1];
 
+		if (ceiling->rate > 0 &&
+		    !roster_is_home(
+			throttle->roster, ceiling->upstream, 0, now)) {
+			ceiling->level = 0;
+			ceiling->updated = now;
+		}
 		if (now - ceiling->said < MEMORY_MS)
 			continue;
 		throttle->limited -= ceiling->rate > 0;
@@ -171,14 +184,14 @@
 	guint len, start;
 	size_t n = 0;
 
-	ceilings_expire(throttle, now);
+	ceilings_refresh(throttle, now);
 	len = throttle->ceilings->len;
 	start = len > 0 ? throttle->first % len : 0;
 	for (guint k = 0; k < len; k++) {
 		guint i = (start + k) % len;
 		const struct ceiling *ceiling = throttle->ceilings->pdata[i];
 
-		if (ceiling->rate == 0 && now - ceiling->said >= END_TOLD_MS)
+		if (now - ceiling->said >= TOLD_MS)
 			continue;
 		/* What is left out comes first in the next message. */
 		if (n == max)
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -10,7 +10,8 @@
  * holds for any number of instances and for limits below one request a second
  * for each of them.  A lost message can only leave a token unused.  A home
  * grants tokens as long as it takes itself for the home, and a side of a
- * partition that is not the larger one grants a part of the rate.
+ * partition that is not the larger one grants a part of the rate.  The bound
+ * that this gives is in docs/decisions/0012-limits-of-upstreams.md.
  */
 #ifndef SAMPHIRESHED_THROTTLE_H
 #define SAMPHIRESHED_THROTTLE_H
@@ -38,21 +39,23 @@
 uint32_t throttle_rate(double per_s);
 
 /*
- * throttle_observe(throttle, upstream, rate, now)
- *	An upstream has answered this instance.
+ * throttle_observe(throttle, upstream, rate, asked, now)
+ *	An upstream has answered a request that this instance sent at the time
+ *	asked.  The answer may be as old as the request, so one without a limit
+ *	ends only a limit that was named before.
  * RETURN VALUES
  *	The rate before.
  */
-uint32_t throttle_observe(
-    struct throttle *throttle, uint32_t upstream, uint32_t rate, clk_ms now);
+uint32_t throttle_observe(struct throttle *throttle, uint32_t upstream,
+    uint32_t rate, clk_ms asked, clk_ms now);
 
 /*
  * throttle_merge(throttle, limits, n, now)
  *	Take what upstreams said to another instance, where it is newer.
  * throttle_collect(throttle, limits, max, now)
- *	Write the limits for a gossip message that is sent now, and those that
- *	ended of late.  If there are more than max, they take turns.  Returns
- *	the number there are.
+ *	Write the limits that upstreams named of late, or ended, for a gossip
+ *	message that is sent now.  If there are more than max, they take turns.
+ *	Returns the number there are.
  */
 void throttle_merge(struct throttle *throttle,
     const struct throttle_limit *limits, size_t n, clk_ms now);
