Turns for instances that are refused a token; upstreams without a limit first

Cause: a request asked for up to eight tokens and was then refused; idle limited upstreams are cheaper than busy ones without a limit, so all eight questions went to them. And an instance that was refused asked again at the next token, as did all others: 71,845 refused questions for 1,976 tokens. Ruled out: too few tokens used (96 in 100 are, before and after). Change: after two refused tokens the choice is among upstreams without a limit; a refused instance has a turn of its own at the home, within a second.

--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -17,8 +17,12 @@
 #define TOKEN_WAIT_LEFT_PART 0.25
 /* Lowest Retry-After when no upstream has a token. */
 #define RETRY_NO_TOKEN_MIN_MS 50
-/* Upstreams whose tokens one request asks for. */
-#define TOKEN_ASKS_MAX 8
+/*
+ * Tokens that a request asks for before it goes to an upstream without a
+ * limit, and before it is refused if there is none: a question takes 3 ms.
+ */
+#define TOKEN_ASKS_FIRST 2
+#define TOKEN_ASKS_MAX	 6
 /* Retry-After of a request that crashes upstreams. */
 #define RETRY_BLOCKED_MS 5000
 /*
@@ -98,7 +102,10 @@
 	return (request);
 }
 
-/* Chooses an upstream that may have a token, or else one that will soon. */
+/*
+ * Chooses an upstream that may have a token; or one without a limit, once the
+ * request was refused some tokens; or else one that will have a token soon.
+ */
 static bool
 upstream_choose(struct edge_call *call)
 {
@@ -106,12 +113,14 @@
 	struct place_request request = place_request_make(call);
 	clk_ms now = edge_now(edge);
 
-	if (call->attempts == EDGE_MAX_ATTEMPTS ||
-	    call->throttle_asks == TOKEN_ASKS_MAX)
+	if (call->attempts == EDGE_MAX_ATTEMPTS)
 		return (false);
+	request.is_unlimited_only = call->throttle_asks >= TOKEN_ASKS_FIRST;
 	if (!place_choose(edge->deps.place, &request, now, &call->handle)) {
+		request.is_unlimited_only = false;
 		request.max_wait = token_wait_max(call);
-		if (!place_choose(
+		if (call->throttle_asks >= TOKEN_ASKS_MAX ||
+		    !place_choose(
 			edge->deps.place, &request, now, &call->handle))
 			return (false);
 	}
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -565,6 +565,13 @@
 	}
 }
 
+static bool
+is_limited(const struct place_request *request, const struct upstream *upstream)
+{
+	return (request->throttle != NULL &&
+	    throttle_is_limited(request->throttle, upstream->hash));
+}
+
 /* Whether the upstream could run the request, if it has a token. */
 static bool
 is_eligible(
@@ -631,6 +638,8 @@
 
 		if (!is_eligible(place, request, i))
 			continue;
+		if (request->is_unlimited_only && is_limited(request, upstream))
+			continue;
 		until = held_until(upstream, request, now);
 		if (until > 0 && until - now > request->max_wait)
 			continue;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -58,7 +58,8 @@
 	size_t tried_count;
 	/* Upstreams with no token for a while are excluded; nil: none are. */
 	const struct throttle *throttle;
-	clk_ms max_wait; /* for a token, if no other upstream can take it */
+	clk_ms max_wait; /* for a token */
+	bool is_unlimited_only; /* upstreams with a limit are excluded */
 };
 
 /* place_open(datacentre): datacentre is this instance's. */
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -327,6 +327,10 @@
 			g_assert_cmpstr(
 			    place_entry_get(place, handle)->id, ==, "u2");
 		}
+		request.is_unlimited_only = true;
+		g_assert_true(place_choose(place, &request, 500, &handle));
+		g_assert_cmpstr(place_entry_get(place, handle)->id, ==, "u2");
+		request.is_unlimited_only = false;
 	}
 	g_assert_false(place_choose(place, &request, 299, &handle));
 	g_assert_cmpint(place_held_until(place, &request, 299), ==, 400);
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -37,6 +37,7 @@
 	double rate; /* that the upstream names; 0: none */
 	clk_ms changed; /* when the upstream last changed what it names */
 	GArray *sent; /* times */
+	unsigned asked; /* questions to the home */
 };
 
 static void
@@ -131,6 +132,7 @@
 		struct throttle_limit limit =
 		    throttle_get(self->throttle, UPSTREAM, now);
 
+		f->asked++;
 		wait = 100;
 		answer = THROTTLE_REFUSED;
 		if (is_delivered(f, i, j, now)) {
@@ -321,6 +323,29 @@
 	}
 }
 
+/*
+ * Guards against instances that all ask for the same token: those that are
+ * refused come back one after the other, or after a second.
+ */
+static void
+test_questions(void)
+{
+	static const double limits[] = {3.0, 17.5};
+	const int seconds = 10;
+
+	for (size_t r = 0; r < G_N_ELEMENTS(limits); r++) {
+		struct fleet f;
+
+		fleet_open(&f, 5, 67, limits[r]);
+		(void)requests_send(&f, 0, 500, 500);
+		f.asked = 0;
+		(void)requests_send(&f, 500, 500 + seconds * CLK_SECOND, 500);
+		g_assert_cmpfloat(
+		    f.asked, <=, (f.size + 2 * limits[r]) * seconds);
+		fleet_close(&f);
+	}
+}
+
 /* A token of the near future is reserved, and the wait of a refusal holds. */
 static void
 test_wait(void)
@@ -494,6 +519,7 @@
 	g_test_add_func("/throttle/falls", test_falls);
 	g_test_add_func("/throttle/late-answer", test_late_answer);
 	g_test_add_func("/throttle/homes-replaced", test_homes_replaced);
+	g_test_add_func("/throttle/questions", test_questions);
 	g_test_add_func("/throttle/wait", test_wait);
 	g_test_add_func(
 	    "/throttle/more-limits-than-room", test_more_limits_than_room);
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -9,6 +9,11 @@
 #define BURST_S 0.25
 /* Part of the rate for the share of a side with half of the fleet or less. */
 #define SMALLER_SIDE_PART 0.25
+/*
+ * Longest time until the turn of an instance that is refused a token: the
+ * tokens of instances that have nothing more to send are not kept for longer.
+ */
+#define TURN_MAX_MS (1 * CLK_SECOND)
 /* Wait of a request whose home takes another instance for the home. */
 #define NOT_HOME_WAIT_MS 100
 /* Time for which the peers are told what an upstream said. */
@@ -22,6 +27,7 @@
 	clk_ms said;
 	double level; /* tokens; negative if some of the future are reserved */
 	clk_ms updated;
+	clk_ms turn; /* of the next instance that is refused a token */
 	clk_ms held_until; /* no token is to be had before */
 };
 
@@ -80,8 +86,10 @@
 		ceiling->level = 0;
 		ceiling->updated = now;
 	}
-	if (rate == 0 || rate > ceiling->rate)
+	if (rate == 0 || rate > ceiling->rate) {
 		ceiling->held_until = 0;
+		ceiling->turn = 0;
+	}
 	ceiling->rate = rate;
 	ceiling->said = said;
 }
@@ -213,6 +221,22 @@
 	return (share > 0.5 ? rate : rate * share * SMALLER_SIDE_PART);
 }
 
+/*
+ * Time until the turn of an instance that is refused, with the next token in
+ * wait ms.  Each refusal has a turn of its own, so that those who are refused
+ * don't ask again at once for the same token.
+ */
+static clk_ms
+turn_take(struct ceiling *ceiling, double rate, clk_ms wait, clk_ms now)
+{
+	clk_ms turn = MAX(ceiling->turn, now + wait);
+
+	if (turn - now >= TURN_MAX_MS)
+		return (MAX(wait, TURN_MAX_MS));
+	ceiling->turn = turn + (clk_ms)((double)CLK_SECOND / rate);
+	return (turn - now);
+}
+
 static enum throttle_answer
 ceiling_take(const struct throttle *throttle, struct ceiling *ceiling,
     clk_ms max_wait, clk_ms now, clk_ms *wait)
@@ -226,8 +250,10 @@
 	*wait = ceiling->level >= 1.0
 	    ? 0
 	    : (clk_ms)ceil((1.0 - ceiling->level) / rate * (double)CLK_SECOND);
-	if (*wait > max_wait)
+	if (*wait > max_wait) {
+		*wait = turn_take(ceiling, rate, *wait, now);
 		return (THROTTLE_REFUSED);
+	}
 	ceiling->level -= 1.0;
 	return (THROTTLE_GRANTED);
 }
@@ -272,6 +298,17 @@
 		ceiling->held_until = until;
 }
 
+bool
+throttle_is_limited(const struct throttle *throttle, uint32_t upstream)
+{
+	const struct ceiling *ceiling;
+
+	if (throttle->limited == 0)
+		return (false);
+	ceiling = ceiling_find(throttle, upstream);
+	return (ceiling != NULL && ceiling->rate > 0);
+}
+
 clk_ms
 throttle_held_until(const struct throttle *throttle, uint32_t upstream)
 {
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -66,14 +66,18 @@
 struct throttle_limit
 throttle_get(const struct throttle *throttle, uint32_t upstream, clk_ms now);
 
-/* throttle_limited(throttle): number of upstreams with a limit. */
+/*
+ * throttle_is_limited(throttle, upstream): whether it has a limit.
+ * throttle_limited(throttle): number of upstreams with a limit.
+ */
+bool throttle_is_limited(const struct throttle *throttle, uint32_t upstream);
 unsigned throttle_limited(const struct throttle *throttle);
 
 enum throttle_answer {
 	THROTTLE_FREE, /* the upstream has no limit */
 	THROTTLE_GRANTED, /* a token, to be used after *wait ms */
 	THROTTLE_ASK, /* the home has the tokens */
-	THROTTLE_REFUSED /* no token for at least *wait ms */
+	THROTTLE_REFUSED /* this instance's turn comes in *wait ms */
 };
 
 /*
