Log the software version of upstreams and what a stream goes on from

Callers saw streams whose events are of two software versions. The logs could not tell why: no line named a version or the request that began a stream.

Change: line upstream_found, fields resumed and resumes of request.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -67,6 +67,7 @@
 	clk_ms now = edge_now(edge);
 	char id[80];
 	char program[80];
+	char resumes[80];
 
 	ev_timer_stop(edge->deps.loop, &call->timer);
 	edge_upstream_cancel(call);
@@ -77,7 +78,7 @@
 	    " took_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
 	    " upstream_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
 	    " catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
-	    " rate_level=%.1f rate_unreported=%u",
+	    " rate_level=%.1f rate_unreported=%u resumed=%d resumes=%s",
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
 	    call->route != NULL ? call->route->name : "-",
@@ -90,7 +91,10 @@
 	    call->first_event_ms, call->sent_at > 0 ? now - call->sent_at : 0,
 	    call->deadline - now,
 	    call->catalogue != NULL ? catalogue_version(call->catalogue) : 0,
-	    now - edge->confirmed, call->rate.level, call->rate.unreported);
+	    now - edge->confirmed, call->rate.level, call->rate.unreported,
+	    call->request.is_resumed,
+	    lg_quote(resumes, sizeof(resumes),
+		call->request.resumes != NULL ? call->request.resumes : "-"));
 	cnt_observe(edge->latency, now - call->arrived);
 	cnt_add(cnt_counter(edge->deps.cnt, "requests_total",
 		    "Requests by outcome.", "outcome", outcome),
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -315,7 +315,16 @@
 void
 inst_upstream_update(struct inst *instance, const struct place_entry *entry)
 {
-	place_upstream_update(instance->place, entry, instance_now(instance));
+	char version[80];
+
+	if (!place_upstream_update(
+		instance->place, entry, instance_now(instance)))
+		return;
+	lg_event(instance->deps.lg, LG_INFO, "upstream_found",
+	    "upstream=%s service=%s datacentre=%s version=%s slots=%u ready=%d",
+	    entry->id, entry->service, entry->datacentre,
+	    lg_quote(version, sizeof(version), entry->version), entry->slots,
+	    entry->is_ready);
 }
 
 /* Whether entries may have lapsed only because of a store outage. */
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -62,6 +62,7 @@
 	char *id;
 	char *service;
 	char *datacentre;
+	char *version;
 	uint32_t generation;
 	bool in_use;
 	bool is_removed; /* requests may still run there */
@@ -129,6 +130,7 @@
 	g_clear_pointer(&upstream->id, g_free);
 	g_clear_pointer(&upstream->service, g_free);
 	g_clear_pointer(&upstream->datacentre, g_free);
+	g_clear_pointer(&upstream->version, g_free);
 	if (upstream->parts != NULL)
 		g_hash_table_destroy(upstream->parts);
 	upstream->parts = NULL;
@@ -198,24 +200,27 @@
 		entry->address.sin_addr.s_addr);
 }
 
-void
+bool
 place_upstream_update(
     struct place *place, const struct place_entry *entry, clk_ms now)
 {
 	struct upstream *upstream =
 	    g_hash_table_lookup(place->by_id, entry->id);
+	bool is_new;
 
 	(void)now;
 	if (upstream != NULL && !is_same_run(upstream, entry)) {
 		upstream_remove(place, upstream);
 		upstream = NULL;
 	}
-	if (upstream == NULL) {
+	is_new = upstream == NULL;
+	if (is_new) {
 		upstream = upstream_new(place);
 		upstream->id = g_strdup(entry->id);
 		upstream->hash = roster_hash(entry->id);
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
+		upstream->version = g_strdup(entry->version);
 		(void)g_hash_table_insert(place->by_id, upstream->id, upstream);
 		(void)g_hash_table_insert(
 		    place->by_hash, GUINT_TO_POINTER(upstream->hash), upstream);
@@ -226,6 +231,8 @@
 	upstream->entry.id = upstream->id;
 	upstream->entry.service = upstream->service;
 	upstream->entry.datacentre = upstream->datacentre;
+	upstream->entry.version = upstream->version;
+	return (is_new);
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -35,6 +35,7 @@
 	const char *id;
 	const char *service;
 	const char *datacentre;
+	const char *version; /* of its software */
 	struct sockaddr_in address;
 	unsigned slots; /* requests that it runs at once */
 	bool is_ready; /* false: it is stopping */
@@ -68,9 +69,10 @@
 
 /*
  * place_upstream_update(place, entry, now), place_upstream_remove(place, id)
- *	Add an upstream or update its entry; remove an upstream.
+ *	Add an upstream or update its entry; remove an upstream.  An update
+ *	returns whether the upstream is new, or has started again.
  */
-void place_upstream_update(
+bool place_upstream_update(
     struct place *place, const struct place_entry *entry, clk_ms now);
 void place_upstream_remove(struct place *place, const char *id);
 
