Go on with a stream only at the software version that began it

Cause: nobody looked at the version (hypothesis 1): an upstream's entry was decoded without it, and a request that goes on after an event was placed by load and cached prompt like any other. Change: docs/decisions/0013. A plan in the store gives each cohort of a service's streams a version (src/rollout); streams that begin elsewhere are recorded before they are sent; a request that goes on reads the record, or follows the plan. Entries without a version name no upstream. The choice of the service is the same for all requests of a stream.

--- a/src/catalogue/catalogue.c
+++ b/src/catalogue/catalogue.c
@@ -17,6 +17,7 @@
 	GHashTable *keys; /* key -> struct catalogue_organisation */
 	guint routes;
 	clk_ms retention; /* maximum over the routes */
+	clk_ms stream_timeout; /* the same, of resumable streams */
 	unsigned refs;
 };
 
@@ -129,6 +130,9 @@
 	g_ptr_array_insert(routes, (gint)at, route);
 	catalogue->routes++;
 	catalogue->retention = MAX(catalogue->retention, route->retention);
+	if (route->kind == CATALOGUE_STREAM && route->resumable)
+		catalogue->stream_timeout =
+		    MAX(catalogue->stream_timeout, route->timeout);
 }
 
 void
@@ -202,6 +206,12 @@
 	return (catalogue->retention);
 }
 
+clk_ms
+catalogue_stream_timeout(const struct catalogue *catalogue)
+{
+	return (catalogue->stream_timeout);
+}
+
 const struct catalogue_route *
 catalogue_route_find(
     const struct catalogue *catalogue, const char *host, const char *path)
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -102,6 +102,12 @@
  */
 clk_ms catalogue_retention(const struct catalogue *catalogue);
 
+/*
+ * catalogue_stream_timeout(catalogue)
+ *	Return the longest timeout of all routes whose streams may be taken up.
+ */
+clk_ms catalogue_stream_timeout(const struct catalogue *catalogue);
+
 /*
  * catalogue_route_find(catalogue, host, path)
  *	Return the route of that host with the longest matching path prefix,
@@ -117,8 +123,8 @@
 
 /*
  * catalogue_service_pick(route, draw)
- *	Choose a service of the route at random, by weight; draw is a random
- *	number.
+ *	Choose a service of the route by weight; draw is a random number, or
+ *	the same hash for requests that are to have the same service.
  */
 const char *
 catalogue_service_pick(const struct catalogue_route *route, uint32_t draw);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -55,6 +55,8 @@
 		(void)g_byte_array_unref(call->reply_body);
 	sse_clear(&call->sse);
 	g_free(call->lender);
+	g_free(call->version);
+	g_free(call->recorded);
 	g_free(call->request.parts);
 	catalogue_unref(call->catalogue);
 	g_free(call);
@@ -132,6 +134,21 @@
 	edge_refuse(call, &verdict);
 }
 
+void
+edge_refuse_unless_run(
+    struct edge_call *call, clk_ms retry_after, const char *detail)
+{
+	struct vd verdict;
+
+	if (call->runs == 0) {
+		edge_refuse_not_run(call, VD_NO_UPSTREAM, retry_after, detail);
+		return;
+	}
+	verdict = vd_make(VD_MAYBE, VD_UPSTREAM_FAILED,
+	    "the upstream failed and there is no other");
+	edge_refuse(call, &verdict);
+}
+
 static void
 deadline_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
@@ -238,7 +255,7 @@
 		active_programs_add(
 		    edge->deps.activity, call->request.program, call->arrived);
 	call->service_name =
-	    catalogue_service_pick(call->route, g_rand_int(edge->rand));
+	    catalogue_service_pick(call->route, edge_version_draw(call));
 	call->service =
 	    catalogue_service_find(call->catalogue, call->service_name);
 	set_deadline(call);
@@ -342,6 +359,7 @@
 	edge_loan_open(edge);
 	edge_rate_open(edge);
 	edge_throttle_open(edge);
+	edge_rollout_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
 	edge->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -364,6 +382,7 @@
 	edge_loan_close(edge);
 	edge_rate_close(edge);
 	edge_throttle_close(edge);
+	edge_rollout_close(edge);
 	edge_budget_close(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
@@ -392,6 +411,7 @@
 	    catalogue_route_count(catalogue));
 	catalogue_unref(edge->catalogue);
 	edge->catalogue = catalogue_ref(catalogue);
+	edge_rollout_timeout_set(edge, catalogue_stream_timeout(catalogue));
 	hsv_limits_set(edge->hsv, &server);
 }
 
@@ -405,7 +425,7 @@
 edge_is_ready(const struct edge *edge)
 {
 	return (!edge->draining && edge->catalogue != NULL &&
-	    !is_store_unreachable(edge));
+	    rollout_is_read(edge->rollout) && !is_store_unreachable(edge));
 }
 
 void
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -97,7 +97,7 @@
 {
 	if (reservation->call != NULL) {
 		reservation->call->reserved = reservation->tokens;
-		edge_upstream_send(reservation->call);
+		edge_version_find(reservation->call);
 	} else {
 		edge_loan_grant(
 		    edge, &reservation->loan, program, reservation->tokens);
@@ -539,7 +539,7 @@
 
 	if (call->request.budget == EDGE_NO_BUDGET || program == NULL ||
 	    call->request.turn_max_tokens <= 0) {
-		edge_upstream_send(call);
+		edge_version_find(call);
 		return;
 	}
 	home = active_programs_home(call->edge->deps.activity, program);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "edge/sse.h"
 #include "http/hcp.h"
 #include "http/hsv.h"
+#include "rollout/rollout.h"
 #include "turn/turn.h"
 
 /* Maximum number of upstreams that one request is sent to. */
@@ -38,6 +39,12 @@
 	/* serial -> struct edge_call that waits for an upstream's token */
 	GHashTable *throttled;
 	uint64_t throttle_serial; /* of the last such wait */
+	struct rollout *rollout;
+	struct ev_timer rollout_timer; /* until the plans are read again */
+	clk_ms rollout_asked; /* when the last read of them began */
+	GHashTable *version_ops; /* struct edge_version_op in progress */
+	double record_ms; /* to record a stream, moving average */
+	clk_ms record_failed; /* when one could not be recorded; 0: never */
 	struct ev_timer idle_timer;
 	GRand *rand;
 	struct ev_timer housekeeping;
@@ -93,6 +100,12 @@
 	clk_ms throttle_since;
 	unsigned throttle_asks;
 	struct ev_timer throttle_timer;
+	/* Software version of a stream that may be taken up. */
+	char *version; /* the only one at which it may run; nil: any */
+	char *recorded; /* version in the stream's record; nil: none */
+	bool is_unrecordable; /* the store has refused the record */
+	bool is_record_unknown; /* an append had no answer: it may be done */
+	struct edge_version_op *version_op; /* store call in progress */
 	/* Upstream. */
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
@@ -124,6 +137,9 @@
  * edge_refuse_not_run(call, code, retry_after, detail)
  *	The same for a request that has not run.  No Retry-After is sent if
  *	retry_after is 0.
+ * edge_refuse_unless_run(call, retry_after, detail)
+ *	Refuse a request that no upstream can take; not as one that has not run
+ *	if an earlier attempt may have run.
  * edge_call_end(call, outcome, status)
  *	End the request: stop its timer, cancel its attempt, settle its budget
  *	and log it.
@@ -131,6 +147,8 @@
 void edge_refuse(struct edge_call *call, const struct vd *verdict);
 void edge_refuse_not_run(struct edge_call *call, enum vd_code code,
     clk_ms retry_after, const char *detail);
+void edge_refuse_unless_run(
+    struct edge_call *call, clk_ms retry_after, const char *detail);
 void edge_call_end(struct edge_call *call, const char *outcome, int status);
 
 /*
@@ -148,6 +166,7 @@
 void edge_call_admitted(struct edge_call *call);
 void edge_history_load(struct edge_call *call);
 void edge_budget_acquire(struct edge_call *call);
+void edge_version_find(struct edge_call *call);
 void edge_upstream_send(struct edge_call *call);
 void edge_turn_record(struct edge_call *call);
 
@@ -166,6 +185,33 @@
 void edge_throttle_open(struct edge *edge);
 void edge_throttle_close(struct edge *edge);
 
+/*
+ * edge_version_request(call, request)
+ *	Restrict the choice of an upstream to those whose software version the
+ *	stream may have.  Returns false if there is no such version.
+ * edge_version_record(call, version)
+ *	Record the version of the upstream that was chosen, if a stream that
+ *	begins there needs a record.  Continues with edge_throttle_acquire(),
+ *	or with edge_upstream_refused() if another version is needed.
+ * edge_version_cancel(call)
+ *	Stop waiting for the store.  Returns whether an upstream was chosen.
+ * edge_version_draw(call)
+ *	Draw a number for the choice of the service: the same one for all
+ *	requests of a stream that may be taken up.
+ * edge_rollout_open(edge), edge_rollout_close(edge)
+ *	Begin and end to follow the plans of software versions.
+ * edge_rollout_timeout_set(edge, timeout)
+ *	Set the longest timeout of the routes whose streams may be taken up.
+ */
+bool edge_version_request(
+    const struct edge_call *call, struct place_request *request);
+void edge_version_record(struct edge_call *call, const char *version);
+bool edge_version_cancel(struct edge_call *call);
+uint32_t edge_version_draw(const struct edge_call *call);
+void edge_rollout_open(struct edge *edge);
+void edge_rollout_close(struct edge *edge);
+void edge_rollout_timeout_set(struct edge *edge, clk_ms timeout);
+
 /*
  * edge_upstream_start(call)
  *	Send the request to the upstream that was chosen.
--- a/src/edge/edge_loan.c
+++ b/src/edge/edge_loan.c
@@ -86,7 +86,7 @@
 	    1);
 	if (outcome == LOAN_GRANTED) {
 		call->reserved = call->request.turn_max_tokens;
-		edge_upstream_send(call);
+		edge_version_find(call);
 		return;
 	}
 	call->loan_serial = 0;
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -115,6 +115,8 @@
 
 	if (call->attempts == EDGE_MAX_ATTEMPTS)
 		return (false);
+	if (!edge_version_request(call, &request))
+		return (false);
 	request.is_unlimited_only = call->throttle_asks >= TOKEN_ASKS_FIRST;
 	if (!place_choose(edge->deps.place, &request, now, &call->handle)) {
 		request.is_unlimited_only = false;
@@ -134,9 +136,11 @@
 retry_after(const struct edge_call *call)
 {
 	struct edge *edge = call->edge;
-	const struct place_request request = place_request_make(call);
+	struct place_request request = place_request_make(call);
 	clk_ms now = edge_now(edge);
-	clk_ms until = place_held_until(edge->deps.place, &request, now);
+	clk_ms until = edge_version_request(call, &request)
+	    ? place_held_until(edge->deps.place, &request, now)
+	    : 0;
 	double spread;
 
 	if (until == 0)
@@ -147,22 +151,6 @@
 	    (clk_ms)((double)(until - now) * spread), RETRY_NO_TOKEN_MIN_MS));
 }
 
-static void
-refuse_no_upstream(struct edge_call *call)
-{
-	struct vd verdict;
-
-	if (call->runs > 0) {
-		verdict = vd_make(VD_MAYBE, VD_UPSTREAM_FAILED,
-		    "the upstream failed and there is no other");
-	} else {
-		verdict = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM,
-		    "no upstream can take the request now");
-		verdict.retry_after = retry_after(call);
-	}
-	edge_refuse(call, &verdict);
-}
-
 static void
 body_append(GByteArray *out, const GByteArray *data)
 {
@@ -230,13 +218,14 @@
 		return;
 	}
 	if (!upstream_choose(call)) {
-		refuse_no_upstream(call);
+		edge_refuse_unless_run(call, retry_after(call),
+		    "no upstream can take the request now");
 		return;
 	}
 	upstream = place_entry_get(call->edge->deps.place, call->handle);
 	(void)g_strlcpy(
 	    call->upstream_id, upstream->id, sizeof(call->upstream_id));
-	edge_throttle_acquire(call);
+	edge_version_record(call, upstream->version);
 }
 
 void
@@ -300,7 +289,8 @@
 void
 edge_upstream_cancel(struct edge_call *call)
 {
-	if (call->upstream == NULL && !edge_throttle_cancel(call))
+	if (call->upstream == NULL && !edge_throttle_cancel(call) &&
+	    !edge_version_cancel(call))
 		return;
 	if (call->upstream != NULL)
 		hcp_cancel(call->upstream);
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -13,6 +13,7 @@
 #include "lib/cnt.h"
 #include "quota/quota.h"
 #include "quota/token.h"
+#include "rollout/rollout.h"
 #include "roster/roster.h"
 #include "store/sweeper.h"
 #include "throttle/throttle.h"
@@ -47,8 +48,9 @@
 #define OPS_MAX_CONNECTIONS 64
 
 static const struct sweeper_rule sweep_rules[] = {
-    {STORE_TURNS, turn_is_expired},
-    {STORE_BUDGETS, budget_ledger_is_expired},
+    {STORE_TURNS, STORE_SLOT_COUNT, turn_is_expired},
+    {STORE_BUDGETS, STORE_SLOT_COUNT, budget_ledger_is_expired},
+    {STORE_STREAMS, STORE_STREAM_SLOT_COUNT, rollout_stream_is_expired},
 };
 
 struct inst {
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -194,6 +194,7 @@
 is_same_run(const struct upstream *upstream, const struct place_entry *entry)
 {
 	return (strcmp(upstream->service, entry->service) == 0 &&
+	    g_strcmp0(upstream->version, entry->version) == 0 &&
 	    upstream->entry.started == entry->started &&
 	    upstream->entry.address.sin_port == entry->address.sin_port &&
 	    upstream->entry.address.sin_addr.s_addr ==
@@ -326,6 +327,36 @@
 	place->instances = MAX(instances, 1U);
 }
 
+GArray *
+place_versions_collect(const struct place *place)
+{
+	GArray *versions =
+	    g_array_new(FALSE, FALSE, sizeof(struct place_version));
+
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		const struct upstream *upstream = place->upstreams->pdata[i];
+		struct place_version row = {upstream->service,
+		    upstream->version, upstream->entry.slots};
+		bool is_known = false;
+
+		if (!upstream->in_use || upstream->is_removed ||
+		    !upstream->entry.is_ready)
+			continue;
+		for (guint k = 0; k < versions->len && !is_known; k++) {
+			struct place_version *other =
+			    &g_array_index(versions, struct place_version, k);
+
+			is_known = strcmp(other->service, row.service) == 0 &&
+			    g_strcmp0(other->version, row.version) == 0;
+			if (is_known)
+				other->slots += row.slots;
+		}
+		if (!is_known)
+			g_array_append_val(versions, row);
+	}
+	return (versions);
+}
+
 unsigned
 place_upstream_count(const struct place *place)
 {
@@ -589,6 +620,8 @@
 	return (upstream->in_use && !upstream->is_removed &&
 	    upstream->entry.is_ready &&
 	    strcmp(upstream->service, request->service) == 0 &&
+	    (request->version == NULL ||
+		g_strcmp0(upstream->version, request->version) == 0) &&
 	    !was_tried(request, index, upstream->generation) &&
 	    (request->max_connections == 0 ||
 		upstream->running < request->max_connections));
@@ -651,6 +684,10 @@
 		if (until > 0 && until - now > request->max_wait)
 			continue;
 		ms = cost_ms(place, upstream, request, best_sample_ms, now);
+		if (request->preferred_version != NULL &&
+		    g_strcmp0(upstream->version, request->preferred_version) !=
+			0)
+			ms += request->other_version_ms;
 		if (now < upstream->backoff_until)
 			ms += BACKOFF_COST_MS;
 		if (until > 0)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -61,6 +61,10 @@
 	const struct throttle *throttle;
 	clk_ms max_wait; /* for a token */
 	bool is_unlimited_only; /* upstreams with a limit are excluded */
+	const char *version; /* all others are excluded; nil: none are */
+	/* All others cost other_version_ms more; nil: none do. */
+	const char *preferred_version;
+	double other_version_ms;
 };
 
 /* place_open(datacentre): datacentre is this instance's. */
@@ -126,6 +130,21 @@
     const struct place_load *loads, size_t n,
     const struct place_cached_part *cached, size_t cached_n, clk_ms now);
 
+/* Slots of the ready upstreams of a service with one software version. */
+struct place_version {
+	const char *service;
+	const char *version;
+	unsigned slots;
+};
+
+/*
+ * place_versions_collect(place)
+ *	Return the versions that serve, as an array of struct place_version,
+ *	to be freed by g_array_free().  The strings are valid until the next
+ *	change of an upstream.
+ */
+GArray *place_versions_collect(const struct place *place);
+
 /* place_upstream_count(place): number of upstreams. */
 unsigned place_upstream_count(const struct place *place);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -12,6 +12,12 @@
 	return ((uint32_t)((hash ^ (hash >> 32)) % STORE_SLOT_COUNT));
 }
 
+uint32_t
+store_stream_slot(const char *key)
+{
+	return (store_slot(key) % STORE_STREAM_SLOT_COUNT);
+}
+
 const struct store_record *
 store_reply_find(const struct store_reply *reply, const char *key)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -21,6 +21,8 @@
 	STORE_TURNS, /* histories of programs, one record per turn */
 	STORE_BUDGETS, /* token grants, one record per program */
 	STORE_MEMBERS, /* addresses of instances, one record per instance */
+	STORE_STREAMS, /* software versions of streams, one record each */
+	STORE_ROLLOUTS, /* plans of software versions, one record per service */
 	STORE_SPACE_COUNT
 };
 
@@ -29,10 +31,13 @@
  * so few records should share one.
  */
 #define STORE_SLOT_COUNT 480
+/* Slots of STORE_STREAMS, whose records are small and few. */
+#define STORE_STREAM_SLOT_COUNT 96
 
 struct store_partition {
 	enum store_space space;
-	uint32_t slot; /* less than STORE_SLOT_COUNT; 0 in STORE_MEMBERS */
+	/* less than STORE_SLOT_COUNT or STORE_STREAM_SLOT_COUNT; else 0 */
+	uint32_t slot;
 };
 
 struct store_record {
@@ -83,8 +88,13 @@
 	void *impl;
 };
 
-/* store_slot(key): return the slot of a key, the same on every instance. */
+/*
+ * store_slot(key), store_stream_slot(key)
+ *	Return the slot of a key, the same on every instance; the latter in
+ *	STORE_STREAMS.
+ */
 uint32_t store_slot(const char *key);
+uint32_t store_stream_slot(const char *key);
 
 /*
  * store_reply_find(reply, key)
--- a/src/store/sweeper.c
+++ b/src/store/sweeper.c
@@ -75,21 +75,38 @@
 	    expired->len, STORE_TIMEOUT_MS, on_dropped, sweeper);
 }
 
+static size_t
+partition_count(const struct sweeper *sweeper)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < sweeper->rule_count; i++)
+		count += sweeper->rules[i].slots;
+	return (count);
+}
+
+static struct store_partition
+partition_get(const struct sweeper *sweeper, size_t index)
+{
+	const struct sweeper_rule *rule = sweeper->rules;
+
+	while (index >= rule->slots)
+		index -= rule++->slots;
+	return ((struct store_partition){rule->space, (uint32_t)index});
+}
+
 static void
 timer_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
 	struct sweeper *sweeper = watcher->data;
-	size_t partitions = sweeper->rule_count * STORE_SLOT_COUNT;
 
 	(void)loop;
 	(void)events;
 	if (sweeper->is_busy || sweeper->retention == 0)
 		return;
-	if (sweeper->next >= partitions)
-		sweeper->next = sweeper->rank;
-	sweeper->current = (struct store_partition){
-	    sweeper->rules[sweeper->next / STORE_SLOT_COUNT].space,
-	    (uint32_t)(sweeper->next % STORE_SLOT_COUNT)};
+	if (sweeper->next >= partition_count(sweeper))
+		sweeper->next = sweeper->rank % partition_count(sweeper);
+	sweeper->current = partition_get(sweeper, sweeper->next);
 	sweeper->next += sweeper->instances;
 	sweeper->is_busy = true;
 	sweeper->store.ops->read(sweeper->store.impl, &sweeper->current,
@@ -124,7 +141,6 @@
 void
 sweeper_fleet_set(struct sweeper *sweeper, unsigned instances, unsigned rank)
 {
-	size_t partitions = sweeper->rule_count * STORE_SLOT_COUNT;
 	double period;
 
 	if (instances == sweeper->instances && rank == sweeper->rank)
@@ -132,8 +148,8 @@
 	sweeper->instances = instances;
 	sweeper->rank = rank;
 	sweeper->next = rank;
-	period =
-	    (double)ROUND_PERIOD_MS / 1000.0 * instances / (double)partitions;
+	period = (double)ROUND_PERIOD_MS / 1000.0 * instances /
+	    (double)partition_count(sweeper);
 	ev_timer_stop(sweeper->loop, &sweeper->timer);
 	ev_timer_set(&sweeper->timer, period, period);
 	ev_timer_start(sweeper->loop, &sweeper->timer);
--- a/src/store/sweeper.h
+++ b/src/store/sweeper.h
@@ -20,6 +20,7 @@
 /* The expiry rule of a space; wall is the time of day. */
 struct sweeper_rule {
 	enum store_space space;
+	unsigned slots; /* of the space */
 	bool (*is_expired)(
 	    const struct store_record *record, clk_ms retention, clk_ms wall);
 };
--- a/src/store/test_sweeper.c
+++ b/src/store/test_sweeper.c
@@ -77,7 +77,8 @@
 }
 
 static const struct sweeper_rule rules[] = {
-    {STORE_TURNS, is_old}, {STORE_BUDGETS, is_old}};
+    {STORE_TURNS, STORE_SLOT_COUNT, is_old},
+    {STORE_BUDGETS, STORE_SLOT_COUNT, is_old}};
 
 static void
 put(struct memory *memory, const char *key, enum store_space space,
