--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -95,16 +95,14 @@
 	struct ev_timer loan_timer;
 	/* Token of an upstream that names a limit. */
 	uint64_t throttle_serial; /* 0: not waiting */
-	bool has_throttle_token; /* it waits until it may use it */
 	clk_ms throttle_max_wait;
 	clk_ms throttle_since;
 	unsigned throttle_asks;
+	bool has_throttle_token; /* it waits until it may use it */
 	struct ev_timer throttle_timer;
 	/* Software version of a stream that may be taken up. */
 	char *version; /* the only one at which it may run; nil: any */
 	char *recorded; /* version in the stream's record; nil: none */
-	bool is_unrecordable; /* the store has refused the record */
-	bool is_record_unknown; /* an append had no answer: it may be done */
 	struct edge_version_op *version_op; /* store call in progress */
 	/* Upstream. */
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
@@ -120,6 +118,8 @@
 	struct edge_reply reply;
 	bool has_reply;
 	bool is_streaming;
+	bool is_unrecordable; /* the store has refused the stream's record */
+	bool is_record_unknown; /* an append had no answer: it may be done */
 	GString *reply_fields;
 	GByteArray *reply_body;
 	struct sse sse;
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -261,14 +261,15 @@
 static void
 cohort_assign(struct draft *draft, size_t cohort, enum rollout_phase phase)
 {
-	uint8_t best = 0;
+	guint best = 0;
 
-	for (uint8_t i = 1; i < draft->names->len; i++) {
+	for (guint i = 1; i < draft->names->len; i++) {
 		if (draft_surplus(draft, i) < draft_surplus(draft, best))
 			best = i;
 	}
 	(*draft_count(draft, best))++;
-	draft->cohorts[cohort] = (struct rollout_cohort){best, (uint8_t)phase};
+	draft->cohorts[cohort] =
+	    (struct rollout_cohort){(uint8_t)best, (uint8_t)phase};
 }
 
 /* Ends the phases that have lasted long enough; returns whether any did. */
--- a/src/rollout/test_rollout.c
+++ b/src/rollout/test_rollout.c
@@ -293,7 +293,8 @@
 		if (instance->late != NULL && sim->now >= instance->late_at) {
 			if (instance->late_end == sim->end)
 				plan_write(sim, instance->late);
-			g_clear_pointer(&instance->late, g_byte_array_unref);
+			(void)g_byte_array_unref(instance->late);
+			instance->late = NULL;
 		}
 		if (sim->now >= instance->next_read) {
 			instance->next_read = sim->now + READ_PERIOD_MS;
@@ -486,6 +487,7 @@
 	const struct rollout_stream stream = {
 	    .service = (char *)SERVICE, .version = (char *)"v1", .recorded = 7};
 	g_autoptr(GByteArray) value = rollout_stream_encode(&stream);
+	g_autoptr(GByteArray) unnamed = NULL;
 	g_autofree char *longer = g_strnfill(ROLLOUT_NAME_MAX + 1, 'v');
 	struct store_record record = {"r1", value->data, value->len};
 	struct rollout_stream decoded;
@@ -507,9 +509,8 @@
 	plan = (struct rollout_plan){.versions = (char *[]){(char *)"v1"},
 	    .version_count = 1,
 	    .cohorts = {{1, ROLLOUT_STABLE}}};
-	g_clear_pointer(&value, g_byte_array_unref);
-	value = rollout_plan_encode(&plan);
-	record = (struct store_record){SERVICE, value->data, value->len};
+	unnamed = rollout_plan_encode(&plan);
+	record = (struct store_record){SERVICE, unnamed->data, unnamed->len};
 	g_assert_false(rollout_plan_decode(&record, &plan));
 }
 
