Records of streams' versions within what the store takes; numbered steps

Cause: a plan changed at the first surplus, with half of the cohorts at once, whose streams are all recorded for 32 s; the waits began anew with each loss of power; when all upstreams of a version went, 550 streams a second had to be recorded for as long; each refused append was tried again, by the instance and by its caller, after other calls of the store had been made for it. Ruled out: conflicts of the steps (3 appends each), take-ups (80 a second). Change: a surplus has to last 30 s, eight cohorts move at a time; the time that a step has lasted is in the plan; a version without upstreams is succeeded without the wait for its old streams; a record counts 50 ms; while the store refuses, streams that need a record are refused before they cost other calls. The test of random orders then failed (3 of 60 orders): a step that comes again was taken for the same one by an instance that had not read those between. This was possible with moving cohorts too. Steps are numbered now.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -259,7 +259,8 @@
 	call->service =
 	    catalogue_service_find(call->catalogue, call->service_name);
 	set_deadline(call);
-	edge_history_load(call);
+	if (edge_version_admit(call))
+		edge_history_load(call);
 }
 
 static void
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -43,7 +43,6 @@
 	struct ev_timer rollout_timer; /* until the plans are read again */
 	clk_ms rollout_asked; /* when the last read of them began */
 	GHashTable *version_ops; /* struct edge_version_op in progress */
-	double record_ms; /* to record a stream, moving average */
 	clk_ms record_failed; /* when one could not be recorded; 0: never */
 	struct ev_timer idle_timer;
 	GRand *rand;
@@ -186,6 +185,9 @@
 void edge_throttle_close(struct edge *edge);
 
 /*
+ * edge_version_admit(call)
+ *	Refuse a stream that can't begin without a record while the store takes
+ *	none, before it costs other calls of the store.  Returns false if so.
  * edge_version_request(call, request)
  *	Restrict the choice of an upstream to those whose software version the
  *	stream may have.  Returns false if there is no such version.
@@ -203,6 +205,7 @@
  * edge_rollout_timeout_set(edge, timeout)
  *	Set the longest timeout of the routes whose streams may be taken up.
  */
+bool edge_version_admit(struct edge_call *call);
 bool edge_version_request(
     const struct edge_call *call, struct place_request *request);
 void edge_version_record(struct edge_call *call, const char *version);
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -23,21 +23,24 @@
 #define LIFE_TIMEOUTS 2
 
 #define STORE_TIMEOUT_MS 400
-#define STORE_BACKOFF_MS 40
+/* Exponential backoff between attempts. */
+#define STORE_BACKOFF_MIN_MS 40
+#define STORE_BACKOFF_MAX_MS 320
 /* A stream whose version is not found or recorded in this time is refused. */
 #define STORE_DEADLINE_MS 800
 /*
- * What the record of a stream adds to its first event, until there is a
- * sample, and the weight of a new sample in the moving average.
+ * What the record of a stream costs, as a delay of its first event: it takes
+ * 10 ms, and a write of the store, of which all instances share few.
  */
-#define RECORD_INITIAL_MS 10.0
-#define RECORD_WEIGHT	  0.1
+#define RECORD_COST_MS 50.0
+/* The same while records are put off: only if there is no other way. */
+#define RECORD_PAUSED_COST_MS 1e5
 /*
  * Streams are not recorded, if they can do without, for this time after one
  * could not be, and when the store has been silent for longer than a read of
  * the configuration takes.
  */
-#define RECORD_PAUSE_MS 500
+#define RECORD_PAUSE_MS 200
 #define STORE_SILENT_MS 1500
 
 static const struct store_partition plans_partition = {STORE_ROLLOUTS, 0};
@@ -179,7 +182,6 @@
 {
 	edge->rollout = rollout_open();
 	edge->version_ops = g_hash_table_new_full(NULL, NULL, op_free, NULL);
-	edge->record_ms = RECORD_INITIAL_MS;
 	ev_timer_init(&edge->rollout_timer, timer_cb, 0.0, 0.0);
 	edge->rollout_timer.data = edge;
 	read_schedule(edge, 0);
@@ -202,6 +204,7 @@
 	GByteArray *value; /* of the record; nil: it is read */
 	char *version; /* that is recorded */
 	clk_ms started;
+	clk_ms backoff; /* before the next attempt */
 	struct ev_timer timer;
 };
 
@@ -288,6 +291,7 @@
 	op->call = edge_call_ref(call);
 	op->key = record_key(call);
 	op->started = edge_now(call->edge);
+	op->backoff = STORE_BACKOFF_MIN_MS;
 	call->version_op = op;
 	(void)g_hash_table_add(call->edge->version_ops, op);
 	return (op);
@@ -315,7 +319,8 @@
 	if (edge_now(edge) - op->started >= STORE_DEADLINE_MS)
 		return (false);
 	ev_timer_init(&op->timer, retry_cb,
-	    (double)STORE_BACKOFF_MS / (double)CLK_SECOND, 0.0);
+	    (double)op->backoff / (double)CLK_SECOND, 0.0);
+	op->backoff = MIN(2 * op->backoff, STORE_BACKOFF_MAX_MS);
 	op->timer.data = op;
 	ev_timer_start(edge->deps.loop, &op->timer);
 	return (true);
@@ -328,30 +333,60 @@
 	call->version = g_strdup(version);
 }
 
+/*
+ * The version at which the stream may begin as things stand, or nil; it can be
+ * taken up only with a record if *is_wanted.
+ */
+static const char *
+version_unrecorded(const struct edge_call *call, bool *is_wanted)
+{
+	*is_wanted = false;
+	if (call->recorded != NULL)
+		return (call->recorded);
+	return (rollout_unrecorded(call->edge->rollout, call->service_name,
+	    stream_key(call), edge_now(call->edge), is_wanted));
+}
+
+/* Whether records are put off, because the store is silent or refuses them. */
+static bool
+is_record_paused(const struct edge *edge)
+{
+	clk_ms now = edge_now(edge);
+
+	return (now - edge->confirmed > STORE_SILENT_MS ||
+	    (edge->record_failed > 0 &&
+		now - edge->record_failed < RECORD_PAUSE_MS));
+}
+
 static void
 on_recorded(struct edge_version_op *op, enum store_status status)
 {
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
 	clk_ms waited = edge_now(edge) - op->started;
+	bool is_wanted;
+	const char *unrecorded = version_unrecorded(call, &is_wanted);
 
-	edge->record_ms += RECORD_WEIGHT * ((double)waited - edge->record_ms);
 	if (status != STORE_OK)
 		edge->record_failed = edge_now(edge);
 	if (status == STORE_UNKNOWN)
 		call->is_record_unknown = true;
-	if (status != STORE_OK && call->is_record_unknown && op_retry(op))
-		return;
-	if (status == STORE_OK) {
+	if (status == STORE_OK || g_strcmp0(unrecorded, op->version) == 0) {
 		call->version_op = NULL;
-		g_free(call->recorded);
-		call->recorded = g_strdup(op->version);
+		if (status == STORE_OK) {
+			g_free(call->recorded);
+			call->recorded = g_strdup(op->version);
+		}
 		/* An append without an answer may still take effect. */
 		if (call->is_record_unknown)
 			version_bind(call, op->version);
-		version_log(call, "recorded", op->version, waited);
+		version_log(call,
+		    status == STORE_OK ? "recorded" : "unrecorded", op->version,
+		    waited);
 		edge_throttle_acquire(call);
 	} else if (call->is_record_unknown) {
+		if (op_retry(op))
+			return;
 		version_log(call, "record_unknown", op->version, waited);
 		edge_refuse_unless_run(call, edge_store_retry_after(edge),
 		    "the stream's version can't be recorded now");
@@ -465,6 +500,28 @@
 			    : g_rand_int(call->edge->rand));
 }
 
+bool
+edge_version_admit(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	const char *unrecorded;
+	bool is_wanted;
+
+	if (!is_bound(call) || call->request.is_resumed ||
+	    !is_record_paused(edge))
+		return (true);
+	unrecorded = version_unrecorded(call, &is_wanted);
+	if (unrecorded != NULL &&
+	    place_is_served(edge->deps.place, call->service_name, unrecorded))
+		return (true);
+	version_log(call, "record_paused", NULL, 0);
+	edge_refuse_not_run(call, VD_NO_UPSTREAM,
+	    (clk_ms)g_rand_int_range(
+		edge->rand, RECORD_PAUSE_MS, 2 * RECORD_PAUSE_MS),
+	    "the stream's version can't be recorded now");
+	return (false);
+}
+
 void
 edge_version_find(struct edge_call *call)
 {
@@ -489,48 +546,41 @@
 	}
 }
 
-/* The version at which the stream may begin as things stand, or nil. */
-static const char *
-version_unrecorded(const struct edge_call *call)
-{
-	if (call->recorded != NULL)
-		return (call->recorded);
-	return (rollout_unrecorded(call->edge->rollout, call->service_name,
-	    stream_key(call), edge_now(call->edge)));
-}
-
 bool
 edge_version_request(
     const struct edge_call *call, struct place_request *request)
 {
-	const struct edge *edge = call->edge;
-	clk_ms now = edge_now(edge);
 	const char *unrecorded;
+	bool is_wanted;
 
 	if (call->version != NULL || !is_bound(call)) {
 		request->version = call->version;
 		return (true);
 	}
-	unrecorded = version_unrecorded(call);
-	if (unrecorded == NULL)
-		return (!call->is_unrecordable);
-	if (call->is_unrecordable || now - edge->confirmed > STORE_SILENT_MS ||
-	    (edge->record_failed > 0 &&
-		now - edge->record_failed < RECORD_PAUSE_MS)) {
+	unrecorded = version_unrecorded(call, &is_wanted);
+	if (call->is_unrecordable) {
 		request->version = unrecorded;
-		return (true);
+		return (unrecorded != NULL);
 	}
 	request->preferred_version = unrecorded;
-	request->other_version_ms = edge->record_ms;
+	request->other_version_ms = is_record_paused(call->edge)
+	    ? RECORD_PAUSED_COST_MS
+	    : RECORD_COST_MS;
 	return (true);
 }
 
 static bool
 needs_record(const struct edge_call *call, const char *version)
 {
+	bool is_wanted;
+	const char *unrecorded;
+
 	/* A stream that goes on was recorded when it began, if at all. */
-	return (is_bound(call) && !call->request.is_resumed &&
-	    g_strcmp0(version_unrecorded(call), version) != 0);
+	if (!is_bound(call) || call->request.is_resumed)
+		return (false);
+	unrecorded = version_unrecorded(call, &is_wanted);
+	return (g_strcmp0(unrecorded, version) != 0 ||
+	    (is_wanted && !is_record_paused(call->edge)));
 }
 
 void
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -357,6 +357,22 @@
 	return (versions);
 }
 
+bool
+place_is_served(
+    const struct place *place, const char *service, const char *version)
+{
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		const struct upstream *upstream = place->upstreams->pdata[i];
+
+		if (upstream->in_use && !upstream->is_removed &&
+		    upstream->entry.is_ready &&
+		    strcmp(upstream->service, service) == 0 &&
+		    g_strcmp0(upstream->version, version) == 0)
+			return (true);
+	}
+	return (false);
+}
+
 unsigned
 place_upstream_count(const struct place *place)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -145,6 +145,13 @@
  */
 GArray *place_versions_collect(const struct place *place);
 
+/*
+ * place_is_served(place, service, version)
+ *	Whether a ready upstream of the service has the software version.
+ */
+bool place_is_served(
+    const struct place *place, const char *service, const char *version);
+
 /* place_upstream_count(place): number of upstreams. */
 unsigned place_upstream_count(const struct place *place);
 
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -425,11 +425,56 @@
 	place_close(place);
 }
 
+/*
+ * Guards against a stream that is sent to another software version than the
+ * one that it needs, and against one that leaves the one that costs less.
+ */
+static void
+test_versions(void)
+{
+	struct place *place = place_open("a");
+	struct place_request request = {.service = "pool"};
+	struct place_handle handle;
+	g_autoptr(GArray) versions = NULL;
+
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+		struct place_entry e = entry(id, i + 1, 4);
+
+		e.version = i == 0 ? "v1" : "v2";
+		e.is_ready = i < 3;
+		g_assert_true(place_upstream_update(place, &e, 0));
+		g_assert_false(place_upstream_update(place, &e, 0));
+	}
+	versions = place_versions_collect(place);
+	g_assert_cmpuint(versions->len, ==, 2);
+	g_assert_cmpuint(
+	    g_array_index(versions, struct place_version, 1).slots, ==, 8);
+	g_assert_true(place_is_served(place, "pool", "v2"));
+	g_assert_false(place_is_served(place, "pool", "v3"));
+	for (int n = 0; n < 40; n++) {
+		request.version = n < 20 ? "v1" : "v3";
+		g_assert_cmpint(
+		    place_choose(place, &request, 0, &handle), ==, n < 20);
+	}
+	/* The one that costs less has 20 requests in 4 slots. */
+	request.version = NULL;
+	request.preferred_version = "v1";
+	request.other_version_ms = 1e6;
+	g_assert_true(place_choose(place, &request, 0, &handle));
+	g_assert_cmpstr(place_entry_get(place, handle)->version, ==, "v1");
+	request.other_version_ms = 10;
+	g_assert_true(place_choose(place, &request, 0, &handle));
+	g_assert_cmpstr(place_entry_get(place, handle)->version, ==, "v2");
+	place_close(place);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plc/no-token", test_no_token);
+	g_test_add_func("/plc/versions", test_versions);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
 	g_test_add_func("/plc/last-part-heard", test_last_part_gossip);
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -8,16 +8,30 @@
  * Plans that were confirmed longer ago are not used.  Requests with a key are
  * refused earlier, so this refuses none of them.
  */
-#define PLAN_MAX_AGE_MS (6 * CLK_SECOND)
+#define PLAN_MAX_AGE_MS (5 * CLK_SECOND)
 /* Shortest assumed life of a stream; callers' deadlines are 3 to 5 s. */
-#define STREAM_LIFE_MIN_MS (20 * CLK_SECOND)
+#define STREAM_LIFE_MIN_MS (10 * CLK_SECOND)
 /*
  * Cohorts that a version may have above its part of the slots: engines that
  * crash and return are no reason to change the plan.
  */
 #define SURPLUS_MAX 4
-/* Time for which a surplus has to last. */
-#define SURPLUS_MS (4 * CLK_SECOND)
+/*
+ * Time for which a surplus has to last: longer than most releases, whose
+ * streams mostly keep to the plan; and that of a version without upstreams.
+ */
+#define SURPLUS_MS  (30 * CLK_SECOND)
+#define UNSERVED_MS (4 * CLK_SECOND)
+/*
+ * Cohorts that move at a time: all streams of a moving cohort take a write of
+ * the store.
+ */
+#define MOVING_MAX 8
+/*
+ * The time that a phase has lasted is written so often: the wait goes on where
+ * it was after all instances were killed.
+ */
+#define LASTED_PERIOD_MS (3 * CLK_SECOND)
 /* Versions that a plan is divided among. */
 #define VERSIONS_MAX 14
 
@@ -25,6 +39,7 @@
 	struct rollout_plan stored;
 	clk_ms since[ROLLOUT_COHORTS]; /* when the cohort was seen to change */
 	clk_ms surplus_since; /* 0: no version has a surplus */
+	clk_ms unserved_since; /* 0: each version has upstreams */
 };
 
 struct rollout {
@@ -79,15 +94,15 @@
 plan_times_take(struct plan *plan, const struct plan *before, clk_ms now)
 {
 	for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
-		bool is_same = before != NULL &&
-		    before->stored.cohorts[i].phase ==
-			plan->stored.cohorts[i].phase &&
-		    strcmp(cohort_version(before, i),
-			cohort_version(plan, i)) == 0;
+		const struct rollout_cohort *cohort = &plan->stored.cohorts[i];
 
-		plan->since[i] = is_same ? before->since[i] : now;
+		plan->since[i] = now - cohort->lasted * CLK_SECOND;
+		if (before != NULL &&
+		    before->stored.cohorts[i].change == cohort->change)
+			plan->since[i] = MIN(plan->since[i], before->since[i]);
 	}
 	plan->surplus_since = before != NULL ? before->surplus_since : 0;
+	plan->unserved_since = before != NULL ? before->unserved_since : 0;
 }
 
 void
@@ -143,15 +158,26 @@
 
 const char *
 rollout_unrecorded(const struct rollout *rollout, const char *service,
-    const char *key, clk_ms now)
+    const char *key, clk_ms now, bool *is_wanted)
 {
 	const struct plan *plan = plan_current(rollout, service, now);
 	size_t cohort = cohort_of(key);
 
-	if (plan == NULL ||
-	    plan->stored.cohorts[cohort].phase != ROLLOUT_STABLE)
+	*is_wanted = false;
+	if (plan == NULL)
 		return (NULL);
-	return (cohort_version(plan, cohort));
+	switch ((enum rollout_phase)plan->stored.cohorts[cohort].phase) {
+	case ROLLOUT_STABLE:
+		return (cohort_version(plan, cohort));
+	case ROLLOUT_SUCCEEDING:
+		/* Once nobody uses the plan before. */
+		*is_wanted = now - plan->since[cohort] >= PLAN_MAX_AGE_MS;
+		return (*is_wanted ? cohort_version(plan, cohort) : NULL);
+	case ROLLOUT_MOVING:
+	case ROLLOUT_ADOPTING:
+		break;
+	}
+	return (NULL);
 }
 
 const char *
@@ -159,8 +185,12 @@
     const char *key, clk_ms now)
 {
 	const struct plan *plan = plan_current(rollout, service, now);
+	size_t cohort = cohort_of(key);
 
-	return (plan != NULL ? cohort_version(plan, cohort_of(key)) : NULL);
+	if (plan == NULL ||
+	    plan->stored.cohorts[cohort].phase == ROLLOUT_SUCCEEDING)
+		return (NULL);
+	return (cohort_version(plan, cohort));
 }
 
 const char *
@@ -257,6 +287,14 @@
 	return (*draft_count(draft, version) - part * ROLLOUT_COHORTS);
 }
 
+static void
+cohort_change(struct rollout_cohort *cohort, enum rollout_phase phase)
+{
+	cohort->phase = (uint8_t)phase;
+	cohort->lasted = 0;
+	cohort->change++;
+}
+
 /* Gives the cohort to the version that lacks most. */
 static void
 cohort_assign(struct draft *draft, size_t cohort, enum rollout_phase phase)
@@ -268,8 +306,8 @@
 			best = i;
 	}
 	(*draft_count(draft, best))++;
-	draft->cohorts[cohort] =
-	    (struct rollout_cohort){(uint8_t)best, (uint8_t)phase};
+	draft->cohorts[cohort].version = (uint8_t)best;
+	cohort_change(&draft->cohorts[cohort], phase);
 }
 
 /* Ends the phases that have lasted long enough; returns whether any did. */
@@ -290,10 +328,15 @@
 				continue;
 			cohort_assign(draft, i, ROLLOUT_ADOPTING);
 			break;
+		case ROLLOUT_SUCCEEDING:
+			if (lasted < PLAN_MAX_AGE_MS + life)
+				continue;
+			cohort_change(&draft->cohorts[i], ROLLOUT_STABLE);
+			break;
 		case ROLLOUT_ADOPTING:
 			if (lasted < PLAN_MAX_AGE_MS)
 				continue;
-			draft->cohorts[i].phase = ROLLOUT_STABLE;
+			cohort_change(&draft->cohorts[i], ROLLOUT_STABLE);
 			break;
 		}
 		is_changed = true;
@@ -301,40 +344,108 @@
 	return (is_changed);
 }
 
-/* Whether the version has too many cohorts, or no upstreams for those. */
+/* Notes how long the phases have lasted; returns whether that is due. */
+static bool
+phases_note(
+    struct draft *draft, const struct plan *plan, clk_ms delay, clk_ms now)
+{
+	bool is_due = false;
+
+	for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
+		clk_ms lasted = now - plan->since[i];
+
+		/* A cohort that has just entered its phase, or is at rest. */
+		if (draft->cohorts[i].phase == ROLLOUT_STABLE ||
+		    draft->cohorts[i].change != plan->stored.cohorts[i].change)
+			continue;
+		is_due = is_due ||
+		    lasted - plan->stored.cohorts[i].lasted * CLK_SECOND >=
+			LASTED_PERIOD_MS + MAX(delay, 0);
+		draft->cohorts[i].lasted =
+		    (uint8_t)MIN(lasted / CLK_SECOND, UINT8_MAX);
+	}
+	return (is_due);
+}
+
+static bool
+is_unserved(const struct draft *draft, size_t cohort)
+{
+	return (g_array_index(draft->slots, unsigned,
+		    draft->cohorts[cohort].version) == 0);
+}
+
+static bool
+has_unserved(const struct draft *draft)
+{
+	for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
+		if (is_unserved(draft, i))
+			return (true);
+	}
+	return (false);
+}
+
+/* Gives the cohorts of versions that nobody serves to others. */
+static void
+cohorts_succeed(struct draft *draft)
+{
+	for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
+		if (!is_unserved(draft, i))
+			continue;
+		*draft_count(draft, draft->cohorts[i].version) -=
+		    draft->cohorts[i].phase != ROLLOUT_MOVING;
+		cohort_assign(draft, i, ROLLOUT_SUCCEEDING);
+	}
+}
+
+/* Whether the version has upstreams, and too many cohorts for them. */
 static bool
-has_surplus(struct draft *draft, guint version)
+is_surplus(struct draft *draft, guint version)
 {
-	if (g_array_index(draft->slots, unsigned, version) == 0)
-		return (*draft_count(draft, version) > 0);
-	return (draft_surplus(draft, version) > SURPLUS_MAX);
+	return (g_array_index(draft->slots, unsigned, version) > 0 &&
+	    draft_surplus(draft, version) > SURPLUS_MAX);
 }
 
 static bool
-is_unbalanced(struct draft *draft)
+has_surplus(struct draft *draft)
 {
 	for (guint i = 0; i < draft->names->len; i++) {
-		if (has_surplus(draft, i))
+		if (is_surplus(draft, i))
 			return (true);
 	}
 	return (false);
 }
 
+/* Returns whether something has lasted for the time, since *since if not 0. */
+static bool
+has_lasted(bool is, clk_ms *since, clk_ms time, clk_ms now)
+{
+	if (!is)
+		*since = 0;
+	else if (*since == 0)
+		*since = now;
+	return (is && now - *since >= time);
+}
+
 /* Moves stable cohorts off versions with a surplus; returns whether any. */
 static bool
 moves_begin(struct draft *draft)
 {
 	bool is_changed = false;
+	unsigned moving = 0;
 
+	for (size_t i = 0; i < ROLLOUT_COHORTS; i++)
+		moving += draft->cohorts[i].phase != ROLLOUT_STABLE;
 	for (guint version = 0; version < draft->names->len; version++) {
-		if (!has_surplus(draft, version))
+		if (!is_surplus(draft, version))
 			continue;
-		for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
+		for (size_t i = 0; i < ROLLOUT_COHORTS && moving < MOVING_MAX;
+		     i++) {
 			if (draft->cohorts[i].version != version ||
 			    draft->cohorts[i].phase != ROLLOUT_STABLE ||
 			    draft_surplus(draft, version) < 1)
 				continue;
-			draft->cohorts[i].phase = ROLLOUT_MOVING;
+			moving++;
+			cohort_change(&draft->cohorts[i], ROLLOUT_MOVING);
 			(*draft_count(draft, version))--;
 			is_changed = true;
 		}
@@ -386,12 +497,15 @@
 		goto out;
 	}
 	is_changed = phases_end(&draft, plan, rollout->life, delay, now);
-	if (!is_unbalanced(&draft))
-		plan->surplus_since = 0;
-	else if (plan->surplus_since == 0)
-		plan->surplus_since = now;
-	else if (now - plan->surplus_since >= SURPLUS_MS + delay)
+	if (has_lasted(has_unserved(&draft), &plan->unserved_since,
+		UNSERVED_MS + delay, now)) {
+		cohorts_succeed(&draft);
+		is_changed = true;
+	}
+	if (has_lasted(has_surplus(&draft), &plan->surplus_since,
+		SURPLUS_MS + delay, now))
 		is_changed = moves_begin(&draft) || is_changed;
+	is_changed = phases_note(&draft, plan, delay, now) || is_changed;
 	if (is_changed)
 		record = draft_encode(&draft);
 out:
@@ -406,14 +520,15 @@
 	GString *text = g_string_new(NULL);
 
 	for (guint v = 0; plan != NULL && v < plan->stored.version_count; v++) {
-		unsigned counts[ROLLOUT_ADOPTING + 1] = {0};
+		unsigned counts[ROLLOUT_SUCCEEDING + 1] = {0};
 
 		for (size_t i = 0; i < ROLLOUT_COHORTS; i++)
 			counts[plan->stored.cohorts[i].phase] +=
 			    plan->stored.cohorts[i].version == v;
-		g_string_append_printf(text, "%s%s:%u/%u/%u", v > 0 ? "," : "",
-		    plan->stored.versions[v], counts[ROLLOUT_STABLE],
-		    counts[ROLLOUT_MOVING], counts[ROLLOUT_ADOPTING]);
+		g_string_append_printf(text, "%s%s:%u/%u/%u/%u",
+		    v > 0 ? "," : "", plan->stored.versions[v],
+		    counts[ROLLOUT_STABLE], counts[ROLLOUT_MOVING],
+		    counts[ROLLOUT_ADOPTING], counts[ROLLOUT_SUCCEEDING]);
 	}
 	return (g_string_free(text, FALSE));
 }
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -52,9 +52,10 @@
 clk_ms rollout_age(const struct rollout *rollout, clk_ms now);
 
 /*
- * rollout_unrecorded(rollout, service, key, now)
+ * rollout_unrecorded(rollout, service, key, now, is_wanted)
  *	Return the version at which a stream of the service may begin without
  *	a record, or nil.  key is the same for all requests of the stream.
+ *	*is_wanted says whether the stream can be taken up only with a record.
  * rollout_began(rollout, service, key, now)
  *	Return the version of a stream that has no record, or nil if it is not
  *	known.
@@ -63,7 +64,7 @@
  *	be several or it is not known.
  */
 const char *rollout_unrecorded(const struct rollout *rollout,
-    const char *service, const char *key, clk_ms now);
+    const char *service, const char *key, clk_ms now, bool *is_wanted);
 const char *rollout_began(const struct rollout *rollout, const char *service,
     const char *key, clk_ms now);
 const char *
@@ -99,12 +100,19 @@
 	ROLLOUT_STABLE, /* streams at the version are not recorded */
 	ROLLOUT_MOVING, /* all are recorded; earlier ones may be at the version
 			 */
-	ROLLOUT_ADOPTING /* all are recorded, and the version is a new one */
+	ROLLOUT_ADOPTING, /* all are recorded, and the version is a new one */
+	/*
+	 * Nobody serves the version before.  A stream without a record may be
+	 * of either version; at first all are recorded.
+	 */
+	ROLLOUT_SUCCEEDING
 };
 
 struct rollout_cohort {
 	uint8_t version; /* index in the plan's versions */
 	uint8_t phase; /* enum rollout_phase */
+	uint8_t lasted; /* seconds that the phase has lasted, at least */
+	uint8_t change; /* number of the last change, modulo 256 */
 };
 
 struct rollout_plan {
--- a/src/rollout/rollout_record.c
+++ b/src/rollout/rollout_record.c
@@ -80,7 +80,7 @@
 {
 	for (size_t i = 0; i < ROLLOUT_COHORTS; i++) {
 		if (plan->cohorts[i].version >= plan->version_count ||
-		    plan->cohorts[i].phase > ROLLOUT_ADOPTING)
+		    plan->cohorts[i].phase > ROLLOUT_SUCCEEDING)
 			return (false);
 	}
 	return (true);
