Streams whose ids are too long for a record keep to the plan's version

Cause: a record's key has at most 255 bytes, and a longer one was cut where it was written and not where it was looked up. Change: such a stream begins where it needs no record, or is refused, not run. Also: the id that a caller names in Resumes is quoted in the log. Test: /instance/stream-version-long-id fails on (v2 where the plan says v1) and passes.

--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -249,11 +249,14 @@
 {
 	struct edge *edge = call->edge;
 	char quoted[80];
+	char began[80];
 
 	lg_event(edge->deps.lg, LG_INFO, "stream_version",
 	    "request=%s began=%s outcome=%s version=%s waited_ms=%" G_GINT64_FORMAT
 	    " plan_age_ms=%" G_GINT64_FORMAT,
-	    call->request.id, stream_id(call) != NULL ? stream_id(call) : "-",
+	    call->request.id,
+	    lg_quote(began, sizeof(began),
+		stream_id(call) != NULL ? stream_id(call) : "-"),
 	    outcome,
 	    lg_quote(quoted, sizeof(quoted), version != NULL ? version : "-"),
 	    waited, rollout_age(edge->rollout, edge_now(edge)));
@@ -580,7 +583,8 @@
 		return (false);
 	unrecorded = version_unrecorded(call, &is_wanted);
 	return (g_strcmp0(unrecorded, version) != 0 ||
-	    (is_wanted && !is_record_paused(call->edge)));
+	    (is_wanted && !call->is_unrecordable &&
+		!is_record_paused(call->edge)));
 }
 
 void
@@ -591,22 +595,24 @@
 	    .version = (char *)version,
 	    .recorded = (uint64_t)clk_wall_ms(),
 	};
+	g_autoptr(GByteArray) value = NULL;
+	g_autofree char *key = NULL;
 	struct edge_version_op *op;
-	GByteArray *value;
 
 	if (!needs_record(call, version)) {
 		edge_throttle_acquire(call);
 		return;
 	}
 	value = rollout_stream_encode(&stream);
-	if (value == NULL) {
-		/* Its name is too long to be recorded. */
+	key = record_key(call);
+	if (value == NULL || strlen(key) > STORE_KEY_MAX) {
+		/* Names that are too long for a record. */
 		call->is_unrecordable = true;
 		edge_upstream_refused(call);
 		return;
 	}
 	op = op_new(call);
-	op->value = value;
+	op->value = g_steal_pointer(&value);
 	op->version = g_strdup(version);
 	op_start(op);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -40,8 +40,11 @@
 	uint32_t slot;
 };
 
+/* Longest key of a record, in bytes. */
+#define STORE_KEY_MAX 255
+
 struct store_record {
-	const char *key; /* at most 255 bytes */
+	const char *key; /* at most STORE_KEY_MAX bytes */
 	const void *value; /* nil: delete the key */
 	size_t len;
 };
