A relay of the tests that is as slow on a busy machine as on an idle one

Cause: /peer/busy-connection-is-kept failed beside load: the relay slept 1 ms for each 4 KB on the loop of the peers, so 14 MB took 3.5 s on an idle machine and more than the calls' 5 s on a busy one. Change: the relay forwards 4 MB a second by the clock. The checks are the same: the second message must not have ended when the heartbeat is answered, and no connection may be replaced.

--- a/src/peer/test_rpc.c
+++ b/src/peer/test_rpc.c
@@ -708,6 +708,9 @@
 	}
 }
 
+/* Pace of a slow relay. */
+#define RELAY_BYTES_PER_MS 4096
+
 /* A relay between client and server whose connections can go silent. */
 struct relay {
 	struct fixture *f;
@@ -723,7 +726,9 @@
 		ev_io ios[2];
 	} conns[MAX_RELAYED];
 	bool stop_new; /* new connections are silent from the start */
-	bool slow; /* about 4 MB a second from the client */
+	/* From the client RELAY_BYTES_PER_MS are forwarded; 0: at once. */
+	clk_ms slow_since;
+	size_t forwarded; /* since then */
 };
 
 static int
@@ -747,12 +752,27 @@
 	return (fd);
 }
 
+/*
+ * Bytes that a slow relay may forward now: by the clock, so that it is as slow
+ * on a busy machine as on an idle one.
+ */
+static size_t
+relay_allowance(const struct relay *relay)
+{
+	struct clk clk = clk_monotonic();
+	size_t total =
+	    (size_t)(clk_now(&clk) - relay->slow_since) * RELAY_BYTES_PER_MS;
+
+	return (total > relay->forwarded ? total - relay->forwarded : 0);
+}
+
 static void
 on_relay_data(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct relayed *conn = watcher->data;
 	int side = watcher == &conn->ios[1];
-	char data[4096];
+	char data[65536];
+	size_t max = sizeof(data);
 	ssize_t n;
 
 	(void)events;
@@ -760,15 +780,22 @@
 		ev_io_stop(loop, watcher);
 		return;
 	}
-	if (conn->relay->slow && side == 0)
-		g_usleep(1000);
-	n = read(watcher->fd, data, sizeof(data));
+	if (conn->relay->slow_since > 0 && side == 0) {
+		max = MIN(max, relay_allowance(conn->relay));
+		if (max == 0) {
+			g_usleep(500);
+			return;
+		}
+	}
+	n = read(watcher->fd, data, max);
 	if (n <= 0) {
 		ev_io_stop(loop, watcher);
 		(void)shutdown(conn->fds[!side], SHUT_WR);
 		return;
 	}
 	g_assert_cmpint(write(conn->fds[!side], data, (size_t)n), ==, n);
+	if (side == 0)
+		conn->relay->forwarded += (size_t)n;
 }
 
 static void
@@ -878,12 +905,13 @@
 	struct outcome unanswered;
 	struct rpc_link_info info;
 	struct relay relay;
+	struct clk clk = clk_monotonic();
 	char *direct = f->address;
 	char path[] = "0";
 
 	(void)unused;
 	relay_open(&relay, f);
-	relay.slow = true;
+	relay.slow_since = clk_now(&clk);
 	f->address = relay.address;
 	(void)start(f, &small, relay.address, 1, TIMEOUT);
 	assert_replied(&small, 1);
