A longer pause of records when the store refuses one; names too long for a plan

Cause: after a refused record an instance tried again 0.2 s later; 67 instances kept the store at its limit. Change: 0.8 s. A version whose name does not fit a record is left out of the plan, instead of ending all changes of it (found by reading).

--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -36,11 +36,11 @@
 /* The same while records are put off: only if there is no other way. */
 #define RECORD_PAUSED_COST_MS 1e5
 /*
- * Streams are not recorded, if they can do without, for this time after one
- * could not be, and when the store has been silent for longer than a read of
- * the configuration takes.
+ * For this time after one could not be recorded, and when the store has been
+ * silent for longer than a read of the configuration takes, streams are not
+ * recorded if they can do without, and new ones that can't are refused.
  */
-#define RECORD_PAUSE_MS 200
+#define RECORD_PAUSE_MS 800
 #define STORE_SILENT_MS 1500
 
 static const struct store_partition plans_partition = {STORE_ROLLOUTS, 0};
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -260,6 +260,7 @@
 		guint version;
 
 		if (strcmp(versions[i].service, service) != 0 ||
+		    strlen(versions[i].version) > ROLLOUT_NAME_MAX ||
 		    draft->names->len > VERSIONS_MAX)
 			continue;
 		version = draft_version(draft, versions[i].version);
