--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -13,6 +13,8 @@
 #define MAX_SKIPPED 16
 /* Idle time after which a connection is closed if the server states none. */
 #define DEFAULT_IDLE_MS (4 * CLK_SECOND)
+/* A longer time than this is not believed. */
+#define STATED_IDLE_MAX_S 3600.0
 /* Time before the server's stated idle timeout at which ours ends. */
 #define IDLE_MARGIN_MS 500
 /*
@@ -48,6 +50,7 @@
 	bool skipping; /* the current answer belongs to another request */
 	bool taken; /* the head of the answer has been handed over */
 	bool reusable;
+	bool is_probe; /* the call ends once the connection is established */
 	bool dead;
 };
 
@@ -173,12 +176,14 @@
 {
 	const char *value = hmsg_find(head, "Keep-Alive");
 	const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
+	double seconds;
 	clk_ms limit;
 
 	if (timeout == NULL)
 		return (DEFAULT_IDLE_MS);
-	limit =
-	    (clk_ms)(g_ascii_strtod(timeout + 8, NULL) * (double)CLK_SECOND);
+	seconds = g_ascii_strtod(timeout + 8, NULL);
+	limit = (clk_ms)(CLAMP(seconds, 0.0, STATED_IDLE_MAX_S) *
+	    (double)CLK_SECOND);
 	return (
 	    limit > 2 * IDLE_MARGIN_MS ? limit - IDLE_MARGIN_MS : limit / 2);
 }
@@ -188,13 +193,17 @@
 {
 	struct hcp_call *call = reader->owner;
 	const struct hmsg_head *head = &reader->head;
+	enum hcp_take take = HCP_SKIP;
 
 	call->reusable = head->keep_alive;
 	call->idle_limit = stated_idle(head);
-	call->skipping = head->status < 200 ||
-	    call->handler->on_head(call->arg, head) == HCP_SKIP;
+	if (head->status >= 200)
+		take = call->handler->on_head(call->arg, head);
 	if (call->dead)
 		return (HMSG_STOP);
+	call->skipping = take == HCP_SKIP;
+	if (take == HCP_TAKE_LAST)
+		call->reusable = false;
 	call->taken = !call->skipping;
 	return (HMSG_CONTINUE);
 }
@@ -320,6 +329,19 @@
 	ev_io_stop(call->hcp->loop, &call->writable);
 }
 
+static void
+probe_ended(struct hcp_call *call)
+{
+	const struct hcp_handler *handler = call->handler;
+	void *arg = call->arg;
+
+	ev_io_stop(call->hcp->loop, &call->writable);
+	call->is_probe = false;
+	call->idle_limit = DEFAULT_IDLE_MS;
+	become_idle(call);
+	handler->on_end(arg, HCP_COMPLETE, false);
+}
+
 static void
 writable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
@@ -339,7 +361,10 @@
 		ev_timer_stop(loop, &call->connect_timer);
 		ev_io_start(loop, &call->readable);
 	}
-	send_out(call);
+	if (call->is_probe)
+		probe_ended(call);
+	else
+		send_out(call);
 }
 
 static void
@@ -447,7 +472,8 @@
 struct hcp_call *
 hcp_start(struct hcp *hcp, const struct hcp_request *request)
 {
-	struct hcp_call *call = find_idle(hcp, request);
+	struct hcp_call *call =
+	    request->is_probe ? NULL : find_idle(hcp, request);
 
 	if (call == NULL)
 		call = connection_new(hcp, request);
@@ -457,6 +483,7 @@
 	call->skipping = false;
 	call->sent = false;
 	call->reusable = false;
+	call->is_probe = request->is_probe;
 	call->reader.skip_body = request->is_head;
 	call->handler = request->handler;
 	call->arg = request->arg;
@@ -465,8 +492,10 @@
 	call->skipped = 0;
 	call->out_done = 0;
 	(void)g_byte_array_set_size(call->out, 0);
-	(void)g_byte_array_append(call->out, (const guint8 *)request->head->str,
-	    (guint)request->head->len);
+	if (request->head != NULL)
+		(void)g_byte_array_append(call->out,
+		    (const guint8 *)request->head->str,
+		    (guint)request->head->len);
 	if (request->body_len > 0)
 		(void)g_byte_array_append(
 		    call->out, request->body, (guint)request->body_len);
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -30,6 +30,7 @@
 
 enum hcp_take {
 	HCP_TAKE,
+	HCP_TAKE_LAST, /* the same; the connection carries no further call */
 	HCP_SKIP /* the answer to another request; wait for the next one */
 };
 
@@ -47,7 +48,8 @@
 
 struct hcp_request {
 	struct sockaddr_in address;
-	const GString *head; /* request line, fields, empty line */
+	/* Request line, fields, empty line; nil for a probe. */
+	const GString *head;
 	const void *body; /* copied; nil for none */
 	size_t body_len;
 	clk_ms connect_timeout;
@@ -61,6 +63,11 @@
 	/* A longer idle connection isn't reused for this call; 0: no limit. */
 	clk_ms max_idle;
 	bool is_head; /* a HEAD request, whose answer has no body */
+	/*
+	 * Only a new connection is established, and kept for a later call:
+	 * HCP_COMPLETE, or HCP_NOT_SENT if the server can't be reached.
+	 */
+	bool is_probe;
 	const struct hcp_handler *handler;
 	void *arg;
 };
--- a/src/http/hmsg.c
+++ b/src/http/hmsg.c
@@ -1,7 +1,11 @@
 #include "http/hmsg.h"
 
+#include <limits.h>
 #include <string.h>
 
+/* Bytes of a field beside its name and value: ": " and the end of the line. */
+#define FIELD_EXTRA 4
+
 static const char *const connection_fields[] = {"Connection", "Keep-Alive",
     "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
     "Content-Length", "Expect", "Proxy-Authenticate", "Proxy-Authorization",
@@ -44,10 +48,11 @@
 {
 	struct hmsg_reader *reader = reader_of(parser);
 	struct hmsg_head *head = &reader->head;
+	bool is_new = reader->value_open || head->fields->len == 0;
 
-	if (!count_head_bytes(reader, len + 4))
+	if (!count_head_bytes(reader, len + (is_new ? FIELD_EXTRA : 0)))
 		return (1);
-	if (reader->value_open || head->fields->len == 0) {
+	if (is_new) {
 		struct hmsg_field field = {(guint)head->text->len + 1, 0};
 
 		/* Ends the value before it. */
@@ -117,6 +122,8 @@
 		head->has_expect = expect != NULL;
 	} else {
 		head->status = (int)parser->status_code;
+		head->is_undelimited = (parser->flags & F_CHUNKED) == 0 &&
+		    parser->content_length == ULLONG_MAX;
 	}
 	reader->has_head = true;
 	if (reader->on_head(reader) == HMSG_STOP) {
--- a/src/http/hmsg.h
+++ b/src/http/hmsg.h
@@ -28,6 +28,8 @@
 	GString *target; /* requests: path and query as they came */
 	int status; /* responses */
 	bool keep_alive;
+	/* A response whose body, if it has one, ends with its connection. */
+	bool is_undelimited;
 	bool has_expect; /* Expect: 100-continue */
 };
 
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -19,6 +19,13 @@
 #define LINGER_MS 1000
 /* Connections accepted in one turn of the loop. */
 #define ACCEPT_BATCH 64
+/*
+ * A connection that was accepted just before a stop stays open for this time:
+ * its first request is on its way.
+ */
+#define FIRST_REQUEST_S 0.5
+/* A body that arrives more slowly, beside one idle time, is not waited for. */
+#define BODY_BYTES_PER_S_MIN 256.0
 
 /* A caller whose connection went silent is given up within 5 s. */
 static const struct tcp_limits caller_limits = {5000, 2, 1, 3};
@@ -42,10 +49,13 @@
 	struct ev_timer timer;
 	void *arg;
 	int fd;
+	double opened; /* loop time */
+	double head_read; /* of the current request, loop time */
 	enum state state;
 	bool processing; /* process_pending() is on the stack */
 	bool close_after; /* this answer ends the connection */
 	bool lingering; /* the last answer is sent; input is discarded */
+	bool is_new; /* no byte of a request has been read */
 	bool dead;
 };
 
@@ -289,6 +299,7 @@
 	struct hsv_call *call = reader->owner;
 
 	timer_set(call, call->hsv->limits.idle_timeout);
+	call->head_read = ev_now(call->hsv->loop);
 	if (reader->head.has_expect) {
 		put(call, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 		if (!flush_out(call))
@@ -297,6 +308,18 @@
 	return (HMSG_CONTINUE);
 }
 
+/* A byte now and then must not keep a connection for ever. */
+static bool
+is_body_too_slow(const struct hsv_call *call)
+{
+	double idle =
+	    (double)call->hsv->limits.idle_timeout / (double)CLK_SECOND;
+	double time = ev_now(call->hsv->loop) - call->head_read - idle;
+
+	return (
+	    time > 0 && (double)call->body->len < time * BODY_BYTES_PER_S_MIN);
+}
+
 static enum hmsg_next
 on_data(struct hmsg_reader *reader, const char *data, size_t len)
 {
@@ -307,6 +330,10 @@
 		return (HMSG_STOP);
 	}
 	(void)g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
+	if (is_body_too_slow(call)) {
+		refuse(call, 408);
+		return (HMSG_STOP);
+	}
 	timer_set(call, call->hsv->limits.idle_timeout);
 	return (HMSG_CONTINUE);
 }
@@ -374,6 +401,7 @@
 	}
 	if (call->lingering)
 		return;
+	call->is_new = false;
 	(void)g_byte_array_append(call->pending, (const guint8 *)buf, (guint)n);
 	if (call->state == READING)
 		process_pending(call);
@@ -416,6 +444,8 @@
 	call = g_new0(struct hsv_call, 1);
 	call->hsv = hsv;
 	call->fd = fd;
+	call->opened = ev_now(hsv->loop);
+	call->is_new = true;
 	call->body = g_byte_array_new();
 	call->pending = g_byte_array_new();
 	call->out = g_byte_array_new();
@@ -439,21 +469,29 @@
 	timer_set(call, hsv->limits.idle_timeout);
 }
 
-static void
-accept_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+/* Accepts up to ACCEPT_BATCH connections; returns how many. */
+static int
+accept_batch(struct hsv *hsv)
 {
-	struct hsv *hsv = watcher->data;
+	int n;
 
-	(void)loop;
-	(void)events;
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
+	for (n = 0; n < ACCEPT_BATCH; n++) {
 		int fd =
 		    accept4(hsv->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
-			return;
+			break;
 		accept_one(hsv, fd);
 	}
+	return (n);
+}
+
+static void
+accept_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	(void)accept_batch(watcher->data);
 }
 
 struct hsv *
@@ -520,20 +558,46 @@
 	hsv->draining = drain;
 }
 
+/* Whether bytes of a request wait to be read. */
+static bool
+has_input(const struct hsv_call *call)
+{
+	char byte;
+
+	return (recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
+}
+
+/* Whether nothing of a request, nor of an answer, is under way. */
+static bool
+is_idle(const struct hsv_call *call)
+{
+	return (call->state == READING && !call->reader.in_message &&
+	    call->pending->len == 0 && call->out->len == 0 && !has_input(call));
+}
+
+static bool
+expects_first_request(const struct hsv_call *call)
+{
+	return (call->is_new &&
+	    ev_now(call->hsv->loop) - call->opened < FIRST_REQUEST_S);
+}
+
 void
 hsv_stop(struct hsv *hsv)
 {
 	struct hsv_call *next;
 
 	if (!hsv->stopped) {
+		/* Those that wait to be accepted would be reset. */
+		while (accept_batch(hsv) == ACCEPT_BATCH)
+			continue;
 		ev_io_stop(hsv->loop, &hsv->acceptor);
 		(void)close(hsv->fd);
 		hsv->stopped = true;
 	}
 	for (struct hsv_call *call = hsv->calls; call != NULL; call = next) {
 		next = call->next;
-		if (call->state == READING && !call->reader.in_message &&
-		    call->pending->len == 0 && call->out->len == 0)
+		if (is_idle(call) && !expects_first_request(call))
 			call_close(call);
 	}
 }
@@ -545,8 +609,11 @@
 
 	for (const struct hsv_call *call = hsv->calls; call != NULL;
 	     call = call->next) {
-		if (call->state != READING || call->out->len > 0 ||
-		    (call->reader.in_message && !call->lingering))
+		if (call->lingering)
+			continue;
+		/* hsv_stop() leaves open what may bring a request. */
+		if (hsv->stopped || call->state != READING ||
+		    call->out->len > 0 || call->reader.in_message)
 			active++;
 	}
 	return (active);
--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -57,10 +57,18 @@
 /* hsv_drain_set(hsv, drain): whether answers carry Connection: close. */
 void hsv_drain_set(struct hsv *hsv, bool drain);
 
-/* hsv_stop(hsv): stop listening and close the idle connections. */
+/*
+ * hsv_stop(hsv)
+ *	Stop listening, and close the connections at which no request is under
+ *	way.  Call it again for those that are left.
+ */
 void hsv_stop(struct hsv *hsv);
 
-/* hsv_active(hsv): the number of requests that are read or handled. */
+/*
+ * hsv_active(hsv)
+ *	Return the number of requests that are read or handled; after hsv_stop()
+ *	that of the connections that are left.
+ */
 size_t hsv_active(const struct hsv *hsv);
 
 /* The request, valid as long as the call. */
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -236,6 +236,63 @@
 	g_assert_cmpuint(f->requests, ==, 0);
 }
 
+/*
+ * Guards against a head within its limit that is refused because it arrives
+ * byte by byte.
+ */
+static void
+test_slow_head(struct fixture *f, gconstpointer data)
+{
+	g_autofree char *name = g_strnfill(900, 'x');
+	g_autofree char *request =
+	    g_strdup_printf("GET / HTTP/1.1\r\nHost: h\r\n%s: 1\r\n\r\n", name);
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+
+	(void)data;
+	for (const char *at = request; *at != '\0'; at++) {
+		g_assert_cmpint(send(fd, at, 1, MSG_NOSIGNAL), ==, 1);
+		(void)ev_run(f->loop, EVRUN_NOWAIT);
+	}
+	text = take(f, fd, 100);
+	g_assert_true(g_str_has_prefix(text, "HTTP/1.1 200"));
+	(void)close(fd);
+}
+
+/* Sends a body in pieces with pauses of 50 ms; returns the answer. */
+static char *
+body_send(struct fixture *f, size_t piece)
+{
+	g_autofree char *filler = g_strnfill(piece, 'x');
+	int fd = dial(&f->address);
+	char *text;
+
+	put(fd, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+	for (size_t sent = 0; sent < 1000 && sent < 40 * piece; sent += piece) {
+		if (send(fd, filler, piece, MSG_NOSIGNAL) < 0)
+			break;
+		turn(f->loop, 50);
+	}
+	text = take(f, fd, 100);
+	(void)close(fd);
+	return (text);
+}
+
+/*
+ * Guards against a body that a byte now and then keeps open for ever, and
+ * against one that is cut although it comes on, slowly.
+ */
+static void
+test_slow_body(struct fixture *f, gconstpointer data)
+{
+	g_autofree char *stalled = body_send(f, 1);
+	g_autofree char *slow = body_send(f, 25);
+
+	(void)data;
+	g_assert_true(g_str_has_prefix(stalled, "HTTP/1.1 408"));
+	g_assert_true(g_str_has_prefix(slow, "HTTP/1.1 200"));
+}
+
 /* Guards against work for a caller that has left. */
 static void
 test_caller_leaves(struct fixture *f, gconstpointer data)
@@ -290,6 +347,63 @@
 	(void)close(fd);
 }
 
+/* Sends a request, unless it is sent, and expects its answer and the close. */
+static void
+expect_last_answer(struct fixture *f, int fd, bool is_sent)
+{
+	g_autofree char *text = NULL;
+
+	if (!is_sent)
+		put(fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	text = take(f, fd, 1500);
+	g_assert_true(g_str_has_prefix(text, "HTTP/1.1 200"));
+	g_assert_nonnull(strstr(text, "Connection: close"));
+	(void)close(fd);
+}
+
+/*
+ * Guards against a planned stop that cuts off requests which have just
+ * arrived: on a kept connection, on one that waits to be accepted, and the
+ * first one of a connection that has been accepted.  Idle connections are
+ * closed, and those that bring nothing after a while.
+ */
+static void
+test_stop(struct fixture *f, gconstpointer data)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+	int kept = dial(&f->address);
+	int idle = dial(&f->address);
+	int waiting, accepted, unused;
+	char buf[4096];
+
+	(void)data;
+	put(kept, request);
+	put(idle, request);
+	turn(f->loop, 20);
+	g_assert_cmpint(recv(kept, buf, sizeof(buf), 0), >, 0);
+	g_assert_cmpint(recv(idle, buf, sizeof(buf), 0), >, 0);
+	hsv_drain_set(f->hsv, true);
+	accepted = dial(&f->address);
+	unused = dial(&f->address);
+	turn(f->loop, 20);
+	waiting = dial(&f->address);
+	put(waiting, request);
+	put(kept, request);
+	hsv_stop(f->hsv);
+	g_assert_cmpuint(hsv_active(f->hsv), ==, 4);
+	expect_last_answer(f, kept, true);
+	expect_last_answer(f, waiting, true);
+	expect_last_answer(f, accepted, false);
+	g_assert_cmpint(recv(idle, buf, sizeof(buf), MSG_DONTWAIT), ==, 0);
+	turn(f->loop, 600);
+	hsv_stop(f->hsv);
+	turn(f->loop, 20);
+	g_assert_cmpuint(hsv_active(f->hsv), ==, 0);
+	g_assert_cmpint(recv(unused, buf, sizeof(buf), MSG_DONTWAIT), ==, 0);
+	(void)close(idle);
+	(void)close(unused);
+}
+
 /* ---- The client ---- */
 
 struct outcome {
@@ -523,6 +637,71 @@
 	}
 }
 
+/* Sends the answer in two parts, and ends or resets the connection. */
+static void
+answer_in_parts(struct client *c, const char *answer, size_t first, bool reset)
+{
+	const struct linger linger = {1, 0};
+	size_t len = strlen(answer);
+	int fd;
+
+	(void)start(c, NULL, 0);
+	turn(c->loop, 2);
+	fd = accept4(c->listener, NULL, NULL, 0);
+	g_assert_cmpint(fd, >=, 0);
+	turn(c->loop, 2);
+	drain_request(fd);
+	g_assert_cmpint(send(fd, answer, first, MSG_NOSIGNAL), ==, first);
+	turn(c->loop, 2);
+	g_assert_cmpint(send(fd, answer + first, len - first, MSG_NOSIGNAL), ==,
+	    len - first);
+	turn(c->loop, 2);
+	if (reset)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	(void)close(fd);
+	turn(c->loop, 3);
+}
+
+/*
+ * Guards against an answer without a length whose end depends on how its
+ * bytes arrive: every division into two parts, then an end or a reset.
+ */
+static void
+test_no_length_divisions(struct client *c, gconstpointer data)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"
+				     "id: 0\ndata: a\n\n";
+
+	(void)data;
+	for (size_t first = 1; first < strlen(answer); first++) {
+		for (int reset = 0; reset <= 1; reset++) {
+			answer_in_parts(c, answer, first, reset);
+			g_assert_cmpuint(c->outcome.ends, ==, 1);
+			g_assert_cmpint(
+			    c->outcome.end, ==, reset ? HCP_CUT : HCP_COMPLETE);
+			g_assert_cmpstr(
+			    c->outcome.body->str, ==, "id: 0\ndata: a\n\n");
+		}
+	}
+}
+
+/* A head that breaks off is no answer, wherever it does. */
+static void
+test_head_cut(struct client *c, gconstpointer data)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+
+	(void)data;
+	for (size_t len = 1; len < strlen(answer); len++) {
+		g_autofree char *part = g_strndup(answer, len);
+
+		answer_in_parts(c, part, len / 2, false);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, ==, HCP_NO_ANSWER);
+	}
+}
+
 static void
 test_cut(struct client *c, gconstpointer data)
 {
@@ -587,6 +766,42 @@
 	c->listener = listen_any(&c->address);
 }
 
+/* A probe tells a server that is there, and leaves a connection to it. */
+static void
+test_probe(struct client *c, gconstpointer data)
+{
+	struct hcp_request probe = {
+	    .address = c->address,
+	    .connect_timeout = 300,
+	    .is_probe = true,
+	    .handler = &client_handler,
+	    .arg = &c->outcome,
+	};
+	int fd;
+
+	(void)data;
+	(void)hcp_start(c->hcp, &probe);
+	fd = take_connection(c);
+	g_assert_cmpuint(c->outcome.ends, ==, 1);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	(void)start(c, NULL, 0);
+	turn(c->loop, 10);
+	drain_request(fd);
+	put(fd, OK_5);
+	turn(c->loop, 20);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+	g_assert_false(has_connection(c));
+	(void)close(fd);
+	(void)close(c->listener);
+	c->outcome.ends = 0;
+	(void)hcp_start(c->hcp, &probe);
+	turn(c->loop, 50);
+	g_assert_cmpuint(c->outcome.ends, ==, 1);
+	g_assert_cmpint(c->outcome.end, ==, HCP_NOT_SENT);
+	c->listener = listen_any(&c->address);
+}
+
 /* A server that reads and never answers is given up at the call's timeout. */
 static void
 test_silent(struct client *c, gconstpointer data)
@@ -616,17 +831,23 @@
 	SERVER("bodies", test_bodies);
 	SERVER("smuggled", test_smuggled);
 	SERVER("limits", test_limits);
+	SERVER("slow-head", test_slow_head);
+	SERVER("slow-body", test_slow_body);
 	SERVER("caller-leaves", test_caller_leaves);
 	SERVER("abort", test_abort);
 	SERVER("drain", test_drain);
+	SERVER("stop", test_stop);
 	CLIENT("reuse", test_reuse);
 	CLIENT("reused-dies", test_reused_dies);
 	CLIENT("bytes-after", test_bytes_after);
 	CLIENT("foreign-skipped", test_foreign_skipped);
 	CLIENT("no-length", test_no_length);
+	CLIENT("no-length-divisions", test_no_length_divisions);
+	CLIENT("head-cut", test_head_cut);
 	CLIENT("cut", test_cut);
 	CLIENT("early-answer", test_early_answer);
 	CLIENT("not-sent", test_not_sent);
+	CLIENT("probe", test_probe);
 	CLIENT("silent", test_silent);
 	return (g_test_run());
 }
