--- a/src/catalogue/catalogue.c
+++ b/src/catalogue/catalogue.c
@@ -149,11 +149,16 @@
 catalogue_organisation_add(
     struct catalogue *catalogue, const struct catalogue_organisation *added)
 {
-	struct catalogue_organisation *organisation =
-	    g_new(struct catalogue_organisation, 1);
+	struct catalogue_organisation *organisation;
 
+	if (g_hash_table_contains(catalogue->organisations, added->name)) {
+		/* Keys refer to the first one. */
+		g_free(added->name);
+		return;
+	}
+	organisation = g_new(struct catalogue_organisation, 1);
 	*organisation = *added;
-	(void)g_hash_table_replace(
+	(void)g_hash_table_insert(
 	    catalogue->organisations, organisation->name, organisation);
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -5,18 +5,19 @@
 #include "edge/edge_internal.h"
 
 #define HOUSEKEEPING_PERIOD_S 0.25
-/*
- * The store counts as unreachable from this instance when the catalogue was
- * last confirmed longer ago.  A confirmation is up to two calls old, each of
- * which may wait for 0.5 s and take 0.4 s.
- */
-#define STORE_UNREACHABLE_MS 2000
 /*
  * Bounds of the Retry-After while the store is unreachable.  Callers follow a
  * Retry-After of up to a third of their remaining time, which is 1 to 1.7 s.
  */
 #define RETRY_STORE_MIN_MS 400
 #define RETRY_STORE_MAX_MS 1500
+/*
+ * Time after which the load balancer sends callers to other instances: two
+ * probes, 1 s apart, and what they take.
+ */
+#define ROTATION_MS 2300
+/* Lowest Retry-After of a request that is better served by another instance. */
+#define RETRY_ELSEWHERE_MIN_MS 200
 /* Timeout of a request if neither its caller nor its route states one. */
 #define DEFAULT_TIMEOUT_MS (30 * CLK_SECOND)
 
@@ -29,6 +30,11 @@
 clk_ms
 edge_store_retry_after(const struct edge *edge)
 {
+	clk_ms now = edge_now(edge);
+
+	if (edge->worse_since > 0)
+		return (MAX(ROTATION_MS - (now - edge->worse_since),
+		    RETRY_ELSEWHERE_MIN_MS));
 	return (CLAMP(edge_now(edge) - edge->confirmed, RETRY_STORE_MIN_MS,
 	    RETRY_STORE_MAX_MS));
 }
@@ -54,6 +60,8 @@
 	if (call->reply_body != NULL)
 		(void)g_byte_array_unref(call->reply_body);
 	sse_clear(&call->sse);
+	if (call->last_id != NULL)
+		(void)g_string_free(call->last_id, TRUE);
 	g_free(call->lender);
 	g_free(call->version);
 	g_free(call->recorded);
@@ -80,7 +88,8 @@
 	    " took_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
 	    " upstream_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
 	    " catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
-	    " rate_level=%.1f rate_unreported=%u resumed=%d resumes=%s",
+	    " rate_level=%.1f rate_unreported=%u resumed=%d resumes=%s"
+	    " lost=%u",
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
 	    call->route != NULL ? call->route->name : "-",
@@ -96,7 +105,8 @@
 	    now - edge->confirmed, call->rate.level, call->rate.unreported,
 	    call->request.is_resumed,
 	    lg_quote(resumes, sizeof(resumes),
-		call->request.resumes != NULL ? call->request.resumes : "-"));
+		call->request.resumes != NULL ? call->request.resumes : "-"),
+	    call->lost);
 	cnt_observe(edge->latency, now - call->arrived);
 	cnt_add(cnt_counter(edge->deps.cnt, "requests_total",
 		    "Requests by outcome.", "outcome", outcome),
@@ -115,6 +125,12 @@
 
 	if (client == NULL)
 		return;
+	if (call->events > 0) {
+		/* A part of the stream was sent, and no other can go on. */
+		edge_call_end(call, "stream_cut", 0);
+		hsv_abort(client);
+		return;
+	}
 	if (verdict->ran == VD_NOT_RUN)
 		edge_rate_refund(call);
 	body = vd_body(verdict, call->request.id);
@@ -158,7 +174,7 @@
 
 	(void)loop;
 	(void)events;
-	if (call->is_streaming) {
+	if (call->is_streaming && call->events > 0) {
 		edge_call_end(call, "stream_timeout", 0);
 		hsv_abort(client);
 		return;
@@ -291,10 +307,41 @@
 		edge_call_end(call, "caller_left", 0);
 }
 
-static bool
-is_store_unreachable(const struct edge *edge)
+bool
+edge_is_worse_off(const struct edge *edge)
+{
+	return (edge->worse_since > 0);
+}
+
+/*
+ * Callers are better served elsewhere as long as the store answers others and
+ * not this instance.  If it answers nobody, they may as well stay.
+ */
+static void
+worse_off_check(struct edge *edge)
+{
+	clk_ms now = edge_now(edge);
+	clk_ms age = now - edge->store_answered;
+	bool was = edge->worse_since > 0;
+	bool is = reach_is_worse_off(edge->deps.reach, age, now);
+
+	if (is == was)
+		return;
+	edge->worse_since = is ? now : 0;
+	lg_event(edge->deps.lg, LG_NOTICE, "worse_off",
+	    "worse=%d store_age_ms=%" G_GINT64_FORMAT, is, age);
+}
+
+void
+edge_tick(struct edge *edge)
 {
-	return (edge_now(edge) - edge->confirmed > STORE_UNREACHABLE_MS);
+	worse_off_check(edge);
+	/*
+	 * Connections are drained: callers reconnect through the load balancer
+	 * to another instance.
+	 */
+	hsv_drain_set(edge->hsv, edge->draining || !edge_is_ready(edge));
+	edge_probes_tick(edge);
 }
 
 static void
@@ -305,11 +352,6 @@
 
 	(void)loop;
 	(void)events;
-	/*
-	 * Without the store, connections are drained: callers reconnect through
-	 * the load balancer to an instance that reaches it.
-	 */
-	hsv_drain_set(edge->hsv, edge->draining || is_store_unreachable(edge));
 	turn_cache_expire(edge->turns, now);
 	edge_loan_expire(edge);
 	budget_expire(edge->budgets, now);
@@ -345,6 +387,7 @@
 	edge->deps = *deps;
 	edge->settings = *settings;
 	edge->session = g_strdup(settings->session);
+	edge->store_answered = clk_now(&deps->clk);
 	edge->settings.session = edge->session;
 	edge->hsv = hsv_open(deps->loop, &settings->listen, &server, &handler);
 	if (edge->hsv == NULL) {
@@ -360,6 +403,7 @@
 	edge_loan_open(edge);
 	edge_rate_open(edge);
 	edge_throttle_open(edge);
+	edge_reach_open(edge);
 	edge_rollout_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
@@ -383,6 +427,7 @@
 	edge_loan_close(edge);
 	edge_rate_close(edge);
 	edge_throttle_close(edge);
+	edge_reach_close(edge);
 	edge_rollout_close(edge);
 	edge_budget_close(edge);
 	budget_close(edge->budgets);
@@ -426,7 +471,15 @@
 edge_is_ready(const struct edge *edge)
 {
 	return (!edge->draining && edge->catalogue != NULL &&
-	    rollout_is_read(edge->rollout) && !is_store_unreachable(edge));
+	    rollout_is_read(edge->rollout) && edge->worse_since == 0 &&
+	    edge_now(edge) - edge->confirmed <=
+		edge->settings.max_catalogue_age);
+}
+
+void
+edge_store_answered(struct edge *edge, clk_ms when)
+{
+	edge->store_answered = MAX(edge->store_answered, when);
 }
 
 void
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "place/place.h"
 #include "quota/active_programs.h"
 #include "quota/quota.h"
+#include "reach/reach.h"
 #include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
@@ -54,6 +55,7 @@
 	struct throttle *throttle;
 	struct active_programs *activity;
 	struct crash_table *crashes;
+	struct reach *reach;
 	/* Look up an instance's address by name; false if unknown. */
 	bool (*instance_address)(
 	    void *arg, const char *name, struct sockaddr_in *address);
@@ -82,7 +84,22 @@
 void edge_catalogue_set(struct edge *edge, struct catalogue *catalogue);
 void edge_catalogue_confirm(struct edge *edge, clk_ms when);
 
-/* edge_is_ready(edge): whether this instance can serve requests. */
+/*
+ * edge_store_answered(edge, when)
+ *	A call to the store was answered at the time when.
+ * edge_tick(edge)
+ *	To be called several times a second: decides whether callers are better
+ *	served elsewhere, and ends the attempts at upstreams that are out of
+ *	reach.
+ */
+void edge_store_answered(struct edge *edge, clk_ms when);
+void edge_tick(struct edge *edge);
+
+/*
+ * edge_is_ready(edge)
+ *	Whether callers should come to this instance: it can serve requests,
+ *	as well as the others.
+ */
 bool edge_is_ready(const struct edge *edge);
 
 /*
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -191,7 +191,8 @@
 
 	budget_ledger_invalidate(edge->budgets, ledger->program);
 	if (first_waiting(ledger) != NULL &&
-	    edge_now(edge) - ledger->started >= GRANT_TIMEOUT_MS) {
+	    (edge_is_worse_off(edge) ||
+		edge_now(edge) - ledger->started >= GRANT_TIMEOUT_MS)) {
 		ledger_fail(ledger, VD_HISTORY_UNPROVEN,
 		    edge_store_retry_after(edge),
 		    "the program's budget can't be read now");
@@ -499,6 +500,12 @@
 		    VD_BUDGET_EXCEEDED, 0, "the program's budget is spent");
 		break;
 	case BUDGET_GRANT_NEEDED:
+		if (edge_is_worse_off(edge)) {
+			reservation_refuse(edge, program, reservation,
+			    VD_HISTORY_UNPROVEN, edge_store_retry_after(edge),
+			    "the program's budget can't be read here now");
+			break;
+		}
 		ledger = ledger_start(edge, program);
 		g_queue_push_tail(&ledger->waiting, reservation);
 		ledger_advance(ledger);
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -16,10 +16,14 @@
 /* A turn whose history can't be read in this time is refused. */
 #define READ_DEADLINE_MS 1200
 /*
- * A stream whose turn can't be recorded in this time is aborted; callers
- * abandon a stream after a gap of 2 s.
+ * A stream whose turn can't be recorded is aborted before its caller abandons
+ * it: callers do after a gap of 2 s, or of a multiple of the first event's
+ * objective or of the longest pause between events, whichever is longest.
  */
-#define RECORD_DEADLINE_MS 1700
+#define CALLER_GAP_MS	      2000
+#define CALLER_GAP_OBJECTIVES 4
+#define CALLER_GAP_PAUSES     8
+#define RECORD_MARGIN_MS      200
 
 /* A store call with retries: reads a turn of the chain, or writes one. */
 struct history_op {
@@ -141,7 +145,8 @@
 		return;
 	}
 	if (reply->status != STORE_OK) {
-		if (now - op->started < READ_DEADLINE_MS) {
+		if (now - op->started < READ_DEADLINE_MS &&
+		    !edge_is_worse_off(edge)) {
 			history_op_retry(op);
 			return;
 		}
@@ -192,6 +197,12 @@
 		edge_budget_acquire(call);
 		return;
 	}
+	if (edge_is_worse_off(call->edge)) {
+		edge_refuse_not_run(call, VD_HISTORY_UNPROVEN,
+		    edge_store_retry_after(call->edge),
+		    "the turn can't be recorded here now");
+		return;
+	}
 	call->turn = turn_new(call->request.id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
@@ -251,6 +262,16 @@
 	}
 }
 
+/* The longest time for which a turn's end waits for its record. */
+static clk_ms
+record_deadline(const struct edge_call *call)
+{
+	clk_ms objective = CALLER_GAP_OBJECTIVES * call->route->target_latency;
+	clk_ms pauses = CALLER_GAP_PAUSES * call->route->target_gap;
+
+	return (MAX(CALLER_GAP_MS, MAX(objective, pauses)) - RECORD_MARGIN_MS);
+}
+
 static void
 finish_stream(struct edge_call *call)
 {
@@ -279,7 +300,7 @@
 		turn_cache_put(edge->turns, call->turn, now);
 		call->turn = NULL;
 		finish_stream(call);
-	} else if (now - call->record_since < RECORD_DEADLINE_MS) {
+	} else if (now - call->record_since < record_deadline(call)) {
 		history_op_retry(op);
 		return;
 	} else {
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -39,6 +39,10 @@
 	/* serial -> struct edge_call that waits for an upstream's token */
 	GHashTable *throttled;
 	uint64_t throttle_serial; /* of the last such wait */
+	GQueue attempts; /* struct edge_call with a request at an upstream */
+	GHashTable *probes; /* struct edge_probe in progress, or of late */
+	clk_ms store_answered; /* last answer of the store */
+	clk_ms worse_since; /* see edge_is_worse_off(); 0: it is not */
 	struct rollout *rollout;
 	struct ev_timer rollout_timer; /* until the plans are read again */
 	clk_ms rollout_asked; /* when the last read of them began */
@@ -108,21 +112,27 @@
 	struct hcp_call *upstream;
 	struct place_handle handle;
 	struct place_handle tried[EDGE_MAX_ATTEMPTS];
-	char upstream_id[64];
+	char upstream_id[EDGE_UPSTREAM_ID_MAX + 1];
 	unsigned attempts;
 	unsigned runs; /* attempts that an upstream may have run */
+	unsigned lost; /* of these, at upstreams that went out of reach */
+	bool is_lost; /* the last attempt is one of them */
+	GList attempt_link; /* in edge->attempts, while upstream is set */
+	clk_ms heard; /* when the upstream last sent something */
 	clk_ms sent_at;
 	double last_event; /* loop time */
 	clk_ms first_event_ms; /* from sending; 0: no event */
 	struct edge_reply reply;
 	bool has_reply;
 	bool is_streaming;
+	bool is_undelimited; /* the response ends with its connection */
 	bool is_unrecordable; /* the store has refused the stream's record */
 	bool is_record_unknown; /* an append had no answer: it may be done */
 	GString *reply_fields;
 	GByteArray *reply_body;
 	struct sse sse;
 	int64_t events;
+	GString *last_id; /* of the events sent to the caller; nil: none */
 };
 
 struct edge_call *edge_call_ref(struct edge_call *call);
@@ -153,9 +163,14 @@
 /*
  * edge_store_retry_after(edge)
  *	Return the Retry-After of requests that fail because the store is
- *	unreachable: as long as it has been unreachable, within bounds.
+ *	unreachable: as long as it has been unreachable, within bounds; or until
+ *	callers are sent to other instances.
+ * edge_is_worse_off(edge)
+ *	Whether the store answers other instances and not this one: a request
+ *	that needs it is refused at once, so that its caller goes to another.
  */
 clk_ms edge_store_retry_after(const struct edge *edge);
+bool edge_is_worse_off(const struct edge *edge);
 
 /*
  * The stages of a request, in order; each calls the next one, or ends the
@@ -195,6 +210,8 @@
  *	Record the version of the upstream that was chosen, if a stream that
  *	begins there needs a record.  Continues with edge_throttle_acquire(),
  *	or with edge_upstream_refused() if another version is needed.
+ * edge_version_bind(call, version)
+ *	From now on the request may only run at this version.
  * edge_version_cancel(call)
  *	Stop waiting for the store.  Returns whether an upstream was chosen.
  * edge_version_draw(call)
@@ -209,6 +226,7 @@
 bool edge_version_request(
     const struct edge_call *call, struct place_request *request);
 void edge_version_record(struct edge_call *call, const char *version);
+void edge_version_bind(struct edge_call *call, const char *version);
 bool edge_version_cancel(struct edge_call *call);
 uint32_t edge_version_draw(const struct edge_call *call);
 void edge_rollout_open(struct edge *edge);
@@ -224,6 +242,21 @@
 void edge_upstream_start(struct edge_call *call);
 void edge_upstream_refused(struct edge_call *call);
 
+/*
+ * edge_upstream_lost(call)
+ *	The upstream that runs the request is out of reach: end the attempt.  A
+ *	request that may be repeated goes on at another upstream, a stream after
+ *	the last event that its caller has.
+ * edge_probes_tick(edge)
+ *	Probe the upstreams that may be out of reach.
+ * edge_reach_open(edge), edge_reach_close(edge)
+ *	Create and free the table of probes.
+ */
+void edge_upstream_lost(struct edge_call *call);
+void edge_probes_tick(struct edge *edge);
+void edge_reach_open(struct edge *edge);
+void edge_reach_close(struct edge *edge);
+
 /*
  * edge_rate_refund(call)
  *	Give back the token of a request that has not run.
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -329,8 +329,8 @@
 	return (true);
 }
 
-static void
-version_bind(struct edge_call *call, const char *version)
+void
+edge_version_bind(struct edge_call *call, const char *version)
 {
 	g_free(call->version);
 	call->version = g_strdup(version);
@@ -382,7 +382,7 @@
 		}
 		/* An append without an answer may still take effect. */
 		if (call->is_record_unknown)
-			version_bind(call, op->version);
+			edge_version_bind(call, op->version);
 		version_log(call,
 		    status == STORE_OK ? "recorded" : "unrecorded", op->version,
 		    waited);
@@ -453,7 +453,7 @@
 		    call, store_reply_find(reply, op->key), &outcome);
 	version_log(call, outcome, version, waited);
 	if (version != NULL) {
-		version_bind(call, version);
+		edge_version_bind(call, version);
 		edge_upstream_send(call);
 	} else {
 		refuse_unknown(call);
@@ -542,7 +542,7 @@
 	only = rollout_only(edge->rollout, call->service_name, edge_now(edge));
 	version_log(call, only != NULL ? "only" : "unnamed", only, 0);
 	if (only != NULL) {
-		version_bind(call, only);
+		edge_version_bind(call, only);
 		edge_upstream_send(call);
 	} else {
 		refuse_unknown(call);
@@ -579,7 +579,7 @@
 	const char *unrecorded;
 
 	/* A stream that goes on was recorded when it began, if at all. */
-	if (!is_bound(call) || call->request.is_resumed)
+	if (!is_bound(call) || call->request.is_resumed || call->events > 0)
 		return (false);
 	unrecorded = version_unrecorded(call, &is_wanted);
 	return (g_strcmp0(unrecorded, version) != 0 ||
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -91,6 +91,7 @@
 	    .tried = call->tried,
 	    .tried_count = call->attempts,
 	    .throttle = call->edge->deps.throttle,
+	    .reach = call->edge->deps.reach,
 	};
 
 	if (tokens == 0)
@@ -212,7 +213,7 @@
 {
 	const struct place_entry *upstream;
 
-	if (call->runs == 0 && is_blocked(call)) {
+	if ((call->runs == 0 || call->is_lost) && is_blocked(call)) {
 		edge_refuse_not_run(call, VD_QUEUE_FULL, RETRY_BLOCKED_MS,
 		    "the request has crashed the upstreams that ran it");
 		return;
@@ -250,8 +251,9 @@
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autoptr(GString) out = g_string_sized_new(1024);
 
-	if (upstream == NULL || !upstream->is_ready) {
-		/* It has left while the request waited for its token. */
+	if (!place_is_open(edge->deps.place, call->handle, call->version,
+		edge_now(edge))) {
+		/* It leaves, or has left, while the request waited. */
 		edge_upstream_refused(call);
 		return;
 	}
@@ -260,12 +262,15 @@
 	body_append(body, call->history);
 	body_append(body, input);
 	call->sent_at = edge_now(edge);
+	call->heard = call->sent_at;
 	call->last_event = 0;
+	call->is_lost = false;
 	forward = (struct edge_forward){
 	    .upstream_id = upstream->id,
 	    .organisation =
 		call->organisation != NULL ? call->organisation->name : NULL,
 	    .timeout = MAX(call->deadline - call->sent_at, 1),
+	    .resume_after = call->last_id != NULL ? call->last_id->str : NULL,
 	    .body_len = body->len,
 	};
 	edge->deps.wire->request_encode(out, head, &forward);
@@ -284,6 +289,16 @@
 	};
 	call->has_reply = false;
 	call->upstream = hcp_start(edge->hcp, &request);
+	call->attempt_link.data = call;
+	g_queue_push_tail_link(&edge->attempts, &call->attempt_link);
+}
+
+static void
+attempt_unlink(struct edge_call *call)
+{
+	if (call->upstream != NULL)
+		g_queue_unlink(&call->edge->attempts, &call->attempt_link);
+	call->upstream = NULL;
 }
 
 void
@@ -294,7 +309,7 @@
 		return;
 	if (call->upstream != NULL)
 		hcp_cancel(call->upstream);
-	call->upstream = NULL;
+	attempt_unlink(call);
 	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
 	    edge_now(call->edge));
 }
@@ -334,6 +349,21 @@
 	    before / 1000.0, throttle_limited(edge->deps.throttle));
 }
 
+/* An answer that is misdirected speaks of another upstream. */
+static void
+leaving_observe(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+
+	if (!call->reply.is_leaving || call->reply.is_misdirected ||
+	    place_leaving_record(
+		edge->deps.place, call->handle, edge_now(edge)) == 0)
+		return;
+	lg_event(edge->deps.lg, LG_NOTICE, "upstream_leaving",
+	    "request=%s upstream=%s by=answer", call->request.id,
+	    call->upstream_id);
+}
+
 static enum hcp_take
 on_head(void *arg, const struct hmsg_head *head)
 {
@@ -341,9 +371,11 @@
 	struct edge *edge = call->edge;
 	struct edge_reply *reply = &call->reply;
 
+	call->heard = edge_now(edge);
 	edge->deps.wire->reply_decode(head, call->request.id, reply);
-	if (!reply->is_for_request && !reply->is_not_run &&
-	    !reply->is_misdirected)
+	leaving_observe(call);
+	/* Upstreams that refuse may leave the id out. */
+	if (reply->is_foreign || (!reply->is_for_request && !reply->is_not_run))
 		return (HCP_SKIP);
 	call->has_reply = true;
 	limit_observe(call);
@@ -361,10 +393,38 @@
 		if (call->sse.partial == NULL)
 			sse_init(&call->sse);
 		call->is_streaming = true;
+		call->is_undelimited = head->is_undelimited;
 		call->runs++;
-		hsv_stream_begin(call->client, 200, call->reply_fields->str);
 	}
-	return (HCP_TAKE);
+	/* A late copy without an id could not be told from a later answer. */
+	return (reply->is_for_request ? HCP_TAKE : HCP_TAKE_LAST);
+}
+
+/* Remember the id of the last event, after which the stream could go on. */
+static void
+event_id_record(struct edge_call *call, const char *event, size_t len)
+{
+	const char *end = event + len;
+
+	while (event < end) {
+		const char *stop = memchr(event, '\n', (size_t)(end - event));
+		const char *line_end = stop != NULL ? stop : end;
+		const char *value = event + 3;
+
+		if (line_end - event > 3 && memcmp(event, "id:", 3) == 0) {
+			while (value < line_end && *value == ' ')
+				value++;
+			while (line_end > value && line_end[-1] == '\r')
+				line_end--;
+			if (call->last_id == NULL)
+				call->last_id = g_string_new(NULL);
+			(void)g_string_truncate(call->last_id, 0);
+			(void)g_string_append_len(
+			    call->last_id, value, line_end - value);
+			return;
+		}
+		event = line_end + 1;
+	}
 }
 
 static void
@@ -376,8 +436,10 @@
 
 	if (call->client == NULL)
 		return;
-	if (call->events++ == 0)
+	if (call->events++ == 0) {
 		call->first_event_ms = edge_now(edge) - call->sent_at;
+		hsv_stream_begin(call->client, 200, call->reply_fields->str);
+	}
 	if (call->last_event > 0 && call->service != NULL)
 		place_event_gap_record(edge->deps.place, call->handle,
 		    (now - call->last_event) * 1000.0,
@@ -385,6 +447,8 @@
 	call->last_event = now;
 	if (call->turn != NULL)
 		sse_data_append(call->turn->output, event, len);
+	if (is_repeatable(call))
+		event_id_record(call, event, len);
 	/* This may end the call, if the caller has disconnected. */
 	hsv_stream_data(call->client, event, len);
 }
@@ -402,6 +466,7 @@
 {
 	struct edge_call *call = arg;
 
+	call->heard = edge_now(call->edge);
 	if (call->is_streaming) {
 		(void)edge_call_ref(call);
 		sse_push(&call->sse, data, len, on_event, call);
@@ -475,7 +540,7 @@
 	struct vd verdict;
 
 	if (may_have_run && is_repeatable(call) &&
-	    call->runs < call->route->max_attempts &&
+	    call->runs - call->lost < call->route->max_attempts &&
 	    edge_now(call->edge) < call->deadline) {
 		edge_upstream_send(call);
 		return;
@@ -484,18 +549,56 @@
 	edge_refuse(call, &verdict);
 }
 
+/*
+ * Whether the stream has ended, not broken off.  If it ends with its
+ * connection, only the events tell: it has some, and the last one is whole.
+ */
+static bool
+is_stream_complete(const struct edge_call *call, enum hcp_end end)
+{
+	return (end == HCP_COMPLETE && call->sse.partial->len == 0 &&
+	    (!call->is_undelimited || call->events > 0));
+}
+
+/*
+ * Go on with a stream whose upstream is out of reach, at another one of the
+ * same software version, within the same response.  Returns false if it can't.
+ */
+static bool
+stream_continue(struct edge_call *call)
+{
+	const struct place_entry *entry =
+	    place_entry_get(call->edge->deps.place, call->handle);
+
+	if (!call->is_lost || !is_repeatable(call) || call->last_id == NULL ||
+	    entry == NULL || edge_now(call->edge) >= call->deadline)
+		return (false);
+	edge_version_bind(call, entry->version);
+	call->is_streaming = false;
+	sse_clear(&call->sse);
+	edge_upstream_send(call);
+	return (true);
+}
+
 static void
 stream_finish(struct edge_call *call, enum hcp_end end)
 {
 	struct hsv_call *client = call->client;
 
-	edge_budget_settle(call);
-	if (end == HCP_COMPLETE && call->sse.partial->len == 0) {
+	if (is_stream_complete(call, end)) {
+		edge_budget_settle(call);
+		if (call->events == 0)
+			hsv_stream_begin(client, 200, call->reply_fields->str);
 		edge_turn_record(call);
-		return;
+	} else if (call->events > 0 && !stream_continue(call)) {
+		edge_call_end(call, "stream_cut", 0);
+		hsv_abort(client);
+	} else if (call->events == 0) {
+		/* The caller has got nothing of it. */
+		call->is_streaming = false;
+		sse_clear(&call->sse);
+		attempt_fail(call, true, "the upstream broke the stream off");
 	}
-	edge_call_end(call, "stream_cut", 0);
-	hsv_abort(client);
 }
 
 static void
@@ -507,10 +610,11 @@
 	bool is_rejected = end == HCP_COMPLETE && call->has_reply &&
 	    (call->reply.is_not_run || call->reply.is_misdirected);
 
-	call->upstream = NULL;
-	if (end == HCP_NOT_SENT)
+	attempt_unlink(call);
+	if (end == HCP_NOT_SENT || call->is_lost)
 		outcome = PLACE_UNREACHABLE;
-	else if (end != HCP_COMPLETE)
+	else if (end != HCP_COMPLETE ||
+	    (call->is_streaming && !is_stream_complete(call, end)))
 		outcome = PLACE_FAILED;
 	else if (is_rejected && call->reply.is_misdirected)
 		outcome = PLACE_MISDIRECTED;
@@ -521,17 +625,21 @@
 	if (outcome != PLACE_SERVED)
 		lg_event(edge->deps.lg, LG_INFO, "attempt",
 		    "request=%s upstream=%s try=%u end=%d timed_out=%d "
-		    "status=%d not_run=%d misdirected=%d",
+		    "status=%d not_run=%d misdirected=%d lost=%d",
 		    call->request.id, call->upstream_id, call->attempts, end,
 		    timed_out, call->has_reply ? call->reply.status : 0,
 		    call->has_reply && call->reply.is_not_run,
-		    call->has_reply && call->reply.is_misdirected);
+		    call->has_reply && call->reply.is_misdirected,
+		    call->is_lost);
 	if (outcome == PLACE_FAILED && !timed_out)
 		crash_record(call);
 	if (call->is_streaming) {
 		stream_finish(call, end);
 	} else if (end == HCP_NOT_SENT || is_rejected) {
 		edge_upstream_send(call);
+	} else if (call->events > 0) {
+		/* A stream that went on here got no stream. */
+		attempt_fail(call, false, "the stream can't go on");
 	} else if (end != HCP_COMPLETE) {
 		call->runs++;
 		attempt_fail(
@@ -544,3 +652,15 @@
 		attempt_fail(call, true, "the upstream's answer can't be used");
 	}
 }
+
+void
+edge_upstream_lost(struct edge_call *call)
+{
+	enum hcp_end end = call->has_reply ? HCP_CUT : HCP_NO_ANSWER;
+
+	call->is_lost = true;
+	/* A stream's run is counted when its head arrives. */
+	call->lost++;
+	hcp_cancel(call->upstream);
+	on_end(call, end, true);
+}
--- a/src/edge/wire.h
+++ b/src/edge/wire.h
@@ -17,6 +17,8 @@
 #include "place/place.h"
 
 #define EDGE_NO_BUDGET ((int64_t)-1)
+/* Longest id of an upstream, in bytes. */
+#define EDGE_UPSTREAM_ID_MAX 127
 
 /* A caller's request.  Strings point into the head it was decoded from. */
 struct edge_request {
@@ -41,6 +43,7 @@
 	const char *upstream_id;
 	const char *organisation; /* nil: a public route */
 	clk_ms timeout; /* remaining time */
+	const char *resume_after; /* id of an event; nil: as the caller asked */
 	size_t body_len;
 };
 
@@ -48,9 +51,11 @@
 struct edge_reply {
 	int status;
 	bool is_for_request; /* it carries the id of this request */
+	bool is_foreign; /* it carries the id of another request */
 	bool is_signed; /* by the upstream */
 	bool is_not_run; /* it states that it did not run the request */
 	bool is_misdirected; /* the address belongs to another upstream */
+	bool is_leaving; /* the upstream will stop, and wants no new request */
 	bool is_encoded; /* the body is not the upstream's own bytes */
 	/* Requests a second that the upstream takes from all; 0: no limit. */
 	double rate_limit;
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -20,7 +20,7 @@
 #define RECORD_DROP_MS	 60000
 #define STORE_TIMEOUT_MS 500
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f3aU
+#define PROTOCOL_VERSION 0x53474f3bU
 
 /* The lists of a message. */
 enum gossip_list {
@@ -30,11 +30,12 @@
 	GOSSIP_CACHED_PARTS,
 	GOSSIP_CRASHES,
 	GOSSIP_LIMITS,
+	GOSSIP_DEPARTURES,
 	GOSSIP_LISTS
 };
 
-static const char *const list_names[GOSSIP_LISTS] = {
-    "counts", "programs", "loads", "cached_parts", "crashes", "limits"};
+static const char *const list_names[GOSSIP_LISTS] = {"counts", "programs",
+    "loads", "cached_parts", "crashes", "limits", "departures"};
 
 struct gossip_peer {
 	struct sockaddr_in address;
@@ -113,6 +114,14 @@
 	    xdr_uint32_t(xdrs, &limit->age));
 }
 
+static bool_t
+xdr_departure(XDR *xdrs, struct departure *departure)
+{
+	return (xdr_uint32_t(xdrs, &departure->upstream) &&
+	    xdr_uint64_t(xdrs, &departure->started) &&
+	    xdr_uint32_t(xdrs, &departure->age));
+}
+
 static bool_t
 xdr_message(XDR *xdrs, void *data)
 {
@@ -120,6 +129,8 @@
 
 	return (xdr_string(xdrs, &message->name, GOSSIP_NAME_MAX) &&
 	    xdr_uint64_t(xdrs, &message->incarnation) &&
+	    xdr_string(xdrs, &message->datacentre, GOSSIP_DATACENTRE_MAX) &&
+	    xdr_uint32_t(xdrs, &message->store_age) &&
 	    xdr_array(xdrs, (char **)&message->counts, &message->count_len,
 		GOSSIP_COUNTS_MAX, sizeof(*message->counts),
 		(xdrproc_t)xdr_count) &&
@@ -137,7 +148,10 @@
 		(xdrproc_t)xdr_crash) &&
 	    xdr_array(xdrs, (char **)&message->limits, &message->limit_len,
 		GOSSIP_LIMITS_MAX, sizeof(*message->limits),
-		(xdrproc_t)xdr_limit));
+		(xdrproc_t)xdr_limit) &&
+	    xdr_array(xdrs, (char **)&message->departures,
+		&message->departure_len, GOSSIP_DEPARTURES_MAX,
+		sizeof(*message->departures), (xdrproc_t)xdr_departure));
 }
 
 size_t
@@ -166,12 +180,14 @@
 {
 	/* The XDR library allocates with malloc(). */
 	free(message->name);
+	free(message->datacentre);
 	free(message->counts);
 	free(message->programs);
 	free(message->loads);
 	free(message->cached_parts);
 	free(message->crashes);
 	free(message->limits);
+	free(message->departures);
 	memset(message, 0, sizeof(*message));
 }
 
@@ -201,15 +217,20 @@
 	struct place_cached_part cached_parts[GOSSIP_CACHED_PARTS_MAX];
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX];
+	struct departure departures[GOSSIP_DEPARTURES_MAX];
 	clk_ms now = clk_now(&gossip->deps.clk);
 	struct gossip_message message = {.name = gossip->name,
 	    .incarnation = gossip->incarnation,
+	    .datacentre = (char *)gossip->deps.datacentre,
+	    .store_age = (uint32_t)CLAMP(
+		gossip->deps.store_age(gossip->deps.arg), 0, UINT32_MAX),
 	    .counts = counts,
 	    .programs = programs,
 	    .loads = loads,
 	    .cached_parts = cached_parts,
 	    .crashes = crashes,
-	    .limits = limits};
+	    .limits = limits,
+	    .departures = departures};
 	char buf[GOSSIP_DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
@@ -239,14 +260,18 @@
 	    throttle_collect(
 		gossip->deps.throttle, limits, GOSSIP_LIMITS_MAX, now),
 	    GOSSIP_LIMITS_MAX);
+	message.departure_len = list_len(gossip, GOSSIP_DEPARTURES,
+	    departures_collect(place_departures(gossip->deps.place), departures,
+		GOSSIP_DEPARTURES_MAX, now),
+	    GOSSIP_DEPARTURES_MAX);
 	len = gossip_message_encode(buf, sizeof(buf), &message);
 	if (len == 0)
 		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
 		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u "
-		    "limits=%u",
+		    "limits=%u departures=%u",
 		    message.count_len, message.program_len, message.load_len,
 		    message.cached_part_len, message.crash_len,
-		    message.limit_len);
+		    message.limit_len, message.departure_len);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gossip_peer *peer = value;
@@ -268,6 +293,18 @@
 		    message->crashes[i].upstream, false, now);
 }
 
+static void
+departures_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+{
+	unsigned news = place_leaving_merge(gossip->deps.place,
+	    message->departures, message->departure_len, now);
+
+	if (news > 0)
+		lg_event(gossip->deps.lg, LG_NOTICE, "upstream_leaving",
+		    "by=%s upstreams=%u", message->name, news);
+}
+
 /*
  * A new instance finds the others in the store at once.  The others learn its
  * address from its first datagram, before they read its record.
@@ -317,6 +354,8 @@
 			gossip_peer_add(gossip, message.name, &from, now);
 			roster_peer_heard(
 			    gossip->deps.roster, message.name, now);
+			reach_peer_heard(gossip->deps.reach, message.name,
+			    message.datacentre, (clk_ms)message.store_age, now);
 			quota_gossip_merge(gossip->deps.quota, message.name,
 			    message.incarnation, message.counts,
 			    message.count_len, now);
@@ -328,6 +367,7 @@
 			    message.cached_parts, message.cached_part_len, now);
 			throttle_merge(gossip->deps.throttle, message.limits,
 			    message.limit_len, now);
+			departures_apply(gossip, &message, now);
 			crashes_apply(gossip, &message, now);
 		}
 		gossip_message_clear(&message);
@@ -555,7 +595,8 @@
 	int saved;
 	int fd;
 
-	if (strlen(name) > GOSSIP_NAME_MAX) {
+	if (strlen(name) > GOSSIP_NAME_MAX ||
+	    strlen(deps->datacentre) > GOSSIP_DATACENTRE_MAX) {
 		errno = ENAMETOOLONG;
 		return (NULL);
 	}
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -5,7 +5,8 @@
  * others there.  Several times a second it sends each of them its counts of
  * admitted requests by organisation, the programs that began at it, its load
  * and recent prompts at each upstream, the requests that crashed an upstream,
- * and the rates that upstreams named.  Lost datagrams are tolerated: the counts
+ * the rates that upstreams named, which ones said that they leave, and how long
+ * ago the store answered it.  Lost datagrams are tolerated: the counts
  * are totals, and each program is sent twice.
  */
 #ifndef SAMPHIRESHED_GOSSIP_H
@@ -20,6 +21,7 @@
 #include "place/place.h"
 #include "quota/active_programs.h"
 #include "quota/quota.h"
+#include "reach/reach.h"
 #include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
@@ -39,6 +41,10 @@
 	struct active_programs *activity;
 	struct place *place;
 	struct crash_table *crashes;
+	struct reach *reach;
+	const char *datacentre; /* this instance's */
+	/* Returns the time since the store answered this instance, in ms. */
+	clk_ms (*store_age)(void *arg);
 	/*
 	 * Called after each read of the records: the number of live instances,
 	 * and the rank of this one among their sorted names, from 0.
@@ -78,8 +84,9 @@
 void gossip_leave(struct gossip *gossip);
 
 /* Longest datagram and longest name of an instance, in bytes. */
-#define GOSSIP_DATAGRAM_MAX 6144
-#define GOSSIP_NAME_MAX	    128
+#define GOSSIP_DATAGRAM_MAX   6656
+#define GOSSIP_NAME_MAX	      128
+#define GOSSIP_DATACENTRE_MAX 128
 /* Number of entries of each list of a message. */
 #define GOSSIP_COUNTS_MAX	70
 #define GOSSIP_PROGRAMS_MAX	60
@@ -87,23 +94,28 @@
 #define GOSSIP_CACHED_PARTS_MAX 100
 #define GOSSIP_CRASHES_MAX	8
 #define GOSSIP_LIMITS_MAX	40
+#define GOSSIP_DEPARTURES_MAX	30
 
 /* The state that an instance sends.  Clear it after decoding. */
 struct gossip_message {
 	char *name;
 	uint64_t incarnation;
+	char *datacentre;
 	struct quota_count *counts;
-	unsigned count_len;
 	uint64_t *programs; /* hashes, see quota/active_programs.h */
-	unsigned program_len;
 	struct place_load *loads;
-	unsigned load_len;
 	struct place_cached_part *cached_parts;
-	unsigned cached_part_len;
 	struct sched_crash *crashes; /* without their times */
-	unsigned crash_len;
 	struct throttle_limit *limits; /* that upstreams named */
+	struct departure *departures; /* of upstreams */
+	uint32_t store_age; /* ms since the store answered the sender */
+	unsigned count_len;
+	unsigned program_len;
+	unsigned load_len;
+	unsigned cached_part_len;
+	unsigned crash_len;
 	unsigned limit_len;
+	unsigned departure_len;
 };
 
 /*
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -16,8 +16,25 @@
 	struct place_cached_part cached_parts[] = {{11, 12}};
 	struct sched_crash crashes[] = {{{1, 2, 3}, "u-1", 0}};
 	struct throttle_limit limits[] = {{13, 3500, 120}, {14, 0, 9}};
-	const struct gossip_message message = {(char *)"i-1", 17, counts, 2,
-	    programs, 3, loads, 1, cached_parts, 1, crashes, 1, limits, 2};
+	struct departure departures[] = {{1754000000000, 15, 16}};
+	const struct gossip_message message = {.name = (char *)"i-1",
+	    .incarnation = 17,
+	    .datacentre = (char *)"dc-1",
+	    .store_age = 350,
+	    .counts = counts,
+	    .count_len = 2,
+	    .programs = programs,
+	    .program_len = 3,
+	    .loads = loads,
+	    .load_len = 1,
+	    .cached_parts = cached_parts,
+	    .cached_part_len = 1,
+	    .crashes = crashes,
+	    .crash_len = 1,
+	    .limits = limits,
+	    .limit_len = 2,
+	    .departures = departures,
+	    .departure_len = 1};
 	char buf[1024];
 	struct gossip_message read;
 	size_t len = gossip_message_encode(buf, sizeof(buf), &message);
@@ -26,6 +43,8 @@
 	g_assert_true(gossip_message_decode(buf, len, &read));
 	g_assert_cmpstr(read.name, ==, "i-1");
 	g_assert_cmpuint(read.incarnation, ==, 17);
+	g_assert_cmpstr(read.datacentre, ==, "dc-1");
+	g_assert_cmpuint(read.store_age, ==, 350);
 	g_assert_cmpuint(read.count_len, ==, 2);
 	g_assert_cmpuint(read.counts[1].period, ==, 5);
 	g_assert_cmpuint(read.counts[1].requested, ==, 25);
@@ -40,6 +59,10 @@
 	g_assert_cmpuint(read.limit_len, ==, 2);
 	g_assert_cmpuint(read.limits[0].rate, ==, 3500);
 	g_assert_cmpuint(read.limits[1].age, ==, 9);
+	g_assert_cmpuint(read.departure_len, ==, 1);
+	g_assert_cmpuint(read.departures[0].upstream, ==, 15);
+	g_assert_cmpuint(read.departures[0].started, ==, 1754000000000);
+	g_assert_cmpuint(read.departures[0].age, ==, 16);
 	g_assert_cmpmem(read.crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE,
 	    crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE);
 	gossip_message_clear(&read);
@@ -64,11 +87,25 @@
 	struct place_cached_part parts[GOSSIP_CACHED_PARTS_MAX] = {0};
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX] = {0};
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX] = {0};
+	struct departure departures[GOSSIP_DEPARTURES_MAX] = {0};
 	char name[GOSSIP_NAME_MAX + 1] = {0};
-	const struct gossip_message message = {name, 17, counts,
-	    GOSSIP_COUNTS_MAX, programs, GOSSIP_PROGRAMS_MAX, loads,
-	    GOSSIP_LOADS_MAX, parts, GOSSIP_CACHED_PARTS_MAX, crashes,
-	    GOSSIP_CRASHES_MAX, limits, GOSSIP_LIMITS_MAX};
+	const struct gossip_message message = {.name = name,
+	    .incarnation = 17,
+	    .datacentre = name,
+	    .counts = counts,
+	    .count_len = GOSSIP_COUNTS_MAX,
+	    .programs = programs,
+	    .program_len = GOSSIP_PROGRAMS_MAX,
+	    .loads = loads,
+	    .load_len = GOSSIP_LOADS_MAX,
+	    .cached_parts = parts,
+	    .cached_part_len = GOSSIP_CACHED_PARTS_MAX,
+	    .crashes = crashes,
+	    .crash_len = GOSSIP_CRASHES_MAX,
+	    .limits = limits,
+	    .limit_len = GOSSIP_LIMITS_MAX,
+	    .departures = departures,
+	    .departure_len = GOSSIP_DEPARTURES_MAX};
 	struct gossip_message read;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	size_t len;
@@ -82,6 +119,7 @@
 	g_assert_true(gossip_message_decode(buf, len, &read));
 	g_assert_cmpuint(read.crash_len, ==, GOSSIP_CRASHES_MAX);
 	g_assert_cmpuint(read.limit_len, ==, GOSSIP_LIMITS_MAX);
+	g_assert_cmpuint(read.departure_len, ==, GOSSIP_DEPARTURES_MAX);
 	gossip_message_clear(&read);
 }
 
@@ -90,7 +128,12 @@
 test_noise(void)
 {
 	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+	const struct gossip_message empty = {
+	    .name = (char *)"", .datacentre = (char *)""};
+	char version[64];
 
+	g_assert_cmpuint(
+	    gossip_message_encode(version, sizeof(version), &empty), >, 4);
 	for (int i = 0; i < 20000; i++) {
 		char buf[256];
 		struct gossip_message read;
@@ -98,10 +141,7 @@
 		for (size_t k = 0; k < sizeof(buf); k++)
 			buf[k] = (char)g_rand_int(rand);
 		/* A valid version, so that decoding continues. */
-		buf[0] = 0x53;
-		buf[1] = 0x47;
-		buf[2] = 0x4f;
-		buf[3] = 0x39;
+		memcpy(buf, version, 4);
 		if (gossip_message_decode(buf, sizeof(buf), &read))
 			gossip_message_clear(&read);
 	}
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -13,6 +13,7 @@
 #include "lib/cnt.h"
 #include "quota/quota.h"
 #include "quota/token.h"
+#include "reach/reach.h"
 #include "rollout/rollout.h"
 #include "roster/roster.h"
 #include "store/sweeper.h"
@@ -41,6 +42,11 @@
 #define CRASHES_TO_BLOCK 3
 /* Period of the checks of lapsed entries and of a planned stop. */
 #define TICK_PERIOD_S 0.1
+/*
+ * Part of the time for which leaving upstreams may get requests that they get
+ * here: other instances, and the registrations, have their word earlier.
+ */
+#define DRAIN_PART 0.25
 /* Limits of the servers for readiness probes and metrics. */
 #define OPS_MAX_HEAD	    8192
 #define OPS_MAX_BODY	    1024
@@ -63,6 +69,7 @@
 	struct throttle *throttle;
 	struct active_programs *activity;
 	struct crash_table *crashes;
+	struct reach *reach;
 	struct edge *edge;
 	struct gossip *gossip;
 	struct sweeper *sweeper;
@@ -153,6 +160,8 @@
 	(void)loop;
 	(void)events;
 	place_expire(instance->place, now);
+	reach_tick(instance->reach, now);
+	edge_tick(instance->edge);
 	if (instance->stop_begun > 0)
 		stop_advance(instance, now);
 }
@@ -202,6 +211,14 @@
 	    gossip_send(instance->gossip, to, data, len));
 }
 
+static clk_ms
+store_age(void *arg)
+{
+	const struct inst *instance = arg;
+
+	return (instance_now(instance) - instance->store_answered);
+}
+
 static struct hsv *
 ops_open(struct inst *instance, const struct sockaddr_in *address)
 {
@@ -229,27 +246,31 @@
 	instance->settings = *settings;
 	instance->cnt = cnt_open();
 	instance->place = place_open(settings->datacentre);
+	place_last_resort_set(instance->place,
+	    (clk_ms)(DRAIN_PART * (double)settings->upstream_drain));
 	instance->roster = roster_open(settings->name);
 	instance->quota =
 	    quota_open(instance->roster, &settings->rate_tolerance, now);
 	instance->throttle = throttle_open(instance->roster);
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
+	instance->reach = reach_open(settings->datacentre);
 	instance->store_answered = now;
 	instance->sweeper = sweeper_open(deps->loop, deps->lg, &deps->store,
 	    sweep_rules, G_N_ELEMENTS(sweep_rules));
 	edge_deps = (struct edge_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->wire, deps->store, instance->place,
 	    instance->roster, instance->quota, instance->throttle,
-	    instance->activity, instance->crashes, lookup_instance_address,
-	    send_to_instance, instance};
+	    instance->activity, instance->crashes, instance->reach,
+	    lookup_instance_address, send_to_instance, instance};
 	edge_settings = (struct edge_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
 	    settings->max_connections};
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->store, instance->roster, instance->quota,
 	    instance->throttle, instance->activity, instance->place,
-	    instance->crashes, on_fleet, on_datagram, instance};
+	    instance->crashes, instance->reach, settings->datacentre, store_age,
+	    on_fleet, on_datagram, instance};
 	instance->edge = edge_open(&edge_deps, &edge_settings);
 	if (instance->edge == NULL)
 		goto fail;
@@ -295,6 +316,7 @@
 	roster_close(instance->roster);
 	active_programs_close(instance->activity);
 	crash_table_close(instance->crashes);
+	reach_close(instance->reach);
 	place_close(instance->place);
 	cnt_close(instance->cnt);
 	g_free(instance);
@@ -364,6 +386,12 @@
 	}
 }
 
+void
+inst_upstreams_confirm(struct inst *instance, clk_ms when)
+{
+	place_entries_confirm(instance->place, when);
+}
+
 void
 inst_store_report(struct inst *instance, bool ok)
 {
@@ -387,6 +415,7 @@
 		    (long long)(now - instance->store_answered));
 	}
 	instance->store_answered = now;
+	edge_store_answered(instance->edge, now);
 }
 
 void
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -33,6 +33,8 @@
 	clk_ms max_catalogue_age; /* see struct edge_settings */
 	clk_ms retention; /* of idle turns and budgets */
 	clk_ms grace; /* from the stop signal to the forced exit */
+	/* How long a leaving upstream may still get requests. */
+	clk_ms upstream_drain;
 	size_t max_connections; /* from callers */
 	struct quota_tolerance rate_tolerance;
 };
@@ -68,11 +70,14 @@
  * inst_upstreams_retain(instance, ids)
  *	Handle a read of the whole list: remove the upstreams that are not in
  *	ids.
+ * inst_upstreams_confirm(instance, when)
+ *	All registrations that were written before the time when are known.
  */
 void
 inst_upstream_update(struct inst *instance, const struct place_entry *entry);
 void inst_upstream_remove(struct inst *instance, const char *id);
 void inst_upstreams_retain(struct inst *instance, GHashTable *ids);
+void inst_upstreams_confirm(struct inst *instance, clk_ms when);
 
 /*
  * inst_store_report(instance, ok)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -43,6 +43,10 @@
  * after all others, the earliest first.
  */
 #define HELD_COST_MS 1e7
+/* Added to the cost of an upstream in a data centre that is cut off. */
+#define CUT_COST_MS 1e6
+/* Added to the cost of an upstream that is leaving: it comes after these. */
+#define LEAVING_COST_MS 1e13
 /* Time after which a prompt part counts as evicted from an engine's cache. */
 #define PART_CACHED_MS (60 * CLK_SECOND)
 /*
@@ -54,6 +58,12 @@
 #define PEER_TIMEOUT_MS 1000
 /* Cached parts that wait to be sent, some seconds of the busiest instance. */
 #define UNSENT_PARTS_MAX 8192
+/*
+ * An upstream that started again just before it was heard that it leaves may
+ * be the one that said so: its answers don't tell its runs apart.  It is not
+ * used for this time, in which it would be gone.
+ */
+#define DOUBT_MS (15 * CLK_SECOND)
 /* Maximum number of cached parts that are recorded for one upstream. */
 #define PARTS_MAX 8192
 
@@ -74,6 +84,8 @@
 	double answer_ms; /* moving average of the first byte; 0: no sample */
 	clk_ms backoff_until;
 	clk_ms remove_at; /* its entry has expired; 0: it has not */
+	clk_ms leaving_since; /* or DEPARTURE_NONE */
+	clk_ms doubted_until; /* see DOUBT_MS; 0: it is not */
 	unsigned failures; /* consecutive */
 	GHashTable *parts; /* part id -> time of its last use */
 };
@@ -88,6 +100,9 @@
 	char *datacentre;
 	GHashTable *peers; /* name -> struct peer */
 	struct outbox *parts; /* struct place_cached_part */
+	struct departures *departures; /* also of upstreams without an entry */
+	clk_ms last_resort; /* see place_last_resort_set() */
+	clk_ms confirmed; /* see place_entries_confirm() */
 	guint first_load; /* upstream at which the next message begins */
 	GPtrArray *upstreams; /* struct upstream */
 	GHashTable *by_id; /* id -> struct upstream, unless removed */
@@ -115,7 +130,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	place->parts =
 	    outbox_open(sizeof(struct place_cached_part), UNSENT_PARTS_MAX);
-
+	place->departures = departures_open();
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
 	place->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -151,6 +166,7 @@
 	g_hash_table_destroy(place->by_hash);
 	g_hash_table_destroy(place->peers);
 	outbox_close(place->parts);
+	departures_close(place->departures);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -196,6 +212,8 @@
 	return (strcmp(upstream->service, entry->service) == 0 &&
 	    g_strcmp0(upstream->version, entry->version) == 0 &&
 	    upstream->entry.started == entry->started &&
+	    (entry->started != 0 ||
+		upstream->entry.sequence <= entry->sequence) &&
 	    upstream->entry.address.sin_port == entry->address.sin_port &&
 	    upstream->entry.address.sin_addr.s_addr ==
 		entry->address.sin_addr.s_addr);
@@ -207,18 +225,27 @@
 {
 	struct upstream *upstream =
 	    g_hash_table_lookup(place->by_id, entry->id);
+	uint32_t hash = roster_hash(entry->id);
 	bool is_new;
 
-	(void)now;
 	if (upstream != NULL && !is_same_run(upstream, entry)) {
+		if (entry->started == upstream->entry.started)
+			departures_forget(
+			    place->departures, hash, (uint64_t)entry->started);
 		upstream_remove(place, upstream);
 		upstream = NULL;
 	}
+	if (!entry->is_ready)
+		(void)departures_add(place->departures, hash,
+		    (uint64_t)entry->started, now, now);
 	is_new = upstream == NULL;
 	if (is_new) {
 		upstream = upstream_new(place);
 		upstream->id = g_strdup(entry->id);
-		upstream->hash = roster_hash(entry->id);
+		upstream->hash = hash;
+		if (departures_is_heard(
+			place->departures, hash, place->confirmed))
+			upstream->doubted_until = now + DOUBT_MS;
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
 		upstream->version = g_strdup(entry->version);
@@ -228,6 +255,8 @@
 		place->peer_loads_changed = true;
 	}
 	upstream->remove_at = 0;
+	upstream->leaving_since =
+	    departures_since(place->departures, hash, (uint64_t)entry->started);
 	upstream->entry = *entry;
 	upstream->entry.id = upstream->id;
 	upstream->entry.service = upstream->service;
@@ -251,6 +280,12 @@
 	return (g_hash_table_lookup(place->by_hash, GUINT_TO_POINTER(hash)));
 }
 
+void
+place_entries_confirm(struct place *place, clk_ms when)
+{
+	place->confirmed = MAX(place->confirmed, when);
+}
+
 void
 place_upstream_remove_at(struct place *place, const char *id, clk_ms until)
 {
@@ -327,6 +362,39 @@
 	place->instances = MAX(instances, 1U);
 }
 
+static bool
+is_leaving(const struct upstream *upstream)
+{
+	return (upstream->leaving_since != DEPARTURE_NONE);
+}
+
+/*
+ * Whether the upstream takes new requests.  One that is leaving takes those
+ * that are bound to a version, for a while.
+ */
+static bool
+is_open(const struct place *place, const struct upstream *upstream,
+    const char *version, clk_ms now)
+{
+	if (now < upstream->doubted_until)
+		return (false);
+	return (!is_leaving(upstream) ||
+	    (version != NULL &&
+		now - upstream->leaving_since < place->last_resort));
+}
+
+void
+place_last_resort_set(struct place *place, clk_ms time)
+{
+	place->last_resort = time;
+}
+
+const struct departures *
+place_departures(const struct place *place)
+{
+	return (place->departures);
+}
+
 GArray *
 place_versions_collect(const struct place *place)
 {
@@ -340,7 +408,7 @@
 		bool is_known = false;
 
 		if (!upstream->in_use || upstream->is_removed ||
-		    !upstream->entry.is_ready)
+		    is_leaving(upstream))
 			continue;
 		for (guint k = 0; k < versions->len && !is_known; k++) {
 			struct place_version *other =
@@ -365,7 +433,7 @@
 		const struct upstream *upstream = place->upstreams->pdata[i];
 
 		if (upstream->in_use && !upstream->is_removed &&
-		    upstream->entry.is_ready &&
+		    !is_leaving(upstream) &&
 		    strcmp(upstream->service, service) == 0 &&
 		    g_strcmp0(upstream->version, version) == 0)
 			return (true);
@@ -414,6 +482,56 @@
 							  : NULL);
 }
 
+bool
+place_is_open(const struct place *place, struct place_handle handle,
+    const char *version, clk_ms now)
+{
+	const struct upstream *upstream = lookup(place, handle);
+
+	return (upstream != NULL && !upstream->is_removed &&
+	    is_open(place, upstream, version, now));
+}
+
+unsigned
+place_leaving_record(
+    struct place *place, struct place_handle handle, clk_ms now)
+{
+	const struct upstream *upstream = lookup(place, handle);
+	struct departure departure;
+	struct upstream *next;
+
+	if (upstream == NULL)
+		return (0);
+	next = find_by_hash(place, upstream->hash);
+	if (next != NULL && next != upstream)
+		next->doubted_until = now + DOUBT_MS;
+	departure = (struct departure){
+	    (uint64_t)upstream->entry.started, upstream->hash, 0};
+	return (place_leaving_merge(place, &departure, 1, now));
+}
+
+unsigned
+place_leaving_merge(struct place *place, const struct departure *departures,
+    size_t n, clk_ms now)
+{
+	unsigned news = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct departure *departure = &departures[i];
+		struct upstream *upstream =
+		    find_by_hash(place, departure->upstream);
+
+		news += departures_add(place->departures, departure->upstream,
+		    departure->started, now - (clk_ms)departure->age, now);
+		if (upstream != NULL &&
+		    (uint64_t)upstream->entry.started == departure->started)
+			upstream->leaving_since =
+			    departures_since(place->departures,
+				departure->upstream, departure->started);
+	}
+	return (news);
+}
+
 /*
  * Prompt tokens that the upstream would have to read.  Engines evict the
  * least recently used part, and the use of a part uses all parts before it:
@@ -628,13 +746,13 @@
 
 /* Whether the upstream could run the request, if it has a token. */
 static bool
-is_eligible(
-    const struct place *place, const struct place_request *request, guint index)
+is_eligible(const struct place *place, const struct place_request *request,
+    guint index, clk_ms now)
 {
 	const struct upstream *upstream = place->upstreams->pdata[index];
 
 	return (upstream->in_use && !upstream->is_removed &&
-	    upstream->entry.is_ready &&
+	    is_open(place, upstream, request->version, now) &&
 	    strcmp(upstream->service, request->service) == 0 &&
 	    (request->version == NULL ||
 		g_strcmp0(upstream->version, request->version) == 0) &&
@@ -664,7 +782,7 @@
 	for (guint i = 0; i < place->upstreams->len; i++) {
 		clk_ms until;
 
-		if (!is_eligible(place, request, i))
+		if (!is_eligible(place, request, i, now))
 			continue;
 		until = held_until(place->upstreams->pdata[i], request, now);
 		if (until > 0 && (earliest == 0 || until < earliest))
@@ -673,6 +791,25 @@
 	return (earliest);
 }
 
+/* Whether the last upstream that was looked at is cut off, for the next. */
+struct cut {
+	const char *datacentre; /* nil: none was looked at */
+	bool is_cut;
+};
+
+static bool
+is_cut(const struct place_request *request, const struct upstream *upstream,
+    struct cut *last, clk_ms now)
+{
+	if (request->reach == NULL)
+		return (false);
+	if (last->datacentre == NULL ||
+	    strcmp(last->datacentre, upstream->datacentre) != 0)
+		*last = (struct cut){upstream->datacentre,
+		    reach_is_cut(request->reach, upstream->datacentre, now)};
+	return (last->is_cut);
+}
+
 bool
 place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle)
@@ -680,6 +817,7 @@
 	double best_sample_ms =
 	    best_sample(place, request->service, request->part_count > 0);
 	struct upstream *best = NULL;
+	struct cut cut = {0};
 	double best_ms = 0;
 	guint start = place->upstreams->len > 0
 	    ? (guint)(place->choices++ % place->upstreams->len)
@@ -692,7 +830,7 @@
 		clk_ms until;
 		double ms;
 
-		if (!is_eligible(place, request, i))
+		if (!is_eligible(place, request, i, now))
 			continue;
 		if (request->is_unlimited_only && is_limited(request, upstream))
 			continue;
@@ -708,6 +846,10 @@
 			ms += BACKOFF_COST_MS;
 		if (until > 0)
 			ms += HELD_COST_MS * (double)(until - now);
+		if (is_leaving(upstream))
+			ms += LEAVING_COST_MS;
+		if (is_cut(request, upstream, &cut, now))
+			ms += CUT_COST_MS;
 		if (best == NULL || ms < best_ms) {
 			best = upstream;
 			best_ms = ms;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -20,6 +20,8 @@
 #include <stdint.h>
 
 #include "lib/clk.h"
+#include "place/departure.h"
+#include "reach/reach.h"
 #include "throttle/throttle.h"
 
 struct place;
@@ -38,8 +40,9 @@
 	const char *version; /* of its software */
 	struct sockaddr_in address;
 	unsigned slots; /* requests that it runs at once */
-	bool is_ready; /* false: it is stopping */
-	int64_t started; /* ms since 1970; changes with a restart */
+	bool is_ready; /* false: it says that it is leaving */
+	int64_t started; /* ms since 1970; changes with a restart; 0: unknown */
+	int64_t sequence; /* of the entry; begins anew with a restart */
 };
 
 /* A part of a prompt; different requests may share their first parts. */
@@ -59,6 +62,8 @@
 	size_t tried_count;
 	/* Upstreams with no token for a while are excluded; nil: none are. */
 	const struct throttle *throttle;
+	/* Upstreams of data centres that are cut off come last; nil: none. */
+	const struct reach *reach;
 	clk_ms max_wait; /* for a token */
 	bool is_unlimited_only; /* upstreams with a limit are excluded */
 	const char *version; /* all others are excluded; nil: none are */
@@ -80,6 +85,12 @@
     struct place *place, const struct place_entry *entry, clk_ms now);
 void place_upstream_remove(struct place *place, const char *id);
 
+/*
+ * place_entries_confirm(place, when)
+ *	All entries that were written before the time when are known.
+ */
+void place_entries_confirm(struct place *place, clk_ms when);
+
 /*
  * place_upstream_remove_at(place, id, until), place_expire(place, now)
  *	The entry of an upstream expired while the store was unavailable.
@@ -92,6 +103,30 @@
 place_upstream_remove_at(struct place *place, const char *id, clk_ms until);
 void place_expire(struct place *place, clk_ms now);
 
+/*
+ * place_leaving_record(place, handle, now)
+ *	The upstream has said in an answer that it is leaving.  It gets no
+ *	request from now on, until it has started again.
+ * place_leaving_merge(place, departures, n, now)
+ *	Merge what upstreams said to another instance.
+ * place_departures(place): what is known of them.
+ *	The first two return the number of upstreams that were not known to be
+ *	leaving.
+ */
+unsigned place_leaving_record(
+    struct place *place, struct place_handle handle, clk_ms now);
+unsigned place_leaving_merge(struct place *place,
+    const struct departure *departures, size_t n, clk_ms now);
+const struct departures *place_departures(const struct place *place);
+
+/*
+ * place_last_resort_set(place, time)
+ *	Set the time after its word for which a leaving upstream still gets
+ *	requests that are bound to a software version which no other upstream
+ *	has.  0, as at first: none.
+ */
+void place_last_resort_set(struct place *place, clk_ms time);
+
 /*
  * place_instances_set(place, instances)
  *	Set the number of instances that share the upstreams.
@@ -139,15 +174,16 @@
 
 /*
  * place_versions_collect(place)
- *	Return the versions that serve, as an array of struct place_version,
- *	to be freed by g_array_free().  The strings are valid until the next
- *	change of an upstream.
+ *	Return the versions of upstreams that don't leave, as an array of struct
+ *place_version, to be freed by g_array_free().  The strings are valid until the
+ *next change of an upstream.
  */
 GArray *place_versions_collect(const struct place *place);
 
 /*
  * place_is_served(place, service, version)
- *	Whether a ready upstream of the service has the software version.
+ *	Whether an upstream of the service that does not leave has the software
+ *	version.
  */
 bool place_is_served(
     const struct place *place, const char *service, const char *version);
@@ -189,9 +225,14 @@
 /*
  * place_entry_get(place, handle)
  *	Return the upstream's entry, or nil if it was removed.
+ * place_is_open(place, handle, version, now)
+ *	Whether the upstream, chosen for a request that is bound to version
+ *	(nil: to none), may still get it.
  */
 const struct place_entry *
 place_entry_get(const struct place *place, struct place_handle handle);
+bool place_is_open(const struct place *place, struct place_handle handle,
+    const char *version, clk_ms now);
 
 /* How a request ended at an upstream. */
 enum place_outcome {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -61,6 +61,7 @@
 	int64_t end; /* STORE_OK, STORE_CONFLICT: the partition's end offset */
 	const struct store_record *records; /* of a read */
 	size_t count;
+	unsigned unreadable; /* records that a read left out */
 };
 
 typedef void store_done_cb(void *arg, const struct store_reply *reply);
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -128,7 +128,7 @@
 turn_decode(const char *id, const struct store_record *record)
 {
 	const guint8 *at = record->value;
-	const guint8 *end = at + record->len;
+	const guint8 *end;
 	const guint8 *part[4];
 	size_t len[4];
 	struct turn *turn;
@@ -136,6 +136,7 @@
 
 	if (!get_recorded(record, &recorded))
 		return (NULL);
+	end = at + record->len;
 	at += 1 + sizeof(guint64);
 	for (int i = 0; i < 4; i++) {
 		if (!get_string(&at, end, &part[i], &len[i]))
