Fuzz targets for HTTP, the adapter, datagrams and records

Cause: only the decoders of the own interface were fuzzed. Change: four targets with seeds: messages in one piece and in small ones must come out the same; entries, configurations, settings and answers of the store; datagrams; records of the store.

--- a/Makefile
+++ b/Makefile
@@ -132,6 +132,10 @@
 # fuzz/corpus/NAME and its line here, with the number of inputs to try.
 FUZZ_RUNS_cfg = 40000
 FUZZ_RUNS_peer = 400000
+FUZZ_RUNS_http = 60000
+FUZZ_RUNS_platform = 100000
+FUZZ_RUNS_datagram = 200000
+FUZZ_RUNS_record = 100000
 FUZZ = $(patsubst FUZZ_RUNS_%,%,$(filter FUZZ_RUNS_%,$(.VARIABLES)))
 
 fuzz: deps
@@ -150,7 +154,10 @@
 	    echo "fuzz $(f): no crash, seed 1," $$(grep -h \
 	    number_of_executed $(BUILD)/fuzz/fuzz_$(f).log);)
 
-$(BUILD)/fuzz_%: $(BUILD)/fuzz/fuzz_%.o $(BUILD)/libsamphireshed.a
+# The adapter without the command that runs it.
+$(BUILD)/fuzz_%: $(BUILD)/fuzz/fuzz_%.o \
+    $(filter-out %/plt_serve.o,$(PLATFORM_SRC:%.c=$(BUILD)/%.o)) \
+    $(BUILD)/libsamphireshed.a
 	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 
 format:
