Records with a time or a number that no instance writes are not read

With the sanitizers a process ends by it; without, the record may expire. Looked for elsewhere: the same subtraction stood in the ledgers of budgets and in the records of streams, and a ledger's grants were summed unchecked. The plans of versions hold no times, and the adapter bounds its numbers.

A time outside 0 to 2^50 ms makes a turn or a stream unreadable and a ledger one that doesn't expire; a ledger's numbers count as 0 to 2^50. The tests /turn/odd-time, /bgt/odd-ledger and /rollout/records ended by the overflow before and pass now.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -13,6 +13,8 @@
 #define GRANT_TURNS_OTHER 1
 /* Allowance for clock differences between instances, and a late sweep. */
 #define CLOCK_MARGIN_MS (15 * CLK_SECOND)
+/* Most tokens of a budget or a grant; a larger number counts as this one. */
+#define BUDGET_MAX ((json_int_t)1 << 50)
 
 struct program {
 	char *id;
@@ -122,6 +124,13 @@
 	program->used += used;
 }
 
+/* Tokens that a ledger states; 0 for what no instance writes. */
+static int64_t
+tokens(const json_t *value)
+{
+	return (CLAMP(json_integer_value(value), 0, BUDGET_MAX));
+}
+
 static void
 ledger_parse(
     struct ledger *ledger, const struct program *program, int64_t budget)
@@ -129,7 +138,7 @@
 	json_t *root = NULL;
 	json_t *grants;
 
-	ledger->budget = budget;
+	ledger->budget = MIN(budget, BUDGET_MAX);
 	if (program->ledger != NULL)
 		root =
 		    json_loadb(program->ledger, program->ledger_len, 0, NULL);
@@ -138,8 +147,7 @@
 	    json_is_object(grants) ? json_incref(grants) : json_object();
 	/* The first turn sets the budget; later turns can't raise it. */
 	if (json_is_integer(json_object_get(root, "budget")))
-		ledger->budget =
-		    json_integer_value(json_object_get(root, "budget"));
+		ledger->budget = tokens(json_object_get(root, "budget"));
 	json_decref(root);
 }
 
@@ -160,7 +168,7 @@
 static int64_t
 ledger_grant(const struct ledger *ledger, const char *session)
 {
-	return (json_integer_value(json_object_get(ledger->grants, session)));
+	return (tokens(json_object_get(ledger->grants, session)));
 }
 
 static int64_t
@@ -170,8 +178,8 @@
 	json_t *value;
 	int64_t sum = 0;
 
-	json_object_foreach(ledger->grants, session, value) sum +=
-	    json_integer_value(value);
+	json_object_foreach(ledger->grants, session, value) sum =
+	    MIN(sum + tokens(value), BUDGET_MAX);
 	return (sum);
 }
 
@@ -267,7 +275,7 @@
 	struct ledger ledger;
 	const char *session, *holder = NULL;
 	json_t *value;
-	json_int_t most = 0;
+	int64_t most = 0;
 	char *copy;
 
 	if (program == NULL || !program->is_current)
@@ -276,8 +284,8 @@
 	json_object_foreach(ledger.grants, session, value)
 	{
 		if (strcmp(session, budgets->session) != 0 &&
-		    json_integer_value(value) > most) {
-			most = json_integer_value(value);
+		    tokens(value) > most) {
+			most = tokens(value);
 			holder = session;
 		}
 	}
@@ -324,7 +332,8 @@
 {
 	json_t *root = json_loadb(record->value, record->len, 0, NULL);
 	const json_t *time = json_object_get(root, "time");
-	bool expired = json_is_integer(time) &&
+	bool expired = json_is_integer(time) && json_integer_value(time) >= 0 &&
+	    (uint64_t)json_integer_value(time) <= STORE_TIME_MAX &&
 	    wall - json_integer_value(time) > 2 * retention + CLOCK_MARGIN_MS;
 
 	json_decref(root);
--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -413,6 +413,39 @@
 	budget_close(budgets);
 }
 
+/*
+ * A ledger with numbers that no instance writes neither grants more than its
+ * budget nor expires.
+ */
+static void
+test_odd_ledger(void)
+{
+	const char *const odd[] = {
+	    "{\"budget\": 9223372036854775807, \"grants\": "
+	    "{\"a\": 9223372036854775807, \"b\": 9223372036854775807}, "
+	    "\"time\": -9223372036854775807}",
+	    "{\"budget\": -9223372036854775807, \"grants\": "
+	    "{\"a\": -9223372036854775807, \"s\": -9223372036854775807}, "
+	    "\"time\": 9223372036854775807}",
+	    "{\"budget\": 9223372036854775807, \"grants\": "
+	    "{\"s\": 9223372036854775807}, \"time\": -1}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		struct budgets *budgets = budget_open("s", 60000);
+		struct store_record record = {"p", odd[i], strlen(odd[i])};
+		g_autofree char *value = NULL;
+		int64_t end = 0;
+
+		g_assert_false(
+		    budget_ledger_is_expired(&record, 60000, 1000000));
+		budget_ledger_set(budgets, "p", &record, 1, 0);
+		(void)budget_grant_take(budgets, "p", INT64_MAX, TURN_MAX,
+		    TURN_MAX, &value, &end, 0, 1000000);
+		g_free(budget_largest_holder(budgets, "p"));
+		budget_close(budgets);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -424,6 +457,7 @@
 	g_test_add_func("/bgt/moves", test_moved_program);
 	g_test_add_func("/bgt/first-budget-binds", test_first_budget_binds);
 	g_test_add_func("/bgt/ledger-expiry", test_ledger_expiry);
+	g_test_add_func("/bgt/odd-ledger", test_odd_ledger);
 	g_test_add_func("/bgt/expiry", test_expiry);
 	return (g_test_run());
 }
--- a/src/rollout/rollout_record.c
+++ b/src/rollout/rollout_record.c
@@ -121,7 +121,8 @@
     const struct store_record *record, struct rollout_stream *stream)
 {
 	memset(stream, 0, sizeof(*stream));
-	if (decode(record, STREAM_FORMAT, xdr_stream, stream))
+	if (decode(record, STREAM_FORMAT, xdr_stream, stream) &&
+	    stream->recorded <= STORE_TIME_MAX)
 		return (true);
 	rollout_stream_clear(stream);
 	return (false);
--- a/src/rollout/test_rollout.c
+++ b/src/rollout/test_rollout.c
@@ -518,10 +518,11 @@
 static void
 test_records(void)
 {
-	const struct rollout_stream stream = {
+	struct rollout_stream stream = {
 	    .service = (char *)SERVICE, .version = (char *)"v1", .recorded = 7};
 	g_autoptr(GByteArray) value = rollout_stream_encode(&stream);
 	g_autoptr(GByteArray) unnamed = NULL;
+	g_autoptr(GByteArray) odd = NULL;
 	g_autofree char *longer = g_strnfill(ROLLOUT_NAME_MAX + 1, 'v');
 	struct store_record record = {"r1", value->data, value->len};
 	struct rollout_stream decoded;
@@ -534,6 +535,11 @@
 	g_assert_false(rollout_plan_decode(&record, &plan));
 	g_assert_false(rollout_stream_is_expired(&record, 60000, 120007));
 	g_assert_true(rollout_stream_is_expired(&record, 60000, 120008));
+	stream.recorded = (uint64_t)INT64_MIN;
+	odd = rollout_stream_encode(&stream);
+	record = (struct store_record){"r1", odd->data, odd->len};
+	g_assert_false(rollout_stream_is_expired(&record, 60000, 120008));
+	g_assert_false(rollout_stream_decode(&record, &decoded));
 	for (record.len = 0; record.len < value->len; record.len++)
 		g_assert_false(rollout_stream_decode(&record, &decoded));
 	decoded = stream;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -40,6 +40,13 @@
 	uint32_t slot;
 };
 
+/*
+ * Largest time that a record may hold, in ms since 1970.  A record with a
+ * negative or a later one was not written by an instance: it isn't read, and
+ * it doesn't expire.
+ */
+#define STORE_TIME_MAX ((uint64_t)1 << 50)
+
 /* Longest key of a record, in bytes. */
 #define STORE_KEY_MAX 255
 
--- a/src/turn/test_turn.c
+++ b/src/turn/test_turn.c
@@ -77,6 +77,26 @@
 	    &(struct store_record){"t", "other", 5}, retention, 0));
 }
 
+/* A record whose time no instance writes is no turn and doesn't expire. */
+static void
+test_odd_time(void)
+{
+	const clk_ms odd[] = {INT64_MIN, INT64_MIN + 408, -1, INT64_MAX};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		struct turn *turn = turn_with_text("t", "in", "out");
+		g_autoptr(GByteArray) bytes = NULL;
+		struct store_record record;
+
+		turn->recorded = odd[i];
+		bytes = turn_encode(turn);
+		record = (struct store_record){"t", bytes->data, bytes->len};
+		g_assert_false(turn_is_expired(&record, 1000, 5000));
+		g_assert_null(turn_decode("t", &record));
+		turn_free(turn);
+	}
+}
+
 static void
 test_cache(void)
 {
@@ -106,6 +126,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/turn/record", test_record);
 	g_test_add_func("/turn/expiry", test_expiry);
+	g_test_add_func("/turn/odd-time", test_odd_time);
 	g_test_add_func("/turn/cache", test_cache);
 	return (g_test_run());
 }
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -104,8 +104,9 @@
 	if (record->len < 1 + sizeof(value) || bytes[0] != RECORD_VERSION)
 		return (false);
 	memcpy(&value, bytes + 1, sizeof(value));
-	*recorded = (clk_ms)GUINT64_FROM_BE(value);
-	return (true);
+	value = GUINT64_FROM_BE(value);
+	*recorded = (clk_ms)value;
+	return (value <= STORE_TIME_MAX);
 }
 
 bool
