--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -121,7 +121,11 @@
 	struct edge *edge = call->edge;
 	struct token_message message = {.kind = TOKEN_ASK,
 	    .limit = call->limit,
-	    .priority = call->priority};
+	    .priority = call->priority,
+	    .instance = roster_own_hash(edge->deps.roster),
+	    .program = call->request.program != NULL
+		? active_programs_hash(call->request.program)
+		: 0};
 
 	while (call->homes_asked < ROSTER_HOMES) {
 		call->home =
@@ -141,6 +145,21 @@
 	rate_refuse(call, call->ask_wait);
 }
 
+/* The home knows which instance the program's first request came to. */
+static void
+program_first_set(struct edge_call *call, uint32_t first)
+{
+	struct edge *edge = call->edge;
+	const char *name = roster_name(edge->deps.roster, first);
+	uint64_t hash;
+
+	if (first == 0 || name == NULL || call->request.program == NULL)
+		return;
+	hash = active_programs_hash(call->request.program);
+	active_programs_merge(
+	    edge->deps.activity, name, &hash, 1, edge_now(edge));
+}
+
 static void
 on_answer(struct edge *edge, const struct sockaddr_in *from,
     const struct token_message *message)
@@ -163,26 +182,57 @@
 		ask_record(call, "granted");
 		call->is_counted = true;
 		call->is_from_home = true;
+		program_first_set(call, message->instance);
 		edge_call_admitted(call);
 	} else {
 		ask_record(call, "refused");
 		call->ask_wait = message->wait_ms;
-		home_ask(call);
+		if (roster_is_relayed(edge->deps.roster))
+			rate_refuse(call, call->ask_wait);
+		else
+			home_ask(call);
 	}
 	edge_call_unref(call);
 }
 
+/*
+ * In a large fleet the home sees all requests of the organisation, and so
+ * knows its programs better than the instance that asks.
+ */
+static void
+program_join(struct edge *edge, struct token_message *message)
+{
+	const char *asker = roster_name(edge->deps.roster, message->instance);
+	const char *first;
+
+	message->instance = 0;
+	if (message->program == 0 || asker == NULL ||
+	    !roster_is_relayed(edge->deps.roster))
+		return;
+	first = active_programs_join(
+	    edge->deps.activity, message->program, asker, edge_now(edge));
+	message->instance = first != NULL ? roster_hash(first)
+					  : roster_own_hash(edge->deps.roster);
+}
+
 static void
 on_ask(struct edge *edge, const struct sockaddr_in *from,
     const struct token_message *message)
 {
 	struct token_message answer = *message;
+	enum quota_priority priority = (enum quota_priority)message->priority;
 	clk_ms wait;
 
+	if (active_programs_knows(edge->deps.activity, message->program))
+		priority = QUOTA_ACTIVE_PROGRAM;
 	answer.kind = TOKEN_ANSWER;
-	answer.is_granted = quota_grant(edge->deps.quota, &message->limit,
-	    (enum quota_priority)message->priority, edge_now(edge), &wait);
+	answer.is_granted = quota_grant(
+	    edge->deps.quota, &message->limit, priority, edge_now(edge), &wait);
 	answer.wait_ms = (uint32_t)CLAMP(wait, 0, UINT32_MAX);
+	if (answer.is_granted)
+		program_join(edge, &answer);
+	else
+		answer.instance = 0;
 	/* If the answer isn't sent, the question times out. */
 	(void)message_send(edge, from, &answer);
 }
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -1,66 +1,31 @@
 #include "gossip/gossip.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "lib/dgram.h"
+#include "gossip/gossip_internal.h"
 
 #define SEND_PERIOD_MS 200
-/* Periods of renewing this instance's record and reading the others'. */
-#define RENEW_PERIOD_MS 4000
-#define READ_PERIOD_MS	2000
-/* An instance whose record hasn't changed for this time is dead. */
-#define RECORD_DEAD_MS 12000
-/* The live instance with rank 0 removes its record after this time. */
-#define RECORD_DROP_MS	 60000
-#define STORE_TIMEOUT_MS 500
-/* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f3bU
-
-/* The lists of a message. */
-enum gossip_list {
-	GOSSIP_COUNTS,
-	GOSSIP_PROGRAMS,
-	GOSSIP_LOADS,
-	GOSSIP_CACHED_PARTS,
-	GOSSIP_CRASHES,
-	GOSSIP_LIMITS,
-	GOSSIP_DEPARTURES,
-	GOSSIP_LISTS
-};
+/* The same in a large fleet, where a message takes two or three of them. */
+#define SEND_PERIOD_RELAYED_MS 100
+/* Cached parts of an instance's own state. */
+#define STATE_PARTS_MAX 100
+/* Cached parts from members that wait to be sent on. */
+#define RELAYED_PARTS_MAX 4096
+/* Age of the store's last answer up to which it serves an instance. */
+#define STORE_SERVED_MS 700
+/*
+ * Time after which the silence of an instance counts, and of a data centre in
+ * a large fleet: one and a half intervals, and two more for the relays.
+ */
+#define PEER_PATIENCE_MS    300
+#define SUMMARY_PATIENCE_MS 500
 
 static const char *const list_names[GOSSIP_LISTS] = {"counts", "programs",
     "loads", "cached_parts", "crashes", "limits", "departures"};
 
-struct gossip_peer {
-	struct sockaddr_in address;
-	char *record;
-	clk_ms changed; /* when the record was last seen to change */
-	bool is_dead; /* its record has not changed for RECORD_DEAD_MS */
-};
-
-struct gossip {
-	struct gossip_deps deps;
-	char *name;
-	uint64_t incarnation;
-	struct sockaddr_in address;
-	GHashTable *peers; /* name -> struct gossip_peer, without this one */
-	struct ev_io readable;
-	struct ev_timer send_timer;
-	struct ev_timer renew_timer;
-	struct ev_timer read_timer;
-	uint64_t renewals;
-	struct cnt_metric *left_out[GOSSIP_LISTS];
-	clk_ms last_read; /* last successful read of the records; 0: none */
-	int fd;
-	bool leaving;
-};
-
 static void
 gossip_peer_free(void *data)
 {
@@ -70,479 +35,500 @@
 	g_free(peer);
 }
 
-static bool_t
-xdr_count(XDR *xdrs, struct quota_count *count)
-{
-	return (xdr_uint32_t(xdrs, &count->limit.organisation) &&
-	    xdr_uint32_t(xdrs, &count->limit.rate) &&
-	    xdr_uint32_t(xdrs, &count->limit.burst) &&
-	    xdr_uint32_t(xdrs, &count->period) &&
-	    xdr_uint32_t(xdrs, &count->requested) &&
-	    xdr_uint32_t(xdrs, &count->admitted) &&
-	    xdr_uint32_t(xdrs, &count->programs));
-}
+/* ---- Sending ---- */
 
-static bool_t
-xdr_load(XDR *xdrs, struct place_load *load)
-{
-	return (xdr_uint32_t(xdrs, &load->upstream) &&
-	    xdr_uint32_t(xdrs, &load->running));
-}
+/* What the lists of a message point to. */
+struct lists {
+	struct quota_count counts[GOSSIP_COUNTS_MAX];
+	uint64_t programs[GOSSIP_PROGRAMS_MAX];
+	struct place_load loads[GOSSIP_LOADS_MAX];
+	struct place_cached_part cached_parts[GOSSIP_CACHED_PARTS_MAX];
+	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
+	struct throttle_limit limits[GOSSIP_LIMITS_MAX];
+	struct departure departures[GOSSIP_DEPARTURES_MAX];
+};
 
-static bool_t
-xdr_cached_part(XDR *xdrs, struct place_cached_part *part)
+/*
+ * Returns the number of entries to send, given that total entries exist of
+ * which the list takes max; the others are left out of this message.
+ */
+static unsigned
+list_len(struct gossip *gossip, enum gossip_list list, size_t total, size_t max)
 {
-	return (xdr_uint64_t(xdrs, &part->part) &&
-	    xdr_uint32_t(xdrs, &part->upstream));
+	if (total <= max)
+		return ((unsigned)total);
+	cnt_add(gossip->left_out[list], (int64_t)(total - max));
+	lg_event(gossip->deps.lg, LG_WARNING, "gossip_cut",
+	    "list=%s sent=%zu left_out=%zu", list_names[list], max,
+	    total - max);
+	return ((unsigned)max);
 }
 
-static bool_t
-xdr_crash(XDR *xdrs, struct sched_crash *crash)
+static struct gossip_message
+message_begin(const struct gossip *gossip, enum gossip_kind kind)
 {
-	char *upstream = crash->upstream;
+	clk_ms age = gossip->deps.store_age(gossip->deps.arg);
 
-	return (xdr_opaque(xdrs, (char *)crash->fingerprint,
-		    sizeof(crash->fingerprint)) &&
-	    xdr_string(xdrs, &upstream, sizeof(crash->upstream) - 1));
+	return ((struct gossip_message){.kind = kind,
+	    .name = gossip->name,
+	    .incarnation = gossip->incarnation,
+	    .datacentre = (char *)gossip->deps.datacentre,
+	    .store_age = (uint32_t)CLAMP(age, 0, UINT32_MAX)});
 }
 
-static bool_t
-xdr_limit(XDR *xdrs, struct throttle_limit *limit)
+/* Adds what upstreams said and did, which every instance is to know. */
+static void
+news_collect(struct gossip *gossip, struct gossip_message *message,
+    struct lists *lists, clk_ms now)
 {
-	return (xdr_uint32_t(xdrs, &limit->upstream) &&
-	    xdr_uint32_t(xdrs, &limit->rate) &&
-	    xdr_uint32_t(xdrs, &limit->age));
+	message->crashes = lists->crashes;
+	message->crash_len = list_len(gossip, GOSSIP_LIST_CRASHES,
+	    crash_table_collect(
+		gossip->deps.crashes, lists->crashes, GOSSIP_CRASHES_MAX),
+	    GOSSIP_CRASHES_MAX);
+	message->limits = lists->limits;
+	message->limit_len = list_len(gossip, GOSSIP_LIST_LIMITS,
+	    throttle_collect(
+		gossip->deps.throttle, lists->limits, GOSSIP_LIMITS_MAX, now),
+	    GOSSIP_LIMITS_MAX);
+	message->departures = lists->departures;
+	message->departure_len = list_len(gossip, GOSSIP_LIST_DEPARTURES,
+	    departures_collect(place_departures(gossip->deps.place),
+		lists->departures, GOSSIP_DEPARTURES_MAX, now),
+	    GOSSIP_DEPARTURES_MAX);
 }
 
-static bool_t
-xdr_departure(XDR *xdrs, struct departure *departure)
+/* Adds this instance's load and the prompt parts that it sent. */
+static void
+load_collect(
+    struct gossip *gossip, struct gossip_message *message, struct lists *lists)
 {
-	return (xdr_uint32_t(xdrs, &departure->upstream) &&
-	    xdr_uint64_t(xdrs, &departure->started) &&
-	    xdr_uint32_t(xdrs, &departure->age));
+	message->loads = lists->loads;
+	message->load_len = list_len(gossip, GOSSIP_LIST_LOADS,
+	    place_loads_collect(
+		gossip->deps.place, lists->loads, GOSSIP_LOADS_MAX),
+	    GOSSIP_LOADS_MAX);
+	message->cached_parts = lists->cached_parts;
+	message->cached_part_len = list_len(gossip, GOSSIP_LIST_CACHED_PARTS,
+	    place_cached_parts_collect(
+		gossip->deps.place, lists->cached_parts, STATE_PARTS_MAX),
+	    STATE_PARTS_MAX);
 }
 
-static bool_t
-xdr_message(XDR *xdrs, void *data)
+static void
+counts_collect(struct gossip *gossip, struct gossip_message *message,
+    struct lists *lists, clk_ms now)
 {
-	struct gossip_message *message = data;
-
-	return (xdr_string(xdrs, &message->name, GOSSIP_NAME_MAX) &&
-	    xdr_uint64_t(xdrs, &message->incarnation) &&
-	    xdr_string(xdrs, &message->datacentre, GOSSIP_DATACENTRE_MAX) &&
-	    xdr_uint32_t(xdrs, &message->store_age) &&
-	    xdr_array(xdrs, (char **)&message->counts, &message->count_len,
-		GOSSIP_COUNTS_MAX, sizeof(*message->counts),
-		(xdrproc_t)xdr_count) &&
-	    xdr_array(xdrs, (char **)&message->programs, &message->program_len,
-		GOSSIP_PROGRAMS_MAX, sizeof(*message->programs),
-		(xdrproc_t)xdr_uint64_t) &&
-	    xdr_array(xdrs, (char **)&message->loads, &message->load_len,
-		GOSSIP_LOADS_MAX, sizeof(*message->loads),
-		(xdrproc_t)xdr_load) &&
-	    xdr_array(xdrs, (char **)&message->cached_parts,
-		&message->cached_part_len, GOSSIP_CACHED_PARTS_MAX,
-		sizeof(*message->cached_parts), (xdrproc_t)xdr_cached_part) &&
-	    xdr_array(xdrs, (char **)&message->crashes, &message->crash_len,
-		GOSSIP_CRASHES_MAX, sizeof(*message->crashes),
-		(xdrproc_t)xdr_crash) &&
-	    xdr_array(xdrs, (char **)&message->limits, &message->limit_len,
-		GOSSIP_LIMITS_MAX, sizeof(*message->limits),
-		(xdrproc_t)xdr_limit) &&
-	    xdr_array(xdrs, (char **)&message->departures,
-		&message->departure_len, GOSSIP_DEPARTURES_MAX,
-		sizeof(*message->departures), (xdrproc_t)xdr_departure));
+	message->counts = lists->counts;
+	message->count_len = list_len(gossip, GOSSIP_LIST_COUNTS,
+	    quota_report(
+		gossip->deps.quota, lists->counts, GOSSIP_COUNTS_MAX, now),
+	    GOSSIP_COUNTS_MAX);
+	message->programs = lists->programs;
+	message->program_len = list_len(gossip, GOSSIP_LIST_PROGRAMS,
+	    active_programs_collect(
+		gossip->deps.activity, lists->programs, GOSSIP_PROGRAMS_MAX),
+	    GOSSIP_PROGRAMS_MAX);
 }
 
-size_t
-gossip_message_encode(
-    char *buf, size_t size, const struct gossip_message *message)
+static size_t
+message_encode(struct gossip *gossip, char buf[GOSSIP_DATAGRAM_MAX],
+    const struct gossip_message *message)
 {
-	struct gossip_message copy = *message;
+	size_t len = gossip_message_encode(buf, GOSSIP_DATAGRAM_MAX, message);
 
-	return (dgram_encode(buf, size, PROTOCOL_VERSION, xdr_message, &copy));
+	if (len == 0)
+		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
+		    "kind=%u counts=%u programs=%u loads=%u cached_parts=%u "
+		    "crashes=%u limits=%u departures=%u summaries=%u",
+		    message->kind, message->count_len, message->program_len,
+		    message->load_len, message->cached_part_len,
+		    message->crash_len, message->limit_len,
+		    message->departure_len, message->summary_len);
+	return (len);
 }
 
 bool
-gossip_message_decode(char *buf, size_t len, struct gossip_message *message)
+gossip_send(struct gossip *gossip, const struct sockaddr_in *to,
+    const void *data, size_t len)
 {
-	bool ok;
-
-	memset(message, 0, sizeof(*message));
-	ok = dgram_decode(buf, len, PROTOCOL_VERSION, xdr_message, message);
-	if (!ok)
-		gossip_message_clear(message);
-	return (ok);
+	if (len == 0)
+		return (false);
+	cnt_add(gossip->sent_datagrams, 1);
+	cnt_add(gossip->sent_bytes, (int64_t)len);
+	/* The next datagram makes up for a lost one. */
+	return (sendto(gossip->fd, data, len, MSG_DONTWAIT,
+		    (const struct sockaddr *)to, sizeof(*to)) == (ssize_t)len);
 }
 
-void
-gossip_message_clear(struct gossip_message *message)
+static void
+send_to_peer(
+    struct gossip *gossip, const char *name, const void *data, size_t len)
 {
-	/* The XDR library allocates with malloc(). */
-	free(message->name);
-	free(message->datacentre);
-	free(message->counts);
-	free(message->programs);
-	free(message->loads);
-	free(message->cached_parts);
-	free(message->crashes);
-	free(message->limits);
-	free(message->departures);
-	memset(message, 0, sizeof(*message));
-}
+	const struct gossip_peer *peer =
+	    g_hash_table_lookup(gossip->peers, name);
 
-/*
- * Returns the number of entries to send, given that total entries exist of
- * which the list takes max; the others are left out of this message.
- */
-static unsigned
-list_len(struct gossip *gossip, enum gossip_list list, size_t total, size_t max)
-{
-	if (total <= max)
-		return ((unsigned)total);
-	cnt_add(gossip->left_out[list], (int64_t)(total - max));
-	lg_event(gossip->deps.lg, LG_WARNING, "gossip_cut",
-	    "list=%s sent=%zu left_out=%zu", list_names[list], max,
-	    total - max);
-	return ((unsigned)max);
+	if (peer != NULL)
+		(void)gossip_send(gossip, &peer->address, data, len);
 }
 
+/* A small fleet: all state to every instance. */
 static void
-send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+mesh_send(struct gossip *gossip, clk_ms now)
 {
-	struct gossip *gossip = watcher->data;
-	struct quota_count counts[GOSSIP_COUNTS_MAX];
-	uint64_t programs[GOSSIP_PROGRAMS_MAX];
-	struct place_load loads[GOSSIP_LOADS_MAX];
-	struct place_cached_part cached_parts[GOSSIP_CACHED_PARTS_MAX];
-	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
-	struct throttle_limit limits[GOSSIP_LIMITS_MAX];
-	struct departure departures[GOSSIP_DEPARTURES_MAX];
-	clk_ms now = clk_now(&gossip->deps.clk);
-	struct gossip_message message = {.name = gossip->name,
-	    .incarnation = gossip->incarnation,
-	    .datacentre = (char *)gossip->deps.datacentre,
-	    .store_age = (uint32_t)CLAMP(
-		gossip->deps.store_age(gossip->deps.arg), 0, UINT32_MAX),
-	    .counts = counts,
-	    .programs = programs,
-	    .loads = loads,
-	    .cached_parts = cached_parts,
-	    .crashes = crashes,
-	    .limits = limits,
-	    .departures = departures};
+	struct gossip_message message = message_begin(gossip, GOSSIP_STATE);
+	struct lists lists;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	GHashTableIter iter;
 	void *value;
 	size_t len;
 
-	(void)loop;
-	(void)events;
-	message.count_len = list_len(gossip, GOSSIP_COUNTS,
-	    quota_report(gossip->deps.quota, counts, GOSSIP_COUNTS_MAX, now),
-	    GOSSIP_COUNTS_MAX);
-	message.program_len = list_len(gossip, GOSSIP_PROGRAMS,
-	    active_programs_collect(
-		gossip->deps.activity, programs, GOSSIP_PROGRAMS_MAX),
-	    GOSSIP_PROGRAMS_MAX);
-	message.load_len = list_len(gossip, GOSSIP_LOADS,
-	    place_loads_collect(gossip->deps.place, loads, GOSSIP_LOADS_MAX),
-	    GOSSIP_LOADS_MAX);
-	message.cached_part_len = list_len(gossip, GOSSIP_CACHED_PARTS,
-	    place_cached_parts_collect(
-		gossip->deps.place, cached_parts, GOSSIP_CACHED_PARTS_MAX),
-	    GOSSIP_CACHED_PARTS_MAX);
-	message.crash_len = list_len(gossip, GOSSIP_CRASHES,
-	    crash_table_collect(
-		gossip->deps.crashes, crashes, GOSSIP_CRASHES_MAX),
-	    GOSSIP_CRASHES_MAX);
-	message.limit_len = list_len(gossip, GOSSIP_LIMITS,
-	    throttle_collect(
-		gossip->deps.throttle, limits, GOSSIP_LIMITS_MAX, now),
-	    GOSSIP_LIMITS_MAX);
-	message.departure_len = list_len(gossip, GOSSIP_DEPARTURES,
-	    departures_collect(place_departures(gossip->deps.place), departures,
-		GOSSIP_DEPARTURES_MAX, now),
-	    GOSSIP_DEPARTURES_MAX);
-	len = gossip_message_encode(buf, sizeof(buf), &message);
-	if (len == 0)
-		lg_event(gossip->deps.lg, LG_ERR, "gossip_too_long",
-		    "counts=%u programs=%u loads=%u cached_parts=%u crashes=%u "
-		    "limits=%u departures=%u",
-		    message.count_len, message.program_len, message.load_len,
-		    message.cached_part_len, message.crash_len,
-		    message.limit_len, message.departure_len);
+	counts_collect(gossip, &message, &lists, now);
+	load_collect(gossip, &message, &lists);
+	news_collect(gossip, &message, &lists, now);
+	len = message_encode(gossip, buf, &message);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gossip_peer *peer = value;
 
-		/* The next datagram makes up for a lost one. */
-		(void)sendto(gossip->fd, buf, len, MSG_DONTWAIT,
-		    (const struct sockaddr *)&peer->address,
-		    sizeof(peer->address));
+		(void)gossip_send(gossip, &peer->address, buf, len);
 	}
 }
 
 static void
-crashes_apply(
-    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+counts_send_to(struct gossip *gossip, const char *home, const GArray *counts)
 {
-	for (unsigned i = 0; i < message->crash_len; i++)
-		crash_table_add(gossip->deps.crashes,
-		    message->crashes[i].fingerprint,
-		    message->crashes[i].upstream, false, now);
+	struct gossip_message message = message_begin(gossip, GOSSIP_COUNTS);
+	char buf[GOSSIP_DATAGRAM_MAX];
+
+	message.counts = (struct quota_count *)(void *)counts->data;
+	message.count_len = counts->len;
+	send_to_peer(gossip, home, buf, message_encode(gossip, buf, &message));
 }
 
 static void
-departures_apply(
-    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+counts_free(void *data)
 {
-	unsigned news = place_leaving_merge(gossip->deps.place,
-	    message->departures, message->departure_len, now);
-
-	if (news > 0)
-		lg_event(gossip->deps.lg, LG_NOTICE, "upstream_leaving",
-		    "by=%s upstreams=%u", message->name, news);
+	g_array_free(data, TRUE);
 }
 
-/*
- * A new instance finds the others in the store at once.  The others learn its
- * address from its first datagram, before they read its record.
- */
+/* A large fleet: what a home admitted, to the other homes. */
 static void
-gossip_peer_add(struct gossip *gossip, const char *name,
-    const struct sockaddr_in *from, clk_ms now)
+counts_send(struct gossip *gossip, clk_ms now)
 {
-	struct gossip_peer *peer;
+	struct gossip_message message = {0};
+	struct lists lists;
+	g_autoptr(GHashTable) by_home =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, counts_free);
+	GHashTableIter iter;
+	void *key, *value;
 
-	if (g_hash_table_contains(gossip->peers, name))
+	/* The homes know their programs by the questions for tokens. */
+	counts_collect(gossip, &message, &lists, now);
+	for (unsigned i = 0; i < message.count_len * ROSTER_HOMES; i++) {
+		const struct quota_count *count =
+		    &message.counts[i / ROSTER_HOMES];
+		const char *home = roster_home(gossip->deps.roster,
+		    count->limit.organisation, i % ROSTER_HOMES, now);
+		GArray *counts;
+
+		if (home == NULL)
+			continue;
+		counts = g_hash_table_lookup(by_home, home);
+		if (counts == NULL) {
+			counts = g_array_new(
+			    FALSE, FALSE, sizeof(struct quota_count));
+			(void)g_hash_table_insert(
+			    by_home, (void *)home, counts);
+		}
+		g_array_append_val(counts, *count);
+	}
+	g_hash_table_iter_init(&iter, by_home);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		counts_send_to(gossip, key, value);
+}
+
+static void
+summary_apply(
+    struct gossip *gossip, const struct relay_summary *summary, clk_ms now)
+{
+	const struct gossip_deps *deps = &gossip->deps;
+	const struct reach_news news = {summary->datacentre,
+	    summary->datacentre, summary->member_len, summary->served,
+	    SUMMARY_PATIENCE_MS};
+	const struct roster_members members = {summary->datacentre,
+	    summary->members, summary->member_len, (clk_ms)summary->age,
+	    summary->relay};
+
+	if (roster_members_heard(deps->roster, &members, now) > 0)
+		gossip_records_read_soon(gossip, now);
+	if (!relay_summary_merge(gossip->relay, summary, now))
 		return;
-	peer = g_new0(struct gossip_peer, 1);
-	peer->address = *from;
-	peer->changed = now;
-	(void)g_hash_table_insert(gossip->peers, g_strdup(name), peer);
-	lg_event(gossip->deps.lg, LG_NOTICE, "member_found",
-	    "name=%s by=datagram", name);
+	place_sum_merge(deps->place, summary->datacentre, summary->loads,
+	    summary->load_len, now);
+	reach_heard(deps->reach, &news, now - (clk_ms)summary->age);
 }
 
 static void
-readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+send_to_all(struct gossip *gossip, const GPtrArray *names,
+    const struct gossip_message *message)
 {
-	struct gossip *gossip = watcher->data;
 	char buf[GOSSIP_DATAGRAM_MAX];
-	struct sockaddr_in from;
-	socklen_t from_len = sizeof(from);
-	ssize_t len;
+	size_t len = names->len > 0 ? message_encode(gossip, buf, message) : 0;
 
-	(void)loop;
-	(void)events;
-	while ((len = recvfrom(gossip->fd, buf, sizeof(buf), MSG_DONTWAIT,
-		    (struct sockaddr *)&from, &from_len)) > 0) {
-		struct gossip_message message;
-		clk_ms now = clk_now(&gossip->deps.clk);
+	for (guint i = 0; i < names->len; i++)
+		send_to_peer(gossip, names->pdata[i], buf, len);
+}
 
-		from_len = sizeof(from);
-		if (gossip->deps.on_datagram(
-			gossip->deps.arg, &from, buf, (size_t)len))
-			continue;
-		if (!gossip_message_decode(buf, (size_t)len, &message)) {
-			lg_event(gossip->deps.lg, LG_WARNING,
-			    "datagram_refused", "bytes=%zd", len);
-			continue;
-		}
-		if (strcmp(message.name, gossip->name) != 0) {
-			gossip_peer_add(gossip, message.name, &from, now);
-			roster_peer_heard(
-			    gossip->deps.roster, message.name, now);
-			reach_peer_heard(gossip->deps.reach, message.name,
-			    message.datacentre, (clk_ms)message.store_age, now);
-			quota_gossip_merge(gossip->deps.quota, message.name,
-			    message.incarnation, message.counts,
-			    message.count_len, now);
-			active_programs_merge(gossip->deps.activity,
-			    message.name, message.programs, message.program_len,
-			    now);
-			place_gossip_merge(gossip->deps.place, message.name,
-			    message.loads, message.load_len,
-			    message.cached_parts, message.cached_part_len, now);
-			throttle_merge(gossip->deps.throttle, message.limits,
-			    message.limit_len, now);
-			departures_apply(gossip, &message, now);
-			crashes_apply(gossip, &message, now);
-		}
-		gossip_message_clear(&message);
-	}
+static void
+parts_add(struct outbox *parts, const struct gossip_message *message)
+{
+	for (unsigned i = 0; i < message->cached_part_len; i++)
+		outbox_add(parts, &message->cached_parts[i]);
 }
 
-/* A record is "ADDRESS PORT INCARNATION RENEWALS". */
-static bool
-record_parse(const char *record, struct sockaddr_in *address)
+static void
+parts_take(struct gossip *gossip, struct gossip_message *message,
+    struct lists *lists, struct outbox *parts)
 {
-	char ip[INET_ADDRSTRLEN];
-	unsigned port;
+	message->cached_parts = lists->cached_parts;
+	message->cached_part_len = list_len(gossip, GOSSIP_LIST_CACHED_PARTS,
+	    outbox_take_once(
+		parts, lists->cached_parts, GOSSIP_CACHED_PARTS_MAX),
+	    GOSSIP_CACHED_PARTS_MAX);
+}
 
-	memset(address, 0, sizeof(*address));
-	address->sin_family = AF_INET;
-	if (sscanf(record, "%15s %u", ip, &port) != 2 || port > 65535 ||
-	    inet_pton(AF_INET, ip, &address->sin_addr) != 1)
-		return (false);
-	address->sin_port = htons((uint16_t)port);
-	return (true);
+/* A relay: the summary of its data centre, and what it knows of others. */
+static void
+relay_send(struct gossip *gossip, const struct relay_summary *own,
+    struct gossip_message *message, struct lists *lists, clk_ms now)
+{
+	g_autoptr(GPtrArray) others = relay_others(gossip->relay, now);
+	g_autoptr(GPtrArray) listeners = relay_listeners(gossip->relay, now);
+	g_autoptr(GArray) summaries = relay_summaries(gossip->relay, now);
+	struct relay_summary alone = *own;
+
+	message->summaries = &alone;
+	message->summary_len = 1;
+	parts_take(gossip, message, lists, gossip->member_parts);
+	send_to_all(gossip, others, message);
+	parts_add(gossip->relayed_parts, message);
+	g_array_append_val(summaries, alone);
+	message->summaries = (struct relay_summary *)(void *)summaries->data;
+	message->summary_len = MIN(summaries->len, RELAY_SUMMARIES_MAX);
+	parts_take(gossip, message, lists, gossip->relayed_parts);
+	send_to_all(gossip, listeners, message);
 }
 
+/* A large fleet: this instance's state to its relays, of which it may be one.
+ */
 static void
-gossip_peer_update(
-    struct gossip *gossip, const struct store_record *record, clk_ms now)
+relayed_send(struct gossip *gossip, clk_ms now)
 {
-	struct gossip_peer *peer =
-	    g_hash_table_lookup(gossip->peers, record->key);
-	g_autofree char *text = g_strndup(record->value, record->len);
-	struct sockaddr_in address;
+	struct gossip_message message = message_begin(gossip, GOSSIP_STATE);
+	const char *targets[RELAY_TARGETS_MAX];
+	size_t n = relay_targets(gossip->relay, now, targets);
+	const struct relay_summary *own;
+	struct lists lists;
+	char buf[GOSSIP_DATAGRAM_MAX];
+	size_t len;
 
-	if (strcmp(record->key, gossip->name) == 0)
+	load_collect(gossip, &message, &lists);
+	news_collect(gossip, &message, &lists, now);
+	len = message_encode(gossip, buf, &message);
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(targets[i], gossip->name) != 0)
+			send_to_peer(gossip, targets[i], buf, len);
+	}
+	relay_beat(gossip->relay, gossip->name,
+	    message.store_age < STORE_SERVED_MS, message.loads,
+	    message.load_len, now);
+	if (!relay_is_acting(gossip->relay, now))
 		return;
-	if (!record_parse(text, &address)) {
-		lg_event(gossip->deps.lg, LG_WARNING, "member_unreadable",
-		    "bytes=%zu", record->len);
+	parts_add(gossip->member_parts, &message);
+	own = relay_summary_make(gossip->relay, now);
+	if (own == NULL)
 		return;
-	}
-	if (peer == NULL) {
-		peer = g_new0(struct gossip_peer, 1);
-		(void)g_hash_table_insert(
-		    gossip->peers, g_strdup(record->key), peer);
-		lg_event(gossip->deps.lg, LG_NOTICE, "member_found", "name=%s",
-		    record->key);
-	}
-	if (g_strcmp0(peer->record, text) != 0) {
-		g_free(peer->record);
-		peer->record = g_steal_pointer(&text);
-		peer->changed = now;
-	}
-	peer->address = address;
+	summary_apply(gossip, own, now);
+	message.kind = GOSSIP_RELAY;
+	message.load_len = 0;
+	relay_send(gossip, own, &message, &lists, now);
 }
 
 static void
-peers_shift_changed(struct gossip *gossip, clk_ms by)
+send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
-	GHashTableIter iter;
-	void *value;
+	struct gossip *gossip = watcher->data;
+	clk_ms now = clk_now(&gossip->deps.clk);
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct gossip_peer *)value)->changed += by;
+	bool is_relayed = roster_is_relayed(gossip->deps.roster);
+	clk_ms period = is_relayed ? SEND_PERIOD_RELAYED_MS : SEND_PERIOD_MS;
+
+	(void)events;
+	if (is_relayed) {
+		relayed_send(gossip, now);
+		counts_send(gossip, now);
+	} else {
+		mesh_send(gossip, now);
+	}
+	watcher->repeat = (double)period / (double)CLK_SECOND;
+	ev_timer_again(loop, watcher);
 }
 
+/* ---- Receiving ---- */
+
 static void
-on_record_written(void *arg, const struct store_reply *reply)
+news_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
 {
-	struct gossip *gossip = arg;
+	const struct gossip_deps *deps = &gossip->deps;
+	unsigned leaving = place_leaving_merge(
+	    deps->place, message->departures, message->departure_len, now);
+
+	if (leaving > 0)
+		lg_event(deps->lg, LG_NOTICE, "upstream_leaving",
+		    "by=%s upstreams=%u", message->name, leaving);
+	throttle_merge(
+	    deps->throttle, message->limits, message->limit_len, now);
+	for (unsigned i = 0; i < message->crash_len; i++) {
+		const struct sched_crash *crash = &message->crashes[i];
+
+		if (roster_is_relayed(deps->roster))
+			crash_table_relay(deps->crashes, crash->fingerprint,
+			    crash->upstream, now);
+		else
+			crash_table_add(deps->crashes, crash->fingerprint,
+			    crash->upstream, false, now);
+	}
+}
 
-	if (reply->status != STORE_OK)
-		lg_event(gossip->deps.lg, LG_WARNING, "member_not_renewed",
-		    "status=%d", reply->status);
+/* The state of an instance, which tells every other one. */
+static void
+mesh_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+{
+	const struct gossip_deps *deps = &gossip->deps;
+	const struct reach_news news = {message->name, message->datacentre, 1,
+	    message->store_age < STORE_SERVED_MS, PEER_PATIENCE_MS};
+
+	reach_heard(deps->reach, &news, now);
+	quota_gossip_merge(deps->quota, message->name, message->incarnation,
+	    message->counts, message->count_len, now);
+	active_programs_merge(deps->activity, message->name, message->programs,
+	    message->program_len, now);
+	place_gossip_merge(
+	    deps->place, message->name, message->loads, message->load_len, now);
+	(void)place_cached_parts_merge(
+	    deps->place, message->cached_parts, message->cached_part_len, now);
 }
 
-/* Remove the records of instances that have been dead for long. */
+/* Takes the prompt parts; the news among them are passed on (nil: not). */
 static void
-drop_dead_records(struct gossip *gossip, clk_ms now)
+parts_merge(struct gossip *gossip, struct outbox *passed_on,
+    const struct gossip_message *message, clk_ms now)
 {
-	const struct store_partition partition = {STORE_MEMBERS, 0};
-	GHashTableIter iter;
-	void *key, *value;
+	size_t news = place_cached_parts_merge(gossip->deps.place,
+	    message->cached_parts, message->cached_part_len, now);
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct gossip_peer *peer = value;
-		const struct store_record drop = {key, NULL, 0};
+	for (size_t i = 0; passed_on != NULL && i < news; i++)
+		outbox_add(passed_on, &message->cached_parts[i]);
+}
 
-		if (peer->is_dead && now - peer->changed >= RECORD_DROP_MS)
-			gossip->deps.store.ops->append(gossip->deps.store.impl,
-			    &partition, STORE_ANY_END, &drop, 1,
-			    STORE_TIMEOUT_MS, on_record_written, gossip);
-	}
+/* The state of a member of this relay. */
+static void
+member_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+{
+	relay_beat(gossip->relay, message->name,
+	    message->store_age < STORE_SERVED_MS, message->loads,
+	    message->load_len, now);
+	parts_merge(gossip, gossip->member_parts, message, now);
 }
 
 static void
-on_records_read(void *arg, const struct store_reply *reply)
+relay_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
 {
-	struct gossip *gossip = arg;
-	clk_ms now = clk_now(&gossip->deps.clk);
-	GHashTableIter iter;
-	void *key, *value;
-	unsigned alive = 1;
-	unsigned rank = 0;
-	clk_ms read_gap;
+	relay_heard(gossip->relay, message->name, now);
+	for (unsigned i = 0; i < message->summary_len; i++)
+		summary_apply(gossip, &message->summaries[i], now);
+	/* The relays of a data centre get the same from its members. */
+	parts_merge(gossip,
+	    strcmp(message->datacentre, gossip->deps.datacentre) != 0
+		? gossip->relayed_parts
+		: NULL,
+	    message, now);
+}
 
-	if (reply->status != STORE_OK)
-		return;
-	/* While the store was unreachable, no record could be renewed. */
-	read_gap = gossip->last_read > 0 ? now - gossip->last_read : 0;
-	gossip->last_read = now;
-	if (read_gap > 2 * READ_PERIOD_MS)
-		peers_shift_changed(gossip, read_gap);
-	for (size_t i = 0; i < reply->count; i++)
-		gossip_peer_update(gossip, &reply->records[i], now);
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		struct gossip_peer *peer = value;
-		bool was_dead = peer->is_dead;
-
-		if (store_reply_find(reply, key) == NULL) {
-			lg_event(gossip->deps.lg, LG_NOTICE, "member_left",
-			    "name=%s", (const char *)key);
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		peer->is_dead = now - peer->changed >= RECORD_DEAD_MS;
-		if (peer->is_dead && !was_dead)
-			lg_event(gossip->deps.lg, LG_NOTICE, "member_dead",
-			    "name=%s unchanged_ms=%lld", (const char *)key,
-			    (long long)(now - peer->changed));
-		if (peer->is_dead)
-			continue;
-		alive++;
-		rank += strcmp(key, gossip->name) < 0;
+static void
+message_apply(struct gossip *gossip, const struct gossip_message *message,
+    const struct sockaddr_in *from, clk_ms now)
+{
+	/*
+	 * A new instance finds the others in the store at once.  The others
+	 * learn its address from its datagrams, before they read its record.
+	 */
+	if (!g_hash_table_contains(gossip->peers, message->name))
+		gossip_peer_ensure(gossip, message->name, "datagram", now)
+		    ->address = *from;
+	roster_peer_heard(gossip->deps.roster, message->name, now);
+	switch ((enum gossip_kind)message->kind) {
+	case GOSSIP_STATE:
+		if (roster_is_relayed(gossip->deps.roster))
+			member_apply(gossip, message, now);
+		else
+			mesh_apply(gossip, message, now);
+		break;
+	case GOSSIP_COUNTS:
+		quota_gossip_merge(gossip->deps.quota, message->name,
+		    message->incarnation, message->counts, message->count_len,
+		    now);
+		break;
+	case GOSSIP_RELAY:
+		relay_apply(gossip, message, now);
+		break;
+	case GOSSIP_KINDS:
+		break;
 	}
-	if (rank == 0)
-		drop_dead_records(gossip, now);
-	roster_size_set(gossip->deps.roster, alive, now);
-	quota_expire(gossip->deps.quota, now);
-	gossip->deps.on_fleet(gossip->deps.arg, alive, rank);
+	news_apply(gossip, message, now);
 }
 
 static void
-read_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
 	struct gossip *gossip = watcher->data;
-	const struct store_partition partition = {STORE_MEMBERS, 0};
+	char buf[GOSSIP_DATAGRAM_MAX];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
+	ssize_t len;
 
 	(void)loop;
 	(void)events;
-	gossip->deps.store.ops->read(gossip->deps.store.impl, &partition,
-	    STORE_TIMEOUT_MS, on_records_read, gossip);
+	while ((len = recvfrom(gossip->fd, buf, sizeof(buf), MSG_DONTWAIT,
+		    (struct sockaddr *)&from, &from_len)) > 0) {
+		struct gossip_message message;
+
+		from_len = sizeof(from);
+		if (gossip->deps.on_datagram(
+			gossip->deps.arg, &from, buf, (size_t)len))
+			continue;
+		if (!gossip_message_decode(buf, (size_t)len, &message)) {
+			lg_event(gossip->deps.lg, LG_WARNING,
+			    "datagram_refused", "bytes=%zd", len);
+			continue;
+		}
+		if (strcmp(message.name, gossip->name) != 0)
+			message_apply(gossip, &message, &from,
+			    clk_now(&gossip->deps.clk));
+		gossip_message_clear(&message);
+	}
 }
 
-static void
-renew_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+bool
+gossip_is_told(const struct gossip *gossip)
 {
-	struct gossip *gossip = watcher->data;
-	const struct store_partition partition = {STORE_MEMBERS, 0};
-	char ip[INET_ADDRSTRLEN];
-	char value[128];
-	struct store_record record = {gossip->name, value, 0};
-
-	(void)loop;
-	(void)events;
-	if (gossip->leaving)
-		return;
-	(void)inet_ntop(AF_INET, &gossip->address.sin_addr, ip, sizeof(ip));
-	record.len = (size_t)snprintf(value, sizeof(value), "%s %u %llu %llu",
-	    ip, (unsigned)ntohs(gossip->address.sin_port),
-	    (unsigned long long)gossip->incarnation,
-	    (unsigned long long)++gossip->renewals);
-	gossip->deps.store.ops->append(gossip->deps.store.impl, &partition,
-	    STORE_ANY_END, &record, 1, STORE_TIMEOUT_MS, on_record_written,
-	    gossip);
+	return (!roster_is_relayed(gossip->deps.roster) ||
+	    relay_is_heard(gossip->relay, clk_now(&gossip->deps.clk)));
 }
 
 bool
@@ -558,33 +544,19 @@
 	return (true);
 }
 
-bool
-gossip_send(struct gossip *gossip, const struct sockaddr_in *to,
-    const void *data, size_t len)
-{
-	return (sendto(gossip->fd, data, len, MSG_DONTWAIT,
-		    (const struct sockaddr *)to, sizeof(*to)) == (ssize_t)len);
-}
-
-void
-gossip_leave(struct gossip *gossip)
-{
-	const struct store_partition partition = {STORE_MEMBERS, 0};
-	const struct store_record record = {gossip->name, NULL, 0};
-
-	gossip->leaving = true;
-	gossip->deps.store.ops->append(gossip->deps.store.impl, &partition,
-	    STORE_ANY_END, &record, 1, STORE_TIMEOUT_MS, on_record_written,
-	    gossip);
-}
-
 static void
-timer_start(struct gossip *gossip, struct ev_timer *timer,
-    void (*cb)(struct ev_loop *, struct ev_timer *, int), clk_ms period)
+counters_open(struct gossip *gossip)
 {
-	ev_timer_init(timer, cb, 0.0, (double)period / 1000.0);
-	timer->data = gossip;
-	ev_timer_start(gossip->deps.loop, timer);
+	struct cnt *cnt = gossip->deps.cnt;
+
+	for (int i = 0; i < GOSSIP_LISTS; i++)
+		gossip->left_out[i] = cnt_counter(cnt, "gossip_left_out_total",
+		    "Entries left out of a message to the other instances.",
+		    "list", list_names[i]);
+	gossip->sent_datagrams = cnt_counter(cnt, "gossip_datagrams_total",
+	    "Datagrams sent to other instances.", NULL, NULL);
+	gossip->sent_bytes = cnt_counter(
+	    cnt, "gossip_bytes_total", "Bytes of these datagrams.", NULL, NULL);
 }
 
 struct gossip *
@@ -617,17 +589,19 @@
 	gossip->fd = fd;
 	gossip->peers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, gossip_peer_free);
-	for (int i = 0; i < GOSSIP_LISTS; i++)
-		gossip->left_out[i] =
-		    cnt_counter(deps->cnt, "gossip_left_out_total",
-			"Entries left out of a message to the other instances.",
-			"list", list_names[i]);
+	gossip->relay = relay_open(name, deps->datacentre);
+	gossip->member_parts =
+	    outbox_open(sizeof(struct place_cached_part), RELAYED_PARTS_MAX);
+	gossip->relayed_parts =
+	    outbox_open(sizeof(struct place_cached_part), RELAYED_PARTS_MAX);
+	counters_open(gossip);
 	ev_io_init(&gossip->readable, readable_cb, fd, EV_READ);
 	gossip->readable.data = gossip;
 	ev_io_start(deps->loop, &gossip->readable);
-	timer_start(gossip, &gossip->send_timer, send_cb, SEND_PERIOD_MS);
-	timer_start(gossip, &gossip->renew_timer, renew_cb, RENEW_PERIOD_MS);
-	timer_start(gossip, &gossip->read_timer, read_cb, READ_PERIOD_MS);
+	ev_timer_init(&gossip->send_timer, send_cb, 0.0, 0.0);
+	gossip->send_timer.data = gossip;
+	ev_timer_start(deps->loop, &gossip->send_timer);
+	gossip_records_open(gossip);
 	return (gossip);
 }
 
@@ -636,12 +610,14 @@
 {
 	if (gossip == NULL)
 		return;
+	gossip_records_close(gossip);
 	ev_io_stop(gossip->deps.loop, &gossip->readable);
 	ev_timer_stop(gossip->deps.loop, &gossip->send_timer);
-	ev_timer_stop(gossip->deps.loop, &gossip->renew_timer);
-	ev_timer_stop(gossip->deps.loop, &gossip->read_timer);
 	(void)close(gossip->fd);
 	g_hash_table_destroy(gossip->peers);
+	relay_close(gossip->relay);
+	outbox_close(gossip->member_parts);
+	outbox_close(gossip->relayed_parts);
 	g_free(gossip->name);
 	g_free(gossip);
 }
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -2,7 +2,9 @@
  * gossip: exchange of state between the instances of a fleet, by datagrams.
  *
  * Each instance keeps a record with its address in the store, and finds the
- * others there.  Several times a second it sends each of them its counts of
+ * others there.  In a small fleet it sends each of them its state several times
+ * a second; in a large one it sends it to the relays of its data centre, which
+ * send it on (relay/relay.h).  The state is its counts of
  * admitted requests by organisation, the programs that began at it, its load
  * and recent prompts at each upstream, the requests that crashed an upstream,
  * the rates that upstreams named, which ones said that they leave, and how long
@@ -22,6 +24,7 @@
 #include "quota/active_programs.h"
 #include "quota/quota.h"
 #include "reach/reach.h"
+#include "relay/relay.h"
 #include "roster/roster.h"
 #include "sched/crash_table.h"
 #include "store/store.h"
@@ -43,6 +46,7 @@
 	struct crash_table *crashes;
 	struct reach *reach;
 	const char *datacentre; /* this instance's */
+	unsigned weight; /* instances with a larger one are relays first */
 	/* Returns the time since the store answered this instance, in ms. */
 	clk_ms (*store_age)(void *arg);
 	/*
@@ -80,23 +84,37 @@
 bool gossip_send(struct gossip *gossip, const struct sockaddr_in *to,
     const void *data, size_t len);
 
+/*
+ * gossip_is_told(gossip)
+ *	Whether news of the other data centres can reach this instance: in a
+ *	large fleet, whether it hears a relay.
+ */
+bool gossip_is_told(const struct gossip *gossip);
+
 /* gossip_leave(gossip): remove this instance's record before it stops. */
 void gossip_leave(struct gossip *gossip);
 
 /* Longest datagram and longest name of an instance, in bytes. */
-#define GOSSIP_DATAGRAM_MAX   6656
+#define GOSSIP_DATAGRAM_MAX   32768
 #define GOSSIP_NAME_MAX	      128
 #define GOSSIP_DATACENTRE_MAX 128
 /* Number of entries of each list of a message. */
 #define GOSSIP_COUNTS_MAX	70
 #define GOSSIP_PROGRAMS_MAX	60
 #define GOSSIP_LOADS_MAX	60
-#define GOSSIP_CACHED_PARTS_MAX 100
+#define GOSSIP_CACHED_PARTS_MAX 250
 #define GOSSIP_CRASHES_MAX	8
 #define GOSSIP_LIMITS_MAX	40
 #define GOSSIP_DEPARTURES_MAX	30
 
-/* The state that an instance sends.  Clear it after decoding. */
+enum gossip_kind {
+	GOSSIP_STATE, /* of the sender, to every instance or to a relay */
+	GOSSIP_COUNTS, /* of a home, to the other homes of its organisations */
+	GOSSIP_RELAY, /* summaries and news, from a relay */
+	GOSSIP_KINDS
+};
+
+/* What an instance sends.  Clear it after decoding. */
 struct gossip_message {
 	char *name;
 	uint64_t incarnation;
@@ -108,6 +126,8 @@
 	struct sched_crash *crashes; /* without their times */
 	struct throttle_limit *limits; /* that upstreams named */
 	struct departure *departures; /* of upstreams */
+	struct relay_summary *summaries; /* of data centres */
+	uint32_t kind; /* enum gossip_kind */
 	uint32_t store_age; /* ms since the store answered the sender */
 	unsigned count_len;
 	unsigned program_len;
@@ -116,6 +136,7 @@
 	unsigned crash_len;
 	unsigned limit_len;
 	unsigned departure_len;
+	unsigned summary_len;
 };
 
 /*
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -9,8 +9,8 @@
 static void
 test_datagram(void)
 {
-	struct quota_count counts[] = {
-	    {{1, 7000, 8000}, 4, 15, 10, 2}, {{2, 9000, 9500}, 5, 25, 20, 3}};
+	struct quota_count counts[] = {{{1, 7000, 8000}, 4, 15, 10, 2, 500},
+	    {{2, 9000, 9500}, 5, 25, 20, 3, 0}};
 	uint64_t programs[] = {7, 8, 9};
 	struct place_load loads[] = {{5, 6}};
 	struct place_cached_part cached_parts[] = {{11, 12}};
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -160,7 +160,7 @@
 	(void)loop;
 	(void)events;
 	place_expire(instance->place, now);
-	reach_tick(instance->reach, now);
+	reach_tick(instance->reach, gossip_is_told(instance->gossip), now);
 	edge_tick(instance->edge);
 	if (instance->stop_begun > 0)
 		stop_advance(instance, now);
@@ -269,8 +269,8 @@
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->store, instance->roster, instance->quota,
 	    instance->throttle, instance->activity, instance->place,
-	    instance->crashes, instance->reach, settings->datacentre, store_age,
-	    on_fleet, on_datagram, instance};
+	    instance->crashes, instance->reach, settings->datacentre,
+	    settings->weight, store_age, on_fleet, on_datagram, instance};
 	instance->edge = edge_open(&edge_deps, &edge_settings);
 	if (instance->edge == NULL)
 		goto fail;
--- a/src/lib/outbox.c
+++ b/src/lib/outbox.c
@@ -71,3 +71,12 @@
 	outbox->dropped = 0;
 	return (total);
 }
+
+size_t
+outbox_take_once(struct outbox *outbox, void *entries, size_t max)
+{
+	size_t total = outbox_take(outbox, entries, max);
+
+	g_queue_clear_full(&outbox->resend, g_free);
+	return (total);
+}
--- a/src/lib/outbox.h
+++ b/src/lib/outbox.h
@@ -33,4 +33,10 @@
  */
 size_t outbox_take(struct outbox *outbox, void *entries, size_t max);
 
+/*
+ * outbox_take_once(outbox, entries, max)
+ *	The same for entries that are sent in one message only.
+ */
+size_t outbox_take_once(struct outbox *outbox, void *entries, size_t max);
+
 #endif
--- a/src/lib/test_outbox.c
+++ b/src/lib/test_outbox.c
@@ -53,11 +53,28 @@
 	outbox_close(outbox);
 }
 
+/* What is taken once is gone; what did not fit stays. */
+static void
+test_once(void)
+{
+	struct outbox *outbox = outbox_open(sizeof(unsigned), 10);
+	unsigned out[4];
+
+	for (unsigned i = 0; i < 5; i++)
+		outbox_add(outbox, &i);
+	g_assert_cmpuint(outbox_take_once(outbox, out, 4), ==, 5);
+	g_assert_cmpuint(outbox_take_once(outbox, out, 4), ==, 1);
+	g_assert_cmpuint(out[0], ==, 4);
+	g_assert_cmpuint(outbox_take_once(outbox, out, 4), ==, 0);
+	outbox_close(outbox);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/outbox/each-twice", test_each_twice);
 	g_test_add_func("/outbox/full", test_full);
+	g_test_add_func("/outbox/once", test_once);
 	return (g_test_run());
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -80,6 +80,7 @@
 	unsigned running; /* requests of this instance */
 	unsigned peers_running; /* requests of the peers, by their gossip */
 	unsigned unsent; /* requests of this instance since its last gossip */
+	unsigned told; /* requests of this instance in its last gossip */
 	double token_ms; /* without load, moving average; 0: no sample */
 	double answer_ms; /* moving average of the first byte; 0: no sample */
 	clk_ms backoff_until;
@@ -90,10 +91,11 @@
 	GHashTable *parts; /* part id -> time of its last use */
 };
 
-/* The last gossip message of a peer. */
+/* The last gossip message of a peer, or of a data centre. */
 struct peer {
 	GArray *loads; /* struct place_load */
 	clk_ms received;
+	bool is_own_sum; /* with the requests of this instance */
 };
 
 struct place {
@@ -295,6 +297,23 @@
 		upstream->remove_at = until;
 }
 
+static void
+loads_add(struct place *place, const struct peer *peer)
+{
+	for (guint i = 0; i < peer->loads->len; i++) {
+		const struct place_load *load =
+		    &g_array_index(peer->loads, struct place_load, i);
+		struct upstream *upstream = find_by_hash(place, load->upstream);
+		unsigned own;
+
+		if (upstream == NULL)
+			continue;
+		own = peer->is_own_sum ? upstream->told : 0;
+		upstream->peers_running +=
+		    load->running - MIN(own, load->running);
+	}
+}
+
 /*
  * Sums the peers' loads of each upstream.  Called from place_choose(): in a
  * large fleet gossip messages are far more frequent than choices.
@@ -312,19 +331,8 @@
 		((struct upstream *)place->upstreams->pdata[i])->peers_running =
 		    0;
 	g_hash_table_iter_init(&iter, place->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const GArray *loads = ((const struct peer *)value)->loads;
-
-		for (guint i = 0; i < loads->len; i++) {
-			const struct place_load *load =
-			    &g_array_index(loads, struct place_load, i);
-			struct upstream *upstream =
-			    find_by_hash(place, load->upstream);
-
-			if (upstream != NULL)
-				upstream->peers_running += load->running;
-		}
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		loads_add(place, value);
 }
 
 static void
@@ -692,6 +700,7 @@
 		struct upstream *upstream = place->upstreams->pdata[i];
 
 		upstream->unsent = 0;
+		upstream->told = upstream->running;
 		if (!upstream->in_use || upstream->running == 0)
 			continue;
 		/* What is left out comes first in the next message. */
@@ -711,10 +720,9 @@
 	return (outbox_take(place->parts, cached, max));
 }
 
-void
-place_gossip_merge(struct place *place, const char *name,
-    const struct place_load *loads, size_t n,
-    const struct place_cached_part *cached, size_t cached_n, clk_ms now)
+static struct peer *
+peer_loads_set(struct place *place, const char *name,
+    const struct place_load *loads, size_t n, clk_ms now)
 {
 	struct peer *peer = g_hash_table_lookup(place->peers, name);
 
@@ -728,13 +736,41 @@
 	g_array_set_size(peer->loads, 0);
 	(void)g_array_append_vals(peer->loads, loads, (guint)n);
 	place->peer_loads_changed = true;
-	for (size_t i = 0; i < cached_n; i++) {
-		struct upstream *upstream =
-		    find_by_hash(place, cached[i].upstream);
+	return (peer);
+}
 
-		if (upstream != NULL)
-			(void)part_record(upstream, cached[i].part, now);
+void
+place_sum_merge(struct place *place, const char *datacentre,
+    const struct place_load *loads, size_t n, clk_ms now)
+{
+	/* No instance has such a name. */
+	g_autofree char *name = g_strdup_printf("/%s", datacentre);
+
+	peer_loads_set(place, name, loads, n, now)->is_own_sum =
+	    strcmp(datacentre, place->datacentre) == 0;
+}
+
+size_t
+place_cached_parts_merge(
+    struct place *place, struct place_cached_part *cached, size_t n, clk_ms now)
+{
+	size_t news = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct place_cached_part part = cached[i];
+		struct upstream *upstream = find_by_hash(place, part.upstream);
+
+		if (upstream != NULL && part_record(upstream, part.part, now))
+			cached[news++] = part;
 	}
+	return (news);
+}
+
+void
+place_gossip_merge(struct place *place, const char *name,
+    const struct place_load *loads, size_t n, clk_ms now)
+{
+	(void)peer_loads_set(place, name, loads, n, now);
 }
 
 static bool
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -154,16 +154,29 @@
  *	Write prompt parts that became cached, to be sent to the peers: each
  *	is written by two calls, see lib/outbox.h.
  *	Both return the number of entries, of which at most max are written.
- * place_gossip_merge(place, peer, loads, n, cached, cached_n, now)
- *	Merge a gossip message of another instance.
+ * place_gossip_merge(place, peer, loads, n, now)
+ *	Merge the loads of another instance.
+ */
+/*
+ * place_sum_merge(place, datacentre, loads, n, now)
+ *	Merge the loads of all instances of a data centre together.  Those of
+ *	this one's are with what it collected last.
  */
 size_t
 place_loads_collect(struct place *place, struct place_load *loads, size_t max);
 size_t place_cached_parts_collect(
     struct place *place, struct place_cached_part *cached, size_t max);
 void place_gossip_merge(struct place *place, const char *peer,
-    const struct place_load *loads, size_t n,
-    const struct place_cached_part *cached, size_t cached_n, clk_ms now);
+    const struct place_load *loads, size_t n, clk_ms now);
+/*
+ * place_cached_parts_merge(place, cached, n, now)
+ *	Merge cached parts of a message.  Those that are news are moved to the
+ *	front; returns how many.
+ */
+size_t place_cached_parts_merge(struct place *place,
+    struct place_cached_part *cached, size_t n, clk_ms now);
+void place_sum_merge(struct place *place, const char *datacentre,
+    const struct place_load *loads, size_t n, clk_ms now);
 
 /* Slots of the ready upstreams of a service with one software version. */
 struct place_version {
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -112,7 +112,7 @@
 	first = choose(a, parts, 2, 0, &handle);
 	n = place_cached_parts_collect(a, cached, 4);
 	g_assert_cmpuint(n, ==, 2);
-	place_gossip_merge(b, "a", NULL, 0, cached, n, 0);
+	(void)place_cached_parts_merge(b, cached, n, 0);
 	g_assert_cmpstr(choose(b, parts, 2, 0, &handle), ==, first);
 	place_close(a);
 	place_close(b);
@@ -137,11 +137,11 @@
 		g_autofree char *id = g_strdup_printf("u%d", (int)program % 8);
 		const struct place_part parts[] = {
 		    {1, 12600}, {100 + program, 8000}, {200 + program, 800}};
-		const struct place_cached_part cached = {
+		struct place_cached_part cached = {
 		    parts[1].id, (uint32_t)g_str_hash(id)};
 		struct place_handle handle;
 
-		place_gossip_merge(place, "peer", NULL, 0, &cached, 1, 0);
+		(void)place_cached_parts_merge(place, &cached, 1, 0);
 		g_assert_cmpstr(choose(place, parts, 3, 0, &handle), ==, id);
 		place_request_end(place, handle, PLACE_SERVED, 0);
 	}
@@ -174,7 +174,7 @@
 	/* Ties are broken round robin: b would choose another engine than a. */
 	g_assert_nonnull(choose(b, NULL, 0, 0, &handle));
 	place_request_end(b, handle, PLACE_SERVED, 0);
-	place_gossip_merge(b, "a", NULL, 0, cached, n, 0);
+	(void)place_cached_parts_merge(b, cached, n, 0);
 	for (uint64_t program = 0; program < 8; program++) {
 		const struct place_part parts[] = {
 		    {1, 12600}, {10 + program, 800}};
@@ -237,7 +237,7 @@
 
 	add(place, "u1", 1);
 	add(place, "u2", 2);
-	place_gossip_merge(place, "peer", &load, 1, NULL, 0, 0);
+	place_gossip_merge(place, "peer", &load, 1, 0);
 	for (int i = 0; i < 3; i++) {
 		g_assert_cmpstr(choose(place, &part, 1, 10, &handle), ==, "u2");
 		place_request_end(place, handle, PLACE_SERVED, 10);
--- a/src/quota/active_programs.c
+++ b/src/quota/active_programs.c
@@ -41,13 +41,23 @@
 	g_free(programs);
 }
 
+uint64_t
+active_programs_hash(const char *program)
+{
+	return (fnv_hash(program));
+}
+
+bool
+active_programs_knows(const struct active_programs *programs, uint64_t hash)
+{
+	return (g_hash_table_contains(programs->by_hash, &hash));
+}
+
 bool
 active_programs_contains(
     const struct active_programs *programs, const char *program)
 {
-	uint64_t hash = fnv_hash(program);
-
-	return (g_hash_table_contains(programs->by_hash, &hash));
+	return (active_programs_knows(programs, fnv_hash(program)));
 }
 
 /* Returns whether the program is new. */
@@ -79,6 +89,16 @@
 		outbox_add(programs->outbox, &hash);
 }
 
+const char *
+active_programs_join(struct active_programs *programs, uint64_t hash,
+    const char *peer, clk_ms now)
+{
+	(void)program_update(programs, peer, hash, now);
+	return (
+	    ((struct program *)g_hash_table_lookup(programs->by_hash, &hash))
+		->home);
+}
+
 void
 active_programs_merge(struct active_programs *programs, const char *peer,
     const uint64_t *hashes, size_t n, clk_ms now)
--- a/src/quota/active_programs.h
+++ b/src/quota/active_programs.h
@@ -36,6 +36,22 @@
 void active_programs_add(
     struct active_programs *programs, const char *program, clk_ms now);
 
+/*
+ * active_programs_hash(program)
+ *	Return the hash that identifies the program in messages.
+ * active_programs_join(programs, hash, peer, now)
+ *	A request of the program has come to an instance: to peer, or to this
+ *	one if it is nil.  Returns the name of the instance to which the first
+ *	one came, or nil if it is this one.
+ * active_programs_knows(programs, hash)
+ *	Whether the program is active.
+ */
+uint64_t active_programs_hash(const char *program);
+const char *active_programs_join(struct active_programs *programs,
+    uint64_t hash, const char *peer, clk_ms now);
+bool
+active_programs_knows(const struct active_programs *programs, uint64_t hash);
+
 /*
  * active_programs_merge(programs, peer, hashes, n, now)
  *	Merge the programs that a gossip message of peer names.
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -12,13 +12,16 @@
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
 /* A report gives rate and burst in thousandths. */
 #define LIMIT_UNITS 1000.0
-/* Part of the burst that is reserved for active programs. */
-#define RESERVED_PART 0.5
 /*
- * Time in which active programs make their expected requests: half of the
- * time that a typical program runs.
+ * What is left to active programs: a part of the burst, and the tokens of the
+ * time in which they make their expected requests.  A home of a large fleet
+ * admits all requests, so that it has nothing to leave for those that it has
+ * not heard of, and counts on half of the time that a typical program runs.
  */
-#define EXPECTED_WITHIN_S 1.5
+#define RESERVED_PART	       0.5
+#define EXPECTED_WITHIN_S      1.5
+#define HOME_RESERVED_PART     0.15
+#define HOME_EXPECTED_WITHIN_S 3.0
 /* Initial estimate of the requests per program; its weight, in programs. */
 #define PROGRAM_REQUESTS 10.0
 #define PROGRAM_WEIGHT	 5.0
@@ -43,6 +46,8 @@
 	uint32_t admitted;
 	uint32_t begun; /* programs */
 	unsigned unreported; /* admitted and in no report yet */
+	/* Admitted in place of the first home, since it was heard of them. */
+	unsigned stood_in;
 	clk_ms repeat_until;
 	double fleet_admitted; /* by all instances */
 	double fleet_begun;
@@ -310,6 +315,28 @@
 	return (news);
 }
 
+/*
+ * A home of a large fleet has told its bucket.  Another home has a bucket of
+ * its own, which may be newer and then knows less.
+ */
+static void
+home_merge(struct quota *quota, const char *peer,
+    const struct quota_count *count, clk_ms now)
+{
+	uint32_t organisation = count->limit.organisation;
+	struct bucket *bucket;
+
+	if (!roster_is_relayed(quota->roster))
+		return;
+	bucket = bucket_ensure(quota, organisation);
+	bucket_limit_set(quota, bucket, &count->limit);
+	bucket_refill(quota, bucket, now);
+	bucket->level = fmin(bucket->level, count->level / LIMIT_UNITS);
+	if (g_strcmp0(roster_home(quota->roster, organisation, 0, now), peer) ==
+	    0)
+		bucket->stood_in = 0;
+}
+
 void
 quota_gossip_merge(struct quota *quota, const char *name, uint64_t incarnation,
     const struct quota_count *counts, size_t n, clk_ms now)
@@ -345,15 +372,17 @@
 		}
 		last->received = now;
 		/* Datagrams may be reordered. */
-		if (counts[i].requested <= before.requested &&
-		    counts[i].admitted <= before.admitted)
-			continue;
-		news = count_since(&counts[i], &before);
-		last->count = counts[i];
-		last->count.admitted = MAX(counts[i].admitted, before.admitted);
-		/* It isn't known when a new peer admitted these. */
-		if (!is_new)
-			bucket_merge(quota, &news, now);
+		if (counts[i].requested > before.requested ||
+		    counts[i].admitted > before.admitted) {
+			news = count_since(&counts[i], &before);
+			last->count = counts[i];
+			last->count.admitted =
+			    MAX(counts[i].admitted, before.admitted);
+			/* It isn't known when a new peer admitted these. */
+			if (!is_new)
+				bucket_merge(quota, &news, now);
+		}
+		home_merge(quota, name, &counts[i], now);
 	}
 }
 
@@ -437,6 +466,40 @@
 		bucket_queue(bucket, &quota->news);
 }
 
+/*
+ * Whether this instance may admit a request that has a token.  In a large
+ * fleet that is the first home; the second one admits a part of the tolerance
+ * between two messages of the first, and all once that is not alive.
+ */
+static bool
+may_admit(struct quota *quota, struct bucket *bucket, double level, clk_ms now)
+{
+	if (!roster_is_relayed(quota->roster))
+		return (bucket->unreported + 1.0 <=
+		    report_allowance(quota, bucket, level, now));
+	if (roster_is_home(quota->roster, bucket->hash, 0, now))
+		return (true);
+	if (!roster_is_home(quota->roster, bucket->hash, 1, now) ||
+	    bucket->stood_in + 1.0 >
+		TOLERANCE_PART * bucket_tolerance(quota, bucket))
+		return (false);
+	bucket->stood_in++;
+	return (true);
+}
+
+/* Tokens that the first requests of programs may take. */
+static double
+new_program_level(const struct quota *quota, const struct bucket *bucket)
+{
+	bool is_relayed = roster_is_relayed(quota->roster);
+	double reserved = is_relayed ? HOME_RESERVED_PART : RESERVED_PART;
+	double within = is_relayed ? HOME_EXPECTED_WITHIN_S : EXPECTED_WITHIN_S;
+
+	return (fmin(bucket->level - reserved * bucket->burst * quota->share,
+	    bucket->level + within * bucket->rate * quota->share -
+		bucket->expected - program_requests(bucket)));
+}
+
 static enum quota_answer
 bucket_admit(struct quota *quota, struct bucket *bucket,
     enum quota_priority priority, clk_ms now, clk_ms *wait)
@@ -446,16 +509,13 @@
 
 	*wait = 0;
 	if (priority == QUOTA_NEW_PROGRAM)
-		level = fmin(level - RESERVED_PART * bucket->burst * share,
-		    level + EXPECTED_WITHIN_S * bucket->rate * share -
-			bucket->expected - program_requests(bucket));
+		level = new_program_level(quota, bucket);
 	if (level < 1.0) {
 		*wait = (clk_ms)ceil((1.0 - level) / (bucket->rate * share) *
 		    (double)CLK_SECOND);
 		return (QUOTA_REFUSED);
 	}
-	if (bucket->unreported + 1.0 >
-	    report_allowance(quota, bucket, level, now))
+	if (!may_admit(quota, bucket, level, now))
 		return (QUOTA_ASK);
 	bucket_take(bucket, 1.0, priority == QUOTA_NEW_PROGRAM ? 1.0 : 0.0);
 	bucket_report_soon(quota, bucket);
@@ -485,6 +545,9 @@
 	*wait = 0;
 	if (limit->rate == 0)
 		return (QUOTA_ADMITTED);
+	if (roster_is_relayed(quota->roster) &&
+	    !roster_is_home(quota->roster, limit->organisation, 0, now))
+		return (QUOTA_ASK);
 	bucket = bucket_prepare(quota, limit, now);
 	bucket_report_soon(quota, bucket);
 	bucket->requested++;
@@ -518,13 +581,16 @@
 }
 
 static struct quota_count
-bucket_report(const struct bucket *bucket)
+bucket_report(struct quota *quota, struct bucket *bucket, clk_ms now)
 {
 	const struct quota_limit limit = {bucket->hash,
 	    limit_units(bucket->rate), limit_units(bucket->burst)};
 
+	if (roster_is_relayed(quota->roster))
+		bucket_refill(quota, bucket, now);
 	return ((struct quota_count){limit, bucket->period, bucket->requested,
-	    bucket->admitted, bucket->begun});
+	    bucket->admitted, bucket->begun,
+	    (uint32_t)(fmax(bucket->level, 0) * LIMIT_UNITS)});
 }
 
 size_t
@@ -537,7 +603,7 @@
 
 	quota->interval++;
 	while (n < max && (bucket = g_queue_peek_head(&quota->news)) != NULL) {
-		counts[n++] = bucket_report(bucket);
+		counts[n++] = bucket_report(quota, bucket, now);
 		bucket->unreported = 0;
 		bucket->repeat_until = now + quota_window(quota);
 		bucket_queue(bucket, &quota->repeats);
@@ -550,7 +616,7 @@
 			bucket_queue(bucket, NULL);
 			continue;
 		}
-		counts[n++] = bucket_report(bucket);
+		counts[n++] = bucket_report(quota, bucket, now);
 		bucket_queue(bucket, &quota->repeats);
 	}
 	return (n + quota->news.length + repeats);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -15,6 +15,11 @@
  * In a large fleet that is less than one request each; two instances, the
  * organisation's homes, then hold it, and the others ask them for tokens.
  *
+ * In a large fleet (roster.h) reports would be too many and too late.  There
+ * the organisation's first home admits all of its requests, for the others by
+ * their questions, and tells the second one, which stands in while the first
+ * does not answer.
+ *
  * A refused turn wastes all turns before it.  A new program is therefore
  * refused if the expected requests of the active programs already need the
  * tokens that the rate will give.
@@ -48,6 +53,7 @@
 	uint32_t requested;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
+	uint32_t level; /* thousandths of a token in the fleet's bucket */
 };
 
 /*
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -732,7 +732,7 @@
 test_token_message(void)
 {
 	const struct token_message message = {TOKEN_ANSWER, 9,
-	    quota_limit_make("o", 7, 8), QUOTA_NEW_PROGRAM, true, 250};
+	    quota_limit_make("o", 7, 8), QUOTA_NEW_PROGRAM, 77, 78, true, 250};
 	struct token_message read;
 	char buf[TOKEN_MESSAGE_MAX];
 	size_t len = token_encode(buf, sizeof(buf), &message);
--- a/src/quota/token.c
+++ b/src/quota/token.c
@@ -5,7 +5,7 @@
 #include "lib/dgram.h"
 
 /* "STK" and the version of the format. */
-#define PROTOCOL_VERSION 0x53544b31U
+#define PROTOCOL_VERSION 0x53544b32U
 
 static bool_t
 xdr_message(XDR *xdrs, void *data)
@@ -18,6 +18,8 @@
 	    xdr_uint32_t(xdrs, &message->limit.rate) &&
 	    xdr_uint32_t(xdrs, &message->limit.burst) &&
 	    xdr_uint32_t(xdrs, &message->priority) &&
+	    xdr_uint64_t(xdrs, &message->program) &&
+	    xdr_uint32_t(xdrs, &message->instance) &&
 	    xdr_bool(xdrs, &is_granted) &&
 	    xdr_uint32_t(xdrs, &message->wait_ms);
 
--- a/src/quota/token.h
+++ b/src/quota/token.h
@@ -30,7 +30,14 @@
 	uint32_t kind; /* enum token_kind */
 	uint64_t serial; /* assigned by the instance that asks */
 	struct quota_limit limit; /* of the organisation */
-	uint32_t priority; /* enum quota_priority */
+	uint32_t priority; /* enum quota_priority, as far as the sender knows */
+	uint64_t program; /* active_programs_hash(); 0: the request has none */
+	/*
+	 * roster_hash() of an instance: of a question, which one asks; of an
+	 * answer, to which one the program's first request came, 0 if that is
+	 * not known.
+	 */
+	uint32_t instance;
 	bool is_granted;
 	uint32_t wait_ms; /* until there is a token, if none is granted */
 };
--- a/src/reach/reach.c
+++ b/src/reach/reach.c
@@ -3,12 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-/*
- * Silence after which a data centre counts as cut off: one and a half
- * intervals of messages, each of its instances.
- */
-#define CUT_MS 300
-/* A peer that sent nothing for this time isn't expected to. */
+/* A source that sent nothing for this time isn't expected to. */
 #define FORGET_MS (30 * CLK_SECOND)
 /* Time between two ticks above which this process stood still. */
 #define PAUSE_MS 300
@@ -17,19 +12,17 @@
  * news after 500 ms.
  */
 #define STORE_LONG_MS 900
-/* Age of the last answer up to which the store answers a peer. */
-#define STORE_FRESH_MS 700
-/* A peer that was not heard for this time isn't counted. */
-#define PEER_LIVE_MS 500
 
-struct peer {
+struct source {
 	const char *datacentre; /* interned */
 	clk_ms heard;
-	clk_ms store_answered;
+	clk_ms patience;
+	unsigned members;
+	unsigned served;
 };
 
 struct reach {
-	GHashTable *peers; /* name -> struct peer */
+	GHashTable *sources; /* name -> struct source */
 	const char *datacentre; /* interned */
 	clk_ms ticked;
 	clk_ms awake_since; /* end of the last pause of this process */
@@ -40,7 +33,7 @@
 {
 	struct reach *reach = g_new0(struct reach, 1);
 
-	reach->peers =
+	reach->sources =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	reach->datacentre = g_intern_string(datacentre);
 	return (reach);
@@ -51,47 +44,50 @@
 {
 	if (reach == NULL)
 		return;
-	g_hash_table_destroy(reach->peers);
+	g_hash_table_destroy(reach->sources);
 	g_free(reach);
 }
 
 void
-reach_peer_heard(struct reach *reach, const char *name, const char *datacentre,
-    clk_ms store_age, clk_ms now)
+reach_heard(struct reach *reach, const struct reach_news *news, clk_ms when)
 {
-	struct peer *peer = g_hash_table_lookup(reach->peers, name);
-
-	if (peer == NULL) {
-		peer = g_new0(struct peer, 1);
-		(void)g_hash_table_insert(reach->peers, g_strdup(name), peer);
+	struct source *source =
+	    g_hash_table_lookup(reach->sources, news->source);
+
+	if (source == NULL) {
+		source = g_new0(struct source, 1);
+		(void)g_hash_table_insert(
+		    reach->sources, g_strdup(news->source), source);
+	} else if (when < source->heard) {
+		return;
 	}
 	/* A fleet has few data centres, so that few names are kept. */
-	peer->datacentre = g_intern_string(datacentre);
-	peer->heard = now;
-	peer->store_answered = now - store_age;
+	*source = (struct source){g_intern_string(news->datacentre), when,
+	    news->patience, news->members, news->served};
 }
 
 void
-reach_tick(struct reach *reach, clk_ms now)
+reach_tick(struct reach *reach, bool is_told, clk_ms now)
 {
 	GHashTableIter iter;
 	void *value;
 
-	if (now - reach->ticked > PAUSE_MS)
+	if (!is_told || now - reach->ticked > PAUSE_MS)
 		reach->awake_since = now;
 	reach->ticked = now;
-	g_hash_table_iter_init(&iter, reach->peers);
+	g_hash_table_iter_init(&iter, reach->sources);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now - ((const struct peer *)value)->heard >= FORGET_MS)
+		if (now - ((const struct source *)value)->heard >= FORGET_MS)
 			g_hash_table_iter_remove(&iter);
 	}
 }
 
-/* Time for which the peer has been silent while this process ran. */
-static clk_ms
-silence(const struct reach *reach, const struct peer *peer, clk_ms now)
+/* Whether the source was silent for long while this process could hear it. */
+static bool
+is_silent(const struct reach *reach, const struct source *source, clk_ms now)
 {
-	return (now - MAX(peer->heard, reach->awake_since));
+	return (
+	    now - MAX(source->heard, reach->awake_since) >= source->patience);
 }
 
 bool
@@ -99,21 +95,21 @@
 {
 	GHashTableIter iter;
 	void *value;
-	bool has_peers = false;
+	bool has_sources = false;
 
 	if (strcmp(datacentre, reach->datacentre) == 0)
 		return (false);
-	g_hash_table_iter_init(&iter, reach->peers);
+	g_hash_table_iter_init(&iter, reach->sources);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
+		const struct source *source = value;
 
-		if (strcmp(peer->datacentre, datacentre) != 0)
+		if (strcmp(source->datacentre, datacentre) != 0)
 			continue;
-		if (silence(reach, peer, now) < CUT_MS)
+		if (!is_silent(reach, source, now))
 			return (false);
-		has_peers = true;
+		has_sources = true;
 	}
-	return (has_peers);
+	return (has_sources);
 }
 
 bool
@@ -125,18 +121,18 @@
 
 	if (store_age < STORE_LONG_MS)
 		return (false);
-	g_hash_table_iter_init(&iter, reach->peers);
+	g_hash_table_iter_init(&iter, reach->sources);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
+		const struct source *source = value;
 
-		if (strcmp(peer->datacentre, reach->datacentre) != 0) {
+		if (strcmp(source->datacentre, reach->datacentre) != 0) {
 			abroad++;
-			abroad_silent += silence(reach, peer, now) >= CUT_MS;
+			abroad_silent += is_silent(reach, source, now);
 		}
-		if (now - peer->heard >= PEER_LIVE_MS)
+		if (now - source->heard >= source->patience)
 			continue;
-		live++;
-		served += peer->heard - peer->store_answered < STORE_FRESH_MS;
+		live += source->members;
+		served += source->served;
 	}
 	return ((live > 0 && 2 * served > live) ||
 	    (abroad > 0 && abroad_silent == abroad));
--- a/src/reach/reach.h
+++ b/src/reach/reach.h
@@ -6,9 +6,10 @@
  * for some seconds.  Requests that go on into the cut, or callers that stay at
  * an instance which can't serve them, wait until their time is over.
  *
- * Fed by the messages of other instances, each of which names its data centre
- * and how long ago the store answered it.  A pause of this process doesn't
- * count as silence of the others.
+ * Fed by the messages of other instances, or of the relays of a large fleet,
+ * which name their data centres and say whether the store answers.  A pause of
+ * this process, or the loss of its own relays, doesn't count as silence of the
+ * others.
  */
 #ifndef SAMPHIRESHED_REACH_H
 #define SAMPHIRESHED_REACH_H
@@ -24,16 +25,25 @@
 struct reach *reach_open(const char *datacentre);
 void reach_close(struct reach *reach);
 
+/* What was heard of some instances of a data centre. */
+struct reach_news {
+	const char *source; /* a peer's name, or the data centre's */
+	const char *datacentre;
+	unsigned members; /* instances that are alive, one if it is a peer */
+	unsigned served; /* of these, by the store */
+	clk_ms patience; /* time after which silence of the source counts */
+};
+
 /*
- * reach_peer_heard(reach, name, datacentre, store_age, now)
- *	A message of a peer has arrived; the store answered the peer store_age
- *	ms before.
- * reach_tick(reach, now)
- *	To be called several times a second while this process runs.
+ * reach_heard(reach, news, when)
+ *	News of a data centre, of the time when.
+ * reach_tick(reach, is_told, now)
+ *	To be called several times a second while this process runs; is_told:
+ *	news of all data centres could arrive.
  */
-void reach_peer_heard(struct reach *reach, const char *name,
-    const char *datacentre, clk_ms store_age, clk_ms now);
-void reach_tick(struct reach *reach, clk_ms now);
+void
+reach_heard(struct reach *reach, const struct reach_news *news, clk_ms when);
+void reach_tick(struct reach *reach, bool is_told, clk_ms now);
 
 /*
  * reach_is_cut(reach, datacentre, now)
--- a/src/reach/test_reach.c
+++ b/src/reach/test_reach.c
@@ -17,13 +17,14 @@
     clk_ms until)
 {
 	for (clk_ms now = from; now < until; now += GOSSIP_MS / 2) {
-		reach_tick(reach, now);
+		reach_tick(reach, true, now);
 		for (unsigned i = 1;
 		     now % GOSSIP_MS == 0 && i < G_N_ELEMENTS(names); i++) {
 			if ((silent & 1U << i) == 0)
-				reach_peer_heard(reach, names[i],
-				    datacentres[i],
-				    (without_store & 1U << i) ? 3000 : 100,
+				reach_heard(reach,
+				    &(struct reach_news){names[i],
+					datacentres[i], 1,
+					(without_store & 1U << i) == 0, 300},
 				    now);
 		}
 	}
@@ -101,7 +102,7 @@
 	struct reach *reach = reach_open("a");
 
 	hear(reach, NONE, NONE, 0, 2000);
-	reach_tick(reach, 6000);
+	reach_tick(reach, true, 6000);
 	g_assert_false(reach_is_cut(reach, "b", 6000));
 	g_assert_false(reach_is_worse_off(reach, 4000, 6000));
 	hear(reach, B, NONE, 6000, 6200);
@@ -111,6 +112,32 @@
 	reach_close(reach);
 }
 
+/*
+ * Guards against a member of a large fleet that takes all data centres for cut
+ * off because its own relays are gone: what it knows of them is old.
+ */
+static void
+test_not_told(void)
+{
+	struct reach *reach = reach_open("a");
+	const struct reach_news news = {"b", "b", 20, 20, 700};
+
+	reach_heard(reach, &news, 100);
+	for (clk_ms now = 100; now < 3000; now += 100) {
+		reach_tick(reach, false, now);
+		g_assert_false(reach_is_cut(reach, "b", now));
+	}
+	for (clk_ms now = 3000; now <= 4000; now += 100)
+		reach_tick(reach, true, now);
+	g_assert_true(reach_is_cut(reach, "b", 4000));
+	/* Most of a summary's members are answered by the store. */
+	reach_heard(reach, &(struct reach_news){"c", "c", 20, 11, 700}, 4000);
+	g_assert_true(reach_is_worse_off(reach, 1000, 4000));
+	reach_heard(reach, &(struct reach_news){"c", "c", 20, 9, 700}, 4001);
+	g_assert_false(reach_is_worse_off(reach, 1000, 4001));
+	reach_close(reach);
+}
+
 /* Instances that have left for good cut nothing off. */
 static void
 test_left(void)
@@ -131,6 +158,7 @@
 	g_test_add_func("/reach/own-datacentre-cut", test_own_datacentre_cut);
 	g_test_add_func("/reach/store", test_store);
 	g_test_add_func("/reach/pause", test_pause);
+	g_test_add_func("/reach/not-told", test_not_told);
 	g_test_add_func("/reach/left", test_left);
 	return (g_test_run());
 }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -1,12 +1,23 @@
 #include "roster/roster.h"
 
 #include <glib.h>
+#include <string.h>
 
 /*
  * A peer that sent no gossip message for this time has timed out: one and a
  * half intervals.  A lost message costs the peer's share until the next one.
  */
 #define PEER_TIMEOUT_MS 300
+/*
+ * A peer that a relay has named is alive for this time, in which the relays of
+ * its data centre change: 0.3 s until one is given up, and four intervals.
+ */
+#define NAMED_LIVE_MS 700
+/*
+ * A peer that a relay has left out is alive for this time, in which the other
+ * relay may name it.
+ */
+#define UNNAMED_LIVE_MS 150
 /* A peer that sent no gossip message for this time is removed. */
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
 /* Period of counting the live peers. */
@@ -17,12 +28,18 @@
 #define SHARE_MIN 0.02
 
 struct peer {
+	const char *name; /* the key in roster->peers */
+	const char *datacentre; /* interned; nil: not known */
 	uint32_t hash; /* of the name */
-	clk_ms heard;
+	uint32_t relay; /* that named it last; 0: none */
+	clk_ms known; /* when its record was last read; 0: never */
+	clk_ms heard; /* a message, or as named by a relay */
+	clk_ms live_until;
 };
 
 struct roster {
 	GHashTable *peers; /* name -> struct peer */
+	GHashTable *by_hash; /* the same, by the hash of the name */
 	uint32_t hash; /* of this instance's name */
 	unsigned instances;
 	double share;
@@ -36,6 +53,7 @@
 
 	roster->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	roster->by_hash = g_hash_table_new(NULL, NULL);
 	roster->hash = roster_hash(name);
 	roster->instances = UNKNOWN_FLEET;
 	return (roster);
@@ -46,6 +64,7 @@
 {
 	if (roster == NULL)
 		return;
+	g_hash_table_destroy(roster->by_hash);
 	g_hash_table_destroy(roster->peers);
 	g_free(roster);
 }
@@ -66,28 +85,117 @@
 	roster->share_until = now;
 	g_hash_table_iter_init(&iter, roster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (now - ((const struct peer *)value)->heard >= PEER_EXPIRY_MS)
-			g_hash_table_iter_remove(&iter);
+		const struct peer *peer = value;
+
+		if (now - MAX(peer->heard, peer->known) < PEER_EXPIRY_MS)
+			continue;
+		if (g_hash_table_lookup(
+			roster->by_hash, GUINT_TO_POINTER(peer->hash)) == peer)
+			(void)g_hash_table_remove(
+			    roster->by_hash, GUINT_TO_POINTER(peer->hash));
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
+bool
+roster_is_relayed(const struct roster *roster)
+{
+	return (roster->instances > ROSTER_MESH_MAX);
+}
+
+static struct peer *
+peer_ensure(struct roster *roster, const char *name)
+{
+	struct peer *peer = g_hash_table_lookup(roster->peers, name);
+	char *key;
+
+	if (peer != NULL)
+		return (peer);
+	key = g_strdup(name);
+	peer = g_new0(struct peer, 1);
+	peer->name = key;
+	peer->hash = roster_hash(name);
+	(void)g_hash_table_insert(roster->peers, key, peer);
+	(void)g_hash_table_insert(
+	    roster->by_hash, GUINT_TO_POINTER(peer->hash), peer);
+	return (peer);
+}
+
+void
+roster_peer_known(
+    struct roster *roster, const char *name, const char *datacentre, clk_ms now)
+{
+	struct peer *peer = peer_ensure(roster, name);
+
+	/* A fleet has few data centres, so that few names are kept. */
+	peer->datacentre = g_intern_string(datacentre);
+	peer->known = now;
+}
+
 void
 roster_peer_heard(struct roster *roster, const char *name, clk_ms now)
 {
-	struct peer *peer = g_hash_table_lookup(roster->peers, name);
+	struct peer *peer = peer_ensure(roster, name);
 
-	if (peer == NULL) {
-		peer = g_new0(struct peer, 1);
-		peer->hash = roster_hash(name);
-		(void)g_hash_table_insert(roster->peers, g_strdup(name), peer);
-	}
 	peer->heard = now;
+	peer->live_until = MAX(peer->live_until, now + PEER_TIMEOUT_MS);
+}
+
+unsigned
+roster_members_heard(
+    struct roster *roster, const struct roster_members *members, clk_ms now)
+{
+	clk_ms named = now - members->age;
+	GHashTableIter iter;
+	void *value;
+	unsigned unknown = 0;
+
+	for (size_t i = 0; i < members->n; i++) {
+		struct peer *peer = g_hash_table_lookup(
+		    roster->by_hash, GUINT_TO_POINTER(members->hashes[i]));
+
+		if (peer == NULL) {
+			unknown += members->hashes[i] != roster->hash;
+			continue;
+		}
+		if (named < peer->heard)
+			continue;
+		peer->heard = named;
+		peer->relay = members->relay;
+		peer->live_until = MAX(peer->live_until, named + NAMED_LIVE_MS);
+	}
+	/* A relay that hears few members says nothing of the others. */
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		if (peer->relay == members->relay && peer->heard < named &&
+		    g_strcmp0(peer->datacentre, members->datacentre) == 0)
+			peer->live_until =
+			    MIN(peer->live_until, now + UNNAMED_LIVE_MS);
+	}
+	return (unknown);
+}
+
+const char *
+roster_name(const struct roster *roster, uint32_t hash)
+{
+	const struct peer *peer =
+	    g_hash_table_lookup(roster->by_hash, GUINT_TO_POINTER(hash));
+
+	return (peer != NULL ? peer->name : NULL);
+}
+
+uint32_t
+roster_own_hash(const struct roster *roster)
+{
+	return (roster->hash);
 }
 
 static bool
 peer_is_live(const struct peer *peer, clk_ms now)
 {
-	return (now - peer->heard < PEER_TIMEOUT_MS);
+	return (now < peer->live_until);
 }
 
 unsigned
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -5,11 +5,15 @@
  * Every instance names the same homes for a key as long as it hears the same
  * peers.  In a partition each side has homes of its own; the share tells how
  * large a part of the fleet a side is.
+ *
+ * In a large fleet peers are not heard themselves: the relays of their data
+ * centre name those that are alive, see relay/relay.h.
  */
 #ifndef SAMPHIRESHED_ROSTER_H
 #define SAMPHIRESHED_ROSTER_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "lib/clk.h"
@@ -34,6 +38,36 @@
 void roster_size_set(struct roster *roster, unsigned instances, clk_ms now);
 void roster_peer_heard(struct roster *roster, const char *name, clk_ms now);
 
+/* Most instances of a fleet in which each tells every other one. */
+#define ROSTER_MESH_MAX 24
+
+/* The peers of a data centre that are alive, as a relay has named them. */
+struct roster_members {
+	const char *datacentre;
+	const uint32_t *hashes; /* roster_hash() of their names */
+	size_t n;
+	clk_ms age;
+	uint32_t relay; /* roster_hash() of its name */
+};
+
+/*
+ * roster_is_relayed(roster): whether the fleet is a large one.
+ * roster_peer_known(roster, name, datacentre, now)
+ *	A peer is in the fleet; it is not alive before it is heard.
+ * roster_members_heard(roster, members, now)
+ *	A relay has named peers.  One that it named before and left out now is
+ *	taken for dead soon.  Returns how many peers aren't known.
+ * roster_name(roster, hash): the name of a peer, or nil.
+ * roster_own_hash(roster): hash of this instance's name.
+ */
+bool roster_is_relayed(const struct roster *roster);
+void roster_peer_known(struct roster *roster, const char *name,
+    const char *datacentre, clk_ms now);
+unsigned roster_members_heard(
+    struct roster *roster, const struct roster_members *members, clk_ms now);
+const char *roster_name(const struct roster *roster, uint32_t hash);
+uint32_t roster_own_hash(const struct roster *roster);
+
 /*
  * roster_size(roster): the number of instances.
  * roster_live_peers(roster, now): number of peers that have not timed out.
--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -118,18 +118,27 @@
 		g_free(g_queue_pop_head(&table->own));
 }
 
+static bool
+is_known(const struct entry *entry, const char *name)
+{
+	for (unsigned i = 0; i < entry->count; i++) {
+		if (strcmp(entry->upstreams[i], name) == 0)
+			return (true);
+	}
+	return (false);
+}
+
 void
 crash_table_add(struct crash_table *table, const unsigned char *fingerprint,
     const char *upstream, bool own, clk_ms now)
 {
 	struct entry *entry = entry_ensure(table, fingerprint, now);
-	bool known = false;
 	char name[sizeof(((struct sched_crash *)NULL)->upstream)];
+	bool known;
 
 	/* Peers send truncated names, so truncate before comparing. */
 	(void)g_strlcpy(name, upstream, sizeof(name));
-	for (unsigned i = 0; i < entry->count; i++)
-		known = known || strcmp(entry->upstreams[i], name) == 0;
+	known = is_known(entry, name);
 	/* Peers repeat crashes in heartbeats; a repetition is ignored. */
 	if (known && !own)
 		return;
@@ -140,6 +149,17 @@
 		own_crash_add(table, fingerprint, name, now);
 }
 
+void
+crash_table_relay(struct crash_table *table, const unsigned char *fingerprint,
+    const char *upstream, clk_ms now)
+{
+	const struct entry *entry = entry_ensure(table, fingerprint, now);
+
+	/* An entry that is full blocks the request already. */
+	if (!is_known(entry, upstream) && entry->count < table->upstreams)
+		crash_table_add(table, fingerprint, upstream, true, now);
+}
+
 bool
 crash_table_is_empty(const struct crash_table *table)
 {
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -28,6 +28,14 @@
 crash_table_add(struct crash_table *table, const unsigned char *fingerprint,
     const char *upstream, bool own, clk_ms now);
 
+/*
+ * crash_table_relay(table, fingerprint, upstream, now)
+ *	Record a crash that a peer observed.  If it is news, it is collected
+ *	for the other peers like one of this instance.
+ */
+void crash_table_relay(struct crash_table *table,
+    const unsigned char *fingerprint, const char *upstream, clk_ms now);
+
 /* crash_table_is_empty(table): whether the table has no crashes. */
 bool crash_table_is_empty(const struct crash_table *table);
 
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -9,6 +9,8 @@
 #define BURST_S 0.25
 /* Part of the rate for the share of a side with half of the fleet or less. */
 #define SMALLER_SIDE_PART 0.25
+/* Part of the rate in a large fleet, which knows of a new home later. */
+#define RELAYED_PART 0.85
 /*
  * Longest time until the turn of an instance that is refused a token: the
  * tokens of instances that have nothing more to send are not kept for longer.
@@ -215,7 +217,8 @@
 ceiling_rate(
     const struct throttle *throttle, const struct ceiling *ceiling, clk_ms now)
 {
-	double rate = ceiling->rate / RATE_UNITS;
+	double rate = ceiling->rate / RATE_UNITS *
+	    (roster_is_relayed(throttle->roster) ? RELAYED_PART : 1.0);
 	double share = roster_share(throttle->roster, now);
 
 	return (share > 0.5 ? rate : rate * share * SMALLER_SIDE_PART);
