Summaries of data centres without a known member are not remembered

Cause, found by reading: each name of a data centre in a datagram was kept for ever, in a table without a bound. A summary now counts only if an instance of its data centre is known; roster still asks for the list when it names unknown ones. /relay/unknown-datacentres failed before.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -477,6 +477,19 @@
 	return (&relay->own);
 }
 
+/* The interned name of a data centre; nil: it has no member. */
+static const char *
+datacentre_find(const struct relay *relay, const char *name)
+{
+	for (guint i = 0; i < relay->ranked->len; i++) {
+		const struct member *member = relay->ranked->pdata[i];
+
+		if (strcmp(member->datacentre, name) == 0)
+			return (member->datacentre);
+	}
+	return (NULL);
+}
+
 /* Whether a summary made then replaces the one that is known. */
 static bool
 is_summary_better(
@@ -493,10 +506,12 @@
 relay_summary_merge(
     struct relay *relay, const struct relay_summary *summary, clk_ms now)
 {
-	const char *datacentre = g_intern_string(summary->datacentre);
+	const char *datacentre = datacentre_find(relay, summary->datacentre);
 	clk_ms made = now - (clk_ms)summary->age;
 	struct other *other = g_hash_table_lookup(relay->others, datacentre);
 
+	if (datacentre == NULL)
+		return (false);
 	if (other != NULL && !is_summary_better(other, summary, made))
 		return (false);
 	other = g_new0(struct other, 1);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -114,7 +114,8 @@
  *	Remember the summary of a data centre.
  * RETURN VALUES
  *	Whether it counts: a relay that has just started, or wakes, hears few
- *	members; its summary doesn't replace that of another one.
+ *	members; its summary doesn't replace that of another one.  Nor does
+ *	one of a data centre without members count.
  * relay_summaries(relay, now)
  *	Return what is to be told of the other data centres now, as an array of
  *	struct relay_summary, to be freed by g_array_free(); what they point to
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -33,6 +33,34 @@
 	g_assert_cmpint(took, <=, AGREE_MS);
 }
 
+/*
+ * Guards against names that grow a table without end: a data centre in which
+ * no instance is known is not remembered.
+ */
+static void
+test_unknown_datacentres(void)
+{
+	struct relay *relay = relay_open("i0", "a");
+	uint32_t hash = 1;
+	GArray *summaries;
+
+	relay_member_set(relay, "i0", "a", 1);
+	relay_member_set(relay, "i2", "b", 1);
+	for (int i = 0; i < 1000; i++) {
+		g_autofree char *name =
+		    i < 999 ? g_strdup_printf("x%d", i) : g_strdup("b");
+		const struct relay_summary summary = {
+		    .datacentre = name, .members = &hash, .member_len = 1};
+
+		g_assert_cmpint(
+		    relay_summary_merge(relay, &summary, 1000), ==, i == 999);
+	}
+	summaries = relay_summaries(relay, 1000);
+	g_assert_cmpuint(summaries->len, ==, 1);
+	g_array_free(summaries, TRUE);
+	relay_close(relay);
+}
+
 /*
  * Guards against an instance that takes a dead one for alive, or the reverse,
  * for longer than stated.
@@ -265,6 +293,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/relay/summary", test_summary);
+	g_test_add_func("/relay/unknown-datacentres", test_unknown_datacentres);
 	g_test_add_func("/relay/agree", test_agree);
 	g_test_add_func("/relay/frozen", test_frozen_relay);
 	g_test_add_func("/relay/losses", test_losses);
