--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -59,8 +59,9 @@
 
 /*
  * hsv_stop(hsv)
- *	Stop listening, and close the connections at which no request is under
- *	way.  Call it again for those that are left.
+ *	Accept the connections that wait, stop listening, and close those at
+ *	which no request is under way and, if they are new, none has come for a
+ *	while.  Call it again for those that are left.
  */
 void hsv_stop(struct hsv *hsv);
 
