Requests for one object go to the same upstream

Why: requests that concern one object carry X-Affinity-Key, and on routes with sticky_sessions an upstream that has handled it lately works faster. Nothing read the field.

Change: rendezvous hashing of the object and the upstreams that serve now, so that instances agree without a message and only the objects of an upstream that goes move. The object's upstream is preferred by half of the time of an answer, which also bounds the load that it gets: with running requests above the others' by half of its slots, another one takes the request. The score function is the one of the roster's homes, now in src/lib/rdv.

--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -33,7 +33,8 @@
 	bool resumable;
 	bool stateful; /* the chain of turns is recorded */
 	bool is_public; /* open to callers without a key */
-	bool sticky; /* requests state the parts of their prompt */
+	/* Requests state what they share: parts of a prompt, or an object. */
+	bool sticky;
 	clk_ms timeout; /* upper bound of a request's time; 0: none */
 	clk_ms target_latency;
 	clk_ms target_gap; /* target for the time between two events */
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edge/edge_internal.h"
+#include "lib/fnv.h"
 
 #define CONNECT_TIMEOUT_MS 300
 /* Retry-After when every upstream is full or unreachable. */
@@ -94,6 +95,8 @@
 	    .reach = call->edge->deps.reach,
 	};
 
+	if (call->route->sticky && call->request.object != NULL)
+		request.object = (uint32_t)fnv_hash(call->request.object);
 	if (tokens == 0)
 		tokens = DEFAULT_OUTPUT_TOKENS;
 	if (call->request.turn_max_tokens > 0 &&
--- a/src/edge/wire.h
+++ b/src/edge/wire.h
@@ -31,6 +31,7 @@
 	int64_t budget; /* tokens for all turns, or EDGE_NO_BUDGET */
 	int64_t turn_max_tokens; /* tokens for this turn; 0: not stated */
 	const char *previous_turn; /* id of the previous turn; nil: none */
+	const char *object; /* that it concerns; nil: not stated */
 	bool is_resumed; /* it goes on after an event that the caller has */
 	const char *resumes; /* id of the request that began the stream */
 	unsigned length_hint; /* expected output tokens; 0: not stated */
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "lib/outbox.h"
+#include "lib/rdv.h"
 
 /*
  * Time to generate a token at an idle engine, until there is a sample.
@@ -31,6 +32,11 @@
 #define CROSS_DATACENTRE_MS 2.0
 /* Wait for each request ahead in an upstream's queue. */
 #define QUEUE_WAIT_MS 25.0
+/*
+ * Part of the time of an answer that an upstream saves which has handled the
+ * request's object lately.  It also bounds the load that it gets for that.
+ */
+#define OBJECT_GAIN 0.5
 /* Backoff after a failure; it doubles up to the maximum. */
 #define BACKOFF_FIRST_MS 500
 #define BACKOFF_MAX_MS	 8000
@@ -846,10 +852,36 @@
 	return (last->is_cut);
 }
 
+/* The upstream of the request's object; nil: none. */
+static const struct upstream *
+object_upstream(
+    const struct place *place, const struct place_request *request, clk_ms now)
+{
+	const struct upstream *best = NULL;
+	uint32_t best_score = 0;
+
+	if (request->object == 0 || request->part_count > 0)
+		return (NULL);
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		const struct upstream *upstream = place->upstreams->pdata[i];
+		uint32_t score = rdv_score(request->object, upstream->hash);
+
+		if (!is_eligible(place, request, i, now) ||
+		    is_leaving(upstream) || now < upstream->backoff_until)
+			continue;
+		if (best == NULL || score > best_score) {
+			best = upstream;
+			best_score = score;
+		}
+	}
+	return (best);
+}
+
 bool
 place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle)
 {
+	const struct upstream *object = object_upstream(place, request, now);
 	double best_sample_ms =
 	    best_sample(place, request->service, request->part_count > 0);
 	struct upstream *best = NULL;
@@ -878,6 +910,8 @@
 		    g_strcmp0(upstream->version, request->preferred_version) !=
 			0)
 			ms += request->other_version_ms;
+		if (upstream == object)
+			ms -= OBJECT_GAIN * best_sample_ms;
 		if (now < upstream->backoff_until)
 			ms += BACKOFF_COST_MS;
 		if (until > 0)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -56,6 +56,8 @@
 	const char *service;
 	const struct place_part *parts;
 	size_t part_count;
+	/* Hash of the object that a request without parts concerns; 0: none. */
+	uint32_t object;
 	unsigned output_tokens; /* expected */
 	unsigned max_connections; /* to one upstream from this instance */
 	const struct place_handle *tried; /* excluded from the choice */
@@ -212,7 +214,10 @@
 
 /*
  * place_choose(place, request, now, handle)
- *	Choose an upstream and count the request as running there.
+ *	Choose an upstream and count the request as running there.  Requests
+ *	for one object go to the same upstream from all instances that know
+ *	the same upstreams, unless its share of running requests is larger
+ *	than others' by half of its slots.
  * RETURN VALUES
  *	false if no upstream can take it.
  */
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -91,6 +91,67 @@
 	place_close(place);
 }
 
+static const char *
+choose_for(struct place *place, uint32_t object, struct place_handle *handle)
+{
+	const struct place_request request = {
+	    .service = "pool", .object = object};
+
+	if (!place_choose(place, &request, 0, handle))
+		return (NULL);
+	return (place_entry_get(place, *handle)->id);
+}
+
+/*
+ * Guards against requests for one object that two instances send to different
+ * upstreams, against objects that move although their upstream stays, and
+ * against an upstream that gets more of them than it can serve.
+ */
+static void
+test_object(void)
+{
+	enum { UPSTREAMS = 5, OBJECTS = 1000 };
+	struct place *a = place_open("a");
+	struct place *b = place_open("a");
+	char chosen[OBJECTS][8];
+	unsigned share[UPSTREAMS] = {0}, stays = 0, shortest = OBJECTS;
+	struct place_handle handle;
+	const char *id;
+
+	for (int i = 0; i < UPSTREAMS; i++) {
+		g_autofree char *first = g_strdup_printf("u%d", i);
+		g_autofree char *last =
+		    g_strdup_printf("u%d", UPSTREAMS - 1 - i);
+
+		add(a, first, 1 + i);
+		add(b, last, UPSTREAMS - i);
+	}
+	for (uint32_t i = 0; i < OBJECTS; i++) {
+		id = choose_for(a, i + 1, &handle);
+		place_request_end(a, handle, PLACE_SERVED, 0);
+		(void)g_strlcpy(chosen[i], id, sizeof(chosen[i]));
+		share[id[1] - '0']++;
+		g_assert_cmpstr(choose_for(b, i + 1, &handle), ==, id);
+		place_request_end(b, handle, PLACE_SERVED, 0);
+	}
+	for (int i = 0; i < UPSTREAMS; i++)
+		shortest = MIN(shortest, share[i]);
+	g_assert_cmpuint(shortest, >=, OBJECTS / UPSTREAMS / 2);
+	place_upstream_remove(b, "u2");
+	for (uint32_t i = 0; i < OBJECTS; i++) {
+		id = choose_for(b, i + 1, &handle);
+		place_request_end(b, handle, PLACE_SERVED, 0);
+		if (strcmp(chosen[i], "u2") != 0)
+			g_assert_cmpstr(id, ==, chosen[i]);
+	}
+	/* At most half of the slots for one object before another takes it. */
+	while (strcmp(choose_for(a, 1, &handle), chosen[0]) == 0)
+		g_assert_cmpuint(++stays, <=, 32);
+	g_assert_cmpuint(stays, >=, 16);
+	place_close(a);
+	place_close(b);
+}
+
 /* A program's turns move to another instance, which got its parts by gossip. */
 static void
 test_locality_gossip(void)
@@ -476,6 +537,7 @@
 	g_test_add_func("/plc/no-token", test_no_token);
 	g_test_add_func("/plc/versions", test_versions);
 	g_test_add_func("/plc/locality", test_locality);
+	g_test_add_func("/plc/object", test_object);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
 	g_test_add_func("/plc/last-part-heard", test_last_part_gossip);
 	g_test_add_func("/plc/shared-part-heard", test_shared_part_gossip);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "lib/rdv.h"
+
 /*
  * A peer that sent no gossip message for this time has timed out: one and a
  * half intervals.  A lost message costs the peer's share until the next one.
@@ -230,24 +232,13 @@
 	return (roster->share);
 }
 
-/* Score of an instance for a key; the homes have the highest. */
-static uint32_t
-home_score(uint32_t key, uint32_t instance)
-{
-	uint32_t hash = key ^ (instance * 0x9e3779b1U);
-
-	hash = (hash ^ (hash >> 16)) * 0x7feb352dU;
-	hash = (hash ^ (hash >> 15)) * 0x846ca68bU;
-	return (hash ^ (hash >> 16));
-}
-
 /* Finds the names of the homes; nil for this instance, and for none. */
 static void
 homes_find(const struct roster *roster, uint32_t key, clk_ms now,
     const char *names[ROSTER_HOMES], bool is_self[ROSTER_HOMES])
 {
 	uint64_t scores[ROSTER_HOMES] = {
-	    1 + (uint64_t)home_score(key, roster->hash)};
+	    1 + (uint64_t)rdv_score(key, roster->hash)};
 	GHashTableIter iter;
 	void *name, *value;
 
@@ -258,7 +249,7 @@
 	g_hash_table_iter_init(&iter, roster->peers);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct peer *peer = value;
-		uint64_t score = 1 + (uint64_t)home_score(key, peer->hash);
+		uint64_t score = 1 + (uint64_t)rdv_score(key, peer->hash);
 		int at = ROSTER_HOMES;
 
 		if (!peer_is_live(peer, now))
