--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -546,6 +546,18 @@
 	g_free(hcp);
 }
 
+void
+hcp_idle_close(struct hcp *hcp)
+{
+	struct hcp_call *next;
+
+	for (struct hcp_call *call = hcp->calls; call != NULL; call = next) {
+		next = call->next;
+		if (call->idle)
+			call_close(call);
+	}
+}
+
 unsigned long
 hcp_opened(const struct hcp *hcp)
 {
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -87,6 +87,12 @@
 /* hcp_cancel(call): close the call's connection; on_end is not called. */
 void hcp_cancel(struct hcp_call *call);
 
+/*
+ * hcp_idle_close(hcp)
+ *	Close all idle connections: what has arrived on one can't be trusted.
+ */
+void hcp_idle_close(struct hcp *hcp);
+
 /* hcp_opened(hcp): how many connections have been opened so far. */
 unsigned long hcp_opened(const struct hcp *hcp);
 
