Rate: no wait for grants that have expired after an owner's death

Cause: a new coordinator of a shard let its buckets fill 2 s later, whether its owner had handed the shard over or had died, as the map did not tell the two apart. After a death, requests within the rate were refused for 2 s more.

Ruled out: leaving the wait out after handovers and after claims of a shard whose owner has stopped, which take effect at once: grants are in use for up to 2 s, and a full bucket beside them would exceed rate and burst.

Change: own tells how long the claim that set the epoch has waited. Owners act, and their grants live, no longer than that wait, so that none is left if it was longer than a grant lives; buckets then fill at once.

--- a/src/daemon/grants.c
+++ b/src/daemon/grants.c
@@ -373,13 +373,12 @@
 
 		if (owned && !known) {
 			/*
-			 * After a claim the former owner's grants must expire
-			 * with its horizon first; after a handover they need
-			 * not.  The shard map does not tell the two apart, so
-			 * every new coordinator waits.
+			 * Grants of former owners may still be in use, unless
+			 * the claim waited for longer than they live.
 			 */
 			rate_coordinator_acquire(grants->coordinator, now,
-			    (uint16_t)s, info.epoch > 1);
+			    (uint16_t)s,
+			    info.epoch > 1 && info.waited < RATE_GRANT_GONE_MS);
 			(void)g_hash_table_add(grants->owned, key);
 		} else if (!owned && known) {
 			rate_coordinator_release(
--- a/src/own/own.c
+++ b/src/own/own.c
@@ -407,9 +407,10 @@
     const struct record_entry *e, clk_ms now)
 {
 	struct shard *sh = own_shard_at(own, e->id);
-	clk_ms wait =
-	    wait_lengthen(own, claim_wait(own, sh, e->id.datacentre, by));
+	clk_ms shortest = claim_wait(own, sh, e->id.datacentre, by);
+	clk_ms wait = wait_lengthen(own, shortest);
 
+	sh->waited = shortest > 0 ? wait : 0;
 	/* Rule 2: the wait of an earlier claim must end as well. */
 	sh->ready_at = MAX(sh->ready_at, now + wait);
 	if (sh->holders_confirmed || sh->epoch == 0)
@@ -444,6 +445,7 @@
 	sh->offset = offset;
 	/* The owner was acting, so every earlier wait has ended. */
 	sh->ready_at = NEVER;
+	sh->waited = 0;
 	own_shard_lose(own, sh);
 	own_epoch_changed(own, sh);
 	if (sh->owner == own->self.session)
@@ -821,6 +823,7 @@
 	memcpy(shard->sources, sh->sources, sizeof(sh->sources));
 	shard->holders_confirmed = sh->holders_confirmed;
 	shard->offset = sh->offset;
+	shard->waited = sh->waited;
 	shard->phase = sh->owned != NULL ? sh->owned->phase : OWN_NONE;
 	return (true);
 }
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -287,6 +287,11 @@
 	bool holders_confirmed;
 	uint64_t sources[OWN_SOURCES];
 	int64_t offset; /* of the record that set the epoch */
+	/*
+	 * How long the claim that set the epoch had to wait; 0: not at all, it
+	 * was a handover, or it is not known.
+	 */
+	clk_ms waited;
 	enum own_phase phase; /* of this session */
 };
 
--- a/src/own/own_impl.h
+++ b/src/own/own_impl.h
@@ -68,6 +68,7 @@
 	bool holders_confirmed;
 	/* Local state of this session. */
 	clk_ms ready_at; /* all claims so far are effective from then on */
+	clk_ms waited; /* see struct own_shard */
 	clk_ms orphan_since; /* -1: has a live owner */
 	struct owned_shard *owned;
 	struct pending_claim *claim;
--- a/src/own/own_snapshot.c
+++ b/src/own/own_snapshot.c
@@ -161,6 +161,8 @@
 	if (sh->owned != NULL && sh->revision != revision)
 		memset(&sh->owned->holders_append, 0,
 		    sizeof(sh->owned->holders_append));
+	if (sh->epoch != e.epoch)
+		sh->waited = 0;
 	sh->epoch = e.epoch;
 	sh->owner = owner;
 	sh->revision = revision;
--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -1364,6 +1364,28 @@
 	    OWN_APPLIED);
 }
 
+/*
+ * Guards against a rate limiter that lets grants of two owners count at once:
+ * only a claim that had to wait says so, not a handover or a claim after a
+ * planned stop.
+ */
+static void
+test_waited(void)
+{
+	struct fixture x;
+
+	fixture_open(&x, C, 4);
+	set_up_owner_a(&x);
+	g_assert_cmpint(shard_of(&x).waited, ==, 0);
+	g_assert_cmpint(
+	    apply(&x, record_of("claim", B, 1, "000000000000000a"), 0), ==,
+	    OWN_APPLIED);
+	g_assert_cmpint(shard_of(&x).waited, >=, TAKEOVER);
+	g_assert_cmpint(apply(&x, handover_of(B, 2, A), 0), ==, OWN_APPLIED);
+	g_assert_cmpint(shard_of(&x).waited, ==, 0);
+	fixture_close(&x);
+}
+
 static void
 decide_and_drop(struct fixture *x, clk_ms now)
 {
@@ -1893,6 +1915,7 @@
 	    "/own/claim-with-lost-reply", test_claim_with_lost_reply);
 	g_test_add_func(
 	    "/own/second-copy-of-handover", test_second_copy_of_handover);
+	g_test_add_func("/own/waited", test_waited);
 	g_test_add_func("/own/restart", test_restart);
 	g_test_add_func("/own/stop-during-outage", test_stop_during_outage);
 	g_test_add_func("/own/closed-by-others", test_closed_by_others);
--- a/src/rate/rate.c
+++ b/src/rate/rate.c
@@ -155,8 +155,7 @@
 	clk_ms *start = g_new(clk_ms, 1);
 
 	rate_coordinator_release(coordinator, shard);
-	*start =
-	    handover ? now + drift_upper_bound(RATE_GRANT_LIFETIME_MS) : now;
+	*start = handover ? now + RATE_GRANT_GONE_MS : now;
 	g_hash_table_insert(coordinator->owned, GUINT_TO_POINTER(shard), start);
 }
 
--- a/src/rate/rate.h
+++ b/src/rate/rate.h
@@ -24,6 +24,10 @@
 
 #define RATE_DRIFT_MAX_PPM     1000 /* largest clock drift allowed for */
 #define RATE_GRANT_LIFETIME_MS (2 * CLK_SECOND)
+/* Time after which a grant has expired, on any clock. */
+#define RATE_GRANT_GONE_MS \
+	(RATE_GRANT_LIFETIME_MS + \
+	    RATE_GRANT_LIFETIME_MS * 3 * RATE_DRIFT_MAX_PPM / 1000000 + 2)
 /* Longest wait for a token after the coordinator granted too few. */
 #define RATE_REFUSED_WAIT_MS ((clk_ms)150)
 /*
