--- a/src/own/own.c
+++ b/src/own/own.c
@@ -407,10 +407,10 @@
     const struct record_entry *e, clk_ms now)
 {
 	struct shard *sh = own_shard_at(own, e->id);
-	clk_ms shortest = claim_wait(own, sh, e->id.datacentre, by);
-	clk_ms wait = wait_lengthen(own, shortest);
+	clk_ms base = claim_wait(own, sh, e->id.datacentre, by);
+	clk_ms wait = wait_lengthen(own, base);
 
-	sh->waited = shortest > 0 ? wait : 0;
+	sh->waited = base > 0 ? wait : 0;
 	/* Rule 2: the wait of an earlier claim must end as well. */
 	sh->ready_at = MAX(sh->ready_at, now + wait);
 	if (sh->holders_confirmed || sh->epoch == 0)
--- a/src/own/test_own.c
+++ b/src/own/test_own.c
@@ -1366,8 +1366,8 @@
 
 /*
  * Guards against a rate limiter that lets grants of two owners count at once:
- * only a claim that had to wait says so, not a handover or a claim after a
- * planned stop.
+ * a claim that had to wait says so, and neither the first claim nor a handover
+ * does.
  */
 static void
 test_waited(void)
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -114,7 +114,7 @@
 	struct place *a = place_open("a");
 	struct place *b = place_open("a");
 	char chosen[OBJECTS][8];
-	unsigned share[UPSTREAMS] = {0}, stays = 0, shortest = OBJECTS;
+	unsigned share[UPSTREAMS] = {0}, stays = 0, smallest = OBJECTS;
 	struct place_handle handle;
 	const char *id;
 
@@ -135,8 +135,8 @@
 		place_request_end(b, handle, PLACE_SERVED, 0);
 	}
 	for (int i = 0; i < UPSTREAMS; i++)
-		shortest = MIN(shortest, share[i]);
-	g_assert_cmpuint(shortest, >=, OBJECTS / UPSTREAMS / 2);
+		smallest = MIN(smallest, share[i]);
+	g_assert_cmpuint(smallest, >=, OBJECTS / UPSTREAMS / 2);
 	place_upstream_remove(b, "u2");
 	for (uint32_t i = 0; i < OBJECTS; i++) {
 		id = choose_for(b, i + 1, &handle);
