--- a/src/daemon/grants.c
+++ b/src/daemon/grants.c
@@ -378,7 +378,7 @@
 			 */
 			rate_coordinator_acquire(grants->coordinator, now,
 			    (uint16_t)s,
-			    info.epoch > 1 && info.waited < RATE_GRANT_GONE_MS);
+			    info.epoch > 1 && info.waited < rate_grant_gone());
 			(void)g_hash_table_add(grants->owned, key);
 		} else if (!owned && known) {
 			rate_coordinator_release(
--- a/src/rate/rate.c
+++ b/src/rate/rate.c
@@ -53,6 +53,12 @@
 	return (d + d * 3 * RATE_DRIFT_MAX_PPM / PPM + 2);
 }
 
+clk_ms
+rate_grant_gone(void)
+{
+	return (drift_upper_bound(RATE_GRANT_LIFETIME_MS));
+}
+
 /* A time on another clock during which at most d ms pass on this one. */
 static clk_ms
 drift_lower_bound(clk_ms d)
@@ -155,7 +161,7 @@
 	clk_ms *start = g_new(clk_ms, 1);
 
 	rate_coordinator_release(coordinator, shard);
-	*start = handover ? now + RATE_GRANT_GONE_MS : now;
+	*start = handover ? now + rate_grant_gone() : now;
 	g_hash_table_insert(coordinator->owned, GUINT_TO_POINTER(shard), start);
 }
 
--- a/src/rate/rate.h
+++ b/src/rate/rate.h
@@ -24,10 +24,6 @@
 
 #define RATE_DRIFT_MAX_PPM     1000 /* largest clock drift allowed for */
 #define RATE_GRANT_LIFETIME_MS (2 * CLK_SECOND)
-/* Time after which a grant has expired, on any clock. */
-#define RATE_GRANT_GONE_MS \
-	(RATE_GRANT_LIFETIME_MS + \
-	    RATE_GRANT_LIFETIME_MS * 3 * RATE_DRIFT_MAX_PPM / 1000000 + 2)
 /* Longest wait for a token after the coordinator granted too few. */
 #define RATE_REFUSED_WAIT_MS ((clk_ms)150)
 /*
@@ -73,6 +69,9 @@
 rate_coordinator_new(rate_limit_cb *limit_of, void *arg);
 void rate_coordinator_free(struct rate_coordinator *coordinator);
 
+/* rate_grant_gone(): time after which a grant has expired, on any clock. */
+clk_ms rate_grant_gone(void);
+
 /*
  * rate_coordinator_acquire(coordinator, now, shard, handover)
  *	Start to coordinate the shard, which this instance now owns.  Buckets
