Edge: one rule for the choice of an upstream and its check before the send

Cause: edge_upstream_send() chooses an upstream under the version that edge_version_request() gives, which is the plan's for a stream whose record was refused, and an upstream that is leaving stays open to requests bound to a version for a quarter of drain_ms. edge_upstream_start() then asked place_is_open() with call->version, which is nil for such a stream: closed. edge_upstream_refused() takes the attempt back and chooses again, the same upstream, without an end.

Ruled out: a choice that differs with time (both ask with the same clock, and the next choice would then be closed as well); the refusals of tokens, which TOKEN_ASKS_MAX bounds; attempts that end in hcp, which use up attempts.

Change: the call keeps whether its choice was bound to a version, and the check before the send uses that. Any later difference ends with the next choice. Looked at for the same cause: edge_version_admit() and place_held_until() only refuse; a stream that an append of unknown outcome binds after the choice is chosen again once, under the bound rule.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -111,6 +111,7 @@
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
 	struct place_handle handle;
+	bool is_choice_bound; /* handle was chosen for its software version */
 	struct place_handle tried[EDGE_MAX_ATTEMPTS];
 	char upstream_id[EDGE_UPSTREAM_ID_MAX + 1];
 	unsigned attempts;
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -131,6 +131,7 @@
 			return (false);
 	}
 	call->tried[call->attempts++] = call->handle;
+	call->is_choice_bound = request.version != NULL;
 	call->throttle_max_wait = request.max_wait;
 	return (true);
 }
@@ -254,8 +255,8 @@
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autoptr(GString) out = g_string_sized_new(1024);
 
-	if (!place_is_open(edge->deps.place, call->handle, call->version,
-		edge_now(edge))) {
+	if (!place_is_open(edge->deps.place, call->handle,
+		call->is_choice_bound, edge_now(edge))) {
 		/* It leaves, or has left, while the request waited. */
 		edge_upstream_refused(call);
 		return;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -388,13 +388,12 @@
  */
 static bool
 is_open(const struct place *place, const struct upstream *upstream,
-    const char *version, clk_ms now)
+    bool is_bound, clk_ms now)
 {
 	if (now < upstream->doubted_until)
 		return (false);
 	return (!is_leaving(upstream) ||
-	    (version != NULL &&
-		now - upstream->leaving_since < place->last_resort));
+	    (is_bound && now - upstream->leaving_since < place->last_resort));
 }
 
 void
@@ -498,12 +497,12 @@
 
 bool
 place_is_open(const struct place *place, struct place_handle handle,
-    const char *version, clk_ms now)
+    bool is_bound, clk_ms now)
 {
 	const struct upstream *upstream = lookup(place, handle);
 
 	return (upstream != NULL && !upstream->is_removed &&
-	    is_open(place, upstream, version, now));
+	    is_open(place, upstream, is_bound, now));
 }
 
 unsigned
@@ -794,7 +793,7 @@
 	const struct upstream *upstream = place->upstreams->pdata[index];
 
 	return (upstream->in_use && !upstream->is_removed &&
-	    is_open(place, upstream, request->version, now) &&
+	    is_open(place, upstream, request->version != NULL, now) &&
 	    strcmp(upstream->service, request->service) == 0 &&
 	    (request->version == NULL ||
 		g_strcmp0(upstream->version, request->version) == 0) &&
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -243,14 +243,14 @@
 /*
  * place_entry_get(place, handle)
  *	Return the upstream's entry, or nil if it was removed.
- * place_is_open(place, handle, version, now)
- *	Whether the upstream, chosen for a request that is bound to version
- *	(nil: to none), may still get it.
+ * place_is_open(place, handle, is_bound, now)
+ *	Whether the upstream may still get the request that it was chosen for.
+ *	is_bound says whether that choice was restricted to a version.
  */
 const struct place_entry *
 place_entry_get(const struct place *place, struct place_handle handle);
 bool place_is_open(const struct place *place, struct place_handle handle,
-    const char *version, clk_ms now);
+    bool is_bound, clk_ms now);
 
 /* How a request ended at an upstream. */
 enum place_outcome {
