History: a turn ends once its ancestors are kept as long as itself

Cause: the records of ancestors that expire before the turn were rewritten by one append each, begun at the turn's end, that nobody waited for. The turn's own record is retried for 1.8 s. If the store was away for a part of that, the turn was answered whole without its chain, and the next turn, which was to retry, comes up to a retention later, when the sweeper has dropped the record. An ancestor that the cache had evicted meanwhile was not rewritten at all.

Evidence: the log's turn_not_renewed during the outage, and turn_missing with found=0 for the same ids at the fourth turns.

Ruled out: the sweeper dropping a record that was just rewritten (its drop expects the end that it has read); a read of a part of the pages.

Change: ancestors are rewritten when the history has been assembled, from its own bytes, while the turn runs, with the retries that the record of the turn has, and the end of the turn waits for them too. A turn whose chain can't be kept in time ends without its end, as one that can't be recorded does. Age counts at the turn's deadline.

Looked at for the same cause (a write that nobody waits for): returns of grants are retried without limit, ledgers are written after each use; records of streams are awaited.

--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -1,8 +1,9 @@
 /*
- * The history of a turn.  It is read from the store before the turn runs.
- * The turn itself is recorded before the end of its response is sent, so that
- * every turn that a caller received completely survives a power loss of all
- * instances.
+ * The history of a turn.  It is read from the store before the turn runs, and
+ * the records of it that would expire before the turn does are rewritten while
+ * it runs.  The turn itself is recorded before the end of its response is
+ * sent, so that every turn that a caller received completely survives, with
+ * its history, a power loss of all instances.
  */
 #include <string.h>
 
@@ -25,32 +26,45 @@
 #define CALLER_GAP_PAUSES     8
 #define RECORD_MARGIN_MS      200
 
+struct history_op;
+
+/* Start, or start again, the store call of an operation. */
+typedef void history_op_start(struct history_op *op);
+
 /* A store call with retries: reads a turn of the chain, or writes one. */
 struct history_op {
 	struct edge_call *call;
+	history_op_start *start;
 	char *id; /* turn to read or renew; nil: record the call's turn */
+	GByteArray *value; /* of the record to renew */
+	clk_ms recorded; /* time of day in that record */
 	clk_ms started;
 	clk_ms backoff; /* before the next attempt */
 	struct ev_timer timer;
 };
 
-static void read_turn(struct history_op *op);
-static void record_turn(struct history_op *op);
+static history_op_start read_turn;
+static history_op_start renew_turn;
+static history_op_start record_turn;
 
 static void
 history_op_free(struct history_op *op)
 {
 	edge_call_unref(op->call);
+	if (op->value != NULL)
+		(void)g_byte_array_unref(op->value);
 	g_free(op->id);
 	g_free(op);
 }
 
 static struct history_op *
-history_op_new(struct edge_call *call, const char *id)
+history_op_new(
+    struct edge_call *call, history_op_start *start, const char *id)
 {
 	struct history_op *op = g_new0(struct history_op, 1);
 
 	op->call = edge_call_ref(call);
+	op->start = start;
 	op->id = g_strdup(id);
 	op->started = edge_now(call->edge);
 	op->backoff = STORE_BACKOFF_MIN_MS;
@@ -64,10 +78,7 @@
 
 	(void)loop;
 	(void)events;
-	if (op->id != NULL)
-		read_turn(op);
-	else
-		record_turn(op);
+	op->start(op);
 }
 
 static void
@@ -79,6 +90,30 @@
 	ev_timer_start(op->call->edge->deps.loop, &op->timer);
 }
 
+/*
+ * The ancestors of a turn have to be kept as long as the turn itself: rewrite
+ * the record of one that would expire earlier.
+ */
+static void
+renew_if_needed(struct edge_call *call, const struct turn *turn)
+{
+	clk_ms wall = clk_wall_ms();
+	clk_ms left = call->deadline - edge_now(call->edge);
+	struct history_op *op;
+	struct turn again;
+
+	/* The turn ends at its deadline at the latest. */
+	if (!turn_needs_renewal(turn, call->route->retention, wall + left))
+		return;
+	again = *turn;
+	again.recorded = wall;
+	op = history_op_new(call, renew_turn, turn->id);
+	op->value = turn_encode(&again);
+	op->recorded = wall;
+	call->renewals++;
+	renew_turn(op);
+}
+
 /*
  * Assemble the history from the cache.  Reads missing turns first; continues
  * with the budget when all turns of the chain are cached.
@@ -94,7 +129,8 @@
 
 	if (previous == NULL) {
 		call->turns_missing = 1;
-		read_turn(history_op_new(call, call->request.previous_turn));
+		read_turn(history_op_new(
+		    call, read_turn, call->request.previous_turn));
 		return;
 	}
 	if (call->organisation != NULL &&
@@ -112,7 +148,7 @@
 			continue;
 		}
 		call->turns_missing++;
-		read_turn(history_op_new(call, id));
+		read_turn(history_op_new(call, read_turn, id));
 	}
 	if (call->turns_missing > 0)
 		return;
@@ -126,6 +162,7 @@
 		(void)g_byte_array_append(
 		    call->history, turn->output->data, turn->output->len);
 		g_ptr_array_add(call->turn->ancestors, g_strdup(turn->id));
+		renew_if_needed(call, turn);
 	}
 	edge_budget_acquire(call);
 }
@@ -212,75 +249,100 @@
 		history_assemble(call);
 }
 
+/* The longest time for which a turn's end waits for its record. */
+static clk_ms
+record_deadline(const struct edge_call *call)
+{
+	clk_ms objective = CALLER_GAP_OBJECTIVES * call->route->target_latency;
+	clk_ms pauses = CALLER_GAP_PAUSES * call->route->target_gap;
+
+	return (MAX(CALLER_GAP_MS, MAX(objective, pauses)) - RECORD_MARGIN_MS);
+}
+
 static void
-on_renewed(void *arg, const struct store_reply *reply)
+finish_stream(struct edge_call *call)
 {
-	struct history_op *op = arg;
-	struct edge *edge = op->call->edge;
+	struct hsv_call *client = call->client;
 
-	if (reply->status == STORE_OK)
-		turn_cache_renewed(edge->turns, op->id, clk_wall_ms());
-	else
-		/* The next turn of the chain retries. */
-		lg_event(edge->deps.lg, LG_WARNING, "turn_not_renewed",
-		    "turn=%s status=%d", op->id, reply->status);
-	history_op_free(op);
+	if (client == NULL)
+		return;
+	edge_call_end(call, "served", 200);
+	hsv_stream_end(client);
 }
 
 /*
- * The ancestors of a turn have to be kept as long as the turn itself: rewrite
- * those whose records would expire earlier.
+ * Send the end of the response, once the turn and its ancestors are recorded
+ * for as long as the turn is to be kept.
  */
 static void
-renew_ancestors(struct edge_call *call)
+turn_finish(struct edge_call *call)
 {
-	struct edge *edge = call->edge;
-	const struct store *store = &edge->deps.store;
-	const GPtrArray *ancestors = call->turn->ancestors;
-	clk_ms wall = clk_wall_ms();
+	if (call->record_since > 0 && call->turn == NULL && call->renewals == 0)
+		finish_stream(call);
+}
 
-	for (guint i = 0; i < ancestors->len; i++) {
-		const char *id = ancestors->pdata[i];
-		const struct turn *turn =
-		    turn_cache_get(edge->turns, id, edge_now(edge));
-		const struct store_partition partition = {
-		    STORE_TURNS, store_slot(id)};
-		g_autoptr(GByteArray) value = NULL;
-		struct store_record record;
-		struct turn again;
-
-		if (turn == NULL ||
-		    !turn_needs_renewal(turn, call->route->retention, wall))
-			continue;
-		again = *turn;
-		again.recorded = wall;
-		value = turn_encode(&again);
-		record = (struct store_record){id, value->data, value->len};
-		store->ops->append(store->impl, &partition, STORE_ANY_END,
-		    &record, 1, STORE_TIMEOUT_MS, on_renewed,
-		    history_op_new(call, id));
+/*
+ * Try again, as long as the caller may wait for the end of the turn.  Frees
+ * the operation otherwise.
+ */
+static void
+write_retry(struct history_op *op)
+{
+	struct edge_call *call = op->call;
+	struct hsv_call *client = call->client;
+
+	if (call->record_since == 0 ||
+	    edge_now(call->edge) - call->record_since < record_deadline(call)) {
+		history_op_retry(op);
+		return;
 	}
+	edge_call_end(call, "turn_not_recorded", 0);
+	hsv_abort(client);
+	history_op_free(op);
 }
 
-/* The longest time for which a turn's end waits for its record. */
-static clk_ms
-record_deadline(const struct edge_call *call)
+static void
+on_renewed(void *arg, const struct store_reply *reply)
 {
-	clk_ms objective = CALLER_GAP_OBJECTIVES * call->route->target_latency;
-	clk_ms pauses = CALLER_GAP_PAUSES * call->route->target_gap;
+	struct history_op *op = arg;
+	struct edge_call *call = op->call;
+	struct edge *edge = call->edge;
 
-	return (MAX(CALLER_GAP_MS, MAX(objective, pauses)) - RECORD_MARGIN_MS);
+	if (reply->status == STORE_OK)
+		turn_cache_renewed(edge->turns, op->id, op->recorded);
+	if (call->client == NULL) {
+		history_op_free(op);
+		return;
+	}
+	if (reply->status != STORE_OK) {
+		lg_event(edge->deps.lg, LG_WARNING, "turn_not_renewed",
+		    "request=%s turn=%s status=%d waited_ms=%" G_GINT64_FORMAT,
+		    call->request.id, op->id, reply->status,
+		    edge_now(edge) - op->started);
+		write_retry(op);
+		return;
+	}
+	call->renewals--;
+	turn_finish(call);
+	history_op_free(op);
 }
 
+/* Idempotent: a retry appends the same key and value. */
 static void
-finish_stream(struct edge_call *call)
+renew_turn(struct history_op *op)
 {
-	struct hsv_call *client = call->client;
+	const struct store *store = &op->call->edge->deps.store;
+	const struct store_partition partition = {
+	    STORE_TURNS, store_slot(op->id)};
+	const struct store_record record = {
+	    op->id, op->value->data, op->value->len};
 
-	if (client == NULL)
+	if (op->call->client == NULL) {
+		history_op_free(op);
 		return;
-	edge_call_end(call, "served", 200);
-	hsv_stream_end(client);
+	}
+	store->ops->append(store->impl, &partition, STORE_ANY_END, &record, 1,
+	    STORE_TIMEOUT_MS, on_renewed, op);
 }
 
 static void
@@ -289,25 +351,17 @@
 	struct history_op *op = arg;
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
-	struct hsv_call *client = call->client;
-	clk_ms now = edge_now(edge);
 
-	if (client == NULL) {
+	if (call->client == NULL) {
 		history_op_free(op);
-		return;
-	}
-	if (reply->status == STORE_OK) {
-		turn_cache_put(edge->turns, call->turn, now);
+	} else if (reply->status == STORE_OK) {
+		turn_cache_put(edge->turns, call->turn, edge_now(edge));
 		call->turn = NULL;
-		finish_stream(call);
-	} else if (now - call->record_since < record_deadline(call)) {
-		history_op_retry(op);
-		return;
+		turn_finish(call);
+		history_op_free(op);
 	} else {
-		edge_call_end(call, "turn_not_recorded", 0);
-		hsv_abort(client);
+		write_retry(op);
 	}
-	history_op_free(op);
 }
 
 static void
@@ -341,6 +395,5 @@
 		return;
 	}
 	call->record_since = edge_now(call->edge);
-	renew_ancestors(call);
-	record_turn(history_op_new(call, NULL));
+	record_turn(history_op_new(call, record_turn, NULL));
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -86,7 +86,9 @@
 	struct turn *turn; /* nil: not recorded */
 	GByteArray *history; /* inputs and outputs of the previous turns */
 	unsigned turns_missing; /* store reads in progress */
-	clk_ms record_since; /* time of the first attempt to record the turn */
+	unsigned renewals; /* ancestors whose records are being rewritten */
+	/* Time of the first attempt to record the turn; 0: it has not ended. */
+	clk_ms record_since;
 	/* Budget. */
 	int64_t reserved;
 	char *lender; /* name of the last instance asked for a loan */
