History: a turn without an organisation continues only one without

Cause: history_assemble() compared the organisation of the turn before only if the request had one. A request on a public route has none, so any turn passed.

Ruled out: the record's organisation lost on the way (the same turn named with another organisation's key was refused before: /instance/other-organisation).

Change: the turn that is to be recorded states whose it is, "" on public routes, and that is compared always. Any other turn is 404, as one that does not exist.

Looked at for the same cause: records of streams have the organisation in their key, "" on public routes; crash fingerprints too.

--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -133,8 +133,7 @@
 		    call, read_turn, call->request.previous_turn));
 		return;
 	}
-	if (call->organisation != NULL &&
-	    strcmp(previous->organisation, call->organisation->name) != 0) {
+	if (strcmp(previous->organisation, call->turn->organisation) != 0) {
 		edge_refuse_not_run(
 		    call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
 		return;
