Budget: a grant whose return may still take effect is not used

Cause: an instance gives the unused part of a grant back by an append that expects the partition's end. If the append has no answer, the ledger is read again, which took the grant for not returned as long as it stood there. A turn that waited was then served from the grant, without a write, so the end stayed and the return, still on its way, took effect later: the tokens were granted once more while this instance used them. Two holders of the same tokens.

Ruled out: an append of a grant that takes effect late (the session then holds less than the ledger says); ledgers read from a part of the pages.

Change: the end that an append of unknown outcome expects is kept. Until the partition has moved beyond it, a grant that may be on its way back serves no turn; the next turn writes the grant again at that end, so that of the two appends only one takes effect. A ledger that fails to be read in time keeps that state.

Looked at for the same cause, a conditional write that is taken for not done because a read does not show it: the sweeper's drops and the steps of plans act on what is read later, and lose nothing if they come late. Records of streams already count an append without an answer as possible.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -23,7 +23,12 @@
 	int64_t reserved; /* by turns that run here */
 	bool is_spent; /* no tokens are left, here or at other sessions */
 	bool is_first; /* at the last grant no other session had one */
-	bool is_returning; /* a return of tokens is in flight */
+	bool is_returning; /* a return of tokens may be in flight */
+	/*
+	 * End offset that an append with an unknown outcome expects, which may
+	 * still take effect at this end; -1: none.
+	 */
+	int64_t unsettled_end;
 	clk_ms held_until; /* the rest is granted to other sessions */
 	clk_ms last_used; /* by a turn or a change of the ledger */
 	char *ledger; /* as last read or written; nil: none */
@@ -84,6 +89,7 @@
 	if (program == NULL) {
 		program = g_new0(struct program, 1);
 		program->id = g_strdup(id);
+		program->unsettled_end = -1;
 		(void)g_hash_table_insert(
 		    budgets->programs, program->id, program);
 	}
@@ -91,14 +97,19 @@
 	return (program);
 }
 
+/* Unused tokens of the grant, as far as its return has not taken effect. */
 static int64_t
-available(const struct program *program)
+unused(const struct program *program)
 {
-	if (program->is_returning)
-		return (0);
 	return (program->granted - program->used - program->reserved);
 }
 
+static int64_t
+available(const struct program *program)
+{
+	return (program->is_returning ? 0 : unused(program));
+}
+
 enum budget_verdict
 budget_reserve(
     struct budgets *budgets, const char *id, int64_t turn_max, clk_ms now)
@@ -196,7 +207,11 @@
 	program->ledger_len = record != NULL ? record->len : 0;
 	program->end = end;
 	program->is_current = true;
-	program->is_returning = false;
+	/* An append takes effect at the end that it expects, or never. */
+	if (end > program->unsettled_end) {
+		program->unsettled_end = -1;
+		program->is_returning = false;
+	}
 	ledger_parse(&ledger, program, 0);
 	program->granted = ledger_grant(&ledger, budgets->session);
 	json_decref(ledger.grants);
@@ -211,6 +226,15 @@
 		program->is_current = false;
 }
 
+void
+budget_append_unsettled(struct budgets *budgets, const char *id, int64_t end)
+{
+	struct program *program = g_hash_table_lookup(budgets->programs, id);
+
+	if (program != NULL)
+		program->unsettled_end = end;
+}
+
 enum budget_step
 budget_grant_take(struct budgets *budgets, const char *id, int64_t budget,
     int64_t turn_max, int64_t overdraft, char **value, int64_t *end, clk_ms now,
@@ -229,12 +253,16 @@
 	ledger_parse(&ledger, program, budget);
 	sum = ledger_sum(&ledger);
 	left = ledger.budget - sum;
-	if (available(program) + left < turn_max)
-		left = MIN(left + overdraft, turn_max - available(program));
+	if (unused(program) + left < turn_max)
+		left = MIN(left + overdraft, turn_max - unused(program));
 	program->is_first = sum == program->granted;
 	turns = program->is_first ? GRANT_TURNS_FIRST : GRANT_TURNS_OTHER;
-	take = MIN(turns * turn_max - available(program), left);
-	if (available(program) + take < turn_max) {
+	/*
+	 * If a return may be in flight, the grant is written again even if it
+	 * suffices: after that the return can't take effect.
+	 */
+	take = CLAMP(turns * turn_max - unused(program), 0, MAX(left, 0));
+	if (unused(program) + take < turn_max) {
 		program->is_spent = sum == program->granted;
 		step = program->is_spent ? BUDGET_NO_TOKENS
 					 : BUDGET_HELD_ELSEWHERE;
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -74,10 +74,16 @@
  *	end is the end offset of its partition in the store.
  * budget_ledger_invalidate(budgets, program)
  *	The ledger may have changed: it has to be read again.
+ * budget_append_unsettled(budgets, program, end)
+ *	The outcome of an append that expects the end offset end is unknown:
+ *	it may still take effect, until something else is appended there.  A
+ *	grant that it returns isn't used until then.
  */
 void budget_ledger_set(struct budgets *budgets, const char *program,
     const struct store_record *record, int64_t end, clk_ms now);
 void budget_ledger_invalidate(struct budgets *budgets, const char *program);
+void budget_append_unsettled(
+    struct budgets *budgets, const char *program, int64_t end);
 
 /*
  * budget_grant_take(budgets, program, budget, turn_max, overdraft, ...)
--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -11,6 +11,9 @@
 #define ORDERS	 20000
 #define STEPS	 60
 #define TURN_MAX 60
+/* Budgets of which little, or all, is used in an order. */
+#define AMPLE  600
+#define SCARCE 150
 
 /* An append whose reply was lost and that may still be executed. */
 struct late_append {
@@ -80,7 +83,7 @@
 		return;
 	}
 	if (chance(w, 0.2)) {
-		/* Refused, or executed now or later; the reply is lost. */
+		/* Executed now or later, or not at all; the reply is lost. */
 		if (chance(w, 0.5)) {
 			(void)store_append(w, value, end);
 		} else {
@@ -91,6 +94,7 @@
 			late->end = end;
 			g_ptr_array_add(w->late, late);
 		}
+		budget_append_unsettled(w->sessions[i], "p", end);
 		budget_ledger_invalidate(w->sessions[i], "p");
 		return;
 	}
@@ -198,10 +202,11 @@
 
 /* Runs random events; returns false if the budget was exceeded. */
 static bool
-run_events(guint32 seed, bool unconditional, bool overdraws, unsigned *turns)
+run_events(guint32 seed, int64_t budget, bool unconditional, bool overdraws,
+    unsigned *turns)
 {
 	struct world w = {.rand = g_rand_new_with_seed(seed),
-	    .budget = 600,
+	    .budget = budget,
 	    .unconditional = unconditional,
 	    .overdraws = overdraws};
 	int64_t most = w.budget + (overdraws ? TURN_MAX : 0);
@@ -233,7 +238,7 @@
 	unsigned turns = 0;
 
 	for (guint32 seed = 1; seed <= ORDERS; seed++) {
-		if (!run_events(seed, false, false, &turns))
+		if (!run_events(seed, AMPLE, false, false, &turns))
 			g_error("seed %u: budget exceeded", seed);
 	}
 	g_print("# figure: %d orders, %u turns, 0 above the budget\n", ORDERS,
@@ -241,6 +246,61 @@
 	g_assert_cmpuint(turns, >, 2 * ORDERS);
 }
 
+/*
+ * Guards against a grant that is used while its return may still take effect:
+ * the same property where others take at once what was returned.
+ */
+static void
+test_orders_scarce(void)
+{
+	unsigned turns = 0;
+
+	for (guint32 seed = 1; seed <= ORDERS; seed++) {
+		if (!run_events(seed, SCARCE, false, false, &turns))
+			g_error("seed %u: budget exceeded", seed);
+	}
+	g_print("# figure: %d orders, %u turns, 0 above the budget\n", ORDERS,
+	    turns);
+	g_assert_cmpuint(turns, >, 2 * ORDERS);
+}
+
+/*
+ * Guards against the same, step by step: a return has no answer, the ledger is
+ * as before, and a turn comes.  The grant is written again before it is used.
+ */
+static void
+test_return_unsettled(void)
+{
+	const char *ledger = "{\"budget\":600,\"grants\":{\"a/1\":180}}";
+	struct store_record record = {"p", ledger, strlen(ledger)};
+	struct budgets *budgets = budget_open("a/1", 60000);
+	g_autofree char *value = NULL;
+	int64_t end = 0;
+
+	budget_ledger_set(budgets, "p", &record, 7, 0);
+	g_assert_cmpint(
+	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_RESERVED);
+	budget_settle(budgets, "p", TURN_MAX, TURN_MAX, 0);
+	g_assert_cmpint(budget_grant_return(budgets, "p", &value, &end, 0), ==,
+	    BUDGET_WRITE_LEDGER);
+	g_assert_cmpint(end, ==, 7);
+	budget_append_unsettled(budgets, "p", end);
+	budget_ledger_invalidate(budgets, "p");
+	budget_ledger_set(budgets, "p", &record, 7, 0);
+	g_assert_cmpint(
+	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_GRANT_NEEDED);
+	g_clear_pointer(&value, g_free);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 600, TURN_MAX, 0,
+			    &value, &end, 0, 0),
+	    ==, BUDGET_WRITE_LEDGER);
+	g_assert_cmpint(end, ==, 7);
+	record = (struct store_record){"p", value, strlen(value)};
+	budget_ledger_set(budgets, "p", &record, 8, 0);
+	g_assert_cmpint(
+	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_RESERVED);
+	budget_close(budgets);
+}
+
 /*
  * Property: sessions that take others for crashed, rightly or not, exceed the
  * budget by one turn at most.
@@ -251,7 +311,7 @@
 	unsigned turns = 0;
 
 	for (guint32 seed = 1; seed <= ORDERS; seed++) {
-		if (!run_events(seed, false, true, &turns))
+		if (!run_events(seed, AMPLE, false, true, &turns))
 			g_error("seed %u: budget exceeded", seed);
 	}
 	g_print("# figure: %d orders, %u turns, 0 above the budget and one "
@@ -309,7 +369,7 @@
 	unsigned exceeded = 0;
 
 	for (guint32 seed = 1; seed <= 2000; seed++)
-		exceeded += !run_events(seed, true, false, &turns);
+		exceeded += !run_events(seed, AMPLE, true, false, &turns);
 	g_assert_cmpuint(exceeded, >, 0);
 }
 
@@ -451,6 +511,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/bgt/orders", test_orders);
+	g_test_add_func("/bgt/orders-scarce", test_orders_scarce);
+	g_test_add_func("/bgt/return-unsettled", test_return_unsettled);
 	g_test_add_func("/bgt/orders-overdraft", test_orders_overdraft);
 	g_test_add_func("/bgt/overdraft", test_overdraft);
 	g_test_add_func("/bgt/orders-unconditional", test_orders_unconditional);
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -38,6 +38,7 @@
 	GQueue waiting; /* struct reservation */
 	clk_ms started;
 	char *value; /* record that is being appended */
+	int64_t end; /* end offset that this append expects */
 	clk_ms backoff; /* before the next attempt */
 	unsigned held; /* attempts that found the rest held by other sessions */
 	struct ev_timer timer;
@@ -210,6 +211,24 @@
 	return (backoff);
 }
 
+/* The append failed, or its outcome is unknown. */
+static void
+append_failed(struct edge_ledger *ledger, enum store_status status)
+{
+	struct edge *edge = ledger->edge;
+	char quoted[80];
+
+	lg_event(edge->deps.lg, LG_INFO, "ledger_not_written",
+	    "program=%s status=%d expected_end=%" G_GINT64_FORMAT " waiting=%u",
+	    lg_quote(quoted, sizeof(quoted), ledger->program), status,
+	    ledger->end, ledger->waiting.length);
+	if (status == STORE_UNKNOWN)
+		budget_append_unsettled(
+		    edge->budgets, ledger->program, ledger->end);
+	ledger_reread(
+	    ledger, status == STORE_CONFLICT ? 0 : backoff_next(ledger));
+}
+
 static void
 on_appended(void *arg, const struct store_reply *reply)
 {
@@ -218,15 +237,13 @@
 	struct store_record record = {
 	    ledger->program, ledger->value, strlen(ledger->value)};
 
-	if (reply->status == STORE_OK) {
-		budget_ledger_set(edge->budgets, ledger->program, &record,
-		    reply->end, edge_now(edge));
-		ledger_serve_waiting(ledger);
-	} else {
-		/* If the outcome is unknown, the next read shows it. */
-		ledger_reread(ledger,
-		    reply->status == STORE_CONFLICT ? 0 : backoff_next(ledger));
+	if (reply->status != STORE_OK) {
+		append_failed(ledger, reply->status);
+		return;
 	}
+	budget_ledger_set(edge->budgets, ledger->program, &record, reply->end,
+	    edge_now(edge));
+	ledger_serve_waiting(ledger);
 }
 
 static void
@@ -314,17 +331,16 @@
 	    STORE_BUDGETS, store_slot(ledger->program)};
 	struct store_record record;
 	enum budget_step step;
-	int64_t end = 0;
 
 	g_clear_pointer(&ledger->value, g_free);
 	if (reservation != NULL)
 		step = budget_grant_take(edge->budgets, ledger->program,
 		    reservation->budget, reservation->tokens,
-		    overdraft_of(reservation), &ledger->value, &end,
+		    overdraft_of(reservation), &ledger->value, &ledger->end,
 		    edge_now(edge), clk_wall_ms());
 	else
 		step = budget_grant_return(edge->budgets, ledger->program,
-		    &ledger->value, &end, clk_wall_ms());
+		    &ledger->value, &ledger->end, clk_wall_ms());
 	switch (step) {
 	case BUDGET_GRANT_SUFFICES:
 		ledger_serve_waiting(ledger);
@@ -336,7 +352,8 @@
 	case BUDGET_WRITE_LEDGER:
 		record = (struct store_record){
 		    ledger->program, ledger->value, strlen(ledger->value)};
-		store->ops->append(store->impl, &partition, end, &record, 1,
+		store->ops->append(store->impl, &partition, ledger->end,
+		    &record, 1,
 		    STORE_TIMEOUT_MS, on_appended, ledger);
 		break;
 	case BUDGET_NO_TOKENS:
