Stop: late requests are refused, unfinished ones are answered

Cause: connections with a request under way stay open after the instance has stopped accepting, and a request that is whole at last was handled as any other, with the time that it states, which goes beyond the end of the grace. The process then left with connections open.

Evidence: a body of which one half comes 2.7 s after the signal, with a grace of 4 s: passed on, no answer. A request at a silent upstream: closed at 3.6 s.

Ruled out: new connections (accepted for 2.5 s and answered with a close), and pipelined requests (not read after an answer that closes).

Change: edge_drain() gets the time at which calls are ended at the latest. After edge_stop() a request whose time lasts longer is refused at once, not run, with a short Retry-After; at that time all calls that are left are answered as at their deadline: 504 "may have run", or 503 if nothing was sent.

--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -290,8 +290,8 @@
 	g_assert_cmpint(
 	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_GRANT_NEEDED);
 	g_clear_pointer(&value, g_free);
-	g_assert_cmpint(budget_grant_take(budgets, "p", 600, TURN_MAX, 0,
-			    &value, &end, 0, 0),
+	g_assert_cmpint(budget_grant_take(
+			    budgets, "p", 600, TURN_MAX, 0, &value, &end, 0, 0),
 	    ==, BUDGET_WRITE_LEDGER);
 	g_assert_cmpint(end, ==, 7);
 	record = (struct store_record){"p", value, strlen(value)};
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -113,6 +113,7 @@
 	    1);
 	/* The request's strings point into the head that the client owns. */
 	call->client = NULL;
+	g_queue_unlink(&edge->calls, &call->link);
 	edge_call_unref(call);
 }
 
@@ -165,15 +166,13 @@
 	edge_refuse(call, &verdict);
 }
 
+/* End a request that has no more time. */
 static void
-deadline_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+call_expire(struct edge_call *call)
 {
-	struct edge_call *call = watcher->data;
 	struct hsv_call *client = call->client;
 	struct vd verdict;
 
-	(void)loop;
-	(void)events;
 	if (call->is_streaming && call->events > 0) {
 		edge_call_end(call, "stream_timeout", 0);
 		hsv_abort(client);
@@ -191,6 +190,14 @@
 	edge_refuse(call, &verdict);
 }
 
+static void
+deadline_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	call_expire(watcher->data);
+}
+
 /* Look up the organisation of the key; refuse the request if none has it. */
 static bool
 authenticate(struct edge_call *call)
@@ -275,6 +282,11 @@
 	call->service =
 	    catalogue_service_find(call->catalogue, call->service_name);
 	set_deadline(call);
+	if (edge->is_stopped && call->deadline > edge->stop_at) {
+		edge_refuse_not_run(call, VD_STOPPING, RETRY_ELSEWHERE_MIN_MS,
+		    "the instance stops before the request's time is over");
+		return;
+	}
 	if (edge_version_admit(call))
 		edge_history_load(call);
 }
@@ -293,6 +305,8 @@
 	ev_timer_init(&call->timer, deadline_cb, 0.0, 0.0);
 	call->timer.data = call;
 	hsv_arg_set(client, call);
+	call->link.data = call;
+	g_queue_push_tail_link(&edge->calls, &call->link);
 	/* request_handle() may end and free the call. */
 	request_handle(call);
 }
@@ -483,9 +497,10 @@
 }
 
 void
-edge_drain(struct edge *edge)
+edge_drain(struct edge *edge, clk_ms stop_at)
 {
 	edge->draining = true;
+	edge->stop_at = stop_at;
 	hsv_drain_set(edge->hsv, true);
 	edge_budget_drain(edge);
 }
@@ -493,7 +508,13 @@
 void
 edge_stop(struct edge *edge)
 {
+	edge->is_stopped = true;
 	hsv_stop(edge->hsv);
+	if (edge_now(edge) < edge->stop_at)
+		return;
+	/* A call is unlinked when it ends. */
+	while (!g_queue_is_empty(&edge->calls))
+		call_expire(g_queue_peek_head(&edge->calls));
 }
 
 size_t
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -103,15 +103,17 @@
 bool edge_is_ready(const struct edge *edge);
 
 /*
- * edge_drain(edge), edge_stop(edge), edge_active_count(edge)
+ * edge_drain(edge, stop_at), edge_stop(edge), edge_active_count(edge)
  *	The steps of a planned stop: edge_drain() closes each connection with
- *	its next response, edge_stop() stops accepting connections, and
+ *	its next response.  edge_stop(), to be called again until the end, stops
+ *	accepting connections; requests that arrive later are refused unless
+ *	their time ends before stop_at, when edge_stop() ends all that are left.
  *	edge_active_count() returns the number of requests in progress.
  * edge_is_settled(edge)
  *	Whether this instance has returned all its grants from programs'
  *	budgets.
  */
-void edge_drain(struct edge *edge);
+void edge_drain(struct edge *edge, clk_ms stop_at);
 void edge_stop(struct edge *edge);
 size_t edge_active_count(const struct edge *edge);
 bool edge_is_settled(const struct edge *edge);
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -353,8 +353,7 @@
 		record = (struct store_record){
 		    ledger->program, ledger->value, strlen(ledger->value)};
 		store->ops->append(store->impl, &partition, ledger->end,
-		    &record, 1,
-		    STORE_TIMEOUT_MS, on_appended, ledger);
+		    &record, 1, STORE_TIMEOUT_MS, on_appended, ledger);
 		break;
 	case BUDGET_NO_TOKENS:
 		ledger_fail(ledger, VD_BUDGET_EXCEEDED, 0,
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -58,8 +58,7 @@
 }
 
 static struct history_op *
-history_op_new(
-    struct edge_call *call, history_op_start *start, const char *id)
+history_op_new(struct edge_call *call, history_op_start *start, const char *id)
 {
 	struct history_op *op = g_new0(struct history_op, 1);
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -52,7 +52,10 @@
 	GRand *rand;
 	struct ev_timer housekeeping;
 	unsigned instances;
+	GQueue calls; /* struct edge_call that is not answered */
 	bool draining;
+	bool is_stopped; /* accepts no connections */
+	clk_ms stop_at; /* when calls are ended at the latest; 0: no stop */
 	struct cnt_metric *latency;
 };
 
@@ -60,6 +63,7 @@
 	struct edge *edge;
 	unsigned refs; /* the caller's connection and each store call */
 	struct hsv_call *client; /* nil: answered or disconnected */
+	GList link; /* in edge->calls, while client is set */
 	struct edge_request request;
 	struct catalogue *catalogue; /* version at its admission */
 	const struct catalogue_route *route;
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -35,6 +35,8 @@
 #define DRAIN_ACCEPT_MS 2500
 /* The process exits this long before the end of the grace period. */
 #define GRACE_MARGIN_MS 400
+/* Time before that in which the answers of a stop leave the process. */
+#define LAST_ANSWERS_MS 200
 /*
  * A request is blocked after it has crashed this many different upstreams.  The
  * platform allows three; fewer failures may be due to lost responses.
@@ -426,6 +428,8 @@
 	instance->stop_begun = instance_now(instance);
 	lg_event(instance->deps.lg, LG_NOTICE, "stopping", "active=%zu",
 	    edge_active_count(instance->edge));
-	edge_drain(instance->edge);
+	edge_drain(instance->edge,
+	    instance->stop_begun + instance->settings.grace - GRACE_MARGIN_MS -
+		LAST_ANSWERS_MS);
 	gossip_leave(instance->gossip);
 }
