Memory: what answers hold is bounded over all requests of an instance

Cause: bytes that a caller has not read were bounded for each connection, at 4 MB, and not over all of them: 24 such streams are the memory of the smallest instance. An answer that was handed over to a slow caller left the bound of answers under way. Outputs of turns and events without an end were bounded at 1 MB for each request only. Buffers kept the size of the largest request or answer as long as their connection was kept.

Ruled out, by /instance/endless-bytes: a head, answers to other requests, a plain body, an event and events without end, one request of each.

Change: the server counts what it has not sent over all connections, and cuts off the peer with most of it beyond 24 MB. Events and outputs of turns that are not complete count with the answers, 24 MB in all. Buffers over 64 KB are freed between requests. New gauge unsent_bytes.

/http/server/unsent: failed with the bound over all connections lifted (25,194,753 bytes at the first check beyond it), passes with it.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -52,6 +52,7 @@
 	if (--call->refs > 0)
 		return;
 	turn_free(call->turn);
+	call->edge->reply_bytes -= call->held_bytes;
 	if (call->history != NULL)
 		(void)g_byte_array_unref(call->history);
 	if (call->reply_fields != NULL)
@@ -379,6 +380,10 @@
 	cnt_set(cnt_gauge(edge->deps.cnt, "upstream_connections_opened",
 		    "Connections opened to upstreams.", NULL, NULL),
 	    (int64_t)hcp_opened(edge->hcp));
+	cnt_set(
+	    cnt_gauge(edge->deps.cnt, "unsent_bytes",
+		"Bytes of answers that callers have not read yet.", NULL, NULL),
+	    (int64_t)hsv_unsent(edge->hsv));
 	cnt_set(cnt_gauge(edge->deps.cnt, "requests_active",
 		    "Requests in progress.", NULL, NULL),
 	    (int64_t)hsv_active(edge->hsv));
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -27,7 +27,8 @@
 	clk_ms confirmed; /* when catalogue was last known to be the newest */
 	struct budgets *budgets;
 	struct turn_cache *turns;
-	size_t reply_bytes; /* of answers that are not complete yet */
+	/* Of answers, events and turns that are not complete yet. */
+	size_t reply_bytes;
 	GHashTable *ledgers; /* program -> struct edge_ledger in progress */
 	GQueue idle; /* programs whose grants may be returned */
 	GQueue idle_first; /* the same, if their first session is this one */
@@ -138,6 +139,7 @@
 	GString *reply_fields;
 	GByteArray *reply_body;
 	struct sse sse;
+	size_t held_bytes; /* of the stream, as counted in reply_bytes */
 	int64_t events;
 	GString *last_id; /* of the events sent to the caller; nil: none */
 };
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -35,8 +35,8 @@
 /* Output of a turn; the store takes less. */
 #define TURN_OUTPUT_MAX ((size_t)1 << 20)
 /*
- * Bytes of all responses that are not complete yet: a part of the memory of
- * the smallest instance.
+ * Bytes of all responses, events and turns that are not complete yet: a part
+ * of the memory of the smallest instance.
  */
 #define ANSWERS_BYTES_MAX ((size_t)24 << 20)
 /* Expected output of a turn whose caller gives no length hint. */
@@ -465,6 +465,21 @@
 	on_end(call, HCP_CUT, false);
 }
 
+/* Counts what is kept of the stream; returns whether it is too much. */
+static bool
+is_held_too_much(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	size_t output = call->turn != NULL ? call->turn->output->len : 0;
+	size_t held =
+	    output + (call->sse.partial != NULL ? call->sse.partial->len : 0);
+
+	edge->reply_bytes += held - call->held_bytes;
+	call->held_bytes = held;
+	return (call->sse.is_too_long || output > TURN_OUTPUT_MAX ||
+	    (held > 0 && edge->reply_bytes > ANSWERS_BYTES_MAX));
+}
+
 static void
 on_data(void *arg, const char *data, size_t len)
 {
@@ -474,10 +489,7 @@
 	if (call->is_streaming) {
 		(void)edge_call_ref(call);
 		sse_push(&call->sse, data, len, on_event, call);
-		if (call->client != NULL &&
-		    (call->sse.is_too_long ||
-			(call->turn != NULL &&
-			    call->turn->output->len > TURN_OUTPUT_MAX)))
+		if (call->client != NULL && is_held_too_much(call))
 			attempt_cut(call);
 		edge_call_unref(call);
 	} else if (call->edge->reply_bytes + len > ANSWERS_BYTES_MAX) {
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -13,6 +13,8 @@
 #define MAX_SKIPPED 16
 /* Idle time after which a connection is closed if the server states none. */
 #define DEFAULT_IDLE_MS (4 * CLK_SECOND)
+/* The buffer of a request that was larger is freed at its end. */
+#define KEPT_BUFFER 65536
 /* A longer time than this is not believed. */
 #define STATED_IDLE_MAX_S 3600.0
 /* Time before the server's stated idle timeout at which ours ends. */
@@ -161,6 +163,11 @@
 {
 	call->idle = true;
 	call->handler = NULL;
+	if (call->out->len > KEPT_BUFFER) {
+		(void)g_byte_array_unref(call->out);
+		call->out = g_byte_array_new();
+		call->out_done = 0;
+	}
 	call->idle_since = ev_now(call->hcp->loop);
 	list_remove(call);
 	list_push(call);
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -13,6 +13,13 @@
 #define READ_SIZE      16384
 /* A peer that leaves this much of a stream unread is cut off. */
 #define MAX_UNSENT ((size_t)4 << 20)
+/*
+ * Bytes of all answers that peers have left unread: a part of the memory of
+ * the smallest instance.  Beyond them the peer that has most is cut off.
+ */
+#define MAX_UNSENT_ALL ((size_t)24 << 20)
+/* A buffer that was larger is freed between requests. */
+#define KEPT_BUFFER 65536
 /* Bytes of pipelined requests that are kept while one is handled. */
 #define MAX_PENDING 65536
 /* Time for a peer to read the last answer before its connection is closed. */
@@ -68,6 +75,7 @@
 	struct hsv_call *closed; /* freed by the reaper */
 	struct ev_prepare reaper;
 	size_t count;
+	size_t unsent; /* bytes in the out buffers of all calls */
 	int fd;
 	bool draining;
 	bool stopped;
@@ -101,6 +109,7 @@
 	ev_io_stop(hsv->loop, &call->writable);
 	ev_timer_stop(hsv->loop, &call->timer);
 	(void)close(call->fd);
+	hsv->unsent -= call->out->len - call->out_done;
 	if (call->prev != NULL)
 		call->prev->next = call->next;
 	else
@@ -152,6 +161,35 @@
 	ev_timer_start(call->hsv->loop, &call->timer);
 }
 
+/* Empty a buffer, and free its memory if it was large. */
+static void
+buffer_reset(GByteArray **buffer)
+{
+	if ((*buffer)->len <= KEPT_BUFFER) {
+		(void)g_byte_array_set_size(*buffer, 0);
+		return;
+	}
+	(void)g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
+/* Cut off the peers that read least, until the others' answers fit. */
+static void
+unsent_limit(struct hsv *hsv)
+{
+	while (hsv->unsent > MAX_UNSENT_ALL) {
+		struct hsv_call *most = hsv->calls;
+
+		for (struct hsv_call *call = hsv->calls; call != NULL;
+		     call = call->next) {
+			if (call->out->len - call->out_done >
+			    most->out->len - most->out_done)
+				most = call;
+		}
+		call_lost(most);
+	}
+}
+
 /* Send what is due; return false if the connection is gone. */
 static bool
 flush_out(struct hsv_call *call)
@@ -162,6 +200,7 @@
 
 		if (n > 0) {
 			call->out_done += (size_t)n;
+			call->hsv->unsent -= (size_t)n;
 			continue;
 		}
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -172,7 +211,7 @@
 		return (false);
 	}
 	ev_io_stop(call->hsv->loop, &call->writable);
-	(void)g_byte_array_set_size(call->out, 0);
+	buffer_reset(&call->out);
 	call->out_done = 0;
 	if (call->state == READING && call->close_after && !call->lingering) {
 		/*
@@ -190,6 +229,7 @@
 put(struct hsv_call *call, const void *data, size_t len)
 {
 	(void)g_byte_array_append(call->out, data, (guint)len);
+	call->hsv->unsent += len;
 }
 
 static void
@@ -218,7 +258,7 @@
 answer_ended(struct hsv_call *call)
 {
 	call->state = READING;
-	(void)g_byte_array_set_size(call->body, 0);
+	buffer_reset(&call->body);
 	hmsg_reader_next(&call->reader);
 	call->arg = NULL;
 	if (flush_out(call) && !call->dead) {
@@ -228,6 +268,7 @@
 		if (call->pending->len > 0 && !call->processing)
 			process_pending(call);
 	}
+	unsent_limit(call->hsv);
 }
 
 void
@@ -267,8 +308,8 @@
 	put(call, "\r\n", 2);
 	if (call->out->len - call->out_done > MAX_UNSENT)
 		call_lost(call);
-	else
-		(void)flush_out(call);
+	else if (flush_out(call))
+		unsent_limit(call->hsv);
 }
 
 void
@@ -619,6 +660,12 @@
 	return (active);
 }
 
+size_t
+hsv_unsent(const struct hsv *hsv)
+{
+	return (hsv->unsent);
+}
+
 const struct hmsg_head *
 hsv_head(const struct hsv_call *call)
 {
--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -72,6 +72,13 @@
  */
 size_t hsv_active(const struct hsv *hsv);
 
+/*
+ * hsv_unsent(hsv)
+ *	Return the bytes of answers that peers have not read yet.  They are
+ *	bounded: a peer that leaves too much unread is cut off.
+ */
+size_t hsv_unsent(const struct hsv *hsv);
+
 /* The request, valid as long as the call. */
 const struct hmsg_head *hsv_head(const struct hsv_call *call);
 const GByteArray *hsv_body(const struct hsv_call *call);
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -293,6 +293,54 @@
 	g_assert_true(g_str_has_prefix(slow, "HTTP/1.1 200"));
 }
 
+#define SLOW_PEERS 24
+/* Bytes that no peer reads of its answer, and in one piece of it. */
+#define SLOW_ANSWER ((size_t)5 << 20)
+#define SLOW_PIECE  65536
+#define UNSENT_MAX  ((size_t)24 << 20)
+
+/*
+ * Guards against a server that runs out of memory because many peers leave
+ * their answers unread, each less than would cut it off alone.  An answer that
+ * is read goes on.
+ */
+static void
+test_unsent(struct fixture *f, gconstpointer data)
+{
+	struct hsv_call *calls[SLOW_PEERS + 1];
+	int fds[SLOW_PEERS + 1];
+	g_autofree char *piece = g_strnfill(SLOW_PIECE, 'x');
+	g_autofree char *text = NULL;
+	unsigned gone;
+
+	(void)data;
+	f->hold = true;
+	for (int i = 0; i <= SLOW_PEERS; i++) {
+		fds[i] = dial(&f->address);
+		put(fds[i], "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		f->held = NULL;
+		turn(f->loop, 20);
+		g_assert_nonnull(f->held);
+		calls[i] = f->held;
+		hsv_stream_begin(calls[i], 200, "");
+	}
+	for (int i = 0; i < SLOW_PEERS; i++) {
+		gone = f->gone;
+		for (size_t sent = 0; sent < SLOW_ANSWER && f->gone == gone;
+		     sent += SLOW_PIECE) {
+			hsv_stream_data(calls[i], piece, SLOW_PIECE);
+			g_assert_cmpuint(hsv_unsent(f->hsv), <=, UNSENT_MAX);
+		}
+	}
+	g_assert_cmpuint(f->gone, >, 0);
+	hsv_stream_data(calls[SLOW_PEERS], "part", 4);
+	hsv_stream_end(calls[SLOW_PEERS]);
+	text = take(f, fds[SLOW_PEERS], 100);
+	g_assert_nonnull(strstr(text, "4\r\npart\r\n0\r\n\r\n"));
+	for (int i = 0; i <= SLOW_PEERS; i++)
+		(void)close(fds[i]);
+}
+
 /* Guards against work for a caller that has left. */
 static void
 test_caller_leaves(struct fixture *f, gconstpointer data)
@@ -833,6 +881,7 @@
 	SERVER("limits", test_limits);
 	SERVER("slow-head", test_slow_head);
 	SERVER("slow-body", test_slow_body);
+	SERVER("unsent", test_unsent);
 	SERVER("caller-leaves", test_caller_leaves);
 	SERVER("abort", test_abort);
 	SERVER("drain", test_drain);
