Turn: a turn larger than a record of the store has several records

Cause: a turn was one record, and the store takes record_bytes (262,144). Its refusal was retried as an outage until the deadline; nothing looked at the size before the turn ran.

Ruled out: the limit of an append (call_bytes), which such a turn does not reach.

Change: turn_split() divides the encoded turn over records that fit, under the turn's id and the id with a number, in the same place; turn_join() puts them together, and takes a turn of which one is missing as not there. They are appended in calls of at most call_bytes, the one under the id last, so that a reader that finds it finds all. Renewals are the same. The limits come from the settings. A turn whose id does not fit a key is refused (400) before it runs; until now its record was kept under a key that was cut off. Instances of earlier versions can't read turns of several records.

--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -21,7 +21,9 @@
 static void
 try_turn(const struct store_record *record)
 {
-	struct turn *turn = turn_decode("t1", record);
+	const struct store_reply reply = {
+	    .status = STORE_OK, .records = record, .count = 1};
+	struct turn *turn = turn_join(record->key, &reply);
 
 	(void)turn_is_expired(record, 1000, 5000);
 	if (turn != NULL) {
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -25,6 +25,8 @@
 #define CALLER_GAP_OBJECTIVES 4
 #define CALLER_GAP_PAUSES     8
 #define RECORD_MARGIN_MS      200
+/* Bytes of a record in an append beside its key and value. */
+#define RECORD_OVERHEAD 5
 
 struct history_op;
 
@@ -36,8 +38,10 @@
 	struct edge_call *call;
 	history_op_start *start;
 	char *id; /* turn to read or renew; nil: record the call's turn */
-	GByteArray *value; /* of the record to renew */
-	clk_ms recorded; /* time of day in that record */
+	GPtrArray *records; /* struct turn_record, to append */
+	guint appended; /* of these, so far */
+	guint appending;
+	clk_ms recorded; /* time of day in these records */
 	clk_ms started;
 	clk_ms backoff; /* before the next attempt */
 	struct ev_timer timer;
@@ -51,8 +55,8 @@
 history_op_free(struct history_op *op)
 {
 	edge_call_unref(op->call);
-	if (op->value != NULL)
-		(void)g_byte_array_unref(op->value);
+	if (op->records != NULL)
+		g_ptr_array_unref(op->records);
 	g_free(op->id);
 	g_free(op);
 }
@@ -107,7 +111,7 @@
 	again = *turn;
 	again.recorded = wall;
 	op = history_op_new(call, renew_turn, turn->id);
-	op->value = turn_encode(&again);
+	op->records = turn_split(&again, call->edge->deps.store.record_max);
 	op->recorded = wall;
 	call->renewals++;
 	renew_turn(op);
@@ -172,7 +176,6 @@
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
 	clk_ms now = edge_now(edge);
-	const struct store_record *record;
 	struct turn *turn;
 
 	if (call->client == NULL) {
@@ -191,8 +194,7 @@
 		history_op_free(op);
 		return;
 	}
-	record = store_reply_find(reply, op->id);
-	turn = record != NULL ? turn_decode(op->id, record) : NULL;
+	turn = turn_join(op->id, reply);
 	if (turn != NULL) {
 		turn_cache_put(edge->turns, turn, now);
 		if (--call->turns_missing == 0)
@@ -200,7 +202,8 @@
 	} else {
 		lg_event(edge->deps.lg, LG_WARNING, "turn_missing",
 		    "request=%s turn=%s found=%d end=%" G_GINT64_FORMAT,
-		    call->request.id, op->id, record != NULL, reply->end);
+		    call->request.id, op->id,
+		    store_reply_find(reply, op->id) != NULL, reply->end);
 		if (strcmp(op->id, call->request.previous_turn) == 0)
 			edge_refuse_not_run(
 			    call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
@@ -238,6 +241,11 @@
 		    "the turn can't be recorded here now");
 		return;
 	}
+	if (strlen(call->request.id) > TURN_ID_MAX) {
+		edge_refuse_not_run(call, VD_BAD_REQUEST, 0,
+		    "the id of the request is too long for a turn");
+		return;
+	}
 	call->turn = turn_new(call->request.id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
@@ -299,6 +307,44 @@
 	history_op_free(op);
 }
 
+/*
+ * Append the next records of the operation, as many as one append takes.
+ * Idempotent: a retry appends the same keys and values.
+ */
+static void
+records_append(struct history_op *op, const char *id, store_done_cb *done)
+{
+	const struct store *store = &op->call->edge->deps.store;
+	const struct store_partition partition = {STORE_TURNS, store_slot(id)};
+	g_autoptr(GArray) batch =
+	    g_array_new(FALSE, FALSE, sizeof(struct store_record));
+	size_t bytes = 0;
+
+	for (guint i = op->appended; i < op->records->len; i++) {
+		const struct turn_record *record = op->records->pdata[i];
+		const struct store_record next = {
+		    record->key, record->value->data, record->value->len};
+
+		bytes += RECORD_OVERHEAD + strlen(next.key) + next.len;
+		if (batch->len > 0 && store->append_max > 0 &&
+		    bytes > store->append_max)
+			break;
+		g_array_append_val(batch, next);
+	}
+	op->appending = batch->len;
+	store->ops->append(store->impl, &partition, STORE_ANY_END,
+	    (const struct store_record *)(void *)batch->data, batch->len,
+	    STORE_TIMEOUT_MS, done, op);
+}
+
+/* Count what was appended; returns whether it was the last of the records. */
+static bool
+records_appended(struct history_op *op)
+{
+	op->appended += op->appending;
+	return (op->appended == op->records->len);
+}
+
 static void
 on_renewed(void *arg, const struct store_reply *reply)
 {
@@ -306,12 +352,18 @@
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
 
-	if (reply->status == STORE_OK)
+	bool is_done = reply->status == STORE_OK && records_appended(op);
+
+	if (is_done)
 		turn_cache_renewed(edge->turns, op->id, op->recorded);
 	if (call->client == NULL) {
 		history_op_free(op);
 		return;
 	}
+	if (reply->status == STORE_OK && !is_done) {
+		renew_turn(op);
+		return;
+	}
 	if (reply->status != STORE_OK) {
 		lg_event(edge->deps.lg, LG_WARNING, "turn_not_renewed",
 		    "request=%s turn=%s status=%d waited_ms=%" G_GINT64_FORMAT,
@@ -325,22 +377,13 @@
 	history_op_free(op);
 }
 
-/* Idempotent: a retry appends the same key and value. */
 static void
 renew_turn(struct history_op *op)
 {
-	const struct store *store = &op->call->edge->deps.store;
-	const struct store_partition partition = {
-	    STORE_TURNS, store_slot(op->id)};
-	const struct store_record record = {
-	    op->id, op->value->data, op->value->len};
-
-	if (op->call->client == NULL) {
+	if (op->call->client == NULL)
 		history_op_free(op);
-		return;
-	}
-	store->ops->append(store->impl, &partition, STORE_ANY_END, &record, 1,
-	    STORE_TIMEOUT_MS, on_renewed, op);
+	else
+		records_append(op, op->id, on_renewed);
 }
 
 static void
@@ -352,13 +395,15 @@
 
 	if (call->client == NULL) {
 		history_op_free(op);
-	} else if (reply->status == STORE_OK) {
+	} else if (reply->status != STORE_OK) {
+		write_retry(op);
+	} else if (!records_appended(op)) {
+		record_turn(op);
+	} else {
 		turn_cache_put(edge->turns, call->turn, edge_now(edge));
 		call->turn = NULL;
 		turn_finish(call);
 		history_op_free(op);
-	} else {
-		write_retry(op);
 	}
 }
 
@@ -366,32 +411,25 @@
 record_turn(struct history_op *op)
 {
 	struct edge_call *call = op->call;
-	struct store *store = &call->edge->deps.store;
-	g_autoptr(GByteArray) value = NULL;
-	struct store_partition partition;
-	struct store_record record;
 
-	if (call->client == NULL) {
+	if (call->client == NULL)
 		history_op_free(op);
-		return;
-	}
-	call->turn->recorded = clk_wall_ms();
-	value = turn_encode(call->turn);
-	partition =
-	    (struct store_partition){STORE_TURNS, store_slot(call->turn->id)};
-	record = (struct store_record){call->turn->id, value->data, value->len};
-	/* Idempotent: a retry appends the same key and value. */
-	store->ops->append(store->impl, &partition, STORE_ANY_END, &record, 1,
-	    STORE_TIMEOUT_MS, on_turn_recorded, op);
+	else
+		records_append(op, call->turn->id, on_turn_recorded);
 }
 
 void
 edge_turn_record(struct edge_call *call)
 {
+	struct history_op *op;
+
 	if (call->turn == NULL) {
 		finish_stream(call);
 		return;
 	}
 	call->record_since = edge_now(call->edge);
-	record_turn(history_op_new(call, record_turn, NULL));
+	call->turn->recorded = clk_wall_ms();
+	op = history_op_new(call, record_turn, NULL);
+	op->records = turn_split(call->turn, call->edge->deps.store.record_max);
+	record_turn(op);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -97,6 +97,9 @@
 struct store {
 	const struct store_ops *ops;
 	void *impl;
+	/* Bytes of a record with its key, and of all of an append; 0: any. */
+	size_t record_max;
+	size_t append_max;
 };
 
 /*
--- a/src/turn/test_turn.c
+++ b/src/turn/test_turn.c
@@ -49,6 +49,66 @@
 	}
 }
 
+/* The records of a turn as a read of the store returns them, but one. */
+static struct turn *
+join_without(const GPtrArray *records, guint left_out)
+{
+	g_autoptr(GArray) found =
+	    g_array_new(FALSE, FALSE, sizeof(struct store_record));
+	struct store_reply reply = {.status = STORE_OK};
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct turn_record *record = records->pdata[i];
+		const struct store_record one = {
+		    record->key, record->value->data, record->value->len};
+
+		if (i != left_out)
+			g_array_append_val(found, one);
+	}
+	reply.records = (const struct store_record *)(void *)found->data;
+	reply.count = found->len;
+	return (turn_join("t", &reply));
+}
+
+/*
+ * A turn of any size comes back from its records, of which none is too large,
+ * and doesn't if one of them is missing.
+ */
+static void
+test_split(void)
+{
+	const size_t record_max = 600;
+
+	for (size_t size = 0; size < 4 * record_max; size += 7) {
+		g_autofree char *input = g_strnfill(size, 'x');
+		struct turn *turn = turn_with_text("t", input, "out");
+		g_autoptr(GPtrArray) records = NULL;
+		struct turn *whole;
+
+		turn->recorded = 5000;
+		records = turn_split(turn, record_max);
+		for (guint i = 0; i < records->len; i++) {
+			const struct turn_record *record = records->pdata[i];
+			const struct store_record one = {record->key,
+			    record->value->data, record->value->len};
+
+			g_assert_cmpuint(
+			    1 + strlen(record->key) + record->value->len, <=,
+			    record_max);
+			g_assert_null(join_without(records, i));
+			g_assert_true(turn_is_expired(&one, 1000, 50000));
+			g_assert_false(turn_is_expired(&one, 1000, 6000));
+		}
+		whole = join_without(records, records->len);
+		g_assert_nonnull(whole);
+		g_assert_cmpmem(
+		    whole->input->data, whole->input->len, input, size);
+		g_assert_cmpint(whole->recorded, ==, 5000);
+		turn_free(whole);
+		turn_free(turn);
+	}
+}
+
 /*
  * Guards against a chain whose first turns expire while its last one is
  * kept: at any age a record either is renewed when the next turn is recorded,
@@ -125,6 +185,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/turn/record", test_record);
+	g_test_add_func("/turn/split", test_split);
 	g_test_add_func("/turn/expiry", test_expiry);
 	g_test_add_func("/turn/odd-time", test_odd_time);
 	g_test_add_func("/turn/cache", test_cache);
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -8,6 +8,15 @@
  * (separated by spaces), input, output.
  */
 #define RECORD_VERSION 2
+/*
+ * Record of a part: version, time of day in ms (8 bytes), number of the part
+ * and number of parts (4 bytes each), then the part of such a record.  Part 0
+ * has the turn's id as its key, the others the id and their number.
+ */
+#define PART_VERSION 3
+#define PART_HEAD    17
+/* Parts of a turn that are read. */
+#define PARTS_MAX 256
 /* Allows for clock skew between instances and for a delayed expiry pass. */
 #define EXPIRY_MARGIN_MS (15 * CLK_SECOND)
 
@@ -101,7 +110,8 @@
 	const guint8 *bytes = record->value;
 	guint64 value;
 
-	if (record->len < 1 + sizeof(value) || bytes[0] != RECORD_VERSION)
+	if (record->len < 1 + sizeof(value) ||
+	    (bytes[0] != RECORD_VERSION && bytes[0] != PART_VERSION))
 		return (false);
 	memcpy(&value, bytes + 1, sizeof(value));
 	value = GUINT64_FROM_BE(value);
@@ -135,7 +145,7 @@
 	struct turn *turn;
 	clk_ms recorded;
 
-	if (!get_recorded(record, &recorded))
+	if (!get_recorded(record, &recorded) || at[0] != RECORD_VERSION)
 		return (NULL);
 	end = at + record->len;
 	at += 1 + sizeof(guint64);
@@ -163,6 +173,121 @@
 	return (turn);
 }
 
+static void
+record_free(void *data)
+{
+	struct turn_record *record = data;
+
+	g_free(record->key);
+	(void)g_byte_array_unref(record->value);
+	g_free(record);
+}
+
+/* No id has a line feed: ids are values of header fields. */
+static char *
+part_key(const char *id, guint32 part)
+{
+	return (part == 0 ? g_strdup(id) : g_strdup_printf("%s\n%u", id, part));
+}
+
+static void
+record_add(GPtrArray *records, char *key, GByteArray *value)
+{
+	struct turn_record *record = g_new0(struct turn_record, 1);
+
+	record->key = key;
+	record->value = value;
+	g_ptr_array_add(records, record);
+}
+
+/* The length of the key counts as a byte, too. */
+static size_t
+record_size(size_t key_len, size_t value_len)
+{
+	return (1 + key_len + value_len);
+}
+
+GPtrArray *
+turn_split(const struct turn *turn, size_t record_max)
+{
+	GPtrArray *records = g_ptr_array_new_with_free_func(record_free);
+	g_autoptr(GByteArray) whole = turn_encode(turn);
+	size_t overhead = record_size(STORE_KEY_MAX, PART_HEAD);
+	size_t room = record_max > overhead ? record_max - overhead : 1;
+	guint32 count;
+
+	if (record_max == 0 ||
+	    record_size(strlen(turn->id), whole->len) <= record_max) {
+		record_add(
+		    records, g_strdup(turn->id), g_steal_pointer(&whole));
+		return (records);
+	}
+	count = (guint32)((whole->len + room - 1) / room);
+	/* Part 0 comes last: a reader that finds it finds the others. */
+	for (guint32 part = count; part-- > 0;) {
+		size_t from = part * room;
+		guint32 numbers[2] = {
+		    GUINT32_TO_BE(part), GUINT32_TO_BE(count)};
+		GByteArray *value = g_byte_array_new();
+		guint8 version = PART_VERSION;
+
+		(void)g_byte_array_append(value, &version, 1);
+		(void)g_byte_array_append(
+		    value, whole->data + 1, sizeof(guint64));
+		(void)g_byte_array_append(
+		    value, (const guint8 *)numbers, sizeof(numbers));
+		(void)g_byte_array_append(value, whole->data + from,
+		    (guint)MIN(room, whole->len - from));
+		record_add(records, part_key(turn->id, part), value);
+	}
+	return (records);
+}
+
+/* Append part number part to whole; returns the number of parts, or 0. */
+static guint32
+part_append(GByteArray *whole, const struct store_record *record, guint32 part)
+{
+	const guint8 *bytes;
+	guint32 numbers[2];
+
+	if (record == NULL || record->len < PART_HEAD)
+		return (0);
+	bytes = record->value;
+	memcpy(numbers, bytes + PART_HEAD - sizeof(numbers), sizeof(numbers));
+	if (bytes[0] != PART_VERSION || GUINT32_FROM_BE(numbers[0]) != part)
+		return (0);
+	(void)g_byte_array_append(
+	    whole, bytes + PART_HEAD, (guint)(record->len - PART_HEAD));
+	return (GUINT32_FROM_BE(numbers[1]));
+}
+
+struct turn *
+turn_join(const char *id, const struct store_reply *reply)
+{
+	const struct store_record *first = store_reply_find(reply, id);
+	g_autoptr(GByteArray) whole = g_byte_array_new();
+	struct store_record record = {.key = id};
+	guint32 count;
+
+	if (first == NULL || first->len == 0)
+		return (NULL);
+	if (((const guint8 *)first->value)[0] != PART_VERSION)
+		return (turn_decode(id, first));
+	count = part_append(whole, first, 0);
+	if (count == 0 || count > PARTS_MAX)
+		return (NULL);
+	for (guint32 part = 1; part < count; part++) {
+		g_autofree char *key = part_key(id, part);
+
+		if (part_append(whole, store_reply_find(reply, key), part) !=
+		    count)
+			return (NULL);
+	}
+	record.value = whole->data;
+	record.len = whole->len;
+	return (turn_decode(id, &record));
+}
+
 struct turn_cache *
 turn_cache_open(size_t max_bytes, clk_ms retention)
 {
--- a/src/turn/turn.h
+++ b/src/turn/turn.h
@@ -1,9 +1,10 @@
 /*
  * turn: turns of programs whose history the system keeps.
  *
- * A turn is one record of the store: its new input, its output, and the ids
- * of the turns before it.  An engine gets the inputs and outputs of a whole
- * chain.  Instances cache recent turns in memory; the store is authoritative.
+ * A turn is one record of the store, or several if it is large: its new input,
+ * its output, and the ids of the turns before it.  An engine gets the inputs
+ * and outputs of a whole chain.  Instances cache recent turns in memory; the
+ * store is authoritative.
  */
 #ifndef SAMPHIRESHED_TURN_H
 #define SAMPHIRESHED_TURN_H
@@ -37,6 +38,27 @@
 GByteArray *turn_encode(const struct turn *turn);
 struct turn *turn_decode(const char *id, const struct store_record *record);
 
+/* Longest id of a turn, in bytes. */
+#define TURN_ID_MAX 200
+
+/* One of the records of a turn. */
+struct turn_record {
+	char *key;
+	GByteArray *value;
+};
+
+/*
+ * turn_split(turn, record_max)
+ *	Return the records of a turn (struct turn_record), each with its key of
+ *	at most record_max bytes (0: any), in the order in which they are to be
+ *	appended, to be freed by g_ptr_array_unref().
+ * turn_join(id, reply)
+ *	Return the turn whose records a read has returned, or nil if it is not
+ *	there as a whole.
+ */
+GPtrArray *turn_split(const struct turn *turn, size_t record_max);
+struct turn *turn_join(const char *id, const struct store_reply *reply);
+
 /*
  * turn_is_expired(record, retention, wall)
  *	Whether the record has expired at the time of day wall.  Records are
