History: a chain larger than the cache of turns is served

What callers saw: a chain whose turns are larger together than the cache (12 MB) was refused with 503 at every instance that did not have it, after reading its turns again and again until the request's time was over.

Cause: turns that were read went into the cache only. Each one evicted those before it, and when the last had come the first ones were missing again.

Change: what is read for a request is kept with it until the history has been assembled. Turns have references. The size of the cache is a setting of the instance, so that a test can make it small; its value is unchanged.

--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -31,7 +31,7 @@
 
 		check(value->len > 0);
 	}
-	turn_free(turn);
+	turn_unref(turn);
 }
 
 static void
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -51,8 +51,10 @@
 {
 	if (--call->refs > 0)
 		return;
-	turn_free(call->turn);
+	turn_unref(call->turn);
 	call->edge->reply_bytes -= call->held_bytes;
+	if (call->turns_read != NULL)
+		g_ptr_array_unref(call->turns_read);
 	if (call->history != NULL)
 		(void)g_byte_array_unref(call->history);
 	if (call->reply_fields != NULL)
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -117,17 +117,32 @@
 	renew_turn(op);
 }
 
+/*
+ * Find a turn of the chain.  What was read for the request is kept apart from
+ * the cache, which may be too small for the chain.
+ */
+static const struct turn *
+turn_find(struct edge_call *call, const char *id)
+{
+	for (guint i = 0; call->turns_read != NULL && i < call->turns_read->len;
+	     i++) {
+		const struct turn *turn = call->turns_read->pdata[i];
+
+		if (strcmp(turn->id, id) == 0)
+			return (turn);
+	}
+	return (turn_cache_get(call->edge->turns, id, edge_now(call->edge)));
+}
+
 /*
  * Assemble the history from the cache.  Reads missing turns first; continues
- * with the budget when all turns of the chain are cached.
+ * with the budget when all turns of the chain are found.
  */
 static void
 history_assemble(struct edge_call *call)
 {
-	struct edge *edge = call->edge;
-	clk_ms now = edge_now(edge);
 	const struct turn *previous =
-	    turn_cache_get(edge->turns, call->request.previous_turn, now);
+	    turn_find(call, call->request.previous_turn);
 	g_autoptr(GPtrArray) chain = g_ptr_array_new();
 
 	if (previous == NULL) {
@@ -143,7 +158,7 @@
 	}
 	for (guint i = 0; i < previous->ancestors->len; i++) {
 		const char *id = previous->ancestors->pdata[i];
-		const struct turn *turn = turn_cache_get(edge->turns, id, now);
+		const struct turn *turn = turn_find(call, id);
 
 		if (turn != NULL) {
 			g_ptr_array_add(chain, (void *)turn);
@@ -166,6 +181,7 @@
 		g_ptr_array_add(call->turn->ancestors, g_strdup(turn->id));
 		renew_if_needed(call, turn);
 	}
+	g_clear_pointer(&call->turns_read, g_ptr_array_unref);
 	edge_budget_acquire(call);
 }
 
@@ -196,6 +212,10 @@
 	}
 	turn = turn_join(op->id, reply);
 	if (turn != NULL) {
+		if (call->turns_read == NULL)
+			call->turns_read = g_ptr_array_new_with_free_func(
+			    (GDestroyNotify)turn_unref);
+		g_ptr_array_add(call->turns_read, turn_ref(turn));
 		turn_cache_put(edge->turns, turn, now);
 		if (--call->turns_missing == 0)
 			history_assemble(call);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -90,6 +90,7 @@
 	/* History. */
 	struct turn *turn; /* nil: not recorded */
 	GByteArray *history; /* inputs and outputs of the previous turns */
+	GPtrArray *turns_read; /* struct turn, until history is assembled */
 	unsigned turns_missing; /* store reads in progress */
 	unsigned renewals; /* ancestors whose records are being rewritten */
 	/* Time of the first attempt to record the turn; 0: it has not ended. */
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -20,7 +20,6 @@
 #include "throttle/throttle.h"
 #include "turn/turn.h"
 
-#define TURN_CACHE_BYTES ((size_t)12 << 20)
 /*
  * After the end of a store outage, upstreams whose entries lapsed are still
  * used for this time; the platform states about 2 s.
@@ -266,8 +265,8 @@
 	    instance->activity, instance->crashes, instance->reach,
 	    lookup_instance_address, send_to_instance, instance};
 	edge_settings = (struct edge_settings){settings->callers, session,
-	    settings->max_catalogue_age, settings->retention, TURN_CACHE_BYTES,
-	    settings->max_connections};
+	    settings->max_catalogue_age, settings->retention,
+	    settings->turn_cache, settings->max_connections};
 	gossip_deps = (struct gossip_deps){deps->loop, deps->clk, deps->lg,
 	    instance->cnt, deps->store, instance->roster, instance->quota,
 	    instance->throttle, instance->activity, instance->place,
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -32,6 +32,7 @@
 	struct sockaddr_in gossip; /* address for gossip datagrams */
 	clk_ms max_catalogue_age; /* see struct edge_settings */
 	clk_ms retention; /* of idle turns and budgets */
+	size_t turn_cache; /* bytes of turns that are kept in memory */
 	clk_ms grace; /* from the stop signal to the forced exit */
 	/* How long a leaving upstream may still get requests. */
 	clk_ms upstream_drain;
--- a/src/turn/test_turn.c
+++ b/src/turn/test_turn.c
@@ -38,8 +38,8 @@
 	g_assert_cmpstr(read->ancestors->pdata[1], ==, "t2");
 	g_assert_cmpmem(read->input->data, read->input->len, "in\n", 3);
 	g_assert_cmpmem(read->output->data, read->output->len, "out\n", 4);
-	turn_free(read);
-	turn_free(turn);
+	turn_unref(read);
+	turn_unref(turn);
 	/* A truncated record is rejected. */
 	for (guint len = 0; len < bytes->len; len++) {
 		g_autofree guint8 *cut = g_memdup2(bytes->data, len);
@@ -104,8 +104,8 @@
 		g_assert_cmpmem(
 		    whole->input->data, whole->input->len, input, size);
 		g_assert_cmpint(whole->recorded, ==, 5000);
-		turn_free(whole);
-		turn_free(turn);
+		turn_unref(whole);
+		turn_unref(turn);
 	}
 }
 
@@ -131,7 +131,7 @@
 		record = (struct store_record){"t", bytes->data, bytes->len};
 		g_assert_true(turn_needs_renewal(turn, retention, wall) ||
 		    !turn_is_expired(&record, retention, wall + retention));
-		turn_free(turn);
+		turn_unref(turn);
 	}
 	g_assert_false(turn_is_expired(
 	    &(struct store_record){"t", "other", 5}, retention, 0));
@@ -153,7 +153,7 @@
 		record = (struct store_record){"t", bytes->data, bytes->len};
 		g_assert_false(turn_is_expired(&record, 1000, 5000));
 		g_assert_null(turn_decode("t", &record));
-		turn_free(turn);
+		turn_unref(turn);
 	}
 }
 
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -38,13 +38,21 @@
 	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
 	turn->input = g_byte_array_new();
 	turn->output = g_byte_array_new();
+	turn->refs = 1;
+	return (turn);
+}
+
+struct turn *
+turn_ref(struct turn *turn)
+{
+	turn->refs++;
 	return (turn);
 }
 
 void
-turn_free(struct turn *turn)
+turn_unref(struct turn *turn)
 {
-	if (turn == NULL)
+	if (turn == NULL || --turn->refs > 0)
 		return;
 	g_free(turn->id);
 	g_free(turn->organisation);
@@ -154,6 +162,7 @@
 			return (NULL);
 	}
 	turn = g_new0(struct turn, 1);
+	turn->refs = 1;
 	turn->id = g_strdup(id);
 	turn->recorded = recorded;
 	turn->organisation = g_strndup((const char *)part[0], len[0]);
@@ -316,7 +325,7 @@
 	cache->bytes -= turn_bytes(turn);
 	(void)g_hash_table_remove(cache->turns, turn->id);
 	g_queue_delete_link(&cache->order, node);
-	turn_free(turn);
+	turn_unref(turn);
 }
 
 void
--- a/src/turn/turn.h
+++ b/src/turn/turn.h
@@ -24,11 +24,16 @@
 	GByteArray *output; /* each event's data and a line feed */
 	clk_ms recorded; /* time of day at which the record was written */
 	clk_ms used; /* time of the last use, on the instance's clock */
+	unsigned refs;
 };
 
-/* turn_new(id, organisation): a turn without ancestors, input and output. */
+/*
+ * turn_new(id, organisation): a turn without ancestors, input and output.
+ * turn_ref(turn), turn_unref(turn): add and drop a reference.
+ */
 struct turn *turn_new(const char *id, const char *organisation);
-void turn_free(struct turn *turn);
+struct turn *turn_ref(struct turn *turn);
+void turn_unref(struct turn *turn);
 
 /*
  * turn_encode(turn), turn_decode(id, record)
