--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -181,7 +181,9 @@
 		g_ptr_array_add(call->turn->ancestors, g_strdup(turn->id));
 		renew_if_needed(call, turn);
 	}
-	g_clear_pointer(&call->turns_read, g_ptr_array_unref);
+	if (call->turns_read != NULL)
+		g_ptr_array_unref(call->turns_read);
+	call->turns_read = NULL;
 	edge_budget_acquire(call);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -119,7 +119,6 @@
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
 	struct place_handle handle;
-	bool is_choice_bound; /* handle was chosen for its software version */
 	struct place_handle tried[EDGE_MAX_ATTEMPTS];
 	char upstream_id[EDGE_UPSTREAM_ID_MAX + 1];
 	unsigned attempts;
@@ -132,6 +131,7 @@
 	double last_event; /* loop time */
 	clk_ms first_event_ms; /* from sending; 0: no event */
 	struct edge_reply reply;
+	bool is_choice_bound; /* handle was chosen for its software version */
 	bool has_reply;
 	bool is_streaming;
 	bool is_undelimited; /* the response ends with its connection */
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -93,6 +93,12 @@
 	g_free(call);
 }
 
+static size_t
+unsent(const struct hsv_call *call)
+{
+	return (call->out->len - call->out_done);
+}
+
 /*
  * Close the connection.  Its memory is freed from the loop, when no callback
  * of it is on the stack.
@@ -109,7 +115,7 @@
 	ev_io_stop(hsv->loop, &call->writable);
 	ev_timer_stop(hsv->loop, &call->timer);
 	(void)close(call->fd);
-	hsv->unsent -= call->out->len - call->out_done;
+	hsv->unsent -= unsent(call);
 	if (call->prev != NULL)
 		call->prev->next = call->next;
 	else
@@ -173,17 +179,16 @@
 	*buffer = g_byte_array_new();
 }
 
-/* Cut off the peers that read least, until the others' answers fit. */
+/* Cut off the peers that have most to read, until the others' answers fit. */
 static void
 unsent_limit(struct hsv *hsv)
 {
-	while (hsv->unsent > MAX_UNSENT_ALL) {
+	while (hsv->calls != NULL && hsv->unsent > MAX_UNSENT_ALL) {
 		struct hsv_call *most = hsv->calls;
 
-		for (struct hsv_call *call = hsv->calls; call != NULL;
+		for (struct hsv_call *call = most->next; call != NULL;
 		     call = call->next) {
-			if (call->out->len - call->out_done >
-			    most->out->len - most->out_done)
+			if (unsent(call) > unsent(most))
 				most = call;
 		}
 		call_lost(most);
@@ -306,7 +311,7 @@
 	put(call, size, strlen(size));
 	put(call, data, len);
 	put(call, "\r\n", 2);
-	if (call->out->len - call->out_done > MAX_UNSENT)
+	if (unsent(call) > MAX_UNSENT)
 		call_lost(call);
 	else if (flush_out(call))
 		unsent_limit(call->hsv);
