Budget: a grant that an instance has forgotten counts as used

Cause: an instance forgets what it used of a grant when the program had no turn for 90 s, whatever the route's retention is. The ledger still has the grant under this session; read again, it stood against a use of 0.

Change: the first read of a program's ledger takes a grant of this session as used. What was unused has been returned long before, so that nothing is lost as a rule.

/bgt/forgotten: failed before ("0 != 0": reserved again), passes after; the random orders pass.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -35,6 +35,7 @@
 	size_t ledger_len;
 	int64_t end; /* end offset of the ledger's partition then */
 	bool is_current; /* false: ledger and end have to be read */
+	bool is_read; /* the ledger was read since the program is known */
 };
 
 struct budgets {
@@ -214,6 +215,10 @@
 	}
 	ledger_parse(&ledger, program, 0);
 	program->granted = ledger_grant(&ledger, budgets->session);
+	/* How much of an earlier grant was used has been forgotten. */
+	if (!program->is_read)
+		program->used = program->granted;
+	program->is_read = true;
 	json_decref(ledger.grants);
 }
 
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -48,7 +48,8 @@
 /*
  * budget_open(session, retention)
  *	session is the name of this instance's session.  A program expires
- *	when it had no turn for retention.
+ *	when it had no turn for retention; a grant that its ledger still has
+ *	then counts as used.
  */
 struct budgets *budget_open(const char *session, clk_ms retention);
 void budget_close(struct budgets *budgets);
--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -277,6 +277,7 @@
 	g_autofree char *value = NULL;
 	int64_t end = 0;
 
+	budget_ledger_set(budgets, "p", NULL, 6, 0);
 	budget_ledger_set(budgets, "p", &record, 7, 0);
 	g_assert_cmpint(
 	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_RESERVED);
@@ -451,6 +452,43 @@
 	budget_close(budgets);
 }
 
+/*
+ * Guards against tokens that are spent twice: a program comes again after the
+ * instance that holds its grant has forgotten it.
+ */
+static void
+test_forgotten(void)
+{
+	const clk_ms retention = 1000;
+	struct budgets *budgets = budget_open("a/1", retention);
+	struct store_record record = {.key = "p"};
+	g_autofree char *value = NULL;
+	g_autofree char *none = NULL;
+	int64_t end = 0;
+
+	budget_ledger_set(budgets, "p", NULL, 0, 0);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 3 * TURN_MAX, TURN_MAX,
+			    0, &value, &end, 0, 0),
+	    ==, BUDGET_WRITE_LEDGER);
+	record.value = value;
+	record.len = strlen(value);
+	budget_ledger_set(budgets, "p", &record, 1, 0);
+	for (int i = 0; i < 3; i++) {
+		g_assert_cmpint(budget_reserve(budgets, "p", TURN_MAX, 0), ==,
+		    BUDGET_RESERVED);
+		budget_settle(budgets, "p", TURN_MAX, TURN_MAX, 0);
+	}
+	budget_expire(budgets, retention);
+	g_assert_cmpuint(budget_program_count(budgets), ==, 0);
+	budget_ledger_set(budgets, "p", &record, 1, retention);
+	g_assert_cmpint(budget_reserve(budgets, "p", TURN_MAX, retention), !=,
+	    BUDGET_RESERVED);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 3 * TURN_MAX, TURN_MAX,
+			    0, &none, &end, retention, 0),
+	    ==, BUDGET_NO_TOKENS);
+	budget_close(budgets);
+}
+
 /* A ledger expires later than its program, at every instance. */
 static void
 test_ledger_expiry(void)
@@ -518,6 +556,7 @@
 	g_test_add_func("/bgt/orders-unconditional", test_orders_unconditional);
 	g_test_add_func("/bgt/moves", test_moved_program);
 	g_test_add_func("/bgt/first-budget-binds", test_first_budget_binds);
+	g_test_add_func("/bgt/forgotten", test_forgotten);
 	g_test_add_func("/bgt/ledger-expiry", test_ledger_expiry);
 	g_test_add_func("/bgt/odd-ledger", test_odd_ledger);
 	g_test_add_func("/bgt/expiry", test_expiry);
