--- a/src/store/test_sweeper.c
+++ b/src/store/test_sweeper.c
@@ -113,7 +113,7 @@
 static struct sweeper *
 sweeper_start(struct memory *memory, unsigned instances, unsigned rank)
 {
-	const struct store store = {&memory_ops, memory};
+	const struct store store = {.ops = &memory_ops, .impl = memory};
 	struct sweeper *sweeper = sweeper_open(
 	    memory->loop, NULL, &store, rules, G_N_ELEMENTS(rules));
 
