Tests: one run of the random orders of budgets

The three tests of random orders repeated the same loop with another budget or overdraft. Now one function.

--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -228,24 +228,31 @@
 	return (holds);
 }
 
-/*
- * Property: the tokens sent to callers never exceed the budget, in any order
- * of turns, store requests, lost and late appends and crashes.
- */
+/* Runs all orders with the budget. */
 static void
-test_orders(void)
+orders_run(int64_t budget, bool overdraws)
 {
 	unsigned turns = 0;
 
 	for (guint32 seed = 1; seed <= ORDERS; seed++) {
-		if (!run_events(seed, AMPLE, false, false, &turns))
+		if (!run_events(seed, budget, false, overdraws, &turns))
 			g_error("seed %u: budget exceeded", seed);
 	}
-	g_print("# figure: %d orders, %u turns, 0 above the budget\n", ORDERS,
-	    turns);
+	g_print("# figure: %d orders, %u turns, 0 above the budget%s\n", ORDERS,
+	    turns, overdraws ? " and one turn" : "");
 	g_assert_cmpuint(turns, >, 2 * ORDERS);
 }
 
+/*
+ * Property: the tokens sent to callers never exceed the budget, in any order
+ * of turns, store requests, lost and late appends and crashes.
+ */
+static void
+test_orders(void)
+{
+	orders_run(AMPLE, false);
+}
+
 /*
  * Guards against a grant that is used while its return may still take effect:
  * the same property where others take at once what was returned.
@@ -253,15 +260,7 @@
 static void
 test_orders_scarce(void)
 {
-	unsigned turns = 0;
-
-	for (guint32 seed = 1; seed <= ORDERS; seed++) {
-		if (!run_events(seed, SCARCE, false, false, &turns))
-			g_error("seed %u: budget exceeded", seed);
-	}
-	g_print("# figure: %d orders, %u turns, 0 above the budget\n", ORDERS,
-	    turns);
-	g_assert_cmpuint(turns, >, 2 * ORDERS);
+	orders_run(SCARCE, false);
 }
 
 /*
@@ -309,16 +308,7 @@
 static void
 test_orders_overdraft(void)
 {
-	unsigned turns = 0;
-
-	for (guint32 seed = 1; seed <= ORDERS; seed++) {
-		if (!run_events(seed, AMPLE, false, true, &turns))
-			g_error("seed %u: budget exceeded", seed);
-	}
-	g_print("# figure: %d orders, %u turns, 0 above the budget and one "
-		"turn\n",
-	    ORDERS, turns);
-	g_assert_cmpuint(turns, >, 2 * ORDERS);
+	orders_run(AMPLE, true);
 }
 
 /* A crashed session held all tokens: an overdraft covers one turn only. */
