Ids: organisations with the same ids share nothing

What callers saw: a caller without a key, or one of another organisation, that gave its turn the id of an organisation's turn overwrote that turn's record; the organisation's next turn was refused with 404 at every instance that did not have it in memory (a turn answered whole, within the retention). Two programs with the same id shared one token budget.

The keys of streams' records joined the two by a slash, so two pairs of organisation and id could have one key.

Change: edge_scoped_id() makes an id unique by the length and the name of the organisation, empty on public routes. Turns, ledgers, loans, active programs and records of streams use it. Records of earlier versions aren't found: their programs begin anew.

/instance/same-ids: "404 == 200" before, passes after; so do chain, public-turn, turn-renewed, turn-not-recorded, budget, budget-lent, stream-undelimited and stream-version.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -65,6 +65,9 @@
 	sse_clear(&call->sse);
 	if (call->last_id != NULL)
 		(void)g_string_free(call->last_id, TRUE);
+	g_free(call->program);
+	g_free(call->turn_id);
+	g_free(call->previous_turn);
 	g_free(call->lender);
 	g_free(call->version);
 	g_free(call->recorded);
@@ -227,6 +230,30 @@
 	return (true);
 }
 
+/* The length of the name keeps two pairs of name and id apart. */
+char *
+edge_scoped_id(const struct edge_call *call, const char *id)
+{
+	const char *name =
+	    call->organisation != NULL ? call->organisation->name : "";
+
+	if (id == NULL)
+		return (NULL);
+	return (g_strdup_printf("%zu/%s/%s", strlen(name), name, id));
+}
+
+/*
+ * Callers choose their ids, and two organisations may choose the same: they
+ * must not share a program's budget or overwrite each other's turns.
+ */
+static void
+scope_ids(struct edge_call *call)
+{
+	call->program = edge_scoped_id(call, call->request.program);
+	call->turn_id = edge_scoped_id(call, call->request.id);
+	call->previous_turn = edge_scoped_id(call, call->request.previous_turn);
+}
+
 static void
 set_deadline(struct edge_call *call)
 {
@@ -268,8 +295,10 @@
 		edge_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
 		return;
 	}
-	if (authenticate(call))
-		edge_rate_admit(call);
+	if (!authenticate(call))
+		return;
+	scope_ids(call);
+	edge_rate_admit(call);
 }
 
 void
@@ -277,9 +306,9 @@
 {
 	struct edge *edge = call->edge;
 
-	if (call->request.program != NULL)
+	if (call->program != NULL)
 		active_programs_add(
-		    edge->deps.activity, call->request.program, call->arrived);
+		    edge->deps.activity, call->program, call->arrived);
 	call->service_name =
 	    catalogue_service_pick(call->route, edge_version_draw(call));
 	call->service =
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -538,7 +538,7 @@
 	*reservation = (struct reservation){.call = edge_call_ref(call),
 	    .tokens = call->request.turn_max_tokens,
 	    .budget = call->request.budget};
-	reservation_begin(call->edge, call->request.program, reservation);
+	reservation_begin(call->edge, call->program, reservation);
 }
 
 void
@@ -557,7 +557,7 @@
 void
 edge_budget_acquire(struct edge_call *call)
 {
-	const char *program = call->request.program;
+	const char *program = call->program;
 	const char *home;
 
 	if (call->request.budget == EDGE_NO_BUDGET || program == NULL ||
@@ -585,6 +585,5 @@
 	if (call->loan_serial != 0)
 		edge_loan_repay(call, MAX(reserved - used, 0));
 	else
-		edge_budget_release(
-		    call->edge, call->request.program, reserved, used);
+		edge_budget_release(call->edge, call->program, reserved, used);
 }
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -141,14 +141,12 @@
 static void
 history_assemble(struct edge_call *call)
 {
-	const struct turn *previous =
-	    turn_find(call, call->request.previous_turn);
+	const struct turn *previous = turn_find(call, call->previous_turn);
 	g_autoptr(GPtrArray) chain = g_ptr_array_new();
 
 	if (previous == NULL) {
 		call->turns_missing = 1;
-		read_turn(history_op_new(
-		    call, read_turn, call->request.previous_turn));
+		read_turn(history_op_new(call, read_turn, call->previous_turn));
 		return;
 	}
 	if (strcmp(previous->organisation, call->turn->organisation) != 0) {
@@ -226,7 +224,7 @@
 		    "request=%s turn=%s found=%d end=%" G_GINT64_FORMAT,
 		    call->request.id, op->id,
 		    store_reply_find(reply, op->id) != NULL, reply->end);
-		if (strcmp(op->id, call->request.previous_turn) == 0)
+		if (strcmp(op->id, call->previous_turn) == 0)
 			edge_refuse_not_run(
 			    call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
 		else
@@ -263,15 +261,15 @@
 		    "the turn can't be recorded here now");
 		return;
 	}
-	if (strlen(call->request.id) > TURN_ID_MAX) {
+	if (strlen(call->turn_id) > TURN_ID_MAX) {
 		edge_refuse_not_run(call, VD_BAD_REQUEST, 0,
 		    "the id of the request is too long for a turn");
 		return;
 	}
-	call->turn = turn_new(call->request.id,
+	call->turn = turn_new(call->turn_id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
-	if (call->request.previous_turn == NULL)
+	if (call->previous_turn == NULL)
 		edge_budget_acquire(call);
 	else
 		history_assemble(call);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -66,6 +66,13 @@
 	struct hsv_call *client; /* nil: answered or disconnected */
 	GList link; /* in edge->calls, while client is set */
 	struct edge_request request;
+	/*
+	 * The caller's ids of the program, the turn and the turn before it,
+	 * made unique among organisations; nil: none.
+	 */
+	char *program;
+	char *turn_id;
+	char *previous_turn;
 	struct catalogue *catalogue; /* version at its admission */
 	const struct catalogue_route *route;
 	const struct catalogue_organisation *organisation; /* nil: public */
@@ -150,6 +157,14 @@
 
 clk_ms edge_now(const struct edge *edge);
 
+/*
+ * edge_scoped_id(call, id)
+ *	Return an id of the caller's, made unique among organisations, to be
+ *	freed by g_free(), or nil if id is nil.  Public routes have a scope of
+ *	their own.
+ */
+char *edge_scoped_id(const struct edge_call *call, const char *id);
+
 /*
  * edge_refuse(call, verdict)
  *	Answer the request with a verdict of the edge.
--- a/src/edge/edge_loan.c
+++ b/src/edge/edge_loan.c
@@ -96,7 +96,7 @@
 		    "the program's budget is spent");
 		return;
 	}
-	active_programs_home_clear(edge->deps.activity, call->request.program);
+	active_programs_home_clear(edge->deps.activity, call->program);
 	edge_budget_reserve_own(call);
 }
 
@@ -119,7 +119,7 @@
 	struct edge *edge = call->edge;
 	struct loan_message message = {.kind = LOAN_REQUEST,
 	    .serial = edge->loan_serial + 1,
-	    .program = (char *)call->request.program,
+	    .program = (char *)call->program,
 	    .tokens = call->request.turn_max_tokens,
 	    .budget = call->request.budget};
 	g_autofree char *name = session_instance_name(lender);
@@ -151,7 +151,7 @@
 edge_loan_repay(struct edge_call *call, int64_t tokens)
 {
 	repayment_send(call->edge, &call->lender_address, call->loan_serial,
-	    call->request.program, tokens);
+	    call->program, tokens);
 }
 
 static void
--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -123,8 +123,8 @@
 	    .limit = call->limit,
 	    .priority = call->priority,
 	    .instance = roster_own_hash(edge->deps.roster),
-	    .program = call->request.program != NULL
-		? active_programs_hash(call->request.program)
+	    .program = call->program != NULL
+		? active_programs_hash(call->program)
 		: 0};
 
 	while (call->homes_asked < ROSTER_HOMES) {
@@ -153,9 +153,9 @@
 	const char *name = roster_name(edge->deps.roster, first);
 	uint64_t hash;
 
-	if (first == 0 || name == NULL || call->request.program == NULL)
+	if (first == 0 || name == NULL || call->program == NULL)
 		return;
-	hash = active_programs_hash(call->request.program);
+	hash = active_programs_hash(call->program);
 	active_programs_merge(
 	    edge->deps.activity, name, &hash, 1, edge_now(edge));
 }
@@ -264,7 +264,7 @@
 static enum quota_priority
 request_priority(const struct edge_call *call)
 {
-	const char *program = call->request.program;
+	const char *program = call->program;
 
 	if (call->route->kind != CATALOGUE_STREAM || program == NULL ||
 	    call->request.previous_turn != NULL ||
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -238,9 +238,7 @@
 static char *
 record_key(const struct edge_call *call)
 {
-	return (g_strdup_printf("%s/%s",
-	    call->organisation != NULL ? call->organisation->name : "",
-	    stream_id(call)));
+	return (edge_scoped_id(call, stream_id(call)));
 }
 
 static void
