Spill: a request leaves its data centre when that pays

Callers' gain: less depends on other data centres, and less traffic crosses. Until now every upstream elsewhere cost 2 ms more, so most requests left for a gain below a millisecond, and all instances of a data centre moved at once when its load changed.

Change: src/spill charges an upstream elsewhere the way and the bytes that cross, and decides between the cheapest upstream at home and the cheapest one elsewhere. What doesn't depend on load (no usable upstream at home, the prompt held elsewhere, the deadline) is decided at once; for load, the part of the requests that leave follows the difference in cost, so that many instances don't overshoot. Without a struct spill, placement chooses as before.

--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -88,6 +88,9 @@
 	    .service = call->service_name,
 	    .parts = call->request.parts,
 	    .part_count = call->request.part_count,
+	    .bytes = hsv_body(call->client)->len +
+		(call->history != NULL ? call->history->len : 0),
+	    .left = MAX(call->deadline - edge_now(call->edge), 1),
 	    .max_connections = connection_share(call),
 	    .tried = call->tried,
 	    .tried_count = call->attempts,
@@ -242,6 +245,18 @@
 	edge_upstream_send(call);
 }
 
+static void
+sent_record(struct edge *edge, const char *datacentre, size_t bytes)
+{
+	cnt_add(cnt_counter(edge->deps.cnt, "upstream_requests_total",
+		    "Requests sent to upstreams, by data centre.", "datacentre",
+		    datacentre),
+	    1);
+	cnt_add(cnt_counter(edge->deps.cnt, "upstream_request_bytes_total",
+		    "Their bytes.", "datacentre", datacentre),
+	    (int64_t)bytes);
+}
+
 void
 edge_upstream_start(struct edge_call *call)
 {
@@ -278,6 +293,7 @@
 	    .body_len = body->len,
 	};
 	edge->deps.wire->request_encode(out, head, &forward);
+	sent_record(edge, upstream->datacentre, out->len + body->len);
 	request = (struct hcp_request){
 	    .address = upstream->address,
 	    .head = out,
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -16,6 +16,7 @@
 #include "reach/reach.h"
 #include "rollout/rollout.h"
 #include "roster/roster.h"
+#include "spill/spill.h"
 #include "store/sweeper.h"
 #include "throttle/throttle.h"
 #include "turn/turn.h"
@@ -65,6 +66,7 @@
 	struct inst_settings settings;
 	struct cnt *cnt;
 	struct place *place;
+	struct spill *spill;
 	struct roster *roster;
 	struct quota *quota;
 	struct throttle *throttle;
@@ -99,6 +101,32 @@
 	hsv_answer(call, status, fields, body, strlen(body));
 }
 
+static void
+spill_part_report(void *arg, const char *service, double part)
+{
+	struct inst *instance = arg;
+
+	cnt_set(cnt_gauge(instance->cnt, "spill_part_percent",
+		    "Part of the requests that leave the data centre for load.",
+		    "service", service),
+	    (int64_t)(100.0 * part));
+}
+
+/* Bring metrics up to date that are kept elsewhere. */
+static void
+metrics_collect(struct inst *instance)
+{
+	for (int i = 0; i < SPILL_REASONS; i++) {
+		enum spill_reason reason = (enum spill_reason)i;
+
+		cnt_set(cnt_gauge(instance->cnt, "spill_decisions",
+			    "Requests that left the data centre, or stayed.",
+			    "reason", spill_reason_name(reason)),
+		    (int64_t)spill_count(instance->spill, reason));
+	}
+	spill_each(instance->spill, spill_part_report, instance);
+}
+
 static void
 on_ops_request(void *arg, struct hsv_call *call)
 {
@@ -119,8 +147,10 @@
 	} else if (strcmp(path, "/healthz") == 0) {
 		ops_answer(call, 200, "text/plain", "ok\n");
 	} else if (strcmp(path, "/metrics") == 0) {
-		g_autofree char *text = cnt_text(instance->cnt);
+		g_autofree char *text = NULL;
 
+		metrics_collect(instance);
+		text = cnt_text(instance->cnt);
 		ops_answer(call, 200, "text/plain; version=0.0.4", text);
 	} else {
 		ops_answer(call, 404, "text/plain", "not found\n");
@@ -246,7 +276,9 @@
 	instance->deps = *deps;
 	instance->settings = *settings;
 	instance->cnt = cnt_open();
+	instance->spill = spill_open(&settings->spill);
 	instance->place = place_open(settings->datacentre);
+	place_spill_set(instance->place, instance->spill);
 	place_last_resort_set(instance->place,
 	    (clk_ms)(DRAIN_PART * (double)settings->upstream_drain));
 	instance->roster = roster_open(settings->name);
@@ -319,6 +351,7 @@
 	crash_table_close(instance->crashes);
 	reach_close(instance->reach);
 	place_close(instance->place);
+	spill_close(instance->spill);
 	cnt_close(instance->cnt);
 	g_free(instance);
 }
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -19,6 +19,7 @@
 #include "lib/lg.h"
 #include "place/place.h"
 #include "quota/quota.h"
+#include "spill/spill.h"
 #include "store/store.h"
 
 struct inst;
@@ -39,6 +40,7 @@
 	size_t max_connections; /* from callers */
 	unsigned weight; /* processor share, see relay/relay.h */
 	struct quota_tolerance rate_tolerance;
+	struct spill_settings spill;
 };
 
 struct inst_deps {
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -28,7 +28,7 @@
 #define OTHERS_WEIGHT 0.5
 /* Weight of a new sample in the moving averages. */
 #define SAMPLE_WEIGHT 0.1
-/* Time that the round trip to another data centre adds. */
+/* Cost of another data centre, unless spill/spill.h has one. */
 #define CROSS_DATACENTRE_MS 2.0
 /* Wait for each request ahead in an upstream's queue. */
 #define QUEUE_WAIT_MS 25.0
@@ -109,6 +109,7 @@
 	GHashTable *peers; /* name -> struct peer */
 	struct outbox *parts; /* struct place_cached_part */
 	struct departures *departures; /* also of upstreams without an entry */
+	struct spill *spill; /* see place_spill_set() */
 	clk_ms last_resort; /* see place_last_resort_set() */
 	clk_ms confirmed; /* see place_entries_confirm() */
 	guint first_load; /* upstream at which the next message begins */
@@ -370,6 +371,12 @@
 	peers_expire(place, now);
 }
 
+void
+place_spill_set(struct place *place, struct spill *spill)
+{
+	place->spill = spill;
+}
+
 void
 place_instances_set(struct place *place, unsigned instances)
 {
@@ -606,6 +613,18 @@
 	    (double)upstream->unsent * (place->instances - 1));
 }
 
+/* Time in which an engine reads the parts of the prompt that it doesn't hold.
+ */
+static double
+prefill_ms(const struct upstream *upstream, const struct place_request *request,
+    double best, clk_ms now)
+{
+	double token_ms = upstream->token_ms > 0 ? upstream->token_ms : best;
+
+	return (
+	    uncached_tokens(upstream, request, now) * PREFILL_COST * token_ms);
+}
+
 /*
  * Expected time of the request at an engine, plus the weighted delay that it
  * causes to the requests that run there.
@@ -615,14 +634,28 @@
     double best, double load, clk_ms now)
 {
 	double token_ms = upstream->token_ms > 0 ? upstream->token_ms : best;
-	double prefill =
-	    uncached_tokens(upstream, request, now) * PREFILL_COST * token_ms;
+	double prefill = prefill_ms(upstream, request, best, now);
 	double decode = token_ms * request->output_tokens;
 
 	return (decode * (1.0 + STEP_GROWTH * load) + prefill +
 	    OTHERS_WEIGHT * load * (prefill + decode * STEP_GROWTH));
 }
 
+static bool
+is_home(const struct place *place, const struct upstream *upstream)
+{
+	return (strcmp(upstream->datacentre, place->datacentre) == 0);
+}
+
+/* What an upstream in another data centre costs in addition. */
+static double
+cross_ms(const struct place *place, const struct place_request *request)
+{
+	return (place->spill != NULL
+		? spill_charge_ms(place->spill, request->bytes)
+		: CROSS_DATACENTRE_MS);
+}
+
 /* Cost of running the request at the upstream, in ms. */
 static double
 cost_ms(const struct place *place, const struct upstream *upstream,
@@ -639,8 +672,8 @@
 		    (1.0 + load / slots);
 	if (load >= slots)
 		ms += QUEUE_WAIT_MS * (load - slots + 1.0);
-	if (strcmp(upstream->datacentre, place->datacentre) != 0)
-		ms += CROSS_DATACENTRE_MS;
+	if (!is_home(place, upstream))
+		ms += cross_ms(place, request);
 	return (ms);
 }
 
@@ -876,6 +909,38 @@
 	return (best);
 }
 
+/* The cheapest upstream of this data centre, or of the others. */
+struct candidate {
+	struct upstream *upstream; /* nil: there is none */
+	double ms;
+	guint index;
+};
+
+/* Whether the request goes to the cheapest upstream of another data centre. */
+static bool
+leaves(struct place *place, const struct place_request *request,
+    const struct candidate *home, const struct candidate *away, double best,
+    clk_ms now)
+{
+	struct spill_choice choice = {
+	    .service = request->service,
+	    .home_ms = home->ms,
+	    .away_ms = away->ms,
+	    .left_ms = (double)request->left,
+	};
+
+	if (home->upstream == NULL || away->upstream == NULL)
+		return (home->upstream == NULL);
+	if (place->spill == NULL)
+		return (away->ms < home->ms);
+	choice.charge_ms = cross_ms(place, request);
+	if (request->part_count > 0)
+		choice.parts_ms =
+		    prefill_ms(home->upstream, request, best, now) -
+		    prefill_ms(away->upstream, request, best, now);
+	return (spill_decide(place->spill, &choice, now) != SPILL_STAYS);
+}
+
 bool
 place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle)
@@ -883,9 +948,10 @@
 	const struct upstream *object = object_upstream(place, request, now);
 	double best_sample_ms =
 	    best_sample(place, request->service, request->part_count > 0);
-	struct upstream *best = NULL;
+	struct candidate home = {0};
+	struct candidate away = {0};
+	const struct candidate *best;
 	struct cut cut = {0};
-	double best_ms = 0;
 	guint start = place->upstreams->len > 0
 	    ? (guint)(place->choices++ % place->upstreams->len)
 	    : 0;
@@ -894,6 +960,7 @@
 	for (guint n = 0; n < place->upstreams->len; n++) {
 		guint i = (start + n) % place->upstreams->len;
 		struct upstream *upstream = place->upstreams->pdata[i];
+		struct candidate *side;
 		clk_ms until;
 		double ms;
 
@@ -919,17 +986,19 @@
 			ms += LEAVING_COST_MS;
 		if (is_cut(request, upstream, &cut, now))
 			ms += CUT_COST_MS;
-		if (best == NULL || ms < best_ms) {
-			best = upstream;
-			best_ms = ms;
-			handle->index = i;
-			handle->generation = upstream->generation;
-		}
+		side = is_home(place, upstream) ? &home : &away;
+		if (side->upstream == NULL || ms < side->ms)
+			*side = (struct candidate){upstream, ms, i};
 	}
-	if (best == NULL)
+	best = leaves(place, request, &home, &away, best_sample_ms, now)
+	    ? &away
+	    : &home;
+	if (best->upstream == NULL)
 		return (false);
-	best->running++;
-	best->unsent++;
+	*handle =
+	    (struct place_handle){best->index, best->upstream->generation};
+	best->upstream->running++;
+	best->upstream->unsent++;
 	return (true);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -22,6 +22,7 @@
 #include "lib/clk.h"
 #include "place/departure.h"
 #include "reach/reach.h"
+#include "spill/spill.h"
 #include "throttle/throttle.h"
 
 struct place;
@@ -59,6 +60,8 @@
 	/* Hash of the object that a request without parts concerns; 0: none. */
 	uint32_t object;
 	unsigned output_tokens; /* expected */
+	size_t bytes; /* of the request, with its history */
+	clk_ms left; /* until its deadline; 0: not known */
 	unsigned max_connections; /* to one upstream from this instance */
 	const struct place_handle *tried; /* excluded from the choice */
 	size_t tried_count;
@@ -129,6 +132,13 @@
  */
 void place_last_resort_set(struct place *place, clk_ms time);
 
+/*
+ * place_spill_set(place, spill)
+ *	Let spill decide which requests leave this data centre; nil, as at
+ *	first: each goes to the cheapest upstream.  The caller keeps spill.
+ */
+void place_spill_set(struct place *place, struct spill *spill);
+
 /*
  * place_instances_set(place, instances)
  *	Set the number of instances that share the upstreams.
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -530,6 +530,37 @@
 	place_close(place);
 }
 
+/*
+ * Guards against requests that cross to another data centre for a gain below
+ * what it costs, and against requests that stay when home has no upstream.
+ */
+static void
+test_spill(void)
+{
+	const struct spill_settings settings = {SPILL_GB_PRICE_S};
+	struct spill *spill = spill_open(&settings);
+	struct place *place = place_open("a");
+	struct place_entry away = entry("away", 2, 64);
+	struct place_handle handle;
+
+	away.datacentre = "b";
+	place_spill_set(place, spill);
+	place_instances_set(place, 1);
+	add(place, "home", 1);
+	(void)place_upstream_update(place, &away, 0);
+	/* A load difference of one request at home is less than the way. */
+	for (int i = 0; i < 2; i++)
+		g_assert_cmpstr(choose(place, NULL, 0, 0, &handle), ==, "home");
+	for (int i = 0; i < 2; i++)
+		place_request_end(place, handle, PLACE_UNREACHABLE, 0);
+	g_assert_cmpstr(choose(place, NULL, 0, 1, &handle), ==, "away");
+	place_upstream_remove(place, "home");
+	g_assert_cmpstr(choose(place, NULL, 0, 10000, &handle), ==, "away");
+	g_assert_cmpuint(spill_count(spill, SPILL_UNAVAILABLE), ==, 1);
+	place_close(place);
+	spill_close(spill);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -549,5 +580,6 @@
 	g_test_add_func("/plc/entries", test_entries);
 	g_test_add_func("/plc/started-anew", test_restarted_upstream);
 	g_test_add_func("/plc/loads-take-turns", test_loads_take_turns);
+	g_test_add_func("/place/spill", test_spill);
 	return (g_test_run());
 }
