Evacuation: nothing new is sent to an evacuated data centre

Cause: an operator could not empty a data centre; the key evacuate/ZONE of the operator's topic was ignored.

Change: src/place/evacuation keeps the evacuated data centres as of an offset of the operator's topic, from the instance's own feed or from another instance's gossip, whichever offset is larger. An upstream there is not open: not for the choice, not when the request is handed to the pool, and not immediately before its first byte (hcp_request.may_send). With bounds.evacuate_ms set, nothing is sent once the last read of the topic is older than that less 200 ms, so that an instance which was suspended or turned away sends nothing to a data centre whose evacuation it can't know of. Streams bound to a software version that is only there, and everything if all are evacuated, get 503, not run, with Retry-After.

The gossip format has a new version: instances of an older build are not heard, as with the earlier versions. /gossip/noise has a larger buffer, as a message without entries is longer than 64 bytes now.

The whole of test_instance was not run.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -139,6 +139,7 @@
 	clk_ms first_event_ms; /* from sending; 0: no event */
 	struct edge_reply reply;
 	bool is_choice_bound; /* handle was chosen for its software version */
+	bool is_withheld; /* not sent, though a connection was there */
 	bool has_reply;
 	bool is_streaming;
 	bool is_undelimited; /* the response ends with its connection */
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -48,6 +48,8 @@
 static void on_data(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum hcp_end end, bool timed_out);
 
+static bool may_send(void *arg);
+
 static const struct hcp_handler upstream_handler = {on_head, on_data, on_end};
 
 /* Whether the request may be run again after an upstream may have run it. */
@@ -269,6 +271,7 @@
 	call->heard = call->sent_at;
 	call->last_event = 0;
 	call->is_lost = false;
+	call->is_withheld = false;
 	forward = (struct edge_forward){
 	    .upstream_id = upstream->id,
 	    .organisation =
@@ -288,6 +291,7 @@
 		? STREAM_BYTES_MAX
 		: ANSWER_BYTES_MAX,
 	    .is_head = strcmp(head->method, "HEAD") == 0,
+	    .may_send = may_send,
 	    .handler = &upstream_handler,
 	    .arg = call,
 	};
@@ -297,6 +301,20 @@
 	g_queue_push_tail_link(&edge->attempts, &call->attempt_link);
 }
 
+/*
+ * Whether the upstream may still get the request, now that a connection is
+ * there: the process may have been suspended, or news have come meanwhile.
+ */
+static bool
+may_send(void *arg)
+{
+	struct edge_call *call = arg;
+
+	call->is_withheld = !place_is_open(call->edge->deps.place, call->handle,
+	    call->is_choice_bound, edge_now(call->edge));
+	return (!call->is_withheld);
+}
+
 static void
 attempt_unlink(struct edge_call *call)
 {
@@ -627,6 +645,10 @@
 	    (call->reply.is_not_run || call->reply.is_misdirected);
 
 	attempt_unlink(call);
+	if (call->is_withheld) {
+		edge_upstream_refused(call);
+		return;
+	}
 	if (end == HCP_NOT_SENT || call->is_lost)
 		outcome = PLACE_UNREACHABLE;
 	else if (end != HCP_COMPLETE ||
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -46,6 +46,7 @@
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX];
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX];
 	struct departure departures[GOSSIP_DEPARTURES_MAX];
+	char *evacuated[EVACUATION_NAMES_MAX];
 };
 
 /*
@@ -96,6 +97,8 @@
 	    departures_collect(place_departures(gossip->deps.place),
 		lists->departures, GOSSIP_DEPARTURES_MAX, now),
 	    GOSSIP_DEPARTURES_MAX);
+	evacuations_collect(place_evacuations(gossip->deps.place),
+	    &message->evacuations, lists->evacuated);
 }
 
 /* Adds this instance's load and the prompt parts that it sent. */
@@ -377,6 +380,28 @@
 
 /* ---- Receiving ---- */
 
+static void
+evacuations_apply(
+    struct gossip *gossip, const struct gossip_message *message, clk_ms now)
+{
+	struct evacuations *evacuations = place_evacuations(gossip->deps.place);
+	g_autofree char *names = NULL;
+	char quoted[256];
+
+	if (!evacuations_merge(evacuations, &message->evacuations, now))
+		return;
+	names = evacuations_text(evacuations);
+	lg_event(gossip->deps.lg, LG_NOTICE, "evacuation", "by=%s evacuated=%s",
+	    message->name, lg_quote(quoted, sizeof(quoted), names));
+	cnt_add(cnt_counter(gossip->deps.cnt, "evacuation_changes_total",
+		    "Changes of the evacuated data centres, by source.",
+		    "source", "gossip"),
+	    1);
+	cnt_set(cnt_gauge(gossip->deps.cnt, "evacuated_datacentres",
+		    "Data centres that are evacuated.", NULL, NULL),
+	    evacuations_count(evacuations));
+}
+
 static void
 news_apply(
     struct gossip *gossip, const struct gossip_message *message, clk_ms now)
@@ -390,6 +415,7 @@
 		    "by=%s upstreams=%u", message->name, leaving);
 	throttle_merge(
 	    deps->throttle, message->limits, message->limit_len, now);
+	evacuations_apply(gossip, message, now);
 	for (unsigned i = 0; i < message->crash_len; i++) {
 		const struct sched_crash *crash = &message->crashes[i];
 
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -127,6 +127,7 @@
 	struct throttle_limit *limits; /* that upstreams named */
 	struct departure *departures; /* of upstreams */
 	struct relay_summary *summaries; /* of data centres */
+	struct evacuation_news evacuations; /* as the sender knows them */
 	uint32_t kind; /* enum gossip_kind */
 	uint32_t store_age; /* ms since the store answered the sender */
 	unsigned count_len;
--- a/src/gossip/gossip_message.c
+++ b/src/gossip/gossip_message.c
@@ -8,7 +8,7 @@
 #include "lib/dgram.h"
 
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f3cU
+#define PROTOCOL_VERSION 0x53474f3dU
 
 static bool_t
 xdr_count(XDR *xdrs, struct quota_count *count)
@@ -77,6 +77,22 @@
 		RELAY_LOADS_MAX, sizeof(*summary->loads), (xdrproc_t)xdr_load));
 }
 
+static bool_t
+xdr_datacentre(XDR *xdrs, char **name)
+{
+	return (xdr_string(xdrs, name, EVACUATION_NAME_MAX));
+}
+
+static bool_t
+xdr_evacuations(XDR *xdrs, struct evacuation_news *news)
+{
+	return (xdr_uint64_t(xdrs, &news->end) &&
+	    xdr_uint32_t(xdrs, &news->is_partial) &&
+	    xdr_array(xdrs, (char **)&news->names, &news->name_len,
+		EVACUATION_NAMES_MAX, sizeof(*news->names),
+		(xdrproc_t)xdr_datacentre));
+}
+
 static bool_t
 xdr_message(XDR *xdrs, void *data)
 {
@@ -111,7 +127,8 @@
 		sizeof(*message->departures), (xdrproc_t)xdr_departure) &&
 	    xdr_array(xdrs, (char **)&message->summaries, &message->summary_len,
 		RELAY_SUMMARIES_MAX, sizeof(*message->summaries),
-		(xdrproc_t)xdr_summary));
+		(xdrproc_t)xdr_summary) &&
+	    xdr_evacuations(xdrs, &message->evacuations));
 }
 
 size_t
@@ -155,5 +172,10 @@
 		free(message->summaries[i].loads);
 	}
 	free(message->summaries);
+	for (unsigned i = 0; message->evacuations.names != NULL &&
+	     i < message->evacuations.name_len;
+	     i++)
+		free(message->evacuations.names[i]);
+	free(message->evacuations.names);
 	memset(message, 0, sizeof(*message));
 }
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -17,6 +17,7 @@
 	struct sched_crash crashes[] = {{{1, 2, 3}, "u-1", 0}};
 	struct throttle_limit limits[] = {{13, 3500, 120}, {14, 0, 9}};
 	struct departure departures[] = {{1754000000000, 15, 16}};
+	char *evacuated[] = {(char *)"dc-2", (char *)"dc-3"};
 	const struct gossip_message message = {.name = (char *)"i-1",
 	    .incarnation = 17,
 	    .datacentre = (char *)"dc-1",
@@ -34,7 +35,8 @@
 	    .limits = limits,
 	    .limit_len = 2,
 	    .departures = departures,
-	    .departure_len = 1};
+	    .departure_len = 1,
+	    .evacuations = {77, evacuated, 2, 1}};
 	char buf[1024];
 	struct gossip_message read;
 	size_t len = gossip_message_encode(buf, sizeof(buf), &message);
@@ -63,6 +65,10 @@
 	g_assert_cmpuint(read.departures[0].upstream, ==, 15);
 	g_assert_cmpuint(read.departures[0].started, ==, 1754000000000);
 	g_assert_cmpuint(read.departures[0].age, ==, 16);
+	g_assert_cmpuint(read.evacuations.end, ==, 77);
+	g_assert_cmpuint(read.evacuations.name_len, ==, 2);
+	g_assert_cmpstr(read.evacuations.names[1], ==, "dc-3");
+	g_assert_cmpuint(read.evacuations.is_partial, ==, 1);
 	g_assert_cmpmem(read.crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE,
 	    crashes[0].fingerprint, SCHED_FINGERPRINT_SIZE);
 	gossip_message_clear(&read);
@@ -89,6 +95,8 @@
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX] = {0};
 	struct departure departures[GOSSIP_DEPARTURES_MAX] = {0};
 	char name[GOSSIP_NAME_MAX + 1] = {0};
+	char datacentre[EVACUATION_NAME_MAX + 1] = {0};
+	char *evacuated[EVACUATION_NAMES_MAX];
 	const struct gossip_message message = {.name = name,
 	    .incarnation = 17,
 	    .datacentre = name,
@@ -105,12 +113,16 @@
 	    .limits = limits,
 	    .limit_len = GOSSIP_LIMITS_MAX,
 	    .departures = departures,
-	    .departure_len = GOSSIP_DEPARTURES_MAX};
+	    .departure_len = GOSSIP_DEPARTURES_MAX,
+	    .evacuations = {77, evacuated, EVACUATION_NAMES_MAX, 1}};
 	struct gossip_message read;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	size_t len;
 
 	memset(name, 'n', GOSSIP_NAME_MAX);
+	memset(datacentre, 'd', EVACUATION_NAME_MAX);
+	for (int i = 0; i < EVACUATION_NAMES_MAX; i++)
+		evacuated[i] = datacentre;
 	for (int i = 0; i < GOSSIP_CRASHES_MAX; i++)
 		memset(
 		    crashes[i].upstream, 'u', sizeof(crashes[i].upstream) - 1);
@@ -130,7 +142,8 @@
 	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
 	const struct gossip_message empty = {
 	    .name = (char *)"", .datacentre = (char *)""};
-	char version[64];
+	/* Room for a message without entries: 88 bytes. */
+	char version[128];
 
 	g_assert_cmpuint(
 	    gossip_message_encode(version, sizeof(version), &empty), >, 4);
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -32,6 +32,7 @@
 	struct sockaddr_in address;
 	struct hmsg_reader reader;
 	const struct hcp_handler *handler;
+	bool (*may_send)(void *arg); /* nil: nothing to check */
 	void *arg;
 	GByteArray *out;
 	size_t out_done;
@@ -370,6 +371,9 @@
 	}
 	if (call->is_probe)
 		probe_ended(call);
+	else if (!call->sent && call->may_send != NULL &&
+	    !call->may_send(call->arg))
+		call_failed(call, false);
 	else
 		send_out(call);
 }
@@ -493,6 +497,7 @@
 	call->is_probe = request->is_probe;
 	call->reader.skip_body = request->is_head;
 	call->handler = request->handler;
+	call->may_send = request->may_send;
 	call->arg = request->arg;
 	call->max_bytes = request->max_bytes;
 	call->received = 0;
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -68,6 +68,11 @@
 	 * HCP_COMPLETE, or HCP_NOT_SENT if the server can't be reached.
 	 */
 	bool is_probe;
+	/*
+	 * Called immediately before the first byte is sent, which may be long
+	 * after hcp_start(): false ends the call as HCP_NOT_SENT.  nil: sent.
+	 */
+	bool (*may_send)(void *arg);
 	const struct hcp_handler *handler;
 	void *arg;
 };
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -850,6 +850,69 @@
 	c->listener = listen_any(&c->address);
 }
 
+struct permission {
+	struct outcome outcome;
+	bool is_given;
+	unsigned asked;
+};
+
+static bool
+may_send(void *arg)
+{
+	struct permission *permission = arg;
+
+	permission->asked++;
+	return (permission->is_given);
+}
+
+/*
+ * Guards against a request that is sent although it may not be any more, on a
+ * connection that was established, or idle, meanwhile: nothing leaves, and the
+ * permission is asked for just before the first byte.
+ */
+static void
+test_may_not_send(struct client *c, gconstpointer data)
+{
+	struct permission permission = {.outcome.body = g_string_new(NULL)};
+	struct hcp_request request = {
+	    .address = c->address,
+	    .head = c->head,
+	    .connect_timeout = 500,
+	    .timeout = 1000,
+	    .may_send = may_send,
+	    .handler = &client_handler,
+	    .arg = &permission,
+	};
+	char byte;
+	int fd;
+
+	(void)data;
+	(void)hcp_start(c->hcp, &request);
+	g_assert_cmpuint(permission.asked, ==, 0);
+	fd = take_connection(c);
+	g_assert_cmpuint(permission.asked, ==, 1);
+	g_assert_cmpuint(permission.outcome.ends, ==, 1);
+	g_assert_cmpint(permission.outcome.end, ==, HCP_NOT_SENT);
+	g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 0);
+	(void)close(fd);
+	permission.is_given = true;
+	(void)hcp_start(c->hcp, &request);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, OK_5);
+	turn(c->loop, 20);
+	g_assert_cmpuint(permission.asked, ==, 2);
+	g_assert_cmpint(permission.outcome.end, ==, HCP_COMPLETE);
+	permission.is_given = false;
+	(void)hcp_start(c->hcp, &request);
+	turn(c->loop, 20);
+	g_assert_cmpuint(permission.outcome.ends, ==, 3);
+	g_assert_cmpint(permission.outcome.end, ==, HCP_NOT_SENT);
+	g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 0);
+	(void)close(fd);
+	g_string_free(permission.outcome.body, TRUE);
+}
+
 /* A server that reads and never answers is given up at the call's timeout. */
 static void
 test_silent(struct client *c, gconstpointer data)
@@ -897,6 +960,7 @@
 	CLIENT("early-answer", test_early_answer);
 	CLIENT("not-sent", test_not_sent);
 	CLIENT("probe", test_probe);
+	CLIENT("may-not-send", test_may_not_send);
 	CLIENT("silent", test_silent);
 	return (g_test_run());
 }
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -249,6 +249,8 @@
 	instance->place = place_open(settings->datacentre);
 	place_last_resort_set(instance->place,
 	    (clk_ms)(DRAIN_PART * (double)settings->upstream_drain));
+	evacuations_max_age_set(
+	    place_evacuations(instance->place), settings->max_evacuation_age);
 	instance->roster = roster_open(settings->name);
 	instance->quota =
 	    quota_open(instance->roster, &settings->rate_tolerance, now);
@@ -393,6 +395,58 @@
 	place_entries_confirm(instance->place, when);
 }
 
+static void
+evacuations_log(struct inst *instance, const char *datacentre, bool is_begun)
+{
+	const struct evacuations *evacuations =
+	    place_evacuations(instance->place);
+	g_autofree char *names = evacuations_text(evacuations);
+	char quoted[128], all[256];
+
+	lg_event(instance->deps.lg, LG_NOTICE, "evacuation",
+	    "by=store datacentre=%s begun=%d evacuated=%s",
+	    lg_quote(quoted, sizeof(quoted), datacentre), is_begun,
+	    lg_quote(all, sizeof(all), names));
+	cnt_add(cnt_counter(instance->cnt, "evacuation_changes_total",
+		    "Changes of the evacuated data centres, by source.",
+		    "source", "store"),
+	    1);
+	cnt_set(cnt_gauge(instance->cnt, "evacuated_datacentres",
+		    "Data centres that are evacuated.", NULL, NULL),
+	    evacuations_count(evacuations));
+}
+
+void
+inst_evacuation_set(
+    struct inst *instance, const char *datacentre, bool is_evacuated)
+{
+	if (datacentre[0] == '\0') {
+		lg_event(instance->deps.lg, LG_WARNING, "evacuation_unnamed",
+		    "evacuated=%d", is_evacuated);
+		cnt_add(cnt_counter(instance->cnt, "evacuation_unnamed_total",
+			    "Evacuations without a data centre, skipped.", NULL,
+			    NULL),
+		    1);
+		return;
+	}
+	if (evacuations_set(
+		place_evacuations(instance->place), datacentre, is_evacuated))
+		evacuations_log(instance, datacentre, is_evacuated);
+}
+
+void
+inst_evacuations_retain(struct inst *instance, GHashTable *datacentres)
+{
+	if (evacuations_retain(place_evacuations(instance->place), datacentres))
+		evacuations_log(instance, "-", false);
+}
+
+void
+inst_evacuations_confirm(struct inst *instance, uint64_t end, clk_ms when)
+{
+	evacuations_confirm(place_evacuations(instance->place), end, when);
+}
+
 void
 inst_store_report(struct inst *instance, bool ok)
 {
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -31,6 +31,11 @@
 	struct sockaddr_in metrics; /* GET /metrics; port 0: none */
 	struct sockaddr_in gossip; /* address for gossip datagrams */
 	clk_ms max_catalogue_age; /* see struct edge_settings */
+	/*
+	 * Time after which an evacuation may have begun unnoticed, see
+	 * place/evacuation.h; 0: none is kept.
+	 */
+	clk_ms max_evacuation_age;
 	clk_ms retention; /* of idle turns and budgets */
 	size_t turn_cache; /* bytes of turns that are kept in memory */
 	clk_ms grace; /* from the stop signal to the forced exit */
@@ -81,6 +86,18 @@
 void inst_upstreams_retain(struct inst *instance, GHashTable *ids);
 void inst_upstreams_confirm(struct inst *instance, clk_ms when);
 
+/*
+ * inst_evacuation_set(instance, datacentre, is_evacuated)
+ * inst_evacuations_retain(instance, datacentres)
+ * inst_evacuations_confirm(instance, end, when)
+ *	Handle the operator's records of evacuations, see place/evacuation.h.
+ *	A record that names no data centre is skipped and counted.
+ */
+void inst_evacuation_set(
+    struct inst *instance, const char *datacentre, bool is_evacuated);
+void inst_evacuations_retain(struct inst *instance, GHashTable *datacentres);
+void inst_evacuations_confirm(struct inst *instance, uint64_t end, clk_ms when);
+
 /*
  * inst_store_report(instance, ok)
  *	Report whether a store call was answered.  During an outage and just
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -109,6 +109,7 @@
 	GHashTable *peers; /* name -> struct peer */
 	struct outbox *parts; /* struct place_cached_part */
 	struct departures *departures; /* also of upstreams without an entry */
+	struct evacuations *evacuations;
 	clk_ms last_resort; /* see place_last_resort_set() */
 	clk_ms confirmed; /* see place_entries_confirm() */
 	guint first_load; /* upstream at which the next message begins */
@@ -139,6 +140,7 @@
 	place->parts =
 	    outbox_open(sizeof(struct place_cached_part), UNSENT_PARTS_MAX);
 	place->departures = departures_open();
+	place->evacuations = evacuations_open(0);
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
 	place->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -175,6 +177,7 @@
 	g_hash_table_destroy(place->peers);
 	outbox_close(place->parts);
 	departures_close(place->departures);
+	evacuations_close(place->evacuations);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -390,12 +393,20 @@
 is_open(const struct place *place, const struct upstream *upstream,
     bool is_bound, clk_ms now)
 {
-	if (now < upstream->doubted_until)
+	if (now < upstream->doubted_until ||
+	    evacuations_is_stale(place->evacuations, now) ||
+	    evacuations_has(place->evacuations, upstream->datacentre))
 		return (false);
 	return (!is_leaving(upstream) ||
 	    (is_bound && now - upstream->leaving_since < place->last_resort));
 }
 
+struct evacuations *
+place_evacuations(struct place *place)
+{
+	return (place->evacuations);
+}
+
 void
 place_last_resort_set(struct place *place, clk_ms time)
 {
@@ -447,6 +458,8 @@
 
 		if (upstream->in_use && !upstream->is_removed &&
 		    !is_leaving(upstream) &&
+		    !evacuations_has(
+			place->evacuations, upstream->datacentre) &&
 		    strcmp(upstream->service, service) == 0 &&
 		    g_strcmp0(upstream->version, version) == 0)
 			return (true);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -21,6 +21,7 @@
 
 #include "lib/clk.h"
 #include "place/departure.h"
+#include "place/evacuation.h"
 #include "reach/reach.h"
 #include "throttle/throttle.h"
 
@@ -121,6 +122,13 @@
     const struct departure *departures, size_t n, clk_ms now);
 const struct departures *place_departures(const struct place *place);
 
+/*
+ * place_evacuations(place)
+ *	Return the evacuated data centres, whose upstreams get nothing new.  The
+ *	caller may change them.
+ */
+struct evacuations *place_evacuations(struct place *place);
+
 /*
  * place_last_resort_set(place, time)
  *	Set the time after its word for which a leaving upstream still gets
