--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -295,6 +295,7 @@
 		edge_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
 		return;
 	}
+	set_deadline(call);
 	if (!authenticate(call))
 		return;
 	scope_ids(call);
@@ -313,7 +314,6 @@
 	    catalogue_service_pick(call->route, edge_version_draw(call));
 	call->service =
 	    catalogue_service_find(call->catalogue, call->service_name);
-	set_deadline(call);
 	if (edge->is_stopped && call->deadline > edge->stop_at) {
 		edge_refuse_not_run(call, VD_STOPPING, RETRY_ELSEWHERE_MIN_MS,
 		    "the instance stops before the request's time is over");
