--- a/src/catalogue/catalogue.c
+++ b/src/catalogue/catalogue.c
@@ -274,3 +274,16 @@
 	}
 	return (NULL);
 }
+
+void
+catalogue_services_each(const struct catalogue *catalogue,
+    void (*visit)(void *arg, const struct catalogue_service *service),
+    void *arg)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, catalogue->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(arg, value);
+}
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -51,6 +51,9 @@
 	unsigned slots; /* requests that an engine runs concurrently */
 	unsigned tokens_per_event;
 	unsigned long kv_tokens; /* size of an engine's KV cache */
+	/* Time from its start in which an upstream takes few requests. */
+	clk_ms cold_start;
+	double cold_per_s; /* requests a second that it takes then; 0: any */
 };
 
 struct catalogue_organisation {
@@ -119,6 +122,15 @@
 
 const struct catalogue_service *
 catalogue_service_find(const struct catalogue *catalogue, const char *name);
+
+/*
+ * catalogue_services_each(catalogue, visit, arg)
+ *	Call visit() for each service.
+ */
+void catalogue_services_each(const struct catalogue *catalogue,
+    void (*visit)(void *arg, const struct catalogue_service *service),
+    void *arg);
+
 const struct catalogue_organisation *
 catalogue_key_find(const struct catalogue *catalogue, const char *key);
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -117,6 +117,7 @@
 	clk_ms throttle_since;
 	unsigned throttle_asks;
 	bool has_throttle_token; /* it waits until it may use it */
+	clk_ms token_at; /* when the token was for; 0: none was needed */
 	struct ev_timer throttle_timer;
 	/* Software version of a stream that may be taken up. */
 	char *version; /* the only one at which it may run; nil: any */
@@ -215,12 +216,16 @@
  *	Take a token for the upstream that was chosen, if it names a limit.
  *	Continues with edge_upstream_start(), or with edge_upstream_refused()
  *	if there is none.
+ * edge_throttle_is_current(call)
+ *	Whether the call may be sent now: not to a cold upstream without a
+ *	token, or with one that was granted too long ago.
  * edge_throttle_cancel(call)
  *	Stop waiting for a token.  Returns whether the call did wait.
  * edge_throttle_open(edge), edge_throttle_close(edge)
  *	Create and free the table of calls that wait.
  */
 void edge_throttle_acquire(struct edge_call *call);
+bool edge_throttle_is_current(const struct edge_call *call);
 bool edge_throttle_cancel(struct edge_call *call);
 void edge_throttle_open(struct edge *edge);
 void edge_throttle_close(struct edge *edge);
--- a/src/edge/edge_throttle.c
+++ b/src/edge/edge_throttle.c
@@ -9,6 +9,11 @@
  * another upstream is chosen before the caller notices.
  */
 #define HOME_TIMEOUT_MS 30
+/*
+ * Time after which a token of a cold upstream is not used: the bound of a
+ * second counts on it, see docs/design/cold-upstreams.md.
+ */
+#define COLD_TOKEN_MS 100
 /* Time for which an upstream whose home does not answer is not used. */
 #define SILENT_HOME_HOLD_MS 100
 
@@ -107,6 +112,7 @@
 token_granted(struct edge_call *call, clk_ms wait)
 {
 	outcome_record(call, wait > 0 ? "reserved" : "granted", wait);
+	call->token_at = call->throttle_since + wait;
 	if (wait == 0) {
 		edge_upstream_start(call);
 		return;
@@ -142,6 +148,7 @@
 	clk_ms wait;
 
 	call->throttle_since = edge_now(edge);
+	call->token_at = 0;
 	switch (throttle_take(edge->deps.throttle, upstream_hash(call),
 	    call->throttle_max_wait, call->throttle_since, &wait)) {
 	case THROTTLE_FREE:
@@ -161,6 +168,17 @@
 	}
 }
 
+bool
+edge_throttle_is_current(const struct edge_call *call)
+{
+	const struct edge *edge = call->edge;
+
+	if (!throttle_is_cold(edge->deps.throttle, upstream_hash(call)))
+		return (true);
+	return (call->token_at > 0 &&
+	    edge_now(edge) - call->token_at <= COLD_TOKEN_MS);
+}
+
 bool
 edge_throttle_cancel(struct edge_call *call)
 {
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -311,7 +311,8 @@
 	struct edge_call *call = arg;
 
 	call->is_withheld = !place_is_open(call->edge->deps.place, call->handle,
-	    call->is_choice_bound, edge_now(call->edge));
+				call->is_choice_bound, edge_now(call->edge)) ||
+	    !edge_throttle_is_current(call);
 	return (!call->is_withheld);
 }
 
@@ -646,6 +647,8 @@
 
 	attempt_unlink(call);
 	if (call->is_withheld) {
+		/* A token was used up; those that a call asks for are few. */
+		call->throttle_asks++;
 		edge_upstream_refused(call);
 		return;
 	}
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -388,7 +388,8 @@
 	g_autofree char *names = NULL;
 	char quoted[256];
 
-	if (!evacuations_merge(evacuations, &message->evacuations, now))
+	if (!evacuations_merge(evacuations, &message->evacuations, now) ||
+	    !place_evacuations_apply(gossip->deps.place))
 		return;
 	names = evacuations_text(evacuations);
 	lg_event(gossip->deps.lg, LG_NOTICE, "evacuation", "by=%s evacuated=%s",
--- a/src/gossip/gossip_message.c
+++ b/src/gossip/gossip_message.c
@@ -52,7 +52,9 @@
 {
 	return (xdr_uint32_t(xdrs, &limit->upstream) &&
 	    xdr_uint32_t(xdrs, &limit->rate) &&
-	    xdr_uint32_t(xdrs, &limit->age));
+	    xdr_uint32_t(xdrs, &limit->age) &&
+	    xdr_uint32_t(xdrs, &limit->cold_rate) &&
+	    xdr_uint32_t(xdrs, &limit->cold));
 }
 
 static bool_t
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -17,6 +17,7 @@
 #include "rollout/rollout.h"
 #include "roster/roster.h"
 #include "store/sweeper.h"
+#include "throttle/cold.h"
 #include "throttle/throttle.h"
 #include "turn/turn.h"
 
@@ -48,6 +49,11 @@
  * here: other instances, and the registrations, have their word earlier.
  */
 #define DRAIN_PART 0.25
+/*
+ * Time for which an upstream that failed is taken for one that has started
+ * again: its entry is read within 0.8 s, and a crash takes about 1 s to end.
+ */
+#define DOUBT_FAILED_MS 2000
 /* Limits of the servers for readiness probes and metrics. */
 #define OPS_MAX_HEAD	    8192
 #define OPS_MAX_BODY	    1024
@@ -68,6 +74,7 @@
 	struct roster *roster;
 	struct quota *quota;
 	struct throttle *throttle;
+	struct colds *colds;
 	struct active_programs *activity;
 	struct crash_table *crashes;
 	struct reach *reach;
@@ -77,6 +84,7 @@
 	struct hsv *ready;
 	struct hsv *metrics;
 	struct ev_timer tick;
+	int64_t catalogue_version;
 	clk_ms stop_begun; /* 0: not stopping */
 	clk_ms store_answered; /* last answer of the store */
 	clk_ms store_outage_end; /* end of the last outage; 0: none */
@@ -220,6 +228,33 @@
 	return (instance_now(instance) - instance->store_answered);
 }
 
+static void
+cold_log(const struct inst *instance, uint32_t upstream, const char *by)
+{
+	const struct throttle_limit limit =
+	    throttle_get(instance->throttle, upstream, instance_now(instance));
+
+	lg_event(instance->deps.lg, LG_INFO, "upstream_cold",
+	    "hash=%08x by=%s cold_ms=%u limit_per_s=%.1f", upstream, by,
+	    limit.cold, limit.cold_rate / 1000.0);
+	cnt_add(
+	    cnt_counter(instance->cnt, "upstreams_cold_total",
+		"Upstreams that became cold or warm, by source.", "source", by),
+	    1);
+}
+
+static void
+on_doubt(void *arg, uint32_t upstream, bool is_failure)
+{
+	struct inst *instance = arg;
+
+	if (cold_upstream_doubt(instance->colds, upstream,
+		is_failure ? DOUBT_FAILED_MS : INT32_MAX,
+		instance_now(instance)))
+		cold_log(instance, upstream,
+		    is_failure ? "failure" : "evacuation_end");
+}
+
 static struct hsv *
 ops_open(struct inst *instance, const struct sockaddr_in *address)
 {
@@ -255,6 +290,10 @@
 	instance->quota =
 	    quota_open(instance->roster, &settings->rate_tolerance, now);
 	instance->throttle = throttle_open(instance->roster);
+	instance->colds =
+	    cold_open(instance->throttle, &settings->cold_tolerance);
+	place_throttle_set(instance->place, instance->throttle);
+	place_doubt_set(instance->place, on_doubt, instance);
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
 	instance->reach = reach_open(settings->datacentre);
@@ -314,6 +353,7 @@
 	hsv_close(instance->ready);
 	hsv_close(instance->metrics);
 	edge_close(instance->edge);
+	cold_close(instance->colds);
 	throttle_close(instance->throttle);
 	quota_close(instance->quota);
 	roster_close(instance->roster);
@@ -325,10 +365,23 @@
 	g_free(instance);
 }
 
+static void
+on_service(void *arg, const struct catalogue_service *service)
+{
+	cold_service_set(
+	    arg, service->name, service->cold_start, service->cold_per_s);
+}
+
 void
 inst_catalogue_set(struct inst *instance, struct catalogue *catalogue)
 {
 	edge_catalogue_set(instance->edge, catalogue);
+	if (catalogue_version(catalogue) > instance->catalogue_version) {
+		instance->catalogue_version = catalogue_version(catalogue);
+		cold_services_clear(instance->colds);
+		catalogue_services_each(catalogue, on_service, instance->colds);
+		cold_services_apply(instance->colds, instance_now(instance));
+	}
 	sweeper_retention_set(
 	    instance->sweeper, catalogue_retention(catalogue));
 }
@@ -339,11 +392,36 @@
 	edge_catalogue_confirm(instance->edge, when);
 }
 
+static void
+cold_entry_take(struct inst *instance, const struct place_entry *entry)
+{
+	const struct cold_entry cold = {
+	    .upstream = roster_hash(entry->id),
+	    .service = entry->service,
+	    .started = entry->started,
+	    .sequence = entry->sequence,
+	    .remaining = entry->cold_remaining,
+	    .is_stated = entry->is_cold_stated,
+	};
+
+	if (entry->is_cold_odd) {
+		lg_event(instance->deps.lg, LG_WARNING, "cold_unreadable",
+		    "upstream=%s", entry->id);
+		cnt_add(cnt_counter(instance->cnt, "cold_unreadable_total",
+			    "Entries whose time until warm is no time.", NULL,
+			    NULL),
+		    1);
+	}
+	if (cold_entry_set(instance->colds, &cold, instance_now(instance)))
+		cold_log(instance, cold.upstream, "entry");
+}
+
 void
 inst_upstream_update(struct inst *instance, const struct place_entry *entry)
 {
 	char version[80];
 
+	cold_entry_take(instance, entry);
 	if (!place_upstream_update(
 		instance->place, entry, instance_now(instance)))
 		return;
@@ -369,6 +447,7 @@
 	clk_ms now = instance_now(instance);
 	bool lapse = is_lapse_likely(instance, now);
 
+	cold_upstream_remove(instance->colds, roster_hash(id));
 	lg_event(instance->deps.lg, LG_INFO, "upstream_gone",
 	    "upstream=%s lapse=%d", id, lapse);
 	if (lapse)
@@ -395,18 +474,20 @@
 	place_entries_confirm(instance->place, when);
 }
 
+/* Applies what the store said of evacuations; logs a change. */
 static void
-evacuations_log(struct inst *instance, const char *datacentre, bool is_begun)
+evacuations_apply(struct inst *instance)
 {
 	const struct evacuations *evacuations =
 	    place_evacuations(instance->place);
-	g_autofree char *names = evacuations_text(evacuations);
-	char quoted[128], all[256];
+	g_autofree char *names = NULL;
+	char quoted[256];
 
+	if (!place_evacuations_apply(instance->place))
+		return;
+	names = evacuations_text(evacuations);
 	lg_event(instance->deps.lg, LG_NOTICE, "evacuation",
-	    "by=store datacentre=%s begun=%d evacuated=%s",
-	    lg_quote(quoted, sizeof(quoted), datacentre), is_begun,
-	    lg_quote(all, sizeof(all), names));
+	    "by=store evacuated=%s", lg_quote(quoted, sizeof(quoted), names));
 	cnt_add(cnt_counter(instance->cnt, "evacuation_changes_total",
 		    "Changes of the evacuated data centres, by source.",
 		    "source", "store"),
@@ -429,22 +510,24 @@
 		    1);
 		return;
 	}
-	if (evacuations_set(
-		place_evacuations(instance->place), datacentre, is_evacuated))
-		evacuations_log(instance, datacentre, is_evacuated);
+	(void)evacuations_set(
+	    place_evacuations(instance->place), datacentre, is_evacuated);
+	evacuations_apply(instance);
 }
 
 void
 inst_evacuations_retain(struct inst *instance, GHashTable *datacentres)
 {
-	if (evacuations_retain(place_evacuations(instance->place), datacentres))
-		evacuations_log(instance, "-", false);
+	(void)evacuations_retain(
+	    place_evacuations(instance->place), datacentres);
+	evacuations_apply(instance);
 }
 
 void
 inst_evacuations_confirm(struct inst *instance, uint64_t end, clk_ms when)
 {
 	evacuations_confirm(place_evacuations(instance->place), end, when);
+	evacuations_apply(instance);
 }
 
 void
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -20,6 +20,7 @@
 #include "place/place.h"
 #include "quota/quota.h"
 #include "store/store.h"
+#include "throttle/cold.h"
 
 struct inst;
 
@@ -36,6 +37,7 @@
 	 * place/evacuation.h; 0: none is kept.
 	 */
 	clk_ms max_evacuation_age;
+	struct cold_tolerance cold_tolerance;
 	clk_ms retention; /* of idle turns and budgets */
 	size_t turn_cache; /* bytes of turns that are kept in memory */
 	clk_ms grace; /* from the stop signal to the forced exit */
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -82,6 +82,7 @@
 	uint32_t generation;
 	bool in_use;
 	bool is_removed; /* requests may still run there */
+	bool is_evacuated; /* its data centre is */
 	uint32_t hash; /* of its id */
 	unsigned running; /* requests of this instance */
 	unsigned peers_running; /* requests of the peers, by their gossip */
@@ -89,6 +90,8 @@
 	unsigned told; /* requests of this instance in its last gossip */
 	double token_ms; /* without load, moving average; 0: no sample */
 	double answer_ms; /* moving average of the first byte; 0: no sample */
+	double cold_token_ms; /* the same while it is cold */
+	double cold_answer_ms;
 	clk_ms backoff_until;
 	clk_ms remove_at; /* its entry has expired; 0: it has not */
 	clk_ms leaving_since; /* or DEPARTURE_NONE */
@@ -110,6 +113,10 @@
 	struct outbox *parts; /* struct place_cached_part */
 	struct departures *departures; /* also of upstreams without an entry */
 	struct evacuations *evacuations;
+	char *evacuated; /* names, as applied */
+	const struct throttle *throttle; /* nil: no upstream is cold */
+	place_on_doubt *on_doubt;
+	void *on_doubt_arg;
 	clk_ms last_resort; /* see place_last_resort_set() */
 	clk_ms confirmed; /* see place_entries_confirm() */
 	guint first_load; /* upstream at which the next message begins */
@@ -141,6 +148,7 @@
 	    outbox_open(sizeof(struct place_cached_part), UNSENT_PARTS_MAX);
 	place->departures = departures_open();
 	place->evacuations = evacuations_open(0);
+	place->evacuated = g_strdup("");
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
 	place->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -178,6 +186,7 @@
 	outbox_close(place->parts);
 	departures_close(place->departures);
 	evacuations_close(place->evacuations);
+	g_free(place->evacuated);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -260,6 +269,8 @@
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
 		upstream->version = g_strdup(entry->version);
+		upstream->is_evacuated =
+		    evacuations_has(place->evacuations, upstream->datacentre);
 		(void)g_hash_table_insert(place->by_id, upstream->id, upstream);
 		(void)g_hash_table_insert(
 		    place->by_hash, GUINT_TO_POINTER(upstream->hash), upstream);
@@ -395,7 +406,7 @@
 {
 	if (now < upstream->doubted_until ||
 	    evacuations_is_stale(place->evacuations, now) ||
-	    evacuations_has(place->evacuations, upstream->datacentre))
+	    upstream->is_evacuated)
 		return (false);
 	return (!is_leaving(upstream) ||
 	    (is_bound && now - upstream->leaving_since < place->last_resort));
@@ -407,6 +418,43 @@
 	return (place->evacuations);
 }
 
+bool
+place_evacuations_apply(struct place *place)
+{
+	char *names = evacuations_text(place->evacuations);
+	bool is_changed = strcmp(names, place->evacuated) != 0;
+
+	g_free(place->evacuated);
+	place->evacuated = names;
+	for (guint i = 0; is_changed && i < place->upstreams->len; i++) {
+		struct upstream *upstream = place->upstreams->pdata[i];
+		bool was_evacuated = upstream->is_evacuated;
+
+		if (!upstream->in_use)
+			continue;
+		upstream->is_evacuated =
+		    evacuations_has(place->evacuations, upstream->datacentre);
+		if (was_evacuated && !upstream->is_evacuated &&
+		    place->on_doubt != NULL)
+			place->on_doubt(
+			    place->on_doubt_arg, upstream->hash, false);
+	}
+	return (is_changed);
+}
+
+void
+place_doubt_set(struct place *place, place_on_doubt *on_doubt, void *arg)
+{
+	place->on_doubt = on_doubt;
+	place->on_doubt_arg = arg;
+}
+
+void
+place_throttle_set(struct place *place, const struct throttle *throttle)
+{
+	place->throttle = throttle;
+}
+
 void
 place_last_resort_set(struct place *place, clk_ms time)
 {
@@ -457,9 +505,7 @@
 		const struct upstream *upstream = place->upstreams->pdata[i];
 
 		if (upstream->in_use && !upstream->is_removed &&
-		    !is_leaving(upstream) &&
-		    !evacuations_has(
-			place->evacuations, upstream->datacentre) &&
+		    !is_leaving(upstream) && !upstream->is_evacuated &&
 		    strcmp(upstream->service, service) == 0 &&
 		    g_strcmp0(upstream->version, version) == 0)
 			return (true);
@@ -625,9 +671,9 @@
  */
 static double
 engine_ms(const struct upstream *upstream, const struct place_request *request,
-    double best, double load, clk_ms now)
+    double sample, double best, double load, clk_ms now)
 {
-	double token_ms = upstream->token_ms > 0 ? upstream->token_ms : best;
+	double token_ms = sample > 0 ? sample : best;
 	double prefill =
 	    uncached_tokens(upstream, request, now) * PREFILL_COST * token_ms;
 	double decode = token_ms * request->output_tokens;
@@ -636,6 +682,14 @@
 	    OTHERS_WEIGHT * load * (prefill + decode * STEP_GROWTH));
 }
 
+/* Whether it is slower, and takes fewer requests, than it will in a while. */
+static bool
+is_cold(const struct place *place, const struct upstream *upstream)
+{
+	return (place->throttle != NULL &&
+	    throttle_is_cold(place->throttle, upstream->hash));
+}
+
 /* Cost of running the request at the upstream, in ms. */
 static double
 cost_ms(const struct place *place, const struct upstream *upstream,
@@ -643,13 +697,17 @@
 {
 	double slots = MAX(upstream->entry.slots, 1U);
 	double load = estimated_load(place, upstream);
+	bool cold = is_cold(place, upstream);
+	double answer_ms =
+	    cold ? upstream->cold_answer_ms : upstream->answer_ms;
 	double ms;
 
 	if (request->part_count > 0)
-		ms = engine_ms(upstream, request, best, load, now);
+		ms = engine_ms(upstream, request,
+		    cold ? upstream->cold_token_ms : upstream->token_ms, best,
+		    load, now);
 	else
-		ms = (upstream->answer_ms > 0 ? upstream->answer_ms : best) *
-		    (1.0 + load / slots);
+		ms = (answer_ms > 0 ? answer_ms : best) * (1.0 + load / slots);
 	if (load >= slots)
 		ms += QUEUE_WAIT_MS * (load - slots + 1.0);
 	if (strcmp(upstream->datacentre, place->datacentre) != 0)
@@ -968,9 +1026,14 @@
 	case PLACE_MISDIRECTED:
 		backoff = BACKOFF_FIRST_MS << MIN(upstream->failures, 4U);
 		upstream->failures++;
-		if (outcome != PLACE_FAILED || upstream->failures > 1)
-			upstream->backoff_until =
-			    now + MIN(backoff, BACKOFF_MAX_MS);
+		/* A single failure may be due to the request. */
+		if (outcome == PLACE_FAILED && upstream->failures == 1)
+			break;
+		upstream->backoff_until = now + MIN(backoff, BACKOFF_MAX_MS);
+		if (outcome != PLACE_MISDIRECTED && !upstream->is_removed &&
+		    place->on_doubt != NULL)
+			place->on_doubt(
+			    place->on_doubt_arg, upstream->hash, true);
 		break;
 	case PLACE_CANCELLED:
 		break;
@@ -993,7 +1056,10 @@
 	struct upstream *upstream = lookup(place, handle);
 
 	if (upstream != NULL)
-		average_update(&upstream->answer_ms, fmax(delay, 0.1));
+		average_update(is_cold(place, upstream)
+			? &upstream->cold_answer_ms
+			: &upstream->answer_ms,
+		    fmax(delay, 0.1));
 }
 
 void
@@ -1006,5 +1072,7 @@
 		return;
 	gap /=
 	    1.0 + STEP_GROWTH * (upstream->running + upstream->peers_running);
-	average_update(&upstream->token_ms, fmax(gap, 0.01) / (double)tokens);
+	average_update(is_cold(place, upstream) ? &upstream->cold_token_ms
+						: &upstream->token_ms,
+	    fmax(gap, 0.01) / (double)tokens);
 }
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -44,6 +44,10 @@
 	bool is_ready; /* false: it says that it is leaving */
 	int64_t started; /* ms since 1970; changes with a restart; 0: unknown */
 	int64_t sequence; /* of the entry; begins anew with a restart */
+	/* How much longer it is cold, see throttle/cold.h. */
+	clk_ms cold_remaining;
+	bool is_cold_stated; /* false: the entry doesn't say */
+	bool is_cold_odd; /* what it says is no time */
 };
 
 /* A part of a prompt; different requests may share their first parts. */
@@ -129,6 +133,26 @@
  */
 struct evacuations *place_evacuations(struct place *place);
 
+/*
+ * place_evacuations_apply(place)
+ *	Apply what place_evacuations() says now.  Returns whether the evacuated
+ *	data centres are other ones than before.
+ */
+bool place_evacuations_apply(struct place *place);
+
+/*
+ * place_doubt_set(place, on_doubt, arg)
+ *	Call on_doubt() with the hash of the id of an upstream that may have
+ *	started again without its entry being read: it has failed (is_failure),
+ *	or its data centre is not evacuated any more.
+ * place_throttle_set(place, throttle)
+ *	Samples of upstreams that are cold there don't count once they are warm.
+ */
+typedef void place_on_doubt(void *arg, uint32_t upstream, bool is_failure);
+
+void place_doubt_set(struct place *place, place_on_doubt *on_doubt, void *arg);
+void place_throttle_set(struct place *place, const struct throttle *throttle);
+
 /*
  * place_last_resort_set(place, time)
  *	Set the time after its word for which a leaving upstream still gets
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -530,12 +530,138 @@
 	place_close(place);
 }
 
+static void
+count_doubt(void *arg, uint32_t upstream, bool is_failure)
+{
+	unsigned *doubts = arg;
+
+	(void)upstream;
+	doubts[is_failure]++;
+}
+
+/*
+ * Guards against requests for upstreams of an evacuated data centre: chosen,
+ * or chosen before and not sent yet; also for an upstream that registers
+ * meanwhile, and one that is the only one with a software version.  At the end
+ * they may have started again.
+ */
+static void
+test_evacuated(void)
+{
+	struct place *place = place_open("a");
+	struct evacuations *evacuations = place_evacuations(place);
+	struct place_request request = {.service = "pool"};
+	struct place_handle handle;
+	unsigned doubts[2] = {0};
+
+	place_doubt_set(place, count_doubt, doubts);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf("u%d", i);
+		struct place_entry e = entry(id, i + 1, 4);
+
+		e.version = i == 0 ? "v1" : "v2";
+		e.datacentre = i < 2 ? "a" : "b";
+		if (i == 1) {
+			(void)evacuations_set(evacuations, "a", true);
+			g_assert_true(place_evacuations_apply(place));
+		}
+		g_assert_true(place_upstream_update(place, &e, 0));
+	}
+	for (int n = 0; n < 20; n++) {
+		g_assert_true(place_choose(place, &request, 0, &handle));
+		g_assert_cmpstr(
+		    place_entry_get(place, handle)->datacentre, ==, "b");
+	}
+	request.version = "v1";
+	g_assert_false(place_choose(place, &request, 0, &handle));
+	g_assert_false(place_is_served(place, "pool", "v1"));
+	request.version = "v2";
+	g_assert_true(place_choose(place, &request, 0, &handle));
+	g_assert_true(place_is_open(place, handle, true, 0));
+	(void)evacuations_set(evacuations, "b", true);
+	(void)evacuations_set(evacuations, "unknown", true);
+	g_assert_true(place_evacuations_apply(place));
+	g_assert_false(place_evacuations_apply(place));
+	g_assert_false(place_is_open(place, handle, true, 0));
+	g_assert_false(place_choose(place, &request, 0, &handle));
+	g_assert_cmpuint(doubts[0], ==, 0);
+	(void)evacuations_set(evacuations, "a", false);
+	g_assert_true(place_evacuations_apply(place));
+	g_assert_cmpuint(doubts[0], ==, 2);
+	request.version = NULL;
+	g_assert_true(place_choose(place, &request, 0, &handle));
+	g_assert_cmpstr(place_entry_get(place, handle)->datacentre, ==, "a");
+	place_close(place);
+}
+
+/*
+ * Guards against an upstream that is avoided, or gets too much, after it has
+ * become warm because of what was measured while it was cold; and against a
+ * crash that raises no doubt about whether it has started again.
+ */
+static void
+test_cold(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+	struct place *place = place_open("a");
+	const struct place_request request = {
+	    .service = "pool", .throttle = throttle};
+	unsigned doubts[2] = {0}, chosen = 0;
+	struct place_handle handles[2], handle;
+	uint32_t cold = roster_hash("u1");
+
+	roster_size_set(roster, 1, 0);
+	place_throttle_set(place, throttle);
+	place_doubt_set(place, count_doubt, doubts);
+	add(place, "u1", 1);
+	add(place, "u2", 2);
+	for (int i = 0; i < 2; i++)
+		g_assert_true(place_choose(place, &request, 0, &handles[i]));
+	throttle_cold_set(throttle, cold, throttle_rate(100.0), 5000, true, 0);
+	for (int i = 0; i < 2; i++) {
+		bool is_cold =
+		    strcmp(place_entry_get(place, handles[i])->id, "u1") == 0;
+
+		for (int n = 0; n < 50; n++)
+			place_first_byte_record(
+			    place, handles[i], is_cold ? 500 : 20);
+		place_request_end(place, handles[i], PLACE_SERVED, 0);
+	}
+	for (int n = 0; n < 20; n++) {
+		g_assert_true(place_choose(place, &request, 0, &handle));
+		chosen += handle.index == 0;
+		place_request_end(place, handle, PLACE_SERVED, 0);
+	}
+	g_assert_cmpuint(chosen, ==, 0);
+	throttle_cold_set(throttle, cold, 0, 0, false, 1000);
+	for (int n = 0; n < 20; n++) {
+		g_assert_true(place_choose(place, &request, 1000, &handle));
+		chosen += handle.index == 0;
+		place_request_end(place, handle, PLACE_SERVED, 1000);
+	}
+	g_assert_cmpuint(chosen, >=, 8);
+	for (int n = 0; n < 3; n++) {
+		const enum place_outcome outcomes[] = {
+		    PLACE_FAILED, PLACE_FAILED, PLACE_UNREACHABLE};
+
+		g_assert_true(place_choose(place, &request, 1000, &handle));
+		place_request_end(place, handle, outcomes[n], 1000);
+	}
+	g_assert_cmpuint(doubts[1], >=, 1);
+	place_close(place);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plc/no-token", test_no_token);
 	g_test_add_func("/plc/versions", test_versions);
+	g_test_add_func("/plc/evacuated", test_evacuated);
+	g_test_add_func("/plc/cold", test_cold);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/object", test_object);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -6,9 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "throttle/cold.h"
 #include "throttle/throttle.h"
 
-#define SIZE_MAX_TEST 67
+#define SIZE_MAX_TEST 195
 #define GOSSIP_MS     200
 #define UPSTREAM      4711U
 /* Time of a message between two instances. */
@@ -38,8 +39,30 @@
 	clk_ms changed; /* when the upstream last changed what it names */
 	GArray *sent; /* times */
 	unsigned asked; /* questions to the home */
+	double cold_per_s; /* the upstream is cold and takes these; 0: not */
+	bool is_link_cut; /* between the first two of three data centres */
 };
 
+static const struct cold_tolerance tolerance = {1.5, 5.0};
+/* The upstream stays cold for the whole of a test. */
+#define COLD_MS (600 * CLK_SECOND)
+/* A token of a cold upstream reaches it so much later at most. */
+#define COLD_LATE_MS 120
+#define DATACENTRES  3
+
+/* Age of what a relay says of its data centre, at most: four intervals. */
+#define RELAY_AGE_MS 400
+
+/*
+ * The instances of a cold upstream's large fleet know each other by the relays
+ * of their data centres, later than they would by their own messages.
+ */
+static bool
+is_relayed(const struct fleet *f)
+{
+	return (f->cold_per_s > 0 && f->size > ROSTER_MESH_MAX);
+}
+
 static void
 instance_open(struct fleet *f, int i, clk_ms now)
 {
@@ -49,6 +72,18 @@
 	instance->roster = roster_open(name);
 	instance->throttle = throttle_open(instance->roster);
 	roster_size_set(instance->roster, (unsigned)f->size, now);
+	for (int j = 0; j < f->size && is_relayed(f); j++) {
+		static const char *const datacentres[] = {"a", "b", "c"};
+		g_autofree char *peer = g_strdup_printf("i%d", j);
+
+		if (j != i)
+			roster_peer_known(instance->roster, peer,
+			    datacentres[j % DATACENTRES], now);
+	}
+	if (f->cold_per_s > 0)
+		throttle_cold_set(instance->throttle, UPSTREAM,
+		    throttle_rate(cold_rate(f->cold_per_s, &tolerance)),
+		    now + COLD_MS, true, now);
 }
 
 static void
@@ -89,13 +124,56 @@
 static bool
 is_delivered(struct fleet *f, int i, int j, clk_ms now)
 {
+	if (f->is_link_cut && i % DATACENTRES + j % DATACENTRES == 1)
+		return (false);
 	return ((i >= f->cut) == (j >= f->cut) && !is_frozen(f, i, now) &&
 	    !is_frozen(f, j, now) && g_rand_double(f->rand) >= f->lost);
 }
 
+static void
+relay_send(struct fleet *f, int relay, const char *datacentre, clk_ms now)
+{
+	uint32_t hashes[SIZE_MAX_TEST];
+	struct roster_members members = {.datacentre = datacentre,
+	    .hashes = hashes,
+	    .age = g_rand_int_range(f->rand, 0, RELAY_AGE_MS + 1),
+	    .relay = roster_own_hash(f->instances[relay].roster)};
+
+	for (int i = relay % DATACENTRES; i < f->size; i += DATACENTRES) {
+		if (i == relay || is_delivered(f, i, relay, now))
+			hashes[members.n++] =
+			    roster_own_hash(f->instances[i].roster);
+	}
+	for (int j = 0; j < f->size; j++) {
+		if (j == relay || is_delivered(f, relay, j, now))
+			(void)roster_members_heard(
+			    f->instances[j].roster, &members, now);
+	}
+}
+
+/* Two relays for each data centre: the first members that aren't frozen. */
+static void
+relays_send(struct fleet *f, clk_ms now)
+{
+	static const char *const datacentres[DATACENTRES] = {"a", "b", "c"};
+
+	for (int d = 0; d < DATACENTRES; d++) {
+		int relays = 0;
+
+		for (int i = d; i < f->size && relays < 2; i += DATACENTRES) {
+			if (is_frozen(f, i, now))
+				continue;
+			relay_send(f, i, datacentres[d], now);
+			relays++;
+		}
+	}
+}
+
 static void
 gossip(struct fleet *f, clk_ms now)
 {
+	if (is_relayed(f))
+		relays_send(f, now);
 	for (int i = 0; i < f->size; i++) {
 		struct throttle_limit limits[LIMITS_MAX];
 		g_autofree char *name = g_strdup_printf("i%d", i);
@@ -108,7 +186,9 @@
 		for (int j = 0; j < f->size; j++) {
 			if (j == i || !is_delivered(f, i, j, now))
 				continue;
-			roster_peer_heard(f->instances[j].roster, name, now);
+			if (!is_relayed(f))
+				roster_peer_heard(
+				    f->instances[j].roster, name, now);
 			throttle_merge(f->instances[j].throttle, limits,
 			    MIN(n, LIMITS_MAX), now);
 		}
@@ -152,6 +232,8 @@
 		throttle_hold(self->throttle, UPSTREAM, now + wait);
 		return (false);
 	}
+	if (f->cold_per_s > 0 && g_rand_boolean(f->rand))
+		now += g_rand_int_range(f->rand, 0, COLD_LATE_MS + 1);
 	g_array_append_val(f->sent, now);
 	(void)throttle_observe(
 	    self->throttle, UPSTREAM, throttle_rate(f->rate), now, now);
@@ -179,18 +261,29 @@
 	return (sent);
 }
 
+static int
+compare_times(const void *a, const void *b)
+{
+	clk_ms one = *(const clk_ms *)a;
+	clk_ms other = *(const clk_ms *)b;
+
+	return ((one > other) - (one < other));
+}
+
 /* The most requests of a window that were sent after from. */
 static unsigned
-worst_window(const struct fleet *f, clk_ms from)
+worst_window_of(const struct fleet *f, clk_ms from, clk_ms window)
 {
 	unsigned worst = 0;
 	guint first = 0;
 
+	g_array_sort(f->sent, compare_times);
+
 	for (guint i = 0; i < f->sent->len; i++) {
 		clk_ms at = g_array_index(f->sent, clk_ms, i);
 
 		while (g_array_index(f->sent, clk_ms, first) < from ||
-		    at - g_array_index(f->sent, clk_ms, first) >= WINDOW_MS) {
+		    at - g_array_index(f->sent, clk_ms, first) >= window) {
 			if (first++ == i)
 				break;
 		}
@@ -200,6 +293,12 @@
 	return (worst);
 }
 
+static unsigned
+worst_window(const struct fleet *f, clk_ms from)
+{
+	return (worst_window_of(f, from, WINDOW_MS));
+}
+
 static double
 allowed(double rate)
 {
@@ -485,13 +584,254 @@
 	fleet_close(&f);
 }
 
+/* ---- Cold upstreams ---- */
+
+static const int cold_sizes[] = {9, 62, 195};
+static const double cold_rates[] = {2.0, 21.0, 60.0};
+
+static unsigned
+cold_allowed(double per_s)
+{
+	return ((unsigned)(per_s * tolerance.overage + tolerance.slack));
+}
+
+/* Opens a fleet whose instances hear each other, and of an idle upstream. */
+static void
+cold_fleet_open(struct fleet *f, guint32 seed, int size, double per_s)
+{
+	fleet_open(f, seed, size, 0);
+	f->cold_per_s = per_s;
+	for (int i = 0; i < size; i++) {
+		instance_close(f, i);
+		instance_open(f, i, 0);
+	}
+}
+
+/*
+ * Guards against a cold upstream that gets more than it takes in any one
+ * second from a fleet of any size, and against one that gets nearly nothing.
+ */
+static void
+test_cold_kept_and_used(void)
+{
+	for (size_t s = 0; s < G_N_ELEMENTS(cold_sizes); s++) {
+		for (size_t r = 0; r < G_N_ELEMENTS(cold_rates); r++) {
+			double per_s = cold_rates[r];
+			double rate = cold_rate(per_s, &tolerance);
+			struct fleet f;
+			unsigned sent;
+
+			cold_fleet_open(&f, 11, cold_sizes[s], per_s);
+			(void)requests_send(&f, 0, 500, 20 * per_s);
+			sent = requests_send(&f, 500, 10500, 20 * per_s);
+			g_assert_cmpuint(worst_window_of(&f, 0, CLK_SECOND), <=,
+			    cold_allowed(per_s));
+			g_assert_cmpfloat(sent, >=, 10 * rate * 0.8);
+			g_test_message("%d instances, %.0f a second: %u in 10 "
+				       "s, %u in a second, %u allowed",
+			    cold_sizes[s], per_s, sent,
+			    worst_window_of(&f, 0, CLK_SECOND),
+			    cold_allowed(per_s));
+			fleet_close(&f);
+		}
+	}
+}
+
+/*
+ * A random order of restarts, freezes, partitions, a cut between two of three
+ * data centres, lost messages and tokens that are used late.  Returns the most
+ * requests of any second.
+ */
+static unsigned
+cold_order_play(guint32 seed, int size, double per_s)
+{
+	struct fleet f;
+	clk_ms now = 500;
+	unsigned worst;
+
+	cold_fleet_open(&f, seed, size, per_s);
+	f.lost = g_rand_double_range(f.rand, 0, 0.1);
+	(void)requests_send(&f, 0, now, 10 * per_s + 2 * size);
+	for (int step = 0; step < 8; step++) {
+		clk_ms until = now + g_rand_int_range(f.rand, 100, 1500);
+		int i;
+
+		switch (g_rand_int_range(f.rand, 0, 7)) {
+		case 0:
+			i = g_rand_int_range(f.rand, 0, size);
+			instance_close(&f, i);
+			instance_open(&f, i, now);
+			break;
+		case 1:
+			f.cut = g_rand_int_range(f.rand, 1, size + 1);
+			break;
+		case 2:
+			f.cut = size;
+			f.is_link_cut = false;
+			break;
+		case 3:
+			f.frozen_until = until;
+			break;
+		case 4:
+			f.is_link_cut = true;
+			break;
+		default:
+			break;
+		}
+		(void)requests_send(&f, now, until,
+		    g_rand_double_range(f.rand, 0, 10 * per_s + 2 * size));
+		now = until;
+	}
+	worst = worst_window_of(&f, 0, CLK_SECOND);
+	if (worst > cold_allowed(per_s))
+		g_test_message("seed %u, %d instances, %.1f a second: %u in a "
+			       "second, %u allowed",
+		    seed, size, per_s, worst, cold_allowed(per_s));
+	fleet_close(&f);
+	return (worst);
+}
+
+#define COLD_ORDERS 60
+
+/*
+ * Guards against tokens of several homes at once, of a home that was replaced,
+ * of sides of a partition, and against tokens that are used late: the bound of
+ * any one second holds over random orders of faults.
+ */
+static void
+test_cold_orders(void)
+{
+	for (size_t s = 0; s < G_N_ELEMENTS(cold_sizes); s++) {
+		/* A large fleet takes longer to play. */
+		guint32 orders = COLD_ORDERS * 9 / (guint32)cold_sizes[s];
+		unsigned broken = 0;
+
+		for (size_t r = 0; r < G_N_ELEMENTS(cold_rates); r++) {
+			unsigned worst = 0;
+
+			for (guint32 seed = 1; seed <= MAX(orders, 8); seed++) {
+				unsigned got = cold_order_play(
+				    seed, cold_sizes[s], cold_rates[r]);
+
+				worst = MAX(worst, got);
+				broken += got > cold_allowed(cold_rates[r]);
+			}
+			g_test_message("%d instances, %.0f a second, seeds 1 "
+				       "to %u: %u at most, %u allowed",
+			    cold_sizes[s], cold_rates[r], MAX(orders, 8), worst,
+			    cold_allowed(cold_rates[r]));
+		}
+		g_assert_cmpuint(broken, ==, 0);
+	}
+}
+
+/* The check of cold upstreams can fail: without tokens they get more. */
+static void
+test_cold_check_can_fail(void)
+{
+	struct fleet f;
+
+	fleet_open(&f, 1, 9, 0);
+	(void)requests_send(&f, 0, 3000, 60);
+	g_assert_cmpuint(
+	    worst_window_of(&f, 0, CLK_SECOND), >, cold_allowed(21.0));
+	fleet_close(&f);
+}
+
+/*
+ * Guards against a cold rate that hides the rate which the upstream names, or
+ * the other way round: the lower one applies, and each ends by itself.
+ */
+static void
+test_cold_and_named(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *throttle = throttle_open(roster);
+	struct throttle_limit limits[LIMITS_MAX];
+	clk_ms wait;
+
+	roster_size_set(roster, 1, 0);
+	throttle_cold_set(
+	    throttle, UPSTREAM, throttle_rate(10.0), 5000, true, 0);
+	g_assert_true(throttle_is_cold(throttle, UPSTREAM));
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 0, &wait), ==,
+	    THROTTLE_REFUSED);
+	g_assert_cmpint(wait, ==, 100);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 100, &wait), ==,
+	    THROTTLE_GRANTED);
+	/* Its bucket holds two tokens, however long it has been filling. */
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 1100, &wait), ==,
+	    THROTTLE_GRANTED);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 1100, &wait), ==,
+	    THROTTLE_GRANTED);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 1100, &wait), ==,
+	    THROTTLE_REFUSED);
+	/* An answer without a limit doesn't make it warm. */
+	(void)throttle_observe(throttle, UPSTREAM, 0, 1200, 1200);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 1100, &wait), ==,
+	    THROTTLE_REFUSED);
+	(void)throttle_observe(
+	    throttle, UPSTREAM, throttle_rate(2.0), 1200, 1200);
+	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 1300, &wait), ==,
+	    THROTTLE_REFUSED);
+	g_assert_cmpint(wait, >=, 300);
+	/* Warm: the named rate is left. */
+	(void)throttle_collect(throttle, limits, LIMITS_MAX, 5100);
+	g_assert_false(throttle_is_cold(throttle, UPSTREAM));
+	g_assert_true(throttle_is_limited(throttle, UPSTREAM));
+	(void)throttle_observe(throttle, UPSTREAM, 0, 5200, 5200);
+	g_assert_false(throttle_is_limited(throttle, UPSTREAM));
+	g_assert_cmpuint(throttle_limited(throttle), ==, 0);
+	throttle_close(throttle);
+	roster_close(roster);
+}
+
+/*
+ * Guards against instances that don't know that an upstream is cold because
+ * the store turns them away, and against what one of them heard and tells on
+ * after the upstream was found warm.
+ */
+static void
+test_cold_heard(void)
+{
+	struct roster *roster = roster_open("i0");
+	struct throttle *knows = throttle_open(roster);
+	struct throttle *heard = throttle_open(roster);
+	struct throttle_limit limits[LIMITS_MAX];
+	size_t n;
+
+	roster_size_set(roster, 1, 0);
+	throttle_cold_set(knows, UPSTREAM, throttle_rate(10.0), 9000, true, 0);
+	n = throttle_collect(knows, limits, LIMITS_MAX, 100);
+	g_assert_cmpuint(n, ==, 1);
+	throttle_merge(heard, limits, n, 100);
+	g_assert_true(throttle_is_cold(heard, UPSTREAM));
+	g_assert_cmpuint(throttle_get(heard, UPSTREAM, 100).cold, ==, 8900);
+	g_assert_cmpuint(
+	    throttle_collect(heard, limits, LIMITS_MAX, 200), ==, 0);
+	/* It reads the entry itself, which says that the upstream is warm. */
+	throttle_cold_set(heard, UPSTREAM, 0, 0, false, 300);
+	g_assert_false(throttle_is_cold(heard, UPSTREAM));
+	n = throttle_collect(knows, limits, LIMITS_MAX, 300);
+	throttle_merge(heard, limits, n, 400);
+	g_assert_false(throttle_is_cold(heard, UPSTREAM));
+	/* An upstream that is cold to a caller is cold to its home. */
+	throttle_merge(heard, limits, n, 1500);
+	g_assert_true(throttle_is_cold(heard, UPSTREAM));
+	(void)throttle_collect(heard, limits, LIMITS_MAX, 20000);
+	g_assert_false(throttle_is_cold(heard, UPSTREAM));
+	throttle_close(knows);
+	throttle_close(heard);
+	roster_close(roster);
+}
+
 static void
 test_message(void)
 {
 	const struct throttle_message message = {
 	    .kind = THROTTLE_MESSAGE_ANSWER,
 	    .serial = 77,
-	    .limit = {UPSTREAM, 3500, 120},
+	    .limit = {UPSTREAM, 3500, 120, 14000, 9000},
 	    .max_wait = 9,
 	    .is_granted = true,
 	    .wait = 150};
@@ -504,6 +844,8 @@
 	g_assert_true(throttle_message_decode(buf, len, &decoded));
 	g_assert_cmpuint(decoded.limit.rate, ==, 3500);
 	g_assert_cmpuint(decoded.limit.age, ==, 120);
+	g_assert_cmpuint(decoded.limit.cold_rate, ==, 14000);
+	g_assert_cmpuint(decoded.limit.cold, ==, 9000);
 	g_assert_cmpuint(decoded.serial, ==, 77);
 	g_assert_true(decoded.is_granted);
 	g_assert_cmpuint(decoded.wait, ==, 150);
@@ -525,6 +867,13 @@
 	    "/throttle/more-limits-than-room", test_more_limits_than_room);
 	g_test_add_func("/throttle/orders", test_orders);
 	g_test_add_func("/throttle/check-can-fail", test_check_can_fail);
+	g_test_add_func(
+	    "/throttle/cold-kept-and-used", test_cold_kept_and_used);
+	g_test_add_func("/throttle/cold-orders", test_cold_orders);
+	g_test_add_func(
+	    "/throttle/cold-check-can-fail", test_cold_check_can_fail);
+	g_test_add_func("/throttle/cold-and-named", test_cold_and_named);
+	g_test_add_func("/throttle/cold-heard", test_cold_heard);
 	g_test_add_func("/throttle/message", test_message);
 	return (g_test_run());
 }
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -7,10 +7,25 @@
 #define RATE_UNITS 1000.0
 /* Time of the rate that a bucket holds, beside the one token at least. */
 #define BURST_S 0.25
+/* The same of a cold upstream, see docs/design/cold-upstreams.md. */
+#define COLD_BURST_S 0.1
 /* Part of the rate for the share of a side with half of the fleet or less. */
 #define SMALLER_SIDE_PART 0.25
 /* Part of the rate in a large fleet, which knows of a new home later. */
 #define RELAYED_PART 0.85
+/*
+ * Smallest part of the fleet that grants tokens of cold upstreams: at most
+ * three such sides exist beside a larger one, each with a token in its bucket.
+ */
+#define COLD_SHARE_MIN 0.25
+/*
+ * Time after this instance has learned of an upstream's state itself in which
+ * messages, which may be older, don't say that it is cold: two intervals and
+ * the pause between two reads of the upstreams' entries.
+ */
+#define COLD_OWN_MS 1000
+/* Longest time for which an upstream is taken for cold. */
+#define COLD_MAX_MS (3600 * CLK_SECOND)
 /*
  * Longest time until the turn of an instance that is refused a token: the
  * tokens of instances that have nothing more to send are not kept for longer.
@@ -27,6 +42,11 @@
 	uint32_t upstream;
 	uint32_t rate; /* thousandths of a request a second; 0: no limit */
 	clk_ms said;
+	uint32_t cold_rate; /* the same while it is cold; 0: it is not */
+	clk_ms cold_until;
+	clk_ms cold_learned; /* by this instance itself; 0: never */
+	bool is_cold_own; /* cold_until is this instance's own knowledge */
+	bool is_cold_told; /* and the others are to know */
 	double level; /* tokens; negative if some of the future are reserved */
 	clk_ms updated;
 	clk_ms turn; /* of the next instance that is refused a token */
@@ -78,22 +98,59 @@
 	    throttle->by_upstream, GUINT_TO_POINTER(upstream)));
 }
 
-/* Sets the rate; a bucket that begins is empty. */
+static bool
+is_limited(const struct ceiling *ceiling)
+{
+	return (ceiling->rate > 0 || ceiling->cold_rate > 0);
+}
+
+static struct ceiling *
+ceiling_ensure(struct throttle *throttle, uint32_t upstream, clk_ms now)
+{
+	struct ceiling *ceiling = ceiling_find(throttle, upstream);
+
+	if (ceiling != NULL)
+		return (ceiling);
+	ceiling = g_new0(struct ceiling, 1);
+	ceiling->upstream = upstream;
+	/* It has named nothing yet: all that it says is newer. */
+	ceiling->said = now - MEMORY_MS;
+	(void)g_hash_table_insert(
+	    throttle->by_upstream, GUINT_TO_POINTER(upstream), ceiling);
+	g_ptr_array_add(throttle->ceilings, ceiling);
+	return (ceiling);
+}
+
+/* Of two rates, of which 0 means none. */
+static uint32_t
+lower_rate(uint32_t a, uint32_t b)
+{
+	return (a > 0 && b > 0 ? MIN(a, b) : MAX(a, b));
+}
+
+/*
+ * Sets the rates; a bucket that begins is empty.  A higher rate, or none, ends
+ * the waits that the lower one gave.
+ */
 static void
-ceiling_set(struct throttle *throttle, struct ceiling *ceiling, uint32_t rate,
-    clk_ms said, clk_ms now)
+rates_set(struct throttle *throttle, struct ceiling *ceiling, uint32_t rate,
+    uint32_t cold_rate, clk_ms now)
 {
-	throttle->limited += (rate > 0) - (ceiling->rate > 0);
-	if (ceiling->rate == 0) {
+	bool was_limited = is_limited(ceiling);
+	uint32_t before = lower_rate(ceiling->rate, ceiling->cold_rate);
+	uint32_t after = lower_rate(rate, cold_rate);
+
+	if (!was_limited) {
 		ceiling->level = 0;
 		ceiling->updated = now;
 	}
-	if (rate == 0 || rate > ceiling->rate) {
+	if (after == 0 || after > before) {
 		ceiling->held_until = 0;
 		ceiling->turn = 0;
 	}
 	ceiling->rate = rate;
-	ceiling->said = said;
+	ceiling->cold_rate = cold_rate;
+	throttle->limited += is_limited(ceiling) - was_limited;
 }
 
 static void
@@ -105,16 +162,69 @@
 	if (ceiling == NULL) {
 		if (rate == 0)
 			return;
-		ceiling = g_new0(struct ceiling, 1);
-		ceiling->upstream = upstream;
-		(void)g_hash_table_insert(
-		    throttle->by_upstream, GUINT_TO_POINTER(upstream), ceiling);
-		g_ptr_array_add(throttle->ceilings, ceiling);
+		ceiling = ceiling_ensure(throttle, upstream, now);
 	} else if (said < ceiling->said ||
 	    (said == ceiling->said && rate == 0)) {
 		return;
 	}
-	ceiling_set(throttle, ceiling, rate, said, now);
+	rates_set(throttle, ceiling, rate, ceiling->cold_rate, now);
+	ceiling->said = said;
+}
+
+/* Another instance takes the upstream for cold. */
+static void
+cold_merge(
+    struct throttle *throttle, const struct throttle_limit *limit, clk_ms now)
+{
+	clk_ms until = now + MIN((clk_ms)limit->cold, COLD_MAX_MS);
+	struct ceiling *ceiling;
+
+	if (limit->cold_rate == 0 || limit->cold == 0)
+		return;
+	ceiling = ceiling_ensure(throttle, limit->upstream, now);
+	if (ceiling->cold_rate == 0) {
+		if (ceiling->cold_learned > 0 &&
+		    now - ceiling->cold_learned < COLD_OWN_MS)
+			return;
+		rates_set(
+		    throttle, ceiling, ceiling->rate, limit->cold_rate, now);
+		ceiling->cold_until = until;
+		return;
+	}
+	/* Of two opinions the stricter one holds. */
+	if (limit->cold_rate < ceiling->cold_rate)
+		rates_set(
+		    throttle, ceiling, ceiling->rate, limit->cold_rate, now);
+	if (!ceiling->is_cold_own)
+		ceiling->cold_until = MAX(ceiling->cold_until, until);
+}
+
+void
+throttle_cold_set(struct throttle *throttle, uint32_t upstream, uint32_t rate,
+    clk_ms until, bool is_told, clk_ms now)
+{
+	struct ceiling *ceiling = ceiling_find(throttle, upstream);
+	bool is_cold = rate > 0 && until > now;
+
+	if (ceiling == NULL && !is_cold)
+		return;
+	ceiling = ceiling_ensure(throttle, upstream, now);
+	rates_set(throttle, ceiling, ceiling->rate, is_cold ? rate : 0, now);
+	ceiling->cold_until = MIN(until, now + COLD_MAX_MS);
+	ceiling->cold_learned = now;
+	ceiling->is_cold_own = is_cold;
+	ceiling->is_cold_told = is_cold && is_told;
+}
+
+bool
+throttle_is_cold(const struct throttle *throttle, uint32_t upstream)
+{
+	const struct ceiling *ceiling;
+
+	if (throttle->limited == 0)
+		return (false);
+	ceiling = ceiling_find(throttle, upstream);
+	return (ceiling != NULL && ceiling->cold_rate > 0);
 }
 
 uint32_t
@@ -133,16 +243,24 @@
 throttle_merge(struct throttle *throttle, const struct throttle_limit *limits,
     size_t n, clk_ms now)
 {
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
 		limit_apply(throttle, limits[i].upstream, limits[i].rate,
 		    now - (clk_ms)limits[i].age, now);
+		cold_merge(throttle, &limits[i], now);
+	}
 }
 
 static struct throttle_limit
 ceiling_limit(const struct ceiling *ceiling, clk_ms now)
 {
-	return ((struct throttle_limit){ceiling->upstream, ceiling->rate,
-	    (uint32_t)CLAMP(now - ceiling->said, 0, UINT32_MAX)});
+	struct throttle_limit limit = {ceiling->upstream, ceiling->rate,
+	    (uint32_t)CLAMP(now - ceiling->said, 0, UINT32_MAX), 0, 0};
+
+	if (ceiling->cold_rate > 0 && ceiling->cold_until > now) {
+		limit.cold_rate = ceiling->cold_rate;
+		limit.cold = (uint32_t)(ceiling->cold_until - now);
+	}
+	return (limit);
 }
 
 struct throttle_limit
@@ -151,7 +269,7 @@
 	const struct ceiling *ceiling = ceiling_find(throttle, upstream);
 
 	if (ceiling == NULL)
-		return ((struct throttle_limit){upstream, 0, 0});
+		return ((struct throttle_limit){upstream, 0, 0, 0, 0});
 	return (ceiling_limit(ceiling, now));
 }
 
@@ -172,15 +290,20 @@
 	for (guint i = throttle->ceilings->len; i > 0; i--) {
 		struct ceiling *ceiling = throttle->ceilings->pdata[i - 1];
 
-		if (ceiling->rate > 0 &&
+		if (ceiling->cold_rate > 0 && now >= ceiling->cold_until) {
+			rates_set(throttle, ceiling, ceiling->rate, 0, now);
+			ceiling->is_cold_own = false;
+			ceiling->is_cold_told = false;
+		}
+		if (is_limited(ceiling) &&
 		    !roster_is_home(
 			throttle->roster, ceiling->upstream, 0, now)) {
 			ceiling->level = 0;
 			ceiling->updated = now;
 		}
-		if (now - ceiling->said < MEMORY_MS)
+		if (now - ceiling->said < MEMORY_MS || ceiling->cold_rate > 0)
 			continue;
-		throttle->limited -= ceiling->rate > 0;
+		throttle->limited -= is_limited(ceiling);
 		(void)g_hash_table_remove(
 		    throttle->by_upstream, GUINT_TO_POINTER(ceiling->upstream));
 		(void)g_ptr_array_remove_index_fast(throttle->ceilings, i - 1);
@@ -201,7 +324,8 @@
 		guint i = (start + k) % len;
 		const struct ceiling *ceiling = throttle->ceilings->pdata[i];
 
-		if (now - ceiling->said >= TOLD_MS)
+		/* What was heard of a cold upstream is not passed on. */
+		if (now - ceiling->said >= TOLD_MS && !ceiling->is_cold_told)
 			continue;
 		/* What is left out comes first in the next message. */
 		if (n == max)
@@ -212,15 +336,22 @@
 	return (n);
 }
 
-/* Tokens a second that this instance may grant as the home. */
+/* Tokens a second that this instance may grant as the home; 0: none. */
 static double
 ceiling_rate(
     const struct throttle *throttle, const struct ceiling *ceiling, clk_ms now)
 {
-	double rate = ceiling->rate / RATE_UNITS *
+	double named = ceiling->rate / RATE_UNITS *
 	    (roster_is_relayed(throttle->roster) ? RELAYED_PART : 1.0);
+	double cold = ceiling->cold_rate / RATE_UNITS;
 	double share = roster_share(throttle->roster, now);
+	double rate = named;
 
+	if (ceiling->cold_rate > 0) {
+		if (share < COLD_SHARE_MIN)
+			cold = 0;
+		rate = ceiling->rate > 0 ? fmin(named, cold) : cold;
+	}
 	return (share > 0.5 ? rate : rate * share * SMALLER_SIDE_PART);
 }
 
@@ -247,8 +378,14 @@
 	double rate = ceiling_rate(throttle, ceiling, now);
 	double elapsed = (double)(now - ceiling->updated) / (double)CLK_SECOND;
 
-	ceiling->level = fmin(
-	    ceiling->level + fmax(elapsed, 0) * rate, 1.0 + BURST_S * rate);
+	if (rate <= 0) {
+		ceiling->level = 0;
+		ceiling->updated = now;
+		*wait = TURN_MAX_MS;
+		return (THROTTLE_REFUSED);
+	}
+	ceiling->level = fmin(ceiling->level + fmax(elapsed, 0) * rate,
+	    1.0 + (ceiling->cold_rate > 0 ? COLD_BURST_S : BURST_S) * rate);
 	ceiling->updated = now;
 	*wait = ceiling->level >= 1.0
 	    ? 0
@@ -271,7 +408,7 @@
 	if (throttle->limited == 0)
 		return (THROTTLE_FREE);
 	ceiling = ceiling_find(throttle, upstream);
-	if (ceiling == NULL || ceiling->rate == 0)
+	if (ceiling == NULL || !is_limited(ceiling))
 		return (THROTTLE_FREE);
 	if (!roster_is_home(throttle->roster, upstream, 0, now))
 		return (THROTTLE_ASK);
@@ -297,7 +434,7 @@
 {
 	struct ceiling *ceiling = ceiling_find(throttle, upstream);
 
-	if (ceiling != NULL && ceiling->rate > 0)
+	if (ceiling != NULL && is_limited(ceiling))
 		ceiling->held_until = until;
 }
 
@@ -309,7 +446,7 @@
 	if (throttle->limited == 0)
 		return (false);
 	ceiling = ceiling_find(throttle, upstream);
-	return (ceiling != NULL && ceiling->rate > 0);
+	return (ceiling != NULL && is_limited(ceiling));
 }
 
 clk_ms
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -12,6 +12,11 @@
  * grants tokens as long as it takes itself for the home, and a side of a
  * partition that is not the larger one grants a part of the rate.  The bound
  * that this gives is in docs/decisions/0012-limits-of-upstreams.md.
+ *
+ * An upstream that is cold after its start takes few requests as well.  The
+ * rate that it may get until it is warm (cold.h) is a second source of a limit
+ * for the same bucket; the lower rate applies.  Its bound is in
+ * docs/design/cold-upstreams.md.
  */
 #ifndef SAMPHIRESHED_THROTTLE_H
 #define SAMPHIRESHED_THROTTLE_H
@@ -30,6 +35,9 @@
 	uint32_t upstream; /* roster_hash() of its id */
 	uint32_t rate; /* thousandths of a request a second; 0: no limit */
 	uint32_t age; /* ms since the upstream said so */
+	/* While it is cold: the rate of its bucket, and for how long, in ms. */
+	uint32_t cold_rate;
+	uint32_t cold;
 };
 
 struct throttle *throttle_open(struct roster *roster);
@@ -62,6 +70,20 @@
 size_t throttle_collect(struct throttle *throttle,
     struct throttle_limit *limits, size_t max, clk_ms now);
 
+/*
+ * throttle_cold_set(throttle, upstream, rate, until, is_told, now)
+ *	The upstream is cold until then, and its bucket has that rate at most,
+ *	as this instance knows itself; rate 0 or an earlier time: it is warm.
+ *	Replaces what other instances said.  They are told of a cold upstream
+ *	if is_told.
+ * throttle_is_cold(throttle, upstream)
+ *	Whether a rate applies because it is cold.  Ends with throttle_collect()
+ *	after the time.
+ */
+void throttle_cold_set(struct throttle *throttle, uint32_t upstream,
+    uint32_t rate, clk_ms until, bool is_told, clk_ms now);
+bool throttle_is_cold(const struct throttle *throttle, uint32_t upstream);
+
 /* throttle_get(throttle, upstream, now): the limit as it is known here. */
 struct throttle_limit
 throttle_get(const struct throttle *throttle, uint32_t upstream, clk_ms now);
@@ -106,7 +128,7 @@
 /* ---- Messages between instances, in datagrams ---- */
 
 /* Longest message, in bytes. */
-#define THROTTLE_MESSAGE_MAX 64
+#define THROTTLE_MESSAGE_MAX 72
 
 enum throttle_kind {
 	THROTTLE_MESSAGE_ASK, /* to the home */
--- a/src/throttle/throttle_message.c
+++ b/src/throttle/throttle_message.c
@@ -4,7 +4,7 @@
 #include "throttle/throttle.h"
 
 /* "STH" and the version of the format. */
-#define PROTOCOL_VERSION 0x53544831U
+#define PROTOCOL_VERSION 0x53544832U
 
 static bool_t
 xdr_message(XDR *xdrs, void *data)
@@ -16,6 +16,8 @@
 	    xdr_uint32_t(xdrs, &message->limit.upstream) &&
 	    xdr_uint32_t(xdrs, &message->limit.rate) &&
 	    xdr_uint32_t(xdrs, &message->limit.age) &&
+	    xdr_uint32_t(xdrs, &message->limit.cold_rate) &&
+	    xdr_uint32_t(xdrs, &message->limit.cold) &&
 	    xdr_uint32_t(xdrs, &message->max_wait) &&
 	    xdr_bool(xdrs, &is_granted) && xdr_uint32_t(xdrs, &message->wait);
 
