Edge: requests wait while the store is unresponsive

Cause: while the store is unresponsive, turns with kept history were sent to engines, their end was withheld until 1.8 s after the last event, and the connection was closed: engine time, the caller's retry and the budget were wasted. Requests with a key were refused once the configuration was too old.

A request is checked again against a newer configuration before it is sent.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -126,6 +126,17 @@
 		: BUDGET_GRANT_NEEDED);
 }
 
+bool
+budget_is_granted(
+    const struct budgets *budgets, const char *id, int64_t turn_max)
+{
+	const struct program *program =
+	    g_hash_table_lookup(budgets->programs, id);
+
+	return (program != NULL &&
+	    (program->is_spent || available(program) >= turn_max));
+}
+
 void
 budget_settle(struct budgets *budgets, const char *id, int64_t reserved,
     int64_t used, clk_ms now)
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -61,6 +61,14 @@
 enum budget_verdict budget_reserve(
     struct budgets *budgets, const char *program, int64_t turn_max, clk_ms now);
 
+/*
+ * budget_is_granted(budgets, program, turn_max)
+ *	Whether budget_reserve() needs no grant: it would reserve the tokens,
+ *	or refuse.
+ */
+bool budget_is_granted(
+    const struct budgets *budgets, const char *program, int64_t turn_max);
+
 /*
  * budget_settle(budgets, program, reserved, used, now)
  *	A turn ended after it used that many tokens; release the rest of its
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -86,6 +86,7 @@
 	char resumes[80];
 
 	ev_timer_stop(edge->deps.loop, &call->timer);
+	edge_outage_cancel(call);
 	edge_upstream_cancel(call);
 	edge_budget_settle(call);
 	lg_event(edge->deps.lg, LG_INFO, "request",
@@ -113,6 +114,8 @@
 	    lg_quote(resumes, sizeof(resumes),
 		call->request.resumes != NULL ? call->request.resumes : "-"),
 	    call->lost);
+	if (strcmp(outcome, "served") == 0)
+		edge_outage_ran(call);
 	cnt_observe(edge->latency, now - call->arrived);
 	cnt_add(cnt_counter(edge->deps.cnt, "requests_total",
 		    "Requests by outcome.", "outcome", outcome),
@@ -204,6 +207,9 @@
 	call_expire(watcher->data);
 }
 
+static void set_deadline(struct edge_call *call);
+static void request_match(struct edge_call *call);
+
 /* Look up the organisation of the key; refuse the request if none has it. */
 static bool
 authenticate(struct edge_call *call)
@@ -216,9 +222,9 @@
 		return (true);
 	if (edge_now(edge) - edge->confirmed >
 	    edge->settings.max_catalogue_age) {
-		edge_refuse_not_run(call, VD_CONFIG_STALE,
-		    edge_store_retry_after(edge),
-		    "keys can't be checked: the configuration is too old");
+		/* It is matched again once the configuration is confirmed. */
+		set_deadline(call);
+		(void)edge_outage_hold(call, NULL, request_match);
 		return (false);
 	}
 	if (key != NULL)
@@ -266,10 +272,31 @@
 		timeout = DEFAULT_TIMEOUT_MS;
 	call->deadline = call->arrived + timeout;
 	timeout = MAX(call->deadline - edge_now(call->edge), 1);
+	ev_timer_stop(call->edge->deps.loop, &call->timer);
 	ev_timer_set(&call->timer, (double)timeout / 1000.0, 0.0);
 	ev_timer_start(call->edge->deps.loop, &call->timer);
 }
 
+/* Find the route and the organisation in the newest configuration. */
+static void
+request_match(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+
+	catalogue_unref(call->catalogue);
+	call->catalogue = catalogue_ref(edge->catalogue);
+	call->route = catalogue_route_find(call->catalogue, call->request.host,
+	    hsv_head(call->client)->target->str);
+	if (call->route == NULL) {
+		edge_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
+		return;
+	}
+	if (!authenticate(call))
+		return;
+	scope_ids(call);
+	edge_rate_admit(call);
+}
+
 static void
 request_handle(struct edge_call *call)
 {
@@ -289,16 +316,7 @@
 		edge_refuse_not_run(call, VD_BAD_REQUEST, 0, problem);
 		return;
 	}
-	call->route = catalogue_route_find(
-	    call->catalogue, call->request.host, head->target->str);
-	if (call->route == NULL) {
-		edge_refuse_not_run(call, VD_NOT_FOUND, 0, "no route");
-		return;
-	}
-	if (!authenticate(call))
-		return;
-	scope_ids(call);
-	edge_rate_admit(call);
+	request_match(call);
 }
 
 void
@@ -388,6 +406,7 @@
 	 */
 	hsv_drain_set(edge->hsv, edge->draining || !edge_is_ready(edge));
 	edge_probes_tick(edge);
+	edge_outage_tick(edge);
 }
 
 static void
@@ -449,6 +468,7 @@
 	edge->budgets = budget_open(settings->session, settings->retention);
 	edge->turns =
 	    turn_cache_open(settings->cache_bytes, settings->retention);
+	edge_outage_open(edge);
 	edge_budget_open(edge);
 	edge_loan_open(edge);
 	edge_rate_open(edge);
@@ -480,6 +500,7 @@
 	edge_reach_close(edge);
 	edge_rollout_close(edge);
 	edge_budget_close(edge);
+	edge_outage_close(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
 	g_rand_free(edge->rand);
@@ -526,12 +547,6 @@
 		edge->settings.max_catalogue_age);
 }
 
-void
-edge_store_answered(struct edge *edge, clk_ms when)
-{
-	edge->store_answered = MAX(edge->store_answered, when);
-}
-
 void
 edge_drain(struct edge *edge, clk_ms stop_at)
 {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -85,14 +85,15 @@
 void edge_catalogue_confirm(struct edge *edge, clk_ms when);
 
 /*
- * edge_store_answered(edge, when)
- *	A call to the store was answered at the time when.
+ * edge_store_answered(edge, when), edge_store_failed(edge, when)
+ *	A call to the store was answered, or not, at the time when.
  * edge_tick(edge)
  *	To be called several times a second: decides whether callers are better
  *	served elsewhere, and ends the attempts at upstreams that are out of
  *	reach.
  */
 void edge_store_answered(struct edge *edge, clk_ms when);
+void edge_store_failed(struct edge *edge, clk_ms when);
 void edge_tick(struct edge *edge);
 
 /*
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -54,6 +54,12 @@
 
 static void ledger_advance(struct edge_ledger *ledger);
 
+static struct store_partition
+ledger_partition(const char *program)
+{
+	return ((struct store_partition){STORE_BUDGETS, store_slot(program)});
+}
+
 static void
 reservation_free(struct reservation *reservation)
 {
@@ -122,11 +128,18 @@
 refuse_waiting(struct edge_ledger *ledger, enum vd_code code,
     clk_ms retry_after, const char *detail)
 {
+	const struct store_partition partition =
+	    ledger_partition(ledger->program);
 	struct reservation *reservation;
 
 	while ((reservation = g_queue_pop_head(&ledger->waiting)) != NULL) {
-		reservation_refuse(ledger->edge, ledger->program, reservation,
-		    code, retry_after, detail);
+		/* Turns wait for the store if the ledger can't be read. */
+		if (code != VD_HISTORY_UNPROVEN || reservation->call == NULL ||
+		    reservation->call->client == NULL ||
+		    !edge_outage_hold(
+			reservation->call, &partition, edge_budget_reserve_own))
+			reservation_refuse(ledger->edge, ledger->program,
+			    reservation, code, retry_after, detail);
 		reservation_free(reservation);
 	}
 }
@@ -189,10 +202,13 @@
 ledger_reread(struct edge_ledger *ledger, clk_ms delay)
 {
 	struct edge *edge = ledger->edge;
+	const struct store_partition partition =
+	    ledger_partition(ledger->program);
 
 	budget_ledger_invalidate(edge->budgets, ledger->program);
 	if (first_waiting(ledger) != NULL &&
 	    (edge_is_worse_off(edge) ||
+		!edge_outage_is_expected(edge, &partition) ||
 		edge_now(edge) - ledger->started >= GRANT_TIMEOUT_MS)) {
 		ledger_fail(ledger, VD_HISTORY_UNPROVEN,
 		    edge_store_retry_after(edge),
@@ -327,8 +343,8 @@
 	struct edge *edge = ledger->edge;
 	const struct store *store = &edge->deps.store;
 	const struct reservation *reservation = first_waiting(ledger);
-	struct store_partition partition = {
-	    STORE_BUDGETS, store_slot(ledger->program)};
+	const struct store_partition partition =
+	    ledger_partition(ledger->program);
 	struct store_record record;
 	enum budget_step step;
 
@@ -499,6 +515,7 @@
 reservation_begin(
     struct edge *edge, const char *program, struct reservation *reservation)
 {
+	const struct store_partition partition = ledger_partition(program);
 	struct edge_ledger *ledger =
 	    g_hash_table_lookup(edge->ledgers, program);
 
@@ -516,7 +533,10 @@
 		    VD_BUDGET_EXCEEDED, 0, "the program's budget is spent");
 		break;
 	case BUDGET_GRANT_NEEDED:
-		if (edge_is_worse_off(edge)) {
+		/* A borrower has no time to wait for the store. */
+		if (edge_is_worse_off(edge) ||
+		    (reservation->call == NULL &&
+			!edge_outage_is_expected(edge, &partition))) {
 			reservation_refuse(edge, program, reservation,
 			    VD_HISTORY_UNPROVEN, edge_store_retry_after(edge),
 			    "the program's budget can't be read here now");
@@ -533,8 +553,15 @@
 void
 edge_budget_reserve_own(struct edge_call *call)
 {
-	struct reservation *reservation = g_new0(struct reservation, 1);
+	const struct store_partition partition =
+	    ledger_partition(call->program);
+	struct reservation *reservation;
 
+	if (!budget_is_granted(call->edge->budgets, call->program,
+		call->request.turn_max_tokens) &&
+	    edge_outage_hold(call, &partition, edge_budget_reserve_own))
+		return;
+	reservation = g_new0(struct reservation, 1);
 	*reservation = (struct reservation){.call = edge_call_ref(call),
 	    .tokens = call->request.turn_max_tokens,
 	    .budget = call->request.budget};
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -38,6 +38,7 @@
 	struct edge_call *call;
 	history_op_start *start;
 	char *id; /* turn to read or renew; nil: record the call's turn */
+	unsigned round; /* of the call's reads */
 	GPtrArray *records; /* struct turn_record, to append */
 	guint appended; /* of these, so far */
 	guint appending;
@@ -69,6 +70,7 @@
 	op->call = edge_call_ref(call);
 	op->start = start;
 	op->id = g_strdup(id);
+	op->round = call->wait.round;
 	op->started = edge_now(call->edge);
 	op->backoff = STORE_BACKOFF_MIN_MS;
 	return (op);
@@ -185,20 +187,40 @@
 	edge_budget_acquire(call);
 }
 
+/* Read the history, or what is still missing of it. */
+static void
+history_begin(struct edge_call *call)
+{
+	call->wait.round++;
+	call->turns_missing = 0;
+	if (call->previous_turn == NULL)
+		edge_budget_acquire(call);
+	else
+		history_assemble(call);
+}
+
 static void
 on_turn_read(void *arg, const struct store_reply *reply)
 {
 	struct history_op *op = arg;
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
+	const struct store_partition partition = {
+	    STORE_TURNS, store_slot(op->id)};
 	clk_ms now = edge_now(edge);
 	struct turn *turn;
 
-	if (call->client == NULL) {
+	if (call->client == NULL || op->round != call->wait.round) {
 		history_op_free(op);
 		return;
 	}
 	if (reply->status != STORE_OK) {
+		/* Reads that are in progress belong to an earlier round. */
+		if (edge_outage_hold(call, &partition, history_begin)) {
+			call->wait.round++;
+			history_op_free(op);
+			return;
+		}
 		if (now - op->started < READ_DEADLINE_MS &&
 		    !edge_is_worse_off(edge)) {
 			history_op_retry(op);
@@ -242,6 +264,10 @@
 	const struct store_partition partition = {
 	    STORE_TURNS, store_slot(op->id)};
 
+	if (op->call->client == NULL || op->round != op->call->wait.round) {
+		history_op_free(op);
+		return;
+	}
 	store->ops->read(
 	    store->impl, &partition, STORE_TIMEOUT_MS, on_turn_read, op);
 }
@@ -250,6 +276,8 @@
 edge_history_load(struct edge_call *call)
 {
 	const GByteArray *input = hsv_body(call->client);
+	struct store_partition previous = {STORE_TURNS, 0};
+	bool is_read;
 
 	if (!call->route->stateful) {
 		edge_budget_acquire(call);
@@ -269,10 +297,12 @@
 	call->turn = turn_new(call->turn_id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
-	if (call->previous_turn == NULL)
-		edge_budget_acquire(call);
-	else
-		history_assemble(call);
+	is_read = call->previous_turn != NULL &&
+	    turn_find(call, call->previous_turn) == NULL;
+	if (is_read)
+		previous.slot = store_slot(call->previous_turn);
+	if (!edge_outage_hold(call, is_read ? &previous : NULL, history_begin))
+		history_begin(call);
 }
 
 /* The longest time for which a turn's end waits for its record. */
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "edge/sse.h"
 #include "http/hcp.h"
 #include "http/hsv.h"
+#include "outage/hold.h"
 #include "rollout/rollout.h"
 #include "turn/turn.h"
 
@@ -43,6 +44,7 @@
 	GQueue attempts; /* struct edge_call with a request at an upstream */
 	GHashTable *probes; /* struct edge_probe in progress, or of late */
 	clk_ms store_answered; /* last answer of the store */
+	struct edge_outage *outage;
 	clk_ms worse_since; /* see edge_is_worse_off(); 0: it is not */
 	struct rollout *rollout;
 	struct ev_timer rollout_timer; /* until the plans are read again */
@@ -60,6 +62,20 @@
 	struct cnt_metric *latency;
 };
 
+struct edge_call;
+
+/* A stage of a request. */
+typedef void edge_stage(struct edge_call *call);
+
+/* How a request waits for the store, see edge_outage_hold(). */
+struct edge_wait {
+	struct hold_entry *entry; /* nil: it doesn't wait */
+	edge_stage *next; /* continues it */
+	struct store_partition needed; /* for its next stage */
+	bool is_needed; /* needed is set */
+	unsigned round; /* reads of the history of earlier rounds are void */
+};
+
 struct edge_call {
 	struct edge *edge;
 	unsigned refs; /* the caller's connection and each store call */
@@ -81,6 +97,7 @@
 	clk_ms arrived;
 	clk_ms deadline;
 	struct ev_timer timer;
+	struct edge_wait wait; /* for the store */
 	/* Rate. */
 	struct quota_limit limit; /* of the organisation */
 	enum quota_priority priority;
@@ -209,6 +226,34 @@
 void edge_upstream_send(struct edge_call *call);
 void edge_turn_record(struct edge_call *call);
 
+/*
+ * edge_outage_hold(call, needed, next)
+ *	If a write of the call's turn, or a call of the partition needed (nil:
+ *	none), can't be expected to be acknowledged now, or if the configuration
+ *	is too old, let the call wait, and continue with next() when the store
+ *	answers; or refuse it, if it could not end in time.  Returns false if
+ *	the call may go on.
+ * edge_outage_is_expected(edge, partition)
+ *	Whether a call of the partition can be expected to be answered.
+ * edge_outage_cancel(call)
+ *	The call ends: it waits no longer.
+ * edge_outage_ran(call)
+ *	The call ended after it ran: learn how long its route takes.
+ * edge_outage_tick(edge)
+ *	Send, refuse or keep the requests that wait.
+ * edge_outage_open(edge), edge_outage_close(edge)
+ *	Begin and end to observe the store.
+ */
+bool edge_outage_hold(struct edge_call *call,
+    const struct store_partition *needed, edge_stage *next);
+bool edge_outage_is_expected(
+    const struct edge *edge, const struct store_partition *partition);
+void edge_outage_cancel(struct edge_call *call);
+void edge_outage_ran(const struct edge_call *call);
+void edge_outage_tick(struct edge *edge);
+void edge_outage_open(struct edge *edge);
+void edge_outage_close(struct edge *edge);
+
 /*
  * edge_throttle_acquire(call)
  *	Take a token for the upstream that was chosen, if it names a limit.
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -529,6 +529,10 @@
 	struct edge *edge = call->edge;
 	const char *only;
 
+	/* The store may have fallen silent since the turn was admitted. */
+	if (call->turn != NULL &&
+	    edge_outage_hold(call, NULL, edge_version_find))
+		return;
 	if (!is_bound(call) || !call->request.is_resumed) {
 		edge_upstream_send(call);
 		return;
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -399,6 +399,7 @@
 	clk_ms now = instance_now(instance);
 
 	if (!ok) {
+		edge_store_failed(instance->edge, now);
 		if (!instance->is_store_unreachable &&
 		    now - instance->store_answered >= STORE_UNREACHABLE_MS) {
 			instance->is_store_unreachable = true;
