Outage: a stream waits no longer than its caller does for a first event

Callers abandon a stream after 2 s without an event, also before the first one. The wait ends 0.3 s before that gap, in which an engine begins to answer.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -18,6 +18,14 @@
 #define ROTATION_MS 2300
 /* Lowest Retry-After of a request that is better served by another instance. */
 #define RETRY_ELSEWHERE_MIN_MS 200
+/*
+ * Callers abandon a stream after a gap of 2 s, or of a multiple of the first
+ * event's objective or of the longest pause between events, whichever is
+ * longest.
+ */
+#define CALLER_GAP_MS	      2000
+#define CALLER_GAP_OBJECTIVES 4
+#define CALLER_GAP_PAUSES     8
 /* Timeout of a request if neither its caller nor its route states one. */
 #define DEFAULT_TIMEOUT_MS (30 * CLK_SECOND)
 
@@ -39,6 +47,15 @@
 	    RETRY_STORE_MAX_MS));
 }
 
+clk_ms
+edge_caller_gap(const struct catalogue_route *route)
+{
+	clk_ms objective = CALLER_GAP_OBJECTIVES * route->target_latency;
+	clk_ms pauses = CALLER_GAP_PAUSES * route->target_gap;
+
+	return (MAX(CALLER_GAP_MS, MAX(objective, pauses)));
+}
+
 struct edge_call *
 edge_call_ref(struct edge_call *call)
 {
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -16,15 +16,8 @@
 #define STORE_BACKOFF_MAX_MS 320
 /* A turn whose history can't be read in this time is refused. */
 #define READ_DEADLINE_MS 1200
-/*
- * A stream whose turn can't be recorded is aborted before its caller abandons
- * it: callers do after a gap of 2 s, or of a multiple of the first event's
- * objective or of the longest pause between events, whichever is longest.
- */
-#define CALLER_GAP_MS	      2000
-#define CALLER_GAP_OBJECTIVES 4
-#define CALLER_GAP_PAUSES     8
-#define RECORD_MARGIN_MS      200
+/* A stream whose turn can't be recorded is aborted before its caller leaves. */
+#define RECORD_MARGIN_MS 200
 /* Bytes of a record in an append beside its key and value. */
 #define RECORD_OVERHEAD 5
 
@@ -309,10 +302,7 @@
 static clk_ms
 record_deadline(const struct edge_call *call)
 {
-	clk_ms objective = CALLER_GAP_OBJECTIVES * call->route->target_latency;
-	clk_ms pauses = CALLER_GAP_PAUSES * call->route->target_gap;
-
-	return (MAX(CALLER_GAP_MS, MAX(objective, pauses)) - RECORD_MARGIN_MS);
+	return (edge_caller_gap(call->route) - RECORD_MARGIN_MS);
 }
 
 static void
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -212,6 +212,13 @@
     struct edge_call *call, clk_ms retry_after, const char *detail);
 void edge_call_end(struct edge_call *call, const char *outcome, int status);
 
+/*
+ * edge_caller_gap(route)
+ *	Return the time without an event, also before the first one, after which
+ *	callers abandon a stream.
+ */
+clk_ms edge_caller_gap(const struct catalogue_route *route);
+
 /*
  * edge_store_retry_after(edge)
  *	Return the Retry-After of requests that fail because the store is
--- a/src/edge/edge_outage.c
+++ b/src/edge/edge_outage.c
@@ -444,6 +444,9 @@
 	const struct hold_request request = {
 	    .route = call->route->name,
 	    .deadline = call->deadline,
+	    .first_event_by = call->route->kind == CATALOGUE_STREAM
+		? call->arrived + edge_caller_gap(call->route)
+		: 0,
 	    .timeout = call->deadline - call->arrived,
 	    .program_deadline = call->request.program_time_left > 0
 		? call->arrived + call->request.program_time_left
--- a/src/outage/hold.c
+++ b/src/outage/hold.c
@@ -15,6 +15,11 @@
 #define DURATION_DEVIATIONS 2.0
 /* The record of a turn is acknowledged in this time, and its end is sent. */
 #define ACKNOWLEDGE_MS 50
+/*
+ * Time in which a stream's first event reaches its caller: an engine that is
+ * not full needs 50 to 150 ms for it.
+ */
+#define FIRST_EVENT_MS 300
 /*
  * The waiting requests of an instance are sent within this time: that of one
  * turn, so that upstreams that end turns at their usual rate take them.
@@ -112,7 +117,11 @@
 static clk_ms
 latest_start(const struct hold_request *request, clk_ms duration)
 {
-	return (request->deadline - duration - ACKNOWLEDGE_MS);
+	clk_ms latest = request->deadline - duration - ACKNOWLEDGE_MS;
+
+	if (request->first_event_by > 0)
+		latest = MIN(latest, request->first_event_by - FIRST_EVENT_MS);
+	return (latest);
 }
 
 bool
--- a/src/outage/hold.h
+++ b/src/outage/hold.h
@@ -5,10 +5,11 @@
  * the store is unresponsive, and which all see it return at the same moment.
  *
  * A request waits for as long as it could still run and end within the time
- * its caller waits; how long requests of a route run is learned from those
- * that ended.  Programs that can still be on time go first, earliest deadline
- * first, those already late after them.  The sends of an instance are spread
- * over the first moments after the store's return.
+ * its caller waits, and begin to answer before its caller abandons it; how long
+ * requests of a route run is learned from those that ended.  Programs that can
+ * still be on time go first, earliest deadline first, those already late after
+ * them.  The sends of an instance are spread over the first moments after the
+ * store's return.
  */
 #ifndef SAMPHIRESHED_HOLD_H
 #define SAMPHIRESHED_HOLD_H
@@ -24,6 +25,7 @@
 struct hold_request {
 	const char *route; /* name */
 	clk_ms deadline; /* of the attempt */
+	clk_ms first_event_by; /* its caller leaves without one; 0: never */
 	clk_ms timeout; /* of the attempt, from its arrival */
 	clk_ms program_deadline; /* 0: none */
 	size_t bytes; /* that it keeps in memory */
--- a/src/outage/test_outage.c
+++ b/src/outage/test_outage.c
@@ -147,8 +147,12 @@
 static void
 add(struct hold *hold, const char *name, clk_ms program_deadline)
 {
-	const struct hold_request request = {
-	    "r", 10000, 3000, program_deadline, 10, (void *)name};
+	const struct hold_request request = {.route = "r",
+	    .deadline = 10000,
+	    .timeout = 3000,
+	    .program_deadline = program_deadline,
+	    .bytes = 10,
+	    .arg = (void *)name};
 
 	g_assert_nonnull(hold_add(hold, &request, 0));
 }
@@ -193,7 +197,8 @@
 test_bounds(void)
 {
 	struct hold *hold = hold_open(3, 1000);
-	struct hold_request request = {"r", 10000, 3000, 0, 400, NULL};
+	struct hold_request request = {
+	    .route = "r", .deadline = 10000, .timeout = 3000, .bytes = 400};
 	struct hold_entry *first = hold_add(hold, &request, 0);
 
 	g_assert_nonnull(first);
@@ -218,8 +223,10 @@
 test_latest(void)
 {
 	struct hold *hold = hold_open(10, 1000);
-	const struct hold_request request = {"r", 3000, 3000, 0, 0, NULL};
-	const struct hold_request small = {"s", 400, 400, 0, 0, NULL};
+	const struct hold_request request = {
+	    .route = "r", .deadline = 3000, .timeout = 3000};
+	const struct hold_request small = {
+	    .route = "s", .deadline = 400, .timeout = 400};
 
 	g_assert_false(hold_is_too_late(hold, &request, 2000));
 	g_assert_true(hold_is_too_late(hold, &request, 2300));
@@ -239,6 +246,25 @@
 	hold_close(hold);
 }
 
+/*
+ * Guards against a stream that waits until its caller abandons it for want of
+ * a first event, although the attempt would have more time.
+ */
+static void
+test_first_event(void)
+{
+	struct hold *hold = hold_open(4, 1000);
+	const struct hold_request request = {.route = "r",
+	    .deadline = 3000,
+	    .timeout = 3000,
+	    .first_event_by = 2000};
+
+	hold_duration_record(hold, "r", 300);
+	g_assert_false(hold_is_too_late(hold, &request, 1500));
+	g_assert_true(hold_is_too_late(hold, &request, 1800));
+	hold_close(hold);
+}
+
 /*
  * Guards against all instances that send at once what waits when the store
  * returns, and against a delay of requests that waited for a moment only.
@@ -251,7 +277,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
 		struct hold *hold = hold_open(1000, 1000);
 		const struct hold_request request = {
-		    "r", 10000, 3000, 0, 0, NULL};
+		    .route = "r", .deadline = 10000, .timeout = 3000};
 		double total = 0;
 
 		for (unsigned n = 0; n < counts[i]; n++)
@@ -277,6 +303,7 @@
 	g_test_add_func("/outage/order", test_order);
 	g_test_add_func("/outage/bounds", test_bounds);
 	g_test_add_func("/outage/latest", test_latest);
+	g_test_add_func("/outage/first-event", test_first_event);
 	g_test_add_func("/outage/pace", test_pace);
 	return (g_test_run());
 }
