Budget: the next grant is taken before a turn needs it

Cause: a program whose last grant was used up needed a call of the ledger before its next turn, and waited for the whole of an outage that began in between.

Change: when a turn ends, here or at an instance that borrowed, and the rest of the grant doesn't cover another turn as large, a grant for three turns is taken with one append, without a read, if no other session has a grant and the store can be expected to answer. A turn that the rest covers does not wait for it.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -21,6 +21,7 @@
 	int64_t granted; /* to this session, by the ledger */
 	int64_t used; /* by turns that ended here */
 	int64_t reserved; /* by turns that run here */
+	int64_t turn_max; /* of the last turn */
 	bool is_spent; /* no tokens are left, here or at other sessions */
 	bool is_first; /* at the last grant no other session had one */
 	bool is_returning; /* a return of tokens may be in flight */
@@ -117,6 +118,7 @@
 {
 	struct program *program = program_ensure(budgets, id, now);
 
+	program->turn_max = turn_max;
 	if (available(program) >= turn_max) {
 		program->reserved += turn_max;
 		return (BUDGET_RESERVED);
@@ -292,6 +294,38 @@
 	return (step);
 }
 
+enum budget_step
+budget_grant_ahead(struct budgets *budgets, const char *id, char **value,
+    int64_t *end, clk_ms wall)
+{
+	const struct program *program =
+	    g_hash_table_lookup(budgets->programs, id);
+	enum budget_step step = BUDGET_NO_TOKENS;
+	struct ledger ledger;
+	int64_t left, take;
+
+	*value = NULL;
+	if (program == NULL || !program->is_first || !program->is_current ||
+	    program->ledger == NULL || program->is_returning ||
+	    program->unsettled_end >= 0 ||
+	    available(program) >= program->turn_max)
+		return (step);
+	ledger_parse(&ledger, program, 0);
+	left = ledger.budget - ledger_sum(&ledger);
+	take =
+	    MIN(GRANT_TURNS_FIRST * program->turn_max - unused(program), left);
+	if (ledger_sum(&ledger) == program->granted &&
+	    unused(program) + take >= program->turn_max && take > 0) {
+		(void)json_object_set_new(ledger.grants, budgets->session,
+		    json_integer(program->granted + take));
+		*value = ledger_format(&ledger, wall);
+		*end = program->end;
+		step = BUDGET_WRITE_LEDGER;
+	}
+	json_decref(ledger.grants);
+	return (step);
+}
+
 bool
 budget_is_idle(const struct budgets *budgets, const char *id, clk_ms since)
 {
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -108,6 +108,18 @@
     int64_t budget, int64_t turn_max, int64_t overdraft, char **value,
     int64_t *end, clk_ms now, clk_ms wall);
 
+/*
+ * budget_grant_ahead(budgets, program, value, end, wall)
+ *	Take a further grant before a turn needs it: the rest of this one does
+ *	not cover a turn as large as the last one, and no other session has a
+ *	grant.  The ledger is not read for it.
+ * RETURN VALUES
+ *	BUDGET_WRITE_LEDGER as in budget_grant_take(); BUDGET_NO_TOKENS if no
+ *	grant is needed, or the budget does not suffice for another turn.
+ */
+enum budget_step budget_grant_ahead(struct budgets *budgets,
+    const char *program, char **value, int64_t *end, clk_ms wall);
+
 /*
  * budget_grant_return(budgets, program, value, end, wall)
  *	Return the unused rest of an idle program's grant to the ledger.
--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -155,6 +155,17 @@
 	}
 }
 
+static void
+grant_ahead(struct world *w, int i)
+{
+	g_autofree char *value = NULL;
+	int64_t end = 0;
+
+	if (budget_grant_ahead(w->sessions[i], "p", &value, &end, 0) ==
+	    BUDGET_WRITE_LEDGER)
+		ledger_write(w, i, value, end);
+}
+
 static void
 step(struct world *w)
 {
@@ -181,6 +192,8 @@
 		budget_settle(w->sessions[i], "p", w->running[i], used, 0);
 		w->used += used;
 		w->running[i] = 0;
+		if (chance(w, 0.5))
+			grant_ahead(w, i);
 		return;
 	}
 	if (chance(w, 0.3)) {
@@ -311,6 +324,57 @@
 	orders_run(AMPLE, true);
 }
 
+/*
+ * Guards against a program that has no grant left when the store falls silent,
+ * and against grants taken ahead that no turn could use: the rest covers
+ * another turn, or the budget does not.
+ */
+static void
+test_grant_ahead(void)
+{
+	struct budgets *budgets = budget_open("a/1", 60000);
+	struct store_record record = {.key = "p"};
+	char *value;
+	int64_t end;
+
+	budget_ledger_set(budgets, "p", NULL, 0, 0);
+	g_assert_cmpint(
+	    budget_reserve(budgets, "p", TURN_MAX, 0), ==, BUDGET_GRANT_NEEDED);
+	/* Nothing is granted yet: a turn has to ask first. */
+	g_assert_cmpint(budget_grant_ahead(budgets, "p", &value, &end, 0), ==,
+	    BUDGET_NO_TOKENS);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 5 * TURN_MAX + 10,
+			    TURN_MAX, 0, &value, &end, 0, 0),
+	    ==, BUDGET_WRITE_LEDGER);
+	record.value = value;
+	record.len = strlen(value);
+	budget_ledger_set(budgets, "p", &record, 1, 0);
+	g_free(value);
+	for (int turn = 1; turn <= 5; turn++) {
+		g_assert_cmpint(budget_reserve(budgets, "p", TURN_MAX, 0), ==,
+		    BUDGET_RESERVED);
+		budget_settle(budgets, "p", TURN_MAX, TURN_MAX, 0);
+		if (turn != 3) {
+			g_assert_cmpint(
+			    budget_grant_ahead(budgets, "p", &value, &end, 0),
+			    ==, BUDGET_NO_TOKENS);
+			continue;
+		}
+		g_assert_cmpint(
+		    budget_grant_ahead(budgets, "p", &value, &end, 0), ==,
+		    BUDGET_WRITE_LEDGER);
+		g_assert_cmpint(end, ==, 1);
+		record.value = value;
+		record.len = strlen(value);
+		budget_ledger_set(budgets, "p", &record, 2, 0);
+		g_free(value);
+	}
+	/* A smaller turn still gets the rest. */
+	g_assert_cmpint(
+	    budget_reserve(budgets, "p", 10, 0), ==, BUDGET_RESERVED);
+	budget_close(budgets);
+}
+
 /* A crashed session held all tokens: an overdraft covers one turn only. */
 static void
 test_overdraft(void)
@@ -542,6 +606,7 @@
 	g_test_add_func("/bgt/orders-scarce", test_orders_scarce);
 	g_test_add_func("/bgt/return-unsettled", test_return_unsettled);
 	g_test_add_func("/bgt/orders-overdraft", test_orders_overdraft);
+	g_test_add_func("/bgt/grant-ahead", test_grant_ahead);
 	g_test_add_func("/bgt/overdraft", test_overdraft);
 	g_test_add_func("/bgt/orders-unconditional", test_orders_unconditional);
 	g_test_add_func("/bgt/moves", test_moved_program);
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -40,6 +40,7 @@
 	char *value; /* record that is being appended */
 	int64_t end; /* end offset that this append expects */
 	clk_ms backoff; /* before the next attempt */
+	bool is_ahead; /* begun before a turn needs the grant */
 	unsigned held; /* attempts that found the rest held by other sessions */
 	struct ev_timer timer;
 };
@@ -53,6 +54,7 @@
 };
 
 static void ledger_advance(struct edge_ledger *ledger);
+static void idle_add(struct edge *edge, const char *program);
 
 static struct store_partition
 ledger_partition(const char *program)
@@ -206,6 +208,10 @@
 	    ledger_partition(ledger->program);
 
 	budget_ledger_invalidate(edge->budgets, ledger->program);
+	if (ledger->is_ahead && first_waiting(ledger) == NULL) {
+		(void)g_hash_table_remove(edge->ledgers, ledger->program);
+		return;
+	}
 	if (first_waiting(ledger) != NULL &&
 	    (edge_is_worse_off(edge) ||
 		!edge_outage_is_expected(edge, &partition) ||
@@ -259,6 +265,9 @@
 	}
 	budget_ledger_set(edge->budgets, ledger->program, &record, reply->end,
 	    edge_now(edge));
+	/* The program is known since now: its rest is returned from now on. */
+	if (ledger->is_ahead)
+		idle_add(edge, ledger->program);
 	ledger_serve_waiting(ledger);
 }
 
@@ -354,6 +363,9 @@
 		    reservation->budget, reservation->tokens,
 		    overdraft_of(reservation), &ledger->value, &ledger->end,
 		    edge_now(edge), clk_wall_ms());
+	else if (ledger->is_ahead)
+		step = budget_grant_ahead(edge->budgets, ledger->program,
+		    &ledger->value, &ledger->end, clk_wall_ms());
 	else
 		step = budget_grant_return(edge->budgets, ledger->program,
 		    &ledger->value, &ledger->end, clk_wall_ms());
@@ -500,12 +512,32 @@
 	}
 }
 
+/*
+ * Take a grant ahead of the program's next turn, which then needs no call of
+ * the store: it may come while the store is unresponsive.
+ */
+static void
+ledger_extend(struct edge *edge, const char *program)
+{
+	const struct store_partition partition = ledger_partition(program);
+	struct edge_ledger *ledger;
+
+	if (edge->draining || edge_is_worse_off(edge) ||
+	    g_hash_table_contains(edge->ledgers, program) ||
+	    !edge_outage_is_expected(edge, &partition))
+		return;
+	ledger = ledger_start(edge, program);
+	ledger->is_ahead = true;
+	ledger_advance(ledger);
+}
+
 void
 edge_budget_release(
     struct edge *edge, const char *program, int64_t reserved, int64_t used)
 {
 	budget_settle(edge->budgets, program, reserved, used, edge_now(edge));
 	idle_add(edge, program);
+	ledger_extend(edge, program);
 }
 
 /* ---- Reserving tokens ---- */
@@ -519,7 +551,11 @@
 	struct edge_ledger *ledger =
 	    g_hash_table_lookup(edge->ledgers, program);
 
-	if (ledger != NULL) {
+	/* A grant that is taken ahead delays no turn that doesn't need it. */
+	if (ledger != NULL &&
+	    !(ledger->is_ahead &&
+		budget_is_granted(
+		    edge->budgets, program, reservation->tokens))) {
 		g_queue_push_tail(&ledger->waiting, reservation);
 		return;
 	}
