Outage: partitions that failed long ago are dropped

Cause: a partition that failed and was not used again stayed in the table, which is searched for each request.

--- a/src/outage/outage.c
+++ b/src/outage/outage.c
@@ -161,6 +161,23 @@
 	part_drop_if_clean(outage, part);
 }
 
+/* Drop the partitions that failed long ago and were not used since. */
+static void
+parts_forget(struct outage *outage, clk_ms now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, outage->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct part *part = value;
+
+		if (now - part->last > FORGET_MS &&
+		    g_queue_is_empty(&part->calls))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 void
 outage_reader_report(struct outage *outage, bool is_answered, clk_ms now)
 {
@@ -172,6 +189,7 @@
 	else
 		part_failed(part, now);
 	part_drop_if_clean(outage, part);
+	parts_forget(outage, now);
 }
 
 /*
