--- a/src/outage/test_outage.c
+++ b/src/outage/test_outage.c
@@ -426,8 +426,11 @@
 sim_arrive(struct sim *sim, struct sim_turn *turn, void **arg)
 {
 	struct sim_instance *instance = &sim->instances[turn->instance];
-	const struct hold_request request = {
-	    "r", turn->arrived + TIMEOUT_MS, TIMEOUT_MS, 0, 100, arg};
+	const struct hold_request request = {.route = "r",
+	    .deadline = turn->arrived + TIMEOUT_MS,
+	    .timeout = TIMEOUT_MS,
+	    .bytes = 100,
+	    .arg = arg};
 
 	sim->result->turns++;
 	arg[0] = turn;
