--- a/src/catalogue/catalogue.c
+++ b/src/catalogue/catalogue.c
@@ -15,6 +15,7 @@
 	GHashTable *services;
 	GHashTable *organisations;
 	GHashTable *keys; /* key -> struct catalogue_organisation */
+	GHashTable *regions; /* set of interned names that are allowed */
 	guint routes;
 	clk_ms retention; /* maximum over the routes */
 	clk_ms stream_timeout; /* the same, of resumable streams */
@@ -38,6 +39,8 @@
 	g_free(route->host);
 	g_free(route->path_prefix);
 	g_array_free(route->shares, TRUE);
+	if (route->allowed_regions != NULL)
+		g_ptr_array_unref(route->allowed_regions);
 	g_free(route);
 }
 
@@ -56,6 +59,8 @@
 	struct catalogue_organisation *organisation = data;
 
 	g_free(organisation->name);
+	if (organisation->allowed_regions != NULL)
+		g_ptr_array_unref(organisation->allowed_regions);
 	g_free(organisation);
 }
 
@@ -83,6 +88,7 @@
 	    g_str_hash, g_str_equal, NULL, organisation_free);
 	catalogue->keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	catalogue->regions = g_hash_table_new(NULL, NULL);
 	return (catalogue);
 }
 
@@ -102,9 +108,23 @@
 	g_hash_table_destroy(catalogue->services);
 	g_hash_table_destroy(catalogue->keys);
 	g_hash_table_destroy(catalogue->organisations);
+	g_hash_table_destroy(catalogue->regions);
 	g_free(catalogue);
 }
 
+static void
+regions_add(struct catalogue *catalogue, const GPtrArray *allowed)
+{
+	for (guint i = 0; allowed != NULL && i < allowed->len; i++)
+		(void)g_hash_table_add(catalogue->regions, allowed->pdata[i]);
+}
+
+GHashTable *
+catalogue_regions(const struct catalogue *catalogue)
+{
+	return (catalogue->regions);
+}
+
 void
 catalogue_route_add(
     struct catalogue *catalogue, const struct catalogue_route *added)
@@ -116,6 +136,7 @@
 	guint at = 0;
 
 	*route = *added;
+	regions_add(catalogue, route->allowed_regions);
 	g_array_set_clear_func(route->shares, share_clear);
 	if (routes == NULL) {
 		routes = g_ptr_array_new_with_free_func(route_free);
@@ -154,10 +175,13 @@
 	if (g_hash_table_contains(catalogue->organisations, added->name)) {
 		/* Keys refer to the first one. */
 		g_free(added->name);
+		if (added->allowed_regions != NULL)
+			g_ptr_array_unref(added->allowed_regions);
 		return;
 	}
 	organisation = g_new(struct catalogue_organisation, 1);
 	*organisation = *added;
+	regions_add(catalogue, organisation->allowed_regions);
 	(void)g_hash_table_insert(
 	    catalogue->organisations, organisation->name, organisation);
 }
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -42,6 +42,11 @@
 	int priority; /* 0 is the most urgent */
 	unsigned max_attempts; /* upstreams that may get one request */
 	GArray *shares; /* struct catalogue_share, at least one */
+	/*
+	 * Regions in which its requests may run, interned strings; nil: any;
+	 * empty: none.
+	 */
+	GPtrArray *allowed_regions;
 };
 
 struct catalogue_service {
@@ -61,6 +66,7 @@
 	int priority;
 	double rate; /* requests per second over the fleet; 0: no limit */
 	double burst;
+	GPtrArray *allowed_regions; /* as of a route; both apply */
 };
 
 struct catalogue_limits {
@@ -100,6 +106,13 @@
 bool catalogue_has_organisations(const struct catalogue *catalogue);
 guint catalogue_route_count(const struct catalogue *catalogue);
 
+/*
+ * catalogue_regions(catalogue)
+ *	Return the names of all regions that routes or organisations allow, a
+ *	set of interned strings.
+ */
+GHashTable *catalogue_regions(const struct catalogue *catalogue);
+
 /*
  * catalogue_retention(catalogue)
  *	Return the longest retention of all routes.
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -97,6 +97,10 @@
 	    .reach = call->edge->deps.reach,
 	};
 
+	request.route_regions = call->route->allowed_regions;
+	if (call->organisation != NULL)
+		request.organisation_regions =
+		    call->organisation->allowed_regions;
 	if (call->route->sticky && call->request.object != NULL)
 		request.object = (uint32_t)fnv_hash(call->request.object);
 	if (tokens == 0)
@@ -214,6 +218,15 @@
 	    edge->deps.crashes, call->fingerprint, edge_now(edge)));
 }
 
+/* Whether the request may run in some regions only. */
+static bool
+is_restricted(const struct edge_call *call)
+{
+	return (call->route->allowed_regions != NULL ||
+	    (call->organisation != NULL &&
+		call->organisation->allowed_regions != NULL));
+}
+
 void
 edge_upstream_send(struct edge_call *call)
 {
@@ -226,7 +239,10 @@
 	}
 	if (!upstream_choose(call)) {
 		edge_refuse_unless_run(call, retry_after(call),
-		    "no upstream can take the request now");
+		    is_restricted(call)
+			? "no upstream of the allowed regions can take the "
+			  "request now"
+			: "no upstream can take the request now");
 		return;
 	}
 	upstream = place_entry_get(call->edge->deps.place, call->handle);
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -255,6 +255,44 @@
 		    is_failure ? "failure" : "evacuation_end");
 }
 
+static void
+regions_set(struct place *place, GHashTable *regions)
+{
+	GHashTableIter iter;
+	void *key, *value;
+
+	if (regions == NULL)
+		return;
+	g_hash_table_iter_init(&iter, regions);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		place_region_set(place, key, value);
+}
+
+/* A region without a data centre allows nothing: it may be misspelt. */
+static void
+regions_check(struct inst *instance, const struct catalogue *catalogue)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, catalogue_regions(catalogue));
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		char quoted[128];
+
+		if (place_has_region(instance->place, key))
+			continue;
+		lg_event(instance->deps.lg, LG_WARNING, "region_unknown",
+		    "region=%s catalogue=%" G_GINT64_FORMAT,
+		    lg_quote(quoted, sizeof(quoted), key),
+		    catalogue_version(catalogue));
+		cnt_add(cnt_counter(instance->cnt, "regions_unknown_total",
+			    "Allowed regions without a data centre, by version "
+			    "of the configuration.",
+			    NULL, NULL),
+		    1);
+	}
+}
+
 static struct hsv *
 ops_open(struct inst *instance, const struct sockaddr_in *address)
 {
@@ -293,6 +331,7 @@
 	instance->colds =
 	    cold_open(instance->throttle, &settings->cold_tolerance);
 	place_throttle_set(instance->place, instance->throttle);
+	regions_set(instance->place, settings->regions);
 	place_doubt_set(instance->place, on_doubt, instance);
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
@@ -381,6 +420,7 @@
 		cold_services_clear(instance->colds);
 		catalogue_services_each(catalogue, on_service, instance->colds);
 		cold_services_apply(instance->colds, instance_now(instance));
+		regions_check(instance, catalogue);
 	}
 	sweeper_retention_set(
 	    instance->sweeper, catalogue_retention(catalogue));
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -38,6 +38,7 @@
 	 */
 	clk_ms max_evacuation_age;
 	struct cold_tolerance cold_tolerance;
+	GHashTable *regions; /* data centre -> name of its region; nil: none */
 	clk_ms retention; /* of idle turns and budgets */
 	size_t turn_cache; /* bytes of turns that are kept in memory */
 	clk_ms grace; /* from the stop signal to the forced exit */
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -79,6 +79,7 @@
 	char *service;
 	char *datacentre;
 	char *version;
+	const char *region; /* interned; nil: not known */
 	uint32_t generation;
 	bool in_use;
 	bool is_removed; /* requests may still run there */
@@ -114,6 +115,7 @@
 	struct departures *departures; /* also of upstreams without an entry */
 	struct evacuations *evacuations;
 	char *evacuated; /* names, as applied */
+	GHashTable *regions; /* data centre -> interned name of its region */
 	const struct throttle *throttle; /* nil: no upstream is cold */
 	place_on_doubt *on_doubt;
 	void *on_doubt_arg;
@@ -149,6 +151,8 @@
 	place->departures = departures_open();
 	place->evacuations = evacuations_open(0);
 	place->evacuated = g_strdup("");
+	place->regions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
 	place->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -187,6 +191,7 @@
 	departures_close(place->departures);
 	evacuations_close(place->evacuations);
 	g_free(place->evacuated);
+	g_hash_table_destroy(place->regions);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -269,6 +274,8 @@
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
 		upstream->version = g_strdup(entry->version);
+		upstream->region =
+		    g_hash_table_lookup(place->regions, entry->datacentre);
 		upstream->is_evacuated =
 		    evacuations_has(place->evacuations, upstream->datacentre);
 		(void)g_hash_table_insert(place->by_id, upstream->id, upstream);
@@ -442,6 +449,28 @@
 	return (is_changed);
 }
 
+void
+place_region_set(
+    struct place *place, const char *datacentre, const char *region)
+{
+	(void)g_hash_table_replace(place->regions, g_strdup(datacentre),
+	    (void *)g_intern_string(region));
+}
+
+bool
+place_has_region(const struct place *place, const char *region)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, place->regions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (strcmp(value, region) == 0)
+			return (true);
+	}
+	return (false);
+}
+
 void
 place_doubt_set(struct place *place, place_on_doubt *on_doubt, void *arg)
 {
@@ -856,6 +885,16 @@
 	    throttle_is_limited(request->throttle, upstream->hash));
 }
 
+static bool
+is_allowed(const GPtrArray *regions, const char *region)
+{
+	bool is_listed = regions == NULL;
+
+	for (guint i = 0; !is_listed && i < regions->len; i++)
+		is_listed = regions->pdata[i] == region;
+	return (is_listed);
+}
+
 /* Whether the upstream could run the request, if it has a token. */
 static bool
 is_eligible(const struct place *place, const struct place_request *request,
@@ -868,6 +907,8 @@
 	    strcmp(upstream->service, request->service) == 0 &&
 	    (request->version == NULL ||
 		g_strcmp0(upstream->version, request->version) == 0) &&
+	    is_allowed(request->route_regions, upstream->region) &&
+	    is_allowed(request->organisation_regions, upstream->region) &&
 	    !was_tried(request, index, upstream->generation) &&
 	    (request->max_connections == 0 ||
 		upstream->running < request->max_connections));
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -73,6 +73,12 @@
 	const struct reach *reach;
 	clk_ms max_wait; /* for a token */
 	bool is_unlimited_only; /* upstreams with a limit are excluded */
+	/*
+	 * Regions outside of which upstreams are excluded, interned strings;
+	 * both lists apply; nil: none are.
+	 */
+	const GPtrArray *route_regions;
+	const GPtrArray *organisation_regions;
 	const char *version; /* all others are excluded; nil: none are */
 	/* All others cost other_version_ms more; nil: none do. */
 	const char *preferred_version;
@@ -140,6 +146,16 @@
  */
 bool place_evacuations_apply(struct place *place);
 
+/*
+ * place_region_set(place, datacentre, region)
+ *	Set the region of a data centre, before any upstream is added.  One
+ *	without a region is in none that a request may be restricted to.
+ * place_has_region(place, region): whether a data centre is there.
+ */
+void place_region_set(
+    struct place *place, const char *datacentre, const char *region);
+bool place_has_region(const struct place *place, const char *region);
+
 /*
  * place_doubt_set(place, on_doubt, arg)
  *	Call on_doubt() with the hash of the id of an upstream that may have
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -654,6 +654,85 @@
 	roster_close(roster);
 }
 
+static GPtrArray *
+regions(const char *one, const char *other)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	if (one != NULL)
+		g_ptr_array_add(list, (void *)g_intern_string(one));
+	if (other != NULL)
+		g_ptr_array_add(list, (void *)g_intern_string(other));
+	return (list);
+}
+
+/*
+ * Guards against a request that runs in a region where it may not: by its
+ * route, by its organisation, or where the region isn't known; also for one
+ * that is to go to the upstream of its object.
+ */
+static void
+test_regions(void)
+{
+	static const struct {
+		const char *route, *organisation, *datacentre;
+	} cases[] = {
+	    {"eu", NULL, "a"},
+	    {NULL, "us", "b"},
+	    {"eu", "eu", "a"},
+	    {"eu", "us", NULL},
+	    {"nowhere", NULL, NULL},
+	    {NULL, "nowhere", NULL},
+	};
+	struct place *place = place_open("a");
+	unsigned any = 0;
+	struct place_handle handle;
+
+	place_region_set(place, "a", "eu");
+	place_region_set(place, "b", "us");
+	g_assert_true(place_has_region(place, "us"));
+	g_assert_false(place_has_region(place, "a"));
+	for (int i = 0; i < 3; i++) {
+		static const char *const datacentres[] = {"a", "b", "c"};
+		g_autofree char *id = g_strdup_printf("u%d", i);
+		struct place_entry e = entry(id, i + 1, 64);
+
+		e.datacentre = datacentres[i];
+		(void)place_upstream_update(place, &e, 0);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GPtrArray) route = regions(cases[i].route, NULL);
+		g_autoptr(GPtrArray) organisation =
+		    regions(cases[i].organisation, "unused");
+		struct place_request request = {.service = "pool"};
+
+		if (cases[i].route != NULL)
+			request.route_regions = route;
+		if (cases[i].organisation != NULL)
+			request.organisation_regions = organisation;
+		for (uint32_t n = 0; n < 20; n++) {
+			request.object = n;
+			g_assert_cmpint(
+			    place_choose(place, &request, 0, &handle), ==,
+			    cases[i].datacentre != NULL);
+			if (cases[i].datacentre == NULL)
+				continue;
+			g_assert_cmpstr(
+			    place_entry_get(place, handle)->datacentre, ==,
+			    cases[i].datacentre);
+			place_request_end(place, handle, PLACE_SERVED, 0);
+		}
+	}
+	for (int n = 0; n < 60; n++) {
+		const struct place_request request = {.service = "pool"};
+
+		g_assert_true(place_choose(place, &request, 0, &handle));
+		any |= 1U << handle.index;
+	}
+	g_assert_cmpuint(any, ==, 7);
+	place_close(place);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -662,6 +741,7 @@
 	g_test_add_func("/plc/versions", test_versions);
 	g_test_add_func("/plc/evacuated", test_evacuated);
 	g_test_add_func("/plc/cold", test_cold);
+	g_test_add_func("/plc/regions", test_regions);
 	g_test_add_func("/plc/locality", test_locality);
 	g_test_add_func("/plc/object", test_object);
 	g_test_add_func("/plc/locality-heard", test_locality_gossip);
