Cold upstreams: the latest reading of an entry holds, at every instance

Cause: what an instance had heard of a cold upstream was not passed on, so the members of a relay that the store turns away did not learn of it; an early end could be undone by the older knowledge of such an instance; and an instance that was suspended used its old entries when it woke.

Change: messages say how long ago the entry was read, and the latest reading holds and is passed on; an upstream that is warm earlier than was said is told for 5 s. Doubt is stated in questions to the home only. An instance without a turn of its loop for 1 s doubts all upstreams of services with cold_start_s until the entries have been read again, for 3 s at most.

The tests of throttle_cold_set(), /throttle/cold-heard and /cold/doubt follow the new interface; cold-doubted and doubt-all are new.

--- a/src/gossip/gossip_message.c
+++ b/src/gossip/gossip_message.c
@@ -54,7 +54,8 @@
 	    xdr_uint32_t(xdrs, &limit->rate) &&
 	    xdr_uint32_t(xdrs, &limit->age) &&
 	    xdr_uint32_t(xdrs, &limit->cold_rate) &&
-	    xdr_uint32_t(xdrs, &limit->cold));
+	    xdr_uint32_t(xdrs, &limit->cold) &&
+	    xdr_uint32_t(xdrs, &limit->cold_age));
 }
 
 static bool_t
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -16,7 +16,7 @@
 	struct place_cached_part cached_parts[] = {{11, 12}};
 	struct sched_crash crashes[] = {{{1, 2, 3}, "u-1", 0}};
 	struct throttle_limit limits[] = {
-	    {13, 3500, 120, 14, 7000}, {14, 0, 9, 0, 0}};
+	    {13, 3500, 120, 14, 7000, 30}, {14, 0, 9, 0, 0, 0}};
 	struct departure departures[] = {{1754000000000, 15, 16}};
 	char *evacuated[] = {(char *)"dc-2", (char *)"dc-3"};
 	const struct gossip_message message = {.name = (char *)"i-1",
@@ -64,6 +64,7 @@
 	g_assert_cmpuint(read.limits[1].age, ==, 9);
 	g_assert_cmpuint(read.limits[0].cold_rate, ==, 14);
 	g_assert_cmpuint(read.limits[0].cold, ==, 7000);
+	g_assert_cmpuint(read.limits[0].cold_age, ==, 30);
 	g_assert_cmpuint(read.departure_len, ==, 1);
 	g_assert_cmpuint(read.departures[0].upstream, ==, 15);
 	g_assert_cmpuint(read.departures[0].started, ==, 1754000000000);
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -54,6 +54,11 @@
  * again: its entry is read within 0.8 s, and a crash takes about 1 s to end.
  */
 #define DOUBT_FAILED_MS 2000
+/*
+ * Time without a turn of the loop after which the process was suspended: its
+ * tick comes ten times as often.
+ */
+#define SUSPENDED_MS 1000
 /* Limits of the servers for readiness probes and metrics. */
 #define OPS_MAX_HEAD	    8192
 #define OPS_MAX_BODY	    1024
@@ -84,6 +89,8 @@
 	struct hsv *ready;
 	struct hsv *metrics;
 	struct ev_timer tick;
+	struct ev_check turn;
+	clk_ms turn_at; /* last turn of the loop */
 	int64_t catalogue_version;
 	clk_ms stop_begun; /* 0: not stopping */
 	clk_ms store_answered; /* last answer of the store */
@@ -175,6 +182,23 @@
 		stop_advance(instance, now);
 }
 
+/* Called first in each turn of the loop, before what has arrived is handled. */
+static void
+turn_cb(struct ev_loop *loop, struct ev_check *watcher, int events)
+{
+	struct inst *instance = watcher->data;
+	clk_ms now = instance_now(instance);
+
+	(void)loop;
+	(void)events;
+	if (now - instance->turn_at >= SUSPENDED_MS) {
+		lg_event(instance->deps.lg, LG_NOTICE, "suspended",
+		    "for_ms=%lld", (long long)(now - instance->turn_at));
+		cold_doubt_all(instance->colds, now);
+	}
+	instance->turn_at = now;
+}
+
 static void
 on_fleet(void *arg, unsigned instances, unsigned rank)
 {
@@ -370,6 +394,11 @@
 	ev_timer_init(&instance->tick, tick_cb, TICK_PERIOD_S, TICK_PERIOD_S);
 	instance->tick.data = instance;
 	ev_timer_start(deps->loop, &instance->tick);
+	instance->turn_at = now;
+	ev_check_init(&instance->turn, turn_cb);
+	ev_set_priority(&instance->turn, EV_MAXPRI);
+	instance->turn.data = instance;
+	ev_check_start(deps->loop, &instance->turn);
 	lg_event(deps->lg, LG_NOTICE, "started", "session=%s datacentre=%s",
 	    session, settings->datacentre);
 	return (instance);
@@ -386,6 +415,7 @@
 	if (instance == NULL)
 		return;
 	ev_timer_stop(instance->deps.loop, &instance->tick);
+	ev_check_stop(instance->deps.loop, &instance->turn);
 	gossip_close(instance->gossip);
 	instance->gossip = NULL;
 	sweeper_close(instance->sweeper);
@@ -512,6 +542,7 @@
 inst_upstreams_confirm(struct inst *instance, clk_ms when)
 {
 	place_entries_confirm(instance->place, when);
+	cold_entries_confirm(instance->colds, when, instance_now(instance));
 }
 
 /* Applies what the store said of evacuations; logs a change. */
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -610,6 +610,7 @@
 	unsigned doubts[2] = {0}, chosen = 0;
 	struct place_handle handles[2], handle;
 	uint32_t cold = roster_hash("u1");
+	struct throttle_cold known = {throttle_rate(100.0), 5000, 0, 0};
 
 	roster_size_set(roster, 1, 0);
 	place_throttle_set(place, throttle);
@@ -618,7 +619,7 @@
 	add(place, "u2", 2);
 	for (int i = 0; i < 2; i++)
 		g_assert_true(place_choose(place, &request, 0, &handles[i]));
-	throttle_cold_set(throttle, cold, throttle_rate(100.0), 5000, true, 0);
+	throttle_cold_set(throttle, cold, &known, 0);
 	for (int i = 0; i < 2; i++) {
 		bool is_cold =
 		    strcmp(place_entry_get(place, handles[i])->id, "u1") == 0;
@@ -634,7 +635,9 @@
 		place_request_end(place, handle, PLACE_SERVED, 0);
 	}
 	g_assert_cmpuint(chosen, ==, 0);
-	throttle_cold_set(throttle, cold, 0, 0, false, 1000);
+	known.until = 0;
+	known.learned = 1000;
+	throttle_cold_set(throttle, cold, &known, 1000);
 	for (int n = 0; n < 20; n++) {
 		g_assert_true(place_choose(place, &request, 1000, &handle));
 		chosen += handle.index == 0;
--- a/src/throttle/cold.c
+++ b/src/throttle/cold.c
@@ -18,6 +18,12 @@
 #define LEVELS	 3.0
 #define LEVELS_S 0.2
 
+/*
+ * Longest time for which all upstreams are doubted: entries are read again
+ * within 0.8 s, unless the store is away, when the others tell.
+ */
+#define DOUBT_ALL_MS 3000
+
 struct service {
 	clk_ms start;
 	double per_s;
@@ -32,8 +38,8 @@
 	bool is_stated;
 	clk_ms seen; /* when the run was first seen */
 	clk_ms until; /* as its entry says, if it does */
+	clk_ms learned; /* when its entry was read */
 	clk_ms doubted_until;
-	bool is_cold; /* as it was told to the throttle */
 };
 
 struct colds {
@@ -41,6 +47,8 @@
 	struct cold_tolerance tolerance;
 	GHashTable *services; /* name -> struct service */
 	GHashTable *upstreams; /* hash of the id -> struct upstream */
+	clk_ms all_doubted_since;
+	clk_ms all_doubted_until; /* 0: they are not */
 };
 
 double
@@ -82,23 +90,24 @@
 {
 	const struct service *service =
 	    g_hash_table_lookup(colds->services, upstream->service);
-	bool was_cold = upstream->is_cold;
-	uint32_t rate = 0;
-	clk_ms until = 0;
+	bool was_cold = throttle_is_cold(colds->throttle, upstream->hash);
+	struct throttle_cold cold = {.learned = upstream->learned};
 
 	if (service != NULL && service->per_s > 0) {
-		until = upstream->is_stated ? upstream->until
-					    : upstream->seen + service->start;
+		cold.until = upstream->is_stated
+		    ? upstream->until
+		    : upstream->seen + service->start;
 		/* A rate of 0 would be no limit. */
-		rate = MAX(
+		cold.rate = MAX(
 		    throttle_rate(cold_rate(service->per_s, &colds->tolerance)),
 		    1U);
+		cold.doubted_until = upstream->doubted_until;
+		if (service->start > 0 && colds->all_doubted_until > now)
+			cold.doubted_until =
+			    MAX(cold.doubted_until, colds->all_doubted_until);
 	}
-	upstream->is_cold =
-	    rate > 0 && MAX(until, upstream->doubted_until) > now;
-	throttle_cold_set(colds->throttle, upstream->hash, rate,
-	    MAX(until, upstream->doubted_until), until > now, now);
-	return (upstream->is_cold != was_cold);
+	throttle_cold_set(colds->throttle, upstream->hash, &cold, now);
+	return (throttle_is_cold(colds->throttle, upstream->hash) != was_cold);
 }
 
 void
@@ -164,6 +173,7 @@
 	} else if (is_read_again(upstream, entry)) {
 		return (false);
 	}
+	upstream->learned = now;
 	upstream->sequence = entry->sequence;
 	upstream->remaining = entry->remaining;
 	if (entry->is_stated) {
@@ -197,3 +207,20 @@
 	    MAX(upstream->doubted_until, now + MIN(time, service->start));
 	return (upstream_apply(colds, upstream, now));
 }
+
+void
+cold_doubt_all(struct colds *colds, clk_ms now)
+{
+	colds->all_doubted_since = now;
+	colds->all_doubted_until = now + DOUBT_ALL_MS;
+	cold_services_apply(colds, now);
+}
+
+void
+cold_entries_confirm(struct colds *colds, clk_ms when, clk_ms now)
+{
+	if (colds->all_doubted_until == 0 || when < colds->all_doubted_since)
+		return;
+	colds->all_doubted_until = 0;
+	cold_services_apply(colds, now);
+}
--- a/src/throttle/cold.h
+++ b/src/throttle/cold.h
@@ -69,13 +69,20 @@
  *	The upstream may have started again.  It is taken for cold for this
  *	time, or the one that its service names if that is shorter, unless its
  *	entry is written anew before.
- *	The first and the last return whether the upstream was taken for cold
- *	or warm before, and is not now.
+ * cold_doubt_all(colds, now)
+ *	This instance was suspended: any upstream may have started again, until
+ *	the entries have been read anew, or for 3 s.
+ * cold_entries_confirm(colds, when, now)
+ *	All entries that were written before the time when are known.
+ *	cold_entry_set() and cold_upstream_doubt() return whether the upstream
+ *was taken for cold or warm before, and is not now.
  */
 bool
 cold_entry_set(struct colds *colds, const struct cold_entry *entry, clk_ms now);
 void cold_upstream_remove(struct colds *colds, uint32_t upstream);
 bool cold_upstream_doubt(
     struct colds *colds, uint32_t upstream, clk_ms time, clk_ms now);
+void cold_doubt_all(struct colds *colds, clk_ms now);
+void cold_entries_confirm(struct colds *colds, clk_ms when, clk_ms now);
 
 #endif
--- a/src/throttle/test_cold.c
+++ b/src/throttle/test_cold.c
@@ -172,6 +172,33 @@
 	g_assert_false(cold_upstream_doubt(f->colds, UPSTREAM, 2000, 3000));
 }
 
+/*
+ * Guards against an instance that was suspended and sends to an upstream which
+ * has started again meanwhile: all are cold until the entries are read again.
+ */
+static void
+test_doubt_all(struct fixture *f, gconstpointer data)
+{
+	const struct cold_entry plain = {
+	    UPSTREAM + 1, "plain", 100, 1, 0, false};
+
+	(void)data;
+	entry_set(f, 100, 1, 0, 0);
+	(void)cold_entry_set(f->colds, &plain, 0);
+	cold_doubt_all(f->colds, 6000);
+	g_assert_cmpuint(cold_ms(f, 6000), ==, 3000);
+	g_assert_false(throttle_is_cold(f->throttle, UPSTREAM + 1));
+	/* Asked before, and answered since. */
+	cold_entries_confirm(f->colds, 5999, 6100);
+	g_assert_cmpuint(cold_ms(f, 6100), ==, 2900);
+	/* An entry that was written before is no answer for the others. */
+	entry_set(f, 100, 2, 0, 6200);
+	g_assert_cmpuint(cold_ms(f, 6200), ==, 2800);
+	cold_entries_confirm(f->colds, 6000, 6300);
+	g_assert_cmpuint(cold_ms(f, 6300), ==, 0);
+	g_assert_cmpuint(throttle_limited(f->throttle), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -183,5 +210,7 @@
 	    teardown);
 	g_test_add(
 	    "/cold/doubt", struct fixture, NULL, setup, test_doubt, teardown);
+	g_test_add("/cold/doubt-all", struct fixture, NULL, setup,
+	    test_doubt_all, teardown);
 	return (g_test_run());
 }
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -80,10 +80,13 @@
 			roster_peer_known(instance->roster, peer,
 			    datacentres[j % DATACENTRES], now);
 	}
-	if (f->cold_per_s > 0)
-		throttle_cold_set(instance->throttle, UPSTREAM,
+	if (f->cold_per_s > 0) {
+		const struct throttle_cold cold = {
 		    throttle_rate(cold_rate(f->cold_per_s, &tolerance)),
-		    now + COLD_MS, true, now);
+		    now + COLD_MS, now, 0};
+
+		throttle_cold_set(instance->throttle, UPSTREAM, &cold, now);
+	}
 }
 
 static void
@@ -748,11 +751,11 @@
 	struct roster *roster = roster_open("i0");
 	struct throttle *throttle = throttle_open(roster);
 	struct throttle_limit limits[LIMITS_MAX];
+	const struct throttle_cold cold = {throttle_rate(10.0), 5000, 0, 0};
 	clk_ms wait;
 
 	roster_size_set(roster, 1, 0);
-	throttle_cold_set(
-	    throttle, UPSTREAM, throttle_rate(10.0), 5000, true, 0);
+	throttle_cold_set(throttle, UPSTREAM, &cold, 0);
 	g_assert_true(throttle_is_cold(throttle, UPSTREAM));
 	g_assert_cmpint(throttle_take(throttle, UPSTREAM, 0, 0, &wait), ==,
 	    THROTTLE_REFUSED);
@@ -786,42 +789,92 @@
 	roster_close(roster);
 }
 
+static size_t
+tell(struct throttle *from, struct throttle *to, clk_ms now)
+{
+	struct throttle_limit limits[LIMITS_MAX];
+	size_t n = throttle_collect(from, limits, LIMITS_MAX, now);
+
+	throttle_merge(to, limits, n, now + MESSAGE_MS);
+	return (n);
+}
+
 /*
- * Guards against instances that don't know that an upstream is cold because
- * the store turns them away, and against what one of them heard and tells on
- * after the upstream was found warm.
+ * Guards against instances that don't know that an upstream is cold, or warm,
+ * because the store turns them away, also behind a relay that it turns away;
+ * and against older knowledge, which one of them tells on, that undoes newer.
  */
 static void
 test_cold_heard(void)
 {
+	const struct throttle_cold cold = {throttle_rate(10.0), 9000, 1, 0};
+	const struct throttle_cold warm = {throttle_rate(10.0), 0, 3000, 0};
 	struct roster *roster = roster_open("i0");
-	struct throttle *knows = throttle_open(roster);
-	struct throttle *heard = throttle_open(roster);
-	struct throttle_limit limits[LIMITS_MAX];
-	size_t n;
+	struct throttle *reads = throttle_open(roster);
+	struct throttle *relay = throttle_open(roster);
+	struct throttle *member = throttle_open(roster);
 
 	roster_size_set(roster, 1, 0);
-	throttle_cold_set(knows, UPSTREAM, throttle_rate(10.0), 9000, true, 0);
-	n = throttle_collect(knows, limits, LIMITS_MAX, 100);
-	g_assert_cmpuint(n, ==, 1);
-	throttle_merge(heard, limits, n, 100);
-	g_assert_true(throttle_is_cold(heard, UPSTREAM));
-	g_assert_cmpuint(throttle_get(heard, UPSTREAM, 100).cold, ==, 8900);
-	g_assert_cmpuint(
-	    throttle_collect(heard, limits, LIMITS_MAX, 200), ==, 0);
-	/* It reads the entry itself, which says that the upstream is warm. */
-	throttle_cold_set(heard, UPSTREAM, 0, 0, false, 300);
-	g_assert_false(throttle_is_cold(heard, UPSTREAM));
-	n = throttle_collect(knows, limits, LIMITS_MAX, 300);
-	throttle_merge(heard, limits, n, 400);
-	g_assert_false(throttle_is_cold(heard, UPSTREAM));
-	/* An upstream that is cold to a caller is cold to its home. */
-	throttle_merge(heard, limits, n, 1500);
-	g_assert_true(throttle_is_cold(heard, UPSTREAM));
-	(void)throttle_collect(heard, limits, LIMITS_MAX, 20000);
-	g_assert_false(throttle_is_cold(heard, UPSTREAM));
-	throttle_close(knows);
-	throttle_close(heard);
+	throttle_cold_set(reads, UPSTREAM, &cold, 1);
+	g_assert_cmpuint(tell(reads, relay, 100), ==, 1);
+	g_assert_true(throttle_is_cold(relay, UPSTREAM));
+	g_assert_cmpuint(throttle_get(relay, UPSTREAM, 102).cold, ==, 8900);
+	g_assert_cmpuint(tell(relay, member, 200), ==, 1);
+	g_assert_true(throttle_is_cold(member, UPSTREAM));
+	/* Its entry says that it is warm, earlier than it said before. */
+	throttle_cold_set(reads, UPSTREAM, &warm, 3000);
+	g_assert_false(throttle_is_cold(reads, UPSTREAM));
+	g_assert_cmpuint(tell(member, reads, 3100), ==, 1);
+	g_assert_false(throttle_is_cold(reads, UPSTREAM));
+	g_assert_cmpuint(tell(reads, relay, 3200), ==, 1);
+	g_assert_cmpuint(tell(relay, member, 3300), ==, 1);
+	g_assert_false(throttle_is_cold(member, UPSTREAM));
+	g_assert_cmpuint(throttle_limited(member), ==, 0);
+	/* What is no news any more is not told. */
+	g_assert_cmpuint(tell(reads, relay, 9000), ==, 0);
+	throttle_close(reads);
+	throttle_close(relay);
+	throttle_close(member);
+	roster_close(roster);
+}
+
+/*
+ * Guards against a home that grants without a limit to an instance which
+ * doubts that the upstream is warm, and against a doubt that is told on.
+ */
+static void
+test_cold_doubted(void)
+{
+	const struct throttle_cold doubted = {throttle_rate(10.0), 0, 1, 2000};
+	const struct throttle_cold warm = {throttle_rate(10.0), 0, 1, 0};
+	struct roster *roster = roster_open("i0");
+	struct throttle *asker = throttle_open(roster);
+	struct throttle *home = throttle_open(roster);
+	struct throttle_limit limit;
+	clk_ms wait;
+
+	roster_size_set(roster, 1, 0);
+	throttle_cold_set(home, UPSTREAM, &warm, 1);
+	throttle_cold_set(asker, UPSTREAM, &doubted, 1);
+	g_assert_true(throttle_is_cold(asker, UPSTREAM));
+	limit = throttle_get(asker, UPSTREAM, 10);
+	g_assert_cmpuint(limit.cold_age, ==, THROTTLE_COLD_DOUBTED);
+	g_assert_cmpuint(tell(asker, home, 20), ==, 0);
+	g_assert_false(throttle_is_cold(home, UPSTREAM));
+	g_assert_cmpint(
+	    throttle_grant(home, &limit, 0, 30, &wait), ==, THROTTLE_REFUSED);
+	g_assert_cmpint(wait, ==, 100);
+	g_assert_true(throttle_is_cold(home, UPSTREAM));
+	g_assert_cmpuint(tell(home, asker, 40), ==, 0);
+	/* An answer of the home renews no doubt that has ended. */
+	throttle_cold_set(asker, UPSTREAM, &warm, 50);
+	limit = throttle_get(home, UPSTREAM, 60);
+	throttle_merge(asker, &limit, 1, 60);
+	g_assert_false(throttle_is_cold(asker, UPSTREAM));
+	(void)throttle_collect(home, &limit, 1, 2100);
+	g_assert_false(throttle_is_cold(home, UPSTREAM));
+	throttle_close(asker);
+	throttle_close(home);
 	roster_close(roster);
 }
 
@@ -831,7 +884,7 @@
 	const struct throttle_message message = {
 	    .kind = THROTTLE_MESSAGE_ANSWER,
 	    .serial = 77,
-	    .limit = {UPSTREAM, 3500, 120, 14000, 9000},
+	    .limit = {UPSTREAM, 3500, 120, 14000, 9000, 70},
 	    .max_wait = 9,
 	    .is_granted = true,
 	    .wait = 150};
@@ -846,6 +899,7 @@
 	g_assert_cmpuint(decoded.limit.age, ==, 120);
 	g_assert_cmpuint(decoded.limit.cold_rate, ==, 14000);
 	g_assert_cmpuint(decoded.limit.cold, ==, 9000);
+	g_assert_cmpuint(decoded.limit.cold_age, ==, 70);
 	g_assert_cmpuint(decoded.serial, ==, 77);
 	g_assert_true(decoded.is_granted);
 	g_assert_cmpuint(decoded.wait, ==, 150);
@@ -874,6 +928,7 @@
 	    "/throttle/cold-check-can-fail", test_cold_check_can_fail);
 	g_test_add_func("/throttle/cold-and-named", test_cold_and_named);
 	g_test_add_func("/throttle/cold-heard", test_cold_heard);
+	g_test_add_func("/throttle/cold-doubted", test_cold_doubted);
 	g_test_add_func("/throttle/message", test_message);
 	return (g_test_run());
 }
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -19,11 +19,10 @@
  */
 #define COLD_SHARE_MIN 0.25
 /*
- * Time after this instance has learned of an upstream's state itself in which
- * messages, which may be older, don't say that it is cold: two intervals and
- * the pause between two reads of the upstreams' entries.
+ * What another instance has learned is newer only if it is so by this time: a
+ * message is on its way for some of it.
  */
-#define COLD_OWN_MS 1000
+#define COLD_SAME_MS 100
 /* Longest time for which an upstream is taken for cold. */
 #define COLD_MAX_MS (3600 * CLK_SECOND)
 /*
@@ -43,10 +42,11 @@
 	uint32_t rate; /* thousandths of a request a second; 0: no limit */
 	clk_ms said;
 	uint32_t cold_rate; /* the same while it is cold; 0: it is not */
-	clk_ms cold_until;
-	clk_ms cold_learned; /* by this instance itself; 0: never */
-	bool is_cold_own; /* cold_until is this instance's own knowledge */
-	bool is_cold_told; /* and the others are to know */
+	uint32_t cold_limit; /* what it is then; 0: it is never cold */
+	clk_ms cold_until; /* as an entry said at the time cold_learned */
+	clk_ms cold_learned; /* 0: never */
+	clk_ms doubted_until; /* it may be cold */
+	clk_ms warm_told_until;
 	double level; /* tokens; negative if some of the future are reserved */
 	clk_ms updated;
 	clk_ms turn; /* of the next instance that is refused a token */
@@ -171,49 +171,80 @@
 	ceiling->said = said;
 }
 
-/* Another instance takes the upstream for cold. */
+/* Applies the cold rate while the upstream is, or may be, cold. */
+static void
+cold_apply(struct throttle *throttle, struct ceiling *ceiling, clk_ms now)
+{
+	bool is_cold = now < MAX(ceiling->cold_until, ceiling->doubted_until);
+
+	rates_set(throttle, ceiling, ceiling->rate,
+	    is_cold ? ceiling->cold_limit : 0, now);
+}
+
+/* What an entry said, as of the time learned: the latest one holds. */
+static void
+cold_learn(struct ceiling *ceiling, clk_ms until, clk_ms learned, clk_ms now)
+{
+	bool was_cold = now < ceiling->cold_until;
+
+	ceiling->cold_until = MIN(until, now + COLD_MAX_MS);
+	ceiling->cold_learned = learned;
+	/* That it is warm is news only to those who were told otherwise. */
+	if (was_cold && now >= ceiling->cold_until)
+		ceiling->warm_told_until = now + TOLD_MS;
+}
+
+/* Another instance has learned of the upstream's state. */
 static void
 cold_merge(
     struct throttle *throttle, const struct throttle_limit *limit, clk_ms now)
 {
-	clk_ms until = now + MIN((clk_ms)limit->cold, COLD_MAX_MS);
+	clk_ms learned = now - (clk_ms)limit->cold_age;
 	struct ceiling *ceiling;
 
-	if (limit->cold_rate == 0 || limit->cold == 0)
+	if (limit->cold_rate == 0 || limit->cold_age == THROTTLE_COLD_DOUBTED)
 		return;
 	ceiling = ceiling_ensure(throttle, limit->upstream, now);
-	if (ceiling->cold_rate == 0) {
-		if (ceiling->cold_learned > 0 &&
-		    now - ceiling->cold_learned < COLD_OWN_MS)
-			return;
-		rates_set(
-		    throttle, ceiling, ceiling->rate, limit->cold_rate, now);
-		ceiling->cold_until = until;
+	if (ceiling->cold_learned > 0 &&
+	    learned <= ceiling->cold_learned + COLD_SAME_MS)
 		return;
-	}
-	/* Of two opinions the stricter one holds. */
-	if (limit->cold_rate < ceiling->cold_rate)
-		rates_set(
-		    throttle, ceiling, ceiling->rate, limit->cold_rate, now);
-	if (!ceiling->is_cold_own)
-		ceiling->cold_until = MAX(ceiling->cold_until, until);
+	if (ceiling->cold_limit == 0)
+		ceiling->cold_limit = limit->cold_rate;
+	cold_learn(ceiling, now + (clk_ms)limit->cold, learned, now);
+	cold_apply(throttle, ceiling, now);
+}
+
+/* An instance that asks takes the upstream for one that may be cold. */
+static void
+doubt_merge(
+    struct throttle *throttle, const struct throttle_limit *limit, clk_ms now)
+{
+	struct ceiling *ceiling;
+
+	if (limit->cold_rate == 0 || limit->cold_age != THROTTLE_COLD_DOUBTED)
+		return;
+	ceiling = ceiling_ensure(throttle, limit->upstream, now);
+	if (ceiling->cold_limit == 0)
+		ceiling->cold_limit = limit->cold_rate;
+	ceiling->doubted_until = MAX(ceiling->doubted_until,
+	    now + MIN((clk_ms)limit->cold, COLD_MAX_MS));
+	cold_apply(throttle, ceiling, now);
 }
 
 void
-throttle_cold_set(struct throttle *throttle, uint32_t upstream, uint32_t rate,
-    clk_ms until, bool is_told, clk_ms now)
+throttle_cold_set(struct throttle *throttle, uint32_t upstream,
+    const struct throttle_cold *cold, clk_ms now)
 {
 	struct ceiling *ceiling = ceiling_find(throttle, upstream);
-	bool is_cold = rate > 0 && until > now;
 
-	if (ceiling == NULL && !is_cold)
+	if (ceiling == NULL && cold->rate == 0)
 		return;
 	ceiling = ceiling_ensure(throttle, upstream, now);
-	rates_set(throttle, ceiling, ceiling->rate, is_cold ? rate : 0, now);
-	ceiling->cold_until = MIN(until, now + COLD_MAX_MS);
-	ceiling->cold_learned = now;
-	ceiling->is_cold_own = is_cold;
-	ceiling->is_cold_told = is_cold && is_told;
+	ceiling->cold_limit = cold->rate;
+	if (cold->learned >= ceiling->cold_learned)
+		cold_learn(ceiling, cold->until, cold->learned, now);
+	ceiling->doubted_until = MIN(cold->doubted_until, now + COLD_MAX_MS);
+	cold_apply(throttle, ceiling, now);
 }
 
 bool
@@ -253,24 +284,31 @@
 static struct throttle_limit
 ceiling_limit(const struct ceiling *ceiling, clk_ms now)
 {
-	struct throttle_limit limit = {ceiling->upstream, ceiling->rate,
-	    (uint32_t)CLAMP(now - ceiling->said, 0, UINT32_MAX), 0, 0};
-
-	if (ceiling->cold_rate > 0 && ceiling->cold_until > now) {
-		limit.cold_rate = ceiling->cold_rate;
-		limit.cold = (uint32_t)(ceiling->cold_until - now);
-	}
-	return (limit);
+	return ((struct throttle_limit){.upstream = ceiling->upstream,
+	    .rate = ceiling->rate,
+	    .age = (uint32_t)CLAMP(now - ceiling->said, 0, UINT32_MAX),
+	    .cold_rate = ceiling->cold_learned > 0 ? ceiling->cold_limit : 0,
+	    .cold = (uint32_t)CLAMP(ceiling->cold_until - now, 0, COLD_MAX_MS),
+	    .cold_age = (uint32_t)CLAMP(
+		now - ceiling->cold_learned, 0, THROTTLE_COLD_DOUBTED - 1)});
 }
 
 struct throttle_limit
 throttle_get(const struct throttle *throttle, uint32_t upstream, clk_ms now)
 {
 	const struct ceiling *ceiling = ceiling_find(throttle, upstream);
+	struct throttle_limit limit;
 
 	if (ceiling == NULL)
-		return ((struct throttle_limit){upstream, 0, 0, 0, 0});
-	return (ceiling_limit(ceiling, now));
+		return ((struct throttle_limit){.upstream = upstream});
+	limit = ceiling_limit(ceiling, now);
+	if (ceiling->cold_limit > 0 &&
+	    ceiling->doubted_until > MAX(now, ceiling->cold_until)) {
+		limit.cold_rate = ceiling->cold_limit;
+		limit.cold = (uint32_t)(ceiling->doubted_until - now);
+		limit.cold_age = THROTTLE_COLD_DOUBTED;
+	}
+	return (limit);
 }
 
 unsigned
@@ -290,18 +328,17 @@
 	for (guint i = throttle->ceilings->len; i > 0; i--) {
 		struct ceiling *ceiling = throttle->ceilings->pdata[i - 1];
 
-		if (ceiling->cold_rate > 0 && now >= ceiling->cold_until) {
-			rates_set(throttle, ceiling, ceiling->rate, 0, now);
-			ceiling->is_cold_own = false;
-			ceiling->is_cold_told = false;
-		}
+		if (ceiling->cold_rate > 0)
+			cold_apply(throttle, ceiling, now);
 		if (is_limited(ceiling) &&
 		    !roster_is_home(
 			throttle->roster, ceiling->upstream, 0, now)) {
 			ceiling->level = 0;
 			ceiling->updated = now;
 		}
-		if (now - ceiling->said < MEMORY_MS || ceiling->cold_rate > 0)
+		if (now - MAX(ceiling->said, ceiling->cold_learned) <
+			MEMORY_MS ||
+		    ceiling->cold_rate > 0)
 			continue;
 		throttle->limited -= is_limited(ceiling);
 		(void)g_hash_table_remove(
@@ -324,8 +361,8 @@
 		guint i = (start + k) % len;
 		const struct ceiling *ceiling = throttle->ceilings->pdata[i];
 
-		/* What was heard of a cold upstream is not passed on. */
-		if (now - ceiling->said >= TOLD_MS && !ceiling->is_cold_told)
+		if (now - ceiling->said >= TOLD_MS &&
+		    now >= MAX(ceiling->cold_until, ceiling->warm_told_until))
 			continue;
 		/* What is left out comes first in the next message. */
 		if (n == max)
@@ -422,6 +459,7 @@
 	enum throttle_answer answer;
 
 	throttle_merge(throttle, limit, 1, now);
+	doubt_merge(throttle, limit, now);
 	answer = throttle_take(throttle, limit->upstream, max_wait, now, wait);
 	if (answer != THROTTLE_ASK)
 		return (answer);
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -30,14 +30,19 @@
 
 struct throttle;
 
+/* The asker has no entry that says that the upstream is cold; it may be. */
+#define THROTTLE_COLD_DOUBTED UINT32_MAX
+
 /* What an upstream said of its limit. */
 struct throttle_limit {
 	uint32_t upstream; /* roster_hash() of its id */
 	uint32_t rate; /* thousandths of a request a second; 0: no limit */
 	uint32_t age; /* ms since the upstream said so */
-	/* While it is cold: the rate of its bucket, and for how long, in ms. */
+	/* The rate of its bucket while it is cold; 0: not known to be cold. */
 	uint32_t cold_rate;
-	uint32_t cold;
+	uint32_t cold; /* how much longer it is cold, in ms; 0: it is warm */
+	/* ms since an entry said so, or THROTTLE_COLD_DOUBTED */
+	uint32_t cold_age;
 };
 
 struct throttle *throttle_open(struct roster *roster);
@@ -70,18 +75,24 @@
 size_t throttle_collect(struct throttle *throttle,
     struct throttle_limit *limits, size_t max, clk_ms now);
 
+/* What this instance knows itself of a cold upstream. */
+struct throttle_cold {
+	uint32_t rate; /* of its bucket while it is cold; 0: it never is */
+	clk_ms until; /* as its entry says */
+	clk_ms learned; /* when the entry was read */
+	clk_ms doubted_until; /* it may have started again: cold until then */
+};
+
 /*
- * throttle_cold_set(throttle, upstream, rate, until, is_told, now)
- *	The upstream is cold until then, and its bucket has that rate at most,
- *	as this instance knows itself; rate 0 or an earlier time: it is warm.
- *	Replaces what other instances said.  They are told of a cold upstream
- *	if is_told.
+ * throttle_cold_set(throttle, upstream, cold, now)
+ *	Set what this instance knows.  What another one has learned later holds
+ *	against it.
  * throttle_is_cold(throttle, upstream)
  *	Whether a rate applies because it is cold.  Ends with throttle_collect()
  *	after the time.
  */
 void throttle_cold_set(struct throttle *throttle, uint32_t upstream,
-    uint32_t rate, clk_ms until, bool is_told, clk_ms now);
+    const struct throttle_cold *cold, clk_ms now);
 bool throttle_is_cold(const struct throttle *throttle, uint32_t upstream);
 
 /* throttle_get(throttle, upstream, now): the limit as it is known here. */
@@ -128,7 +139,7 @@
 /* ---- Messages between instances, in datagrams ---- */
 
 /* Longest message, in bytes. */
-#define THROTTLE_MESSAGE_MAX 72
+#define THROTTLE_MESSAGE_MAX 80
 
 enum throttle_kind {
 	THROTTLE_MESSAGE_ASK, /* to the home */
--- a/src/throttle/throttle_message.c
+++ b/src/throttle/throttle_message.c
@@ -18,6 +18,7 @@
 	    xdr_uint32_t(xdrs, &message->limit.age) &&
 	    xdr_uint32_t(xdrs, &message->limit.cold_rate) &&
 	    xdr_uint32_t(xdrs, &message->limit.cold) &&
+	    xdr_uint32_t(xdrs, &message->limit.cold_age) &&
 	    xdr_uint32_t(xdrs, &message->max_wait) &&
 	    xdr_bool(xdrs, &is_granted) && xdr_uint32_t(xdrs, &message->wait);
 
