Evacuation: nothing that the kernel holds arrives after the bound

Cause: a request that was sent on an established connection into a cut network is held by the kernel for up to 1.5 s and delivered when the cut has healed; an instance that the store has not answered for 4.7 s could thus reach an evacuated data centre after evacuate_ms.

Change: for the last 2 s before an instance sends nothing for the age of its knowledge, it sends on connections that were established for the request. While it sends nothing, Retry-After is that of a store that is away.

--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -41,6 +41,11 @@
 #define ANSWERS_BYTES_MAX ((size_t)24 << 20)
 /* Expected output of a turn whose caller gives no length hint. */
 #define DEFAULT_OUTPUT_TOKENS 256
+/*
+ * Time for which the kernel may hold what was sent into a network that is cut:
+ * the timeout of an unacknowledged segment (hcp.c, 1.5 s), and its timer's.
+ */
+#define SEND_HELD_MS 2000
 /* Lower bound of an instance's share of the connections to an upstream. */
 #define MIN_CONNECTIONS 4
 
@@ -154,6 +159,8 @@
 	    : 0;
 	double spread;
 
+	if (evacuations_is_stale(place_evacuations(edge->deps.place), now))
+		return (edge_store_retry_after(edge));
 	if (until == 0)
 		return (RETRY_NO_UPSTREAM_MS);
 	/* Callers that are refused together don't return together. */
@@ -260,6 +267,22 @@
 	edge_upstream_send(call);
 }
 
+/*
+ * The longest time for which the connection may have been idle; 0: any.  When
+ * an evacuation could take effect while the kernel holds the request, only a
+ * connection that is established now shows that it will not be held.
+ */
+static clk_ms
+idle_max(const struct edge *edge)
+{
+	const struct evacuations *evacuations =
+	    place_evacuations(edge->deps.place);
+
+	return (evacuations_is_stale(evacuations, edge_now(edge) + SEND_HELD_MS)
+		? 1
+		: 0);
+}
+
 void
 edge_upstream_start(struct edge_call *call)
 {
@@ -307,6 +330,7 @@
 		? STREAM_BYTES_MAX
 		: ANSWER_BYTES_MAX,
 	    .is_head = strcmp(head->method, "HEAD") == 0,
+	    .max_idle = idle_max(edge),
 	    .may_send = may_send,
 	    .handler = &upstream_handler,
 	    .arg = call,
