Cold upstreams: an entry of before the doubt doesn't end it

Cause: an entry that an upstream wrote just before it turned cold, and that was read just after a failure or the end of an evacuation, ended the doubt: the upstream got all requests until its next entry.

--- a/src/throttle/cold.c
+++ b/src/throttle/cold.c
@@ -39,6 +39,7 @@
 	clk_ms seen; /* when the run was first seen */
 	clk_ms until; /* as its entry says, if it does */
 	clk_ms learned; /* when its entry was read */
+	clk_ms doubted_since;
 	clk_ms doubted_until;
 };
 
@@ -47,6 +48,7 @@
 	struct cold_tolerance tolerance;
 	GHashTable *services; /* name -> struct service */
 	GHashTable *upstreams; /* hash of the id -> struct upstream */
+	clk_ms confirmed; /* all entries written before are known */
 	clk_ms all_doubted_since;
 	clk_ms all_doubted_until; /* 0: they are not */
 };
@@ -179,7 +181,9 @@
 	if (entry->is_stated) {
 		upstream->is_stated = true;
 		upstream->until = now + entry->remaining;
-		upstream->doubted_until = 0;
+		/* One that was written before the doubt ends none. */
+		if (is_new || colds->confirmed >= upstream->doubted_since)
+			upstream->doubted_until = 0;
 	}
 	return (upstream_apply(colds, upstream, now));
 }
@@ -203,6 +207,7 @@
 	service = g_hash_table_lookup(colds->services, upstream->service);
 	if (service == NULL || service->start == 0)
 		return (false);
+	upstream->doubted_since = now;
 	upstream->doubted_until =
 	    MAX(upstream->doubted_until, now + MIN(time, service->start));
 	return (upstream_apply(colds, upstream, now));
@@ -219,6 +224,7 @@
 void
 cold_entries_confirm(struct colds *colds, clk_ms when, clk_ms now)
 {
+	colds->confirmed = MAX(colds->confirmed, when);
 	if (colds->all_doubted_until == 0 || when < colds->all_doubted_since)
 		return;
 	colds->all_doubted_until = 0;
--- a/src/throttle/test_cold.c
+++ b/src/throttle/test_cold.c
@@ -159,7 +159,11 @@
 	g_assert_cmpuint(throttle_collect(f->throttle, &limit, 1, 1100), ==, 0);
 	entry_set(f, 100, 1, 0, 1200);
 	g_assert_cmpuint(cold_ms(f, 1200), ==, 1800);
-	entry_set(f, 100, 2, 0, 1300);
+	/* Written before the doubt, and read since. */
+	entry_set(f, 100, 2, 0, 1250);
+	g_assert_cmpuint(cold_ms(f, 1250), ==, 1750);
+	cold_entries_confirm(f->colds, 1000, 1260);
+	entry_set(f, 100, 3, 0, 1300);
 	g_assert_cmpuint(cold_ms(f, 1300), ==, 0);
 	(void)cold_upstream_doubt(f->colds, UPSTREAM, INT32_MAX, 2000);
 	g_assert_cmpuint(cold_ms(f, 2000), ==, 8000);
