Cold upstreams: an old entry doesn't make others take a warm one for cold

Cause: an instance that starts reads the last entry of each upstream, which may have been written long ago, and told it to the others as the latest reading.

Change: what was there when the instance started counts for itself, and as older than anything that others have read.

--- a/src/throttle/cold.c
+++ b/src/throttle/cold.c
@@ -24,6 +24,12 @@
  */
 #define DOUBT_ALL_MS 3000
 
+/*
+ * Time of what was learned from an entry that was there when this instance
+ * started: it may be old, and all that others have learned is newer.
+ */
+#define LEARNED_EARLIER 1
+
 struct service {
 	clk_ms start;
 	double per_s;
@@ -175,7 +181,7 @@
 	} else if (is_read_again(upstream, entry)) {
 		return (false);
 	}
-	upstream->learned = now;
+	upstream->learned = colds->confirmed > 0 ? now : LEARNED_EARLIER;
 	upstream->sequence = entry->sequence;
 	upstream->remaining = entry->remaining;
 	if (entry->is_stated) {
--- a/src/throttle/test_cold.c
+++ b/src/throttle/test_cold.c
@@ -176,6 +176,35 @@
 	g_assert_false(cold_upstream_doubt(f->colds, UPSTREAM, 2000, 3000));
 }
 
+/*
+ * Guards against an instance that starts, reads an entry which was written long
+ * ago, and makes the others take a warm upstream for cold again.
+ */
+static void
+test_old_entry(struct fixture *f, gconstpointer data)
+{
+	struct throttle *other = throttle_open(f->roster);
+	const struct throttle_cold warm = {throttle_rate(10.0), 0, 5000, 0};
+	struct throttle_limit limit;
+
+	(void)data;
+	throttle_cold_set(other, UPSTREAM, &warm, 5000);
+	entry_set(f, 100, 1, 8000, 20000);
+	g_assert_cmpuint(cold_ms(f, 20000), ==, 8000);
+	g_assert_cmpuint(
+	    throttle_collect(f->throttle, &limit, 1, 20000), ==, 1);
+	throttle_merge(other, &limit, 1, 20000);
+	g_assert_false(throttle_is_cold(other, UPSTREAM));
+	/* What it reads from then on is news. */
+	cold_entries_confirm(f->colds, 20000, 20100);
+	entry_set(f, 100, 2, 7000, 21000);
+	g_assert_cmpuint(
+	    throttle_collect(f->throttle, &limit, 1, 21000), ==, 1);
+	throttle_merge(other, &limit, 1, 21000);
+	g_assert_true(throttle_is_cold(other, UPSTREAM));
+	throttle_close(other);
+}
+
 /*
  * Guards against an instance that was suspended and sends to an upstream which
  * has started again meanwhile: all are cold until the entries are read again.
@@ -216,5 +245,7 @@
 	    "/cold/doubt", struct fixture, NULL, setup, test_doubt, teardown);
 	g_test_add("/cold/doubt-all", struct fixture, NULL, setup,
 	    test_doubt_all, teardown);
+	g_test_add("/cold/old-entry", struct fixture, NULL, setup,
+	    test_old_entry, teardown);
 	return (g_test_run());
 }
