Tests: the bound of an evacuation over random orders of faults

Instances that are frozen, turned away by the store or reached by old messages send nothing to an evacuated data centre after the bound; without the limit of age they do, so the check can fail.

--- a/src/place/test_evacuation.c
+++ b/src/place/test_evacuation.c
@@ -218,6 +218,184 @@
 	g_test_message("seeds 1 to %d", ORDERS);
 }
 
+/* ---- The bound of the time ---- */
+
+#define FLEET_MAX 195
+#define STEP_MS	  10
+#define PLAY_MS	  30000
+/* bounds.evacuate_ms, and the part of it that is left for the way. */
+#define BOUND_MS  5000
+#define MARGIN_MS 200
+
+/* A message, or an answer of the store, on its way or in a socket. */
+struct arrival {
+	int to;
+	clk_ms at;
+	clk_ms asked; /* of an answer; a message: -1 */
+	uint64_t end;
+	bool is_evacuated; /* z1 */
+};
+
+struct fleet {
+	GRand *rand;
+	struct evacuations *instances[FLEET_MAX];
+	clk_ms frozen_until[FLEET_MAX];
+	clk_ms turned_away_until[FLEET_MAX]; /* by the store */
+	clk_ms read_at[FLEET_MAX];
+	GQueue *arrivals; /* struct arrival */
+	int size;
+	uint64_t end; /* of the topic */
+	bool is_evacuated;
+	clk_ms acknowledged; /* the last change */
+	unsigned late; /* requests after the bound */
+	unsigned sent;
+	unsigned refused; /* for the age of what is known */
+};
+
+static void
+arrival_add(struct fleet *f, int to, clk_ms at, clk_ms asked, uint64_t end,
+    bool is_evacuated)
+{
+	struct arrival *arrival = g_new(struct arrival, 1);
+
+	*arrival = (struct arrival){to, at, asked, end, is_evacuated};
+	g_queue_push_tail(f->arrivals, arrival);
+}
+
+/* Hands over what has arrived; an instance that is frozen takes it later. */
+static void
+arrivals_take(struct fleet *f, clk_ms now)
+{
+	GList *next;
+
+	for (GList *l = f->arrivals->head; l != NULL; l = next) {
+		struct arrival *arrival = l->data;
+		struct evacuations *to = f->instances[arrival->to];
+
+		next = l->next;
+		if (now < arrival->at || now < f->frozen_until[arrival->to])
+			continue;
+		if (arrival->asked < 0) {
+			(void)merge(to, arrival->end,
+			    arrival->is_evacuated ? "z1" : NULL, now);
+		} else {
+			(void)evacuations_set(to, "z1", arrival->is_evacuated);
+			evacuations_confirm(to, arrival->end, arrival->asked);
+			f->read_at[arrival->to] = now;
+		}
+		g_free(arrival);
+		g_queue_delete_link(f->arrivals, l);
+	}
+}
+
+static void
+instance_step(struct fleet *f, int i, clk_ms now)
+{
+	struct evacuations *self = f->instances[i];
+	bool is_stale = evacuations_is_stale(self, now);
+
+	if (now < f->frozen_until[i])
+		return;
+	f->refused += is_stale;
+	if (!is_stale && !evacuations_has(self, "z1")) {
+		f->sent++;
+		f->late += f->is_evacuated &&
+		    now + MARGIN_MS > f->acknowledged + BOUND_MS;
+	}
+	if (f->read_at[i] <= now && now >= f->turned_away_until[i]) {
+		clk_ms time = g_rand_int_range(f->rand, 1, 900);
+
+		/* The state when it was asked for: the answer may be late. */
+		arrival_add(f, i, now + time, now, f->end, f->is_evacuated);
+		f->read_at[i] = now + time + 1000;
+	}
+	if (g_rand_int_range(f->rand, 0, 20) == 0) {
+		struct evacuation_news news;
+		char *names[EVACUATION_NAMES_MAX];
+
+		evacuations_collect(self, &news, names);
+		arrival_add(f, g_rand_int_range(f->rand, 0, f->size),
+		    now + g_rand_int_range(f->rand, 1, 3000), -1, news.end,
+		    news.name_len > 0);
+	}
+}
+
+static void
+fault_begin(struct fleet *f, clk_ms now)
+{
+	int i = g_rand_int_range(f->rand, 0, f->size);
+	clk_ms until = now + g_rand_int_range(f->rand, 500, 9000);
+
+	if (g_rand_boolean(f->rand))
+		f->frozen_until[i] = until;
+	else
+		f->turned_away_until[i] = until;
+}
+
+/* Returns the number of requests that were sent after the bound. */
+static unsigned
+bound_play(guint32 seed, int size, clk_ms max_age, unsigned *sent)
+{
+	struct fleet f = {.rand = g_rand_new_with_seed(seed),
+	    .arrivals = g_queue_new(),
+	    .size = size,
+	    .end = 1};
+	clk_ms change = 1000;
+
+	for (int i = 0; i < size; i++)
+		f.instances[i] = evacuations_open(max_age);
+	for (clk_ms now = 1; now < PLAY_MS; now += STEP_MS) {
+		if (now >= change) {
+			f.is_evacuated = !f.is_evacuated;
+			f.end++;
+			f.acknowledged = now;
+			change = now + g_rand_int_range(f.rand, 2000, 12000);
+		}
+		/* Half of the fleet has a fault at a time. */
+		if (g_rand_int_range(f.rand, 0, 180) < size)
+			fault_begin(&f, now);
+		arrivals_take(&f, now);
+		for (int i = 0; i < size; i++)
+			instance_step(&f, i, now);
+	}
+	for (int i = 0; i < size; i++)
+		evacuations_close(f.instances[i]);
+	g_queue_free_full(f.arrivals, g_free);
+	g_rand_free(f.rand);
+	*sent += f.sent;
+	return (f.late);
+}
+
+#define BOUND_SEEDS 20
+
+/*
+ * Guards against a request to an evacuated data centre after the bound, while
+ * instances are frozen, turned away by the store, and get messages that are
+ * old: none in random orders; and some where there is no limit of age, so that
+ * the check can fail.
+ */
+static void
+test_bound(void)
+{
+	static const int sizes[] = {9, 62, FLEET_MAX};
+
+	for (size_t s = 0; s < G_N_ELEMENTS(sizes); s++) {
+		unsigned late = 0, unlimited = 0, sent = 0, any = 0;
+
+		for (guint32 seed = 1; seed <= BOUND_SEEDS; seed++) {
+			late += bound_play(
+			    seed, sizes[s], BOUND_MS - MARGIN_MS, &sent);
+			unlimited += bound_play(seed, sizes[s], 0, &any);
+		}
+		g_test_message("%d instances, seeds 1 to %d: %u of %u requests "
+			       "late; %u of %u without a limit of age",
+		    sizes[s], BOUND_SEEDS, late, sent, unlimited, any);
+		g_assert_cmpuint(late, ==, 0);
+		g_assert_cmpuint(unlimited, >, 0);
+		g_assert_cmpuint(sent, >, any / 2);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -227,5 +405,6 @@
 	g_test_add_func("/evacuation/topic-anew", test_topic_anew);
 	g_test_add_func("/evacuation/stale", test_stale);
 	g_test_add_func("/evacuation/orders", test_orders);
+	g_test_add_func("/evacuation/bound", test_bound);
 	return (g_test_run());
 }
