Place: an upstream that may be cold keeps its measured speed

Cause: while an upstream was only suspected to be cold, it counted as fast as the best one, because it had no samples of a cold time.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -719,6 +719,22 @@
 	    throttle_is_cold(place->throttle, upstream->hash));
 }
 
+/*
+ * The moving average that applies now; 0: no sample.  An upstream that is only
+ * suspected to be cold has no samples of a cold time.
+ */
+static double
+speed_sample(
+    const struct place *place, const struct upstream *upstream, bool is_engine)
+{
+	double cold =
+	    is_engine ? upstream->cold_token_ms : upstream->cold_answer_ms;
+
+	if (cold > 0 && is_cold(place, upstream))
+		return (cold);
+	return (is_engine ? upstream->token_ms : upstream->answer_ms);
+}
+
 /* Cost of running the request at the upstream, in ms. */
 static double
 cost_ms(const struct place *place, const struct upstream *upstream,
@@ -726,17 +742,13 @@
 {
 	double slots = MAX(upstream->entry.slots, 1U);
 	double load = estimated_load(place, upstream);
-	bool cold = is_cold(place, upstream);
-	double answer_ms =
-	    cold ? upstream->cold_answer_ms : upstream->answer_ms;
+	double sample = speed_sample(place, upstream, request->part_count > 0);
 	double ms;
 
 	if (request->part_count > 0)
-		ms = engine_ms(upstream, request,
-		    cold ? upstream->cold_token_ms : upstream->token_ms, best,
-		    load, now);
+		ms = engine_ms(upstream, request, sample, best, load, now);
 	else
-		ms = (answer_ms > 0 ? answer_ms : best) * (1.0 + load / slots);
+		ms = (sample > 0 ? sample : best) * (1.0 + load / slots);
 	if (load >= slots)
 		ms += QUEUE_WAIT_MS * (load - slots + 1.0);
 	if (strcmp(upstream->datacentre, place->datacentre) != 0)
