--- a/src/place/place.c
+++ b/src/place/place.c
@@ -79,6 +79,7 @@
 	char *service;
 	char *datacentre;
 	char *version;
+	const char *region; /* interned; nil: not known */
 	uint32_t generation;
 	bool in_use;
 	bool is_removed; /* requests may still run there */
@@ -115,6 +116,7 @@
 	struct spill *spill; /* see place_spill_set() */
 	struct evacuations *evacuations;
 	char *evacuated; /* names, as applied */
+	GHashTable *regions; /* data centre -> interned name of its region */
 	const struct throttle *throttle; /* nil: no upstream is cold */
 	place_on_doubt *on_doubt;
 	void *on_doubt_arg;
@@ -150,6 +152,8 @@
 	place->departures = departures_open();
 	place->evacuations = evacuations_open(0);
 	place->evacuated = g_strdup("");
+	place->regions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	place->datacentre = g_strdup(datacentre);
 	place->upstreams = g_ptr_array_new();
 	place->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -188,6 +192,7 @@
 	departures_close(place->departures);
 	evacuations_close(place->evacuations);
 	g_free(place->evacuated);
+	g_hash_table_destroy(place->regions);
 	g_free(place->datacentre);
 	g_free(place);
 }
@@ -270,6 +275,8 @@
 		upstream->service = g_strdup(entry->service);
 		upstream->datacentre = g_strdup(entry->datacentre);
 		upstream->version = g_strdup(entry->version);
+		upstream->region =
+		    g_hash_table_lookup(place->regions, entry->datacentre);
 		upstream->is_evacuated =
 		    evacuations_has(place->evacuations, upstream->datacentre);
 		(void)g_hash_table_insert(place->by_id, upstream->id, upstream);
@@ -449,6 +456,28 @@
 	return (is_changed);
 }
 
+void
+place_region_set(
+    struct place *place, const char *datacentre, const char *region)
+{
+	(void)g_hash_table_replace(place->regions, g_strdup(datacentre),
+	    (void *)g_intern_string(region));
+}
+
+bool
+place_has_region(const struct place *place, const char *region)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, place->regions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (strcmp(value, region) == 0)
+			return (true);
+	}
+	return (false);
+}
+
 void
 place_doubt_set(struct place *place, place_on_doubt *on_doubt, void *arg)
 {
@@ -720,13 +749,28 @@
 	    throttle_is_cold(place->throttle, upstream->hash));
 }
 
+/*
+ * The moving average that applies now; 0: no sample.  An upstream that is only
+ * suspected to be cold has no samples of a cold time.
+ */
+static double
+speed_sample(
+    const struct place *place, const struct upstream *upstream, bool is_engine)
+{
+	double cold =
+	    is_engine ? upstream->cold_token_ms : upstream->cold_answer_ms;
+
+	if (cold > 0 && is_cold(place, upstream))
+		return (cold);
+	return (is_engine ? upstream->token_ms : upstream->answer_ms);
+}
+
 /* Time to generate a token there; best stands in if there is no sample. */
 static double
 token_ms_of(
     const struct place *place, const struct upstream *upstream, double best)
 {
-	double sample = is_cold(place, upstream) ? upstream->cold_token_ms
-						 : upstream->token_ms;
+	double sample = speed_sample(place, upstream, true);
 
 	return (sample > 0 ? sample : best);
 }
@@ -738,16 +782,14 @@
 {
 	double slots = MAX(upstream->entry.slots, 1U);
 	double load = estimated_load(place, upstream);
-	bool cold = is_cold(place, upstream);
-	double answer_ms =
-	    cold ? upstream->cold_answer_ms : upstream->answer_ms;
+	double sample = speed_sample(place, upstream, request->part_count > 0);
 	double ms;
 
 	if (request->part_count > 0)
 		ms = engine_ms(upstream, request,
 		    token_ms_of(place, upstream, best), load, now);
 	else
-		ms = (answer_ms > 0 ? answer_ms : best) * (1.0 + load / slots);
+		ms = (sample > 0 ? sample : best) * (1.0 + load / slots);
 	if (load >= slots)
 		ms += QUEUE_WAIT_MS * (load - slots + 1.0);
 	if (!is_home(place, upstream))
@@ -896,6 +938,16 @@
 	    throttle_is_limited(request->throttle, upstream->hash));
 }
 
+static bool
+is_allowed(const GPtrArray *regions, const char *region)
+{
+	bool is_listed = regions == NULL;
+
+	for (guint i = 0; !is_listed && i < regions->len; i++)
+		is_listed = regions->pdata[i] == region;
+	return (is_listed);
+}
+
 /* Whether the upstream could run the request, if it has a token. */
 static bool
 is_eligible(const struct place *place, const struct place_request *request,
@@ -908,6 +960,8 @@
 	    strcmp(upstream->service, request->service) == 0 &&
 	    (request->version == NULL ||
 		g_strcmp0(upstream->version, request->version) == 0) &&
+	    is_allowed(request->route_regions, upstream->region) &&
+	    is_allowed(request->organisation_regions, upstream->region) &&
 	    !was_tried(request, index, upstream->generation) &&
 	    (request->max_connections == 0 ||
 		upstream->running < request->max_connections));
--- a/src/throttle/test_cold.c
+++ b/src/throttle/test_cold.c
@@ -159,7 +159,11 @@
 	g_assert_cmpuint(throttle_collect(f->throttle, &limit, 1, 1100), ==, 0);
 	entry_set(f, 100, 1, 0, 1200);
 	g_assert_cmpuint(cold_ms(f, 1200), ==, 1800);
-	entry_set(f, 100, 2, 0, 1300);
+	/* Written before the doubt, and read since. */
+	entry_set(f, 100, 2, 0, 1250);
+	g_assert_cmpuint(cold_ms(f, 1250), ==, 1750);
+	cold_entries_confirm(f->colds, 1000, 1260);
+	entry_set(f, 100, 3, 0, 1300);
 	g_assert_cmpuint(cold_ms(f, 1300), ==, 0);
 	(void)cold_upstream_doubt(f->colds, UPSTREAM, INT32_MAX, 2000);
 	g_assert_cmpuint(cold_ms(f, 2000), ==, 8000);
@@ -172,6 +176,62 @@
 	g_assert_false(cold_upstream_doubt(f->colds, UPSTREAM, 2000, 3000));
 }
 
+/*
+ * Guards against an instance that starts, reads an entry which was written long
+ * ago, and makes the others take a warm upstream for cold again.
+ */
+static void
+test_old_entry(struct fixture *f, gconstpointer data)
+{
+	struct throttle *other = throttle_open(f->roster);
+	const struct throttle_cold warm = {throttle_rate(10.0), 0, 5000, 0};
+	struct throttle_limit limit;
+
+	(void)data;
+	throttle_cold_set(other, UPSTREAM, &warm, 5000);
+	entry_set(f, 100, 1, 8000, 20000);
+	g_assert_cmpuint(cold_ms(f, 20000), ==, 8000);
+	g_assert_cmpuint(
+	    throttle_collect(f->throttle, &limit, 1, 20000), ==, 1);
+	throttle_merge(other, &limit, 1, 20000);
+	g_assert_false(throttle_is_cold(other, UPSTREAM));
+	/* What it reads from then on is news. */
+	cold_entries_confirm(f->colds, 20000, 20100);
+	entry_set(f, 100, 2, 7000, 21000);
+	g_assert_cmpuint(
+	    throttle_collect(f->throttle, &limit, 1, 21000), ==, 1);
+	throttle_merge(other, &limit, 1, 21000);
+	g_assert_true(throttle_is_cold(other, UPSTREAM));
+	throttle_close(other);
+}
+
+/*
+ * Guards against an instance that was suspended and sends to an upstream which
+ * has started again meanwhile: all are cold until the entries are read again.
+ */
+static void
+test_doubt_all(struct fixture *f, gconstpointer data)
+{
+	const struct cold_entry plain = {
+	    UPSTREAM + 1, "plain", 100, 1, 0, false};
+
+	(void)data;
+	entry_set(f, 100, 1, 0, 0);
+	(void)cold_entry_set(f->colds, &plain, 0);
+	cold_doubt_all(f->colds, 6000);
+	g_assert_cmpuint(cold_ms(f, 6000), ==, 3000);
+	g_assert_false(throttle_is_cold(f->throttle, UPSTREAM + 1));
+	/* Asked before, and answered since. */
+	cold_entries_confirm(f->colds, 5999, 6100);
+	g_assert_cmpuint(cold_ms(f, 6100), ==, 2900);
+	/* An entry that was written before is no answer for the others. */
+	entry_set(f, 100, 2, 0, 6200);
+	g_assert_cmpuint(cold_ms(f, 6200), ==, 2800);
+	cold_entries_confirm(f->colds, 6000, 6300);
+	g_assert_cmpuint(cold_ms(f, 6300), ==, 0);
+	g_assert_cmpuint(throttle_limited(f->throttle), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -183,5 +243,9 @@
 	    teardown);
 	g_test_add(
 	    "/cold/doubt", struct fixture, NULL, setup, test_doubt, teardown);
+	g_test_add("/cold/doubt-all", struct fixture, NULL, setup,
+	    test_doubt_all, teardown);
+	g_test_add("/cold/old-entry", struct fixture, NULL, setup,
+	    test_old_entry, teardown);
 	return (g_test_run());
 }
