--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "edge/sse.h"
 #include "http/hcp.h"
 #include "http/hsv.h"
+#include "quota/silence.h"
 #include "rollout/rollout.h"
 #include "turn/turn.h"
 
@@ -37,6 +38,7 @@
 	uint64_t loan_serial; /* of the last loan requested */
 	GHashTable *asking; /* serial -> struct edge_call that waits */
 	uint64_t ask_serial; /* of the last token asked for */
+	struct silence *silence; /* homes that don't answer */
 	/* serial -> struct edge_call that waits for an upstream's token */
 	GHashTable *throttled;
 	uint64_t throttle_serial; /* of the last such wait */
@@ -89,9 +91,15 @@
 	const char *home; /* interned name of the last home asked */
 	struct sockaddr_in home_address;
 	unsigned homes_asked;
+	unsigned home_rank; /* of the next one to be asked */
 	uint64_t ask_serial;
 	clk_ms asked_at;
 	clk_ms ask_wait; /* stated by the last home */
+	clk_ms ask_since; /* the first question */
+	clk_ms ask_until; /* when it gives up; 0: no home was asked */
+	unsigned homes_passed; /* in this round: silent, or not a home */
+	bool is_home_silent; /* one of them did not answer */
+	bool is_ask_paused; /* until the next round */
 	struct ev_timer ask_timer;
 	struct quota_state rate; /* after its admission or refusal */
 	/* History. */
--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -10,6 +10,17 @@
  * the next home is asked before the caller notices.
  */
 #define HOME_TIMEOUT_MS 30
+/*
+ * Pause of a request that no home has answered, before it asks all again: a
+ * home that ends is replaced when the next messages have arrived, which are
+ * sent every 100 ms.
+ */
+#define ASK_AGAIN_MS 40
+/*
+ * Retry-After of a request that no home has answered until the end.  It has
+ * waited for most of the time in which the fleet finds a new home.
+ */
+#define RETRY_NO_HOME_MS 300
 /* Minimum Retry-After of a request above its organisation's rate. */
 #define RETRY_RATE_MIN_MS 100
 /* The same for a new program: by then a turn of another program has ended. */
@@ -89,37 +100,102 @@
 timeout_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
 {
 	struct edge_call *call = edge_call_ref(watcher->data);
+	struct edge *edge = call->edge;
 
 	(void)loop;
 	(void)events;
-	(void)g_hash_table_remove(call->edge->asking, &call->ask_serial);
-	if (call->client != NULL) {
-		ask_record(call, "timed_out");
-		home_ask(call);
+	(void)g_hash_table_remove(edge->asking, &call->ask_serial);
+	if (!call->is_ask_paused) {
+		silence_timed_out(
+		    edge->silence, &call->home_address, edge_now(edge));
+		call->homes_passed++;
+		call->is_home_silent = true;
+		if (call->client != NULL)
+			ask_record(call, "timed_out");
 	}
+	call->is_ask_paused = false;
+	if (call->client != NULL)
+		home_ask(call);
 	edge_call_unref(call);
 }
 
 static void
-ask_wait(struct edge_call *call)
+ask_wait(struct edge_call *call, clk_ms time)
 {
 	struct edge *edge = call->edge;
 
+	call->ask_serial = ++edge->ask_serial;
 	call->asked_at = edge_now(edge);
 	ev_timer_init(&call->ask_timer, timeout_cb,
-	    (double)HOME_TIMEOUT_MS / 1000.0, 0.0);
+	    (double)time / (double)CLK_SECOND, 0.0);
 	call->ask_timer.data = call;
 	ev_timer_start(edge->deps.loop, &call->ask_timer);
 	(void)g_hash_table_insert(
 	    edge->asking, &call->ask_serial, edge_call_ref(call));
 }
 
-/* Asks the next home, or refuses the request if there is none. */
 static void
-home_ask(struct edge_call *call)
+home_refuse(struct edge_call *call)
 {
 	struct edge *edge = call->edge;
-	struct token_message message = {.kind = TOKEN_ASK,
+
+	lg_event(edge->deps.lg, LG_INFO, "rate_undecided",
+	    "request=%s organisation=%s asked=%u silent=%d "
+	    "waited_ms=%" G_GINT64_FORMAT,
+	    call->request.id, call->organisation->name, call->homes_asked,
+	    call->is_home_silent, edge_now(edge) - call->ask_since);
+	cnt_add(cnt_counter(edge->deps.cnt, "rate_undecided_total",
+		    "Requests refused because no home answered.", NULL, NULL),
+	    1);
+	edge_refuse_not_run(call, VD_OWNER_UNREACHABLE, RETRY_NO_HOME_MS,
+	    "no home of the organisation's rate answered");
+}
+
+/*
+ * All homes were asked.  The request asks again later if none of them knows
+ * whether it is above the rate: they don't answer, or are no homes any more.
+ */
+static void
+round_end(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+
+	if (call->ask_wait > 0 ||
+	    (!call->is_home_silent && !roster_is_relayed(edge->deps.roster))) {
+		rate_refuse(call, call->ask_wait);
+		return;
+	}
+	if (edge_now(edge) + ASK_AGAIN_MS > call->ask_until) {
+		home_refuse(call);
+		return;
+	}
+	call->home_rank = 0;
+	call->homes_passed = 0;
+	call->is_ask_paused = true;
+	ask_wait(call, ASK_AGAIN_MS);
+}
+
+/* Whether this instance, as a home of that rank, has a token for the call. */
+static bool
+own_home_grant(struct edge_call *call, unsigned rank)
+{
+	struct edge *edge = call->edge;
+	clk_ms now = edge_now(edge);
+
+	return (roster_is_relayed(edge->deps.roster) &&
+	    roster_is_home(
+		edge->deps.roster, call->limit.organisation, rank, now) &&
+	    quota_grant(edge->deps.quota, &call->limit, call->priority, now,
+		&call->ask_wait));
+}
+
+/* Asks a home; returns false if it is passed over. */
+static bool
+question_send(struct edge_call *call, const char *home)
+{
+	struct edge *edge = call->edge;
+	const struct token_message message = {.kind = TOKEN_ASK,
+	    .serial = edge->ask_serial + 1,
 	    .limit = call->limit,
 	    .priority = call->priority,
 	    .instance = roster_own_hash(edge->deps.roster),
@@ -127,22 +203,56 @@
 		? active_programs_hash(call->program)
 		: 0};
 
-	while (call->homes_asked < ROSTER_HOMES) {
-		call->home =
-		    roster_home(edge->deps.roster, call->limit.organisation,
-			call->homes_asked++, edge_now(edge));
-		message.serial = edge->ask_serial + 1;
-		if (call->home != NULL &&
-		    edge->deps.instance_address(
-			edge->deps.arg, call->home, &call->home_address) &&
-		    message_send(edge, &call->home_address, &message)) {
-			call->home = g_intern_string(call->home);
-			call->ask_serial = ++edge->ask_serial;
-			ask_wait(call);
+	if (!edge->deps.instance_address(
+		edge->deps.arg, home, &call->home_address) ||
+	    !silence_is_asked(
+		edge->silence, &call->home_address, edge_now(edge)) ||
+	    !message_send(edge, &call->home_address, &message)) {
+		call->is_home_silent = true;
+		return (false);
+	}
+	call->home = g_intern_string(home);
+	call->homes_asked++;
+	ask_wait(call, HOME_TIMEOUT_MS);
+	return (true);
+}
+
+/*
+ * Asks the next home.  For each one that was passed over, the next of the
+ * ranking is asked, which would be a home without it.
+ */
+static void
+home_ask(struct edge_call *call)
+{
+	struct edge *edge = call->edge;
+	clk_ms now = edge_now(edge);
+
+	if (call->ask_until == 0) {
+		call->ask_since = now;
+		call->ask_until = silence_give_up_at(now, call->deadline);
+	}
+	while (call->home_rank <
+	    MIN(ROSTER_HOMES + call->homes_passed, ROSTER_RANKS)) {
+		unsigned rank = call->home_rank++;
+		const char *home = roster_home(
+		    edge->deps.roster, call->limit.organisation, rank, now);
+
+		if (home != NULL) {
+			if (question_send(call, home))
+				return;
+			call->homes_passed++;
+		} else if (own_home_grant(call, rank)) {
+			call->is_counted = true;
+			edge_call_admitted(call);
+			return;
+		}
+		if (call->ask_wait > 0 &&
+		    roster_is_relayed(edge->deps.roster)) {
+			rate_refuse(call, call->ask_wait);
 			return;
 		}
 	}
-	rate_refuse(call, call->ask_wait);
+	round_end(call);
 }
 
 /* The home knows which instance the program's first request came to. */
@@ -167,6 +277,7 @@
 	struct edge_call *call =
 	    g_hash_table_lookup(edge->asking, &message->serial);
 
+	silence_answered(edge->silence, from);
 	if (call == NULL) {
 		/* The question timed out, or the caller has disconnected. */
 		if (message->is_granted)
@@ -185,9 +296,13 @@
 		program_first_set(call, message->instance);
 		edge_call_admitted(call);
 	} else {
-		ask_record(call, "refused");
+		bool is_relayed = roster_is_relayed(edge->deps.roster);
+		bool is_known = !is_relayed || message->wait_ms > 0;
+
+		ask_record(call, is_known ? "refused" : "undecided");
 		call->ask_wait = message->wait_ms;
-		if (roster_is_relayed(edge->deps.roster))
+		call->homes_passed += !is_known;
+		if (is_relayed && is_known)
 			rate_refuse(call, call->ask_wait);
 		else
 			home_ask(call);
@@ -321,10 +436,12 @@
 {
 	edge->asking = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, asking_free);
+	edge->silence = silence_open();
 }
 
 void
 edge_rate_close(struct edge *edge)
 {
 	g_hash_table_destroy(edge->asking);
+	silence_close(edge->silence);
 }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -560,6 +560,11 @@
     enum quota_priority priority, clk_ms now, clk_ms *wait)
 {
 	*wait = 0;
+	/* The bucket of an instance that isn't a home says nothing. */
+	if (roster_is_relayed(quota->roster) &&
+	    !roster_is_home(quota->roster, limit->organisation, 0, now) &&
+	    !roster_is_home(quota->roster, limit->organisation, 1, now))
+		return (false);
 	return (limit->rate > 0 &&
 	    bucket_admit(quota, bucket_prepare(quota, limit, now), priority,
 		now, wait) == QUOTA_ADMITTED);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -112,6 +112,8 @@
  * quota_grant(quota, limit, priority, now, wait)
  *	Take a token for a request that came to another instance, which asks
  *	this one as a home, see roster_home().  Returns whether there is one.
+ *	If there is none and *wait is 0, the organisation isn't known to be
+ *	above its rate: this instance is no home, or may not say.
  */
 enum quota_answer
 quota_admit(struct quota *quota, const struct quota_limit *limit,
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -235,14 +235,14 @@
 /* Finds the names of the homes; nil for this instance, and for none. */
 static void
 homes_find(const struct roster *roster, uint32_t key, clk_ms now,
-    const char *names[ROSTER_HOMES], bool is_self[ROSTER_HOMES])
+    const char *names[ROSTER_RANKS], bool is_self[ROSTER_RANKS])
 {
-	uint64_t scores[ROSTER_HOMES] = {
+	uint64_t scores[ROSTER_RANKS] = {
 	    1 + (uint64_t)rdv_score(key, roster->hash)};
 	GHashTableIter iter;
 	void *name, *value;
 
-	for (int i = 0; i < ROSTER_HOMES; i++) {
+	for (int i = 0; i < ROSTER_RANKS; i++) {
 		names[i] = NULL;
 		is_self[i] = i == 0;
 	}
@@ -250,18 +250,18 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct peer *peer = value;
 		uint64_t score = 1 + (uint64_t)rdv_score(key, peer->hash);
-		int at = ROSTER_HOMES;
+		int at = ROSTER_RANKS;
 
 		if (!peer_is_live(peer, now))
 			continue;
 		while (at > 0 && score > scores[at - 1])
 			at--;
-		for (int i = ROSTER_HOMES - 1; i > at; i--) {
+		for (int i = ROSTER_RANKS - 1; i > at; i--) {
 			scores[i] = scores[i - 1];
 			names[i] = names[i - 1];
 			is_self[i] = is_self[i - 1];
 		}
-		if (at == ROSTER_HOMES)
+		if (at == ROSTER_RANKS)
 			continue;
 		scores[at] = score;
 		names[at] = name;
@@ -273,8 +273,8 @@
 roster_home(
     const struct roster *roster, uint32_t key, unsigned rank, clk_ms now)
 {
-	const char *names[ROSTER_HOMES];
-	bool is_self[ROSTER_HOMES];
+	const char *names[ROSTER_RANKS];
+	bool is_self[ROSTER_RANKS];
 
 	homes_find(roster, key, now, names, is_self);
 	return (names[rank]);
@@ -284,8 +284,8 @@
 roster_is_home(
     const struct roster *roster, uint32_t key, unsigned rank, clk_ms now)
 {
-	const char *names[ROSTER_HOMES];
-	bool is_self[ROSTER_HOMES];
+	const char *names[ROSTER_RANKS];
+	bool is_self[ROSTER_RANKS];
 
 	homes_find(roster, key, now, names, is_self);
 	return (is_self[rank]);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -78,12 +78,16 @@
 unsigned roster_live_peers(const struct roster *roster, clk_ms now);
 double roster_share(struct roster *roster, clk_ms now);
 
-/* Number of homes of a key. */
+/*
+ * Number of homes of a key, and of ranks: those from ROSTER_HOMES on are the
+ * next homes.
+ */
 #define ROSTER_HOMES 2
+#define ROSTER_RANKS 4
 
 /*
  * roster_home(roster, key, rank, now)
- *	Return the name of a home of the key, of rank 0 to ROSTER_HOMES - 1, or
+ *	Return the name of a home of the key, of rank 0 to ROSTER_RANKS - 1, or
  *	nil if there is none or it is this instance.
  * roster_is_home(roster, key, rank, now)
  *	Whether this instance is the home of that rank.
