Rate: instances that stop or start are no homes, and homes cede their buckets

Cause: a home that stops as planned was asked until 0.7 s after its exit; a new home began with half of the burst while the one before still granted, or with the second home's copy, which misses what was admitted in the last 100 ms.

Change: an instance says in each datagram that it is no home from the signal to stop on, and for 1 s from its start; all pass it on, with the time of the sender's clock, so that a notice ends 1 s after the last one. A home that sees a better one tells it the level as its bucket's, which the new one takes over; without that a new home begins with 0.15 of the tolerance and what the rate gave since it became the home. A home that stood still begins so, too. An instance that has just started and hears half of the fleet or less admits nothing for others or itself.

--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -16,6 +16,11 @@
 #define RELAYED_PARTS_MAX 4096
 /* Age of the store's last answer up to which it serves an instance. */
 #define STORE_SERVED_MS 700
+/*
+ * Messages of counts at a planned stop: 140 organisations, of which a message
+ * takes 70.
+ */
+#define LEAVE_COUNTS 2
 /*
  * Time after which the silence of an instance counts, and of a data centre in
  * a large fleet: one and a half intervals, and two more for the relays.
@@ -73,7 +78,9 @@
 	    .name = gossip->name,
 	    .incarnation = gossip->incarnation,
 	    .datacentre = (char *)gossip->deps.datacentre,
-	    .store_age = (uint32_t)CLAMP(age, 0, UINT32_MAX)});
+	    .store_age = (uint32_t)CLAMP(age, 0, UINT32_MAX),
+	    .absences = (struct roster_absence *)gossip->absences,
+	    .absence_len = gossip->absence_len});
 }
 
 /* Adds what upstreams said and did, which every instance is to know. */
@@ -356,25 +363,55 @@
 }
 
 static void
-send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+absences_update(struct gossip *gossip, clk_ms now)
 {
-	struct gossip *gossip = watcher->data;
-	clk_ms now = clk_now(&gossip->deps.clk);
+	struct roster *roster = gossip->deps.roster;
 
-	bool is_relayed = roster_is_relayed(gossip->deps.roster);
-	clk_ms period = is_relayed ? SEND_PERIOD_RELAYED_MS : SEND_PERIOD_MS;
+	roster_absence_update(roster, gossip->leaving, gossip->opened, now);
+	gossip->absence_len =
+	    (unsigned)MIN(roster_absences_collect(roster, gossip->absences,
+			      GOSSIP_ABSENCES_MAX, now),
+		GOSSIP_ABSENCES_MAX);
+}
 
-	(void)events;
-	if (is_relayed) {
+static void
+state_send(struct gossip *gossip, clk_ms now)
+{
+	absences_update(gossip, now);
+	if (roster_is_relayed(gossip->deps.roster)) {
 		relayed_send(gossip, now);
 		counts_send(gossip, now);
 	} else {
 		mesh_send(gossip, now);
 	}
+}
+
+static void
+send_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct gossip *gossip = watcher->data;
+	clk_ms period = roster_is_relayed(gossip->deps.roster)
+	    ? SEND_PERIOD_RELAYED_MS
+	    : SEND_PERIOD_MS;
+
+	(void)events;
+	state_send(gossip, clk_now(&gossip->deps.clk));
 	watcher->repeat = (double)period / (double)CLK_SECOND;
 	ev_timer_again(loop, watcher);
 }
 
+void
+gossip_send_now(struct gossip *gossip)
+{
+	clk_ms now = clk_now(&gossip->deps.clk);
+
+	state_send(gossip, now);
+	for (int i = 1; i < LEAVE_COUNTS; i++) {
+		if (roster_is_relayed(gossip->deps.roster))
+			counts_send(gossip, now);
+	}
+}
+
 /* ---- Receiving ---- */
 
 static void
@@ -464,6 +501,8 @@
 message_apply(struct gossip *gossip, const struct gossip_message *message,
     const struct sockaddr_in *from, clk_ms now)
 {
+	unsigned absent;
+
 	/*
 	 * A new instance finds the others in the store at once.  The others
 	 * learn its address from its datagrams, before they read its record.
@@ -472,6 +511,11 @@
 		gossip_peer_ensure(gossip, message->name, "datagram", now)
 		    ->address = *from;
 	roster_peer_heard(gossip->deps.roster, message->name, now);
+	absent = roster_absences_merge(
+	    gossip->deps.roster, message->absences, message->absence_len, now);
+	if (absent > 0)
+		lg_event(gossip->deps.lg, LG_INFO, "members_absent",
+		    "by=%s begun=%u", message->name, absent);
 	switch ((enum gossip_kind)message->kind) {
 	case GOSSIP_STATE:
 		if (roster_is_relayed(gossip->deps.roster))
@@ -587,6 +631,7 @@
 	gossip->incarnation = incarnation;
 	gossip->address = *address;
 	gossip->fd = fd;
+	gossip->opened = clk_now(&deps->clk);
 	gossip->peers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, gossip_peer_free);
 	gossip->relay = relay_open(name, deps->datacentre);
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -106,6 +106,7 @@
 #define GOSSIP_CRASHES_MAX	8
 #define GOSSIP_LIMITS_MAX	40
 #define GOSSIP_DEPARTURES_MAX	30
+#define GOSSIP_ABSENCES_MAX	64
 
 enum gossip_kind {
 	GOSSIP_STATE, /* of the sender, to every instance or to a relay */
@@ -137,6 +138,8 @@
 	unsigned limit_len;
 	unsigned departure_len;
 	unsigned summary_len;
+	struct roster_absence *absences; /* instances that are no homes */
+	unsigned absence_len;
 };
 
 /*
--- a/src/gossip/gossip_internal.h
+++ b/src/gossip/gossip_internal.h
@@ -47,10 +47,16 @@
 	struct cnt_metric *sent_datagrams;
 	clk_ms last_read; /* last successful read of the records; 0: none */
 	clk_ms unknown_heard; /* when an instance without a record was named */
+	struct roster_absence absences[GOSSIP_ABSENCES_MAX];
+	unsigned absence_len; /* of the messages that are sent now */
+	clk_ms opened;
 	int fd;
 	bool leaving;
 };
 
+/* gossip_send_now(gossip): send this instance's state now. */
+void gossip_send_now(struct gossip *gossip);
+
 /*
  * gossip_records_open(gossip), gossip_records_close(gossip)
  *	Begin and end to renew this instance's record and to read the others'.
--- a/src/gossip/gossip_message.c
+++ b/src/gossip/gossip_message.c
@@ -8,7 +8,7 @@
 #include "lib/dgram.h"
 
 /* "SGO" and the version of the format. */
-#define PROTOCOL_VERSION 0x53474f3cU
+#define PROTOCOL_VERSION 0x53474f3dU
 
 static bool_t
 xdr_count(XDR *xdrs, struct quota_count *count)
@@ -20,7 +20,8 @@
 	    xdr_uint32_t(xdrs, &count->requested) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
 	    xdr_uint32_t(xdrs, &count->programs) &&
-	    xdr_uint32_t(xdrs, &count->level));
+	    xdr_uint32_t(xdrs, &count->level) &&
+	    xdr_uint32_t(xdrs, &count->first));
 }
 
 static bool_t
@@ -77,6 +78,13 @@
 		RELAY_LOADS_MAX, sizeof(*summary->loads), (xdrproc_t)xdr_load));
 }
 
+static bool_t
+xdr_absence(XDR *xdrs, struct roster_absence *absence)
+{
+	return (xdr_uint32_t(xdrs, &absence->instance) &&
+	    xdr_uint32_t(xdrs, &absence->said));
+}
+
 static bool_t
 xdr_message(XDR *xdrs, void *data)
 {
@@ -111,7 +119,10 @@
 		sizeof(*message->departures), (xdrproc_t)xdr_departure) &&
 	    xdr_array(xdrs, (char **)&message->summaries, &message->summary_len,
 		RELAY_SUMMARIES_MAX, sizeof(*message->summaries),
-		(xdrproc_t)xdr_summary));
+		(xdrproc_t)xdr_summary) &&
+	    xdr_array(xdrs, (char **)&message->absences, &message->absence_len,
+		GOSSIP_ABSENCES_MAX, sizeof(*message->absences),
+		(xdrproc_t)xdr_absence));
 }
 
 size_t
@@ -155,5 +166,6 @@
 		free(message->summaries[i].loads);
 	}
 	free(message->summaries);
+	free(message->absences);
 	memset(message, 0, sizeof(*message));
 }
--- a/src/gossip/gossip_records.c
+++ b/src/gossip/gossip_records.c
@@ -272,6 +272,7 @@
 
 	gossip->leaving = true;
 	record_write(gossip, &record);
+	gossip_send_now(gossip);
 }
 
 void
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -9,14 +9,15 @@
 static void
 test_datagram(void)
 {
-	struct quota_count counts[] = {{{1, 7000, 8000}, 4, 15, 10, 2, 500},
-	    {{2, 9000, 9500}, 5, 25, 20, 3, 0}};
+	struct quota_count counts[] = {{{1, 7000, 8000}, 4, 15, 10, 2, 500, 7},
+	    {{2, 9000, 9500}, 5, 25, 20, 3, 0, 8}};
 	uint64_t programs[] = {7, 8, 9};
 	struct place_load loads[] = {{5, 6}};
 	struct place_cached_part cached_parts[] = {{11, 12}};
 	struct sched_crash crashes[] = {{{1, 2, 3}, "u-1", 0}};
 	struct throttle_limit limits[] = {{13, 3500, 120}, {14, 0, 9}};
 	struct departure departures[] = {{1754000000000, 15, 16}};
+	struct roster_absence absences[] = {{18, 19}, {20, 21}};
 	const struct gossip_message message = {.name = (char *)"i-1",
 	    .incarnation = 17,
 	    .datacentre = (char *)"dc-1",
@@ -34,7 +35,9 @@
 	    .limits = limits,
 	    .limit_len = 2,
 	    .departures = departures,
-	    .departure_len = 1};
+	    .departure_len = 1,
+	    .absences = absences,
+	    .absence_len = 2};
 	char buf[1024];
 	struct gossip_message read;
 	size_t len = gossip_message_encode(buf, sizeof(buf), &message);
@@ -50,6 +53,11 @@
 	g_assert_cmpuint(read.counts[1].requested, ==, 25);
 	g_assert_cmpuint(read.counts[1].admitted, ==, 20);
 	g_assert_cmpuint(read.counts[1].programs, ==, 3);
+	g_assert_cmpuint(read.counts[0].level, ==, 500);
+	g_assert_cmpuint(read.counts[1].first, ==, 8);
+	g_assert_cmpuint(read.absence_len, ==, 2);
+	g_assert_cmpuint(read.absences[1].instance, ==, 20);
+	g_assert_cmpuint(read.absences[1].said, ==, 21);
 	g_assert_cmpuint(read.counts[1].limit.rate, ==, 9000);
 	g_assert_cmpuint(read.counts[1].limit.burst, ==, 9500);
 	g_assert_cmpuint(read.programs[2], ==, 9);
@@ -88,6 +96,7 @@
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX] = {0};
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX] = {0};
 	struct departure departures[GOSSIP_DEPARTURES_MAX] = {0};
+	struct roster_absence absences[GOSSIP_ABSENCES_MAX] = {0};
 	char name[GOSSIP_NAME_MAX + 1] = {0};
 	const struct gossip_message message = {.name = name,
 	    .incarnation = 17,
@@ -105,7 +114,9 @@
 	    .limits = limits,
 	    .limit_len = GOSSIP_LIMITS_MAX,
 	    .departures = departures,
-	    .departure_len = GOSSIP_DEPARTURES_MAX};
+	    .departure_len = GOSSIP_DEPARTURES_MAX,
+	    .absences = absences,
+	    .absence_len = GOSSIP_ABSENCES_MAX};
 	struct gossip_message read;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	size_t len;
@@ -120,6 +131,7 @@
 	g_assert_cmpuint(read.crash_len, ==, GOSSIP_CRASHES_MAX);
 	g_assert_cmpuint(read.limit_len, ==, GOSSIP_LIMITS_MAX);
 	g_assert_cmpuint(read.departure_len, ==, GOSSIP_DEPARTURES_MAX);
+	g_assert_cmpuint(read.absence_len, ==, GOSSIP_ABSENCES_MAX);
 	gossip_message_clear(&read);
 }
 
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -29,6 +29,21 @@
 #define EXPECTED_DECAY_S 8.0
 /* Part of the tolerance that the instances may use in an interval. */
 #define TOLERANCE_PART 0.3
+/*
+ * Part of the tolerance with which a first home begins that was not told the
+ * level by the one before.  Two such changes in a window and one that stands in
+ * take 0.6 of the tolerance.
+ */
+#define TAKEOVER_PART 0.15
+/*
+ * Time in which the home before may still say what it left: until it agrees
+ * that there is a new one (docs/decisions/0015), and its next message.
+ */
+#define CEDE_MS 1800
+/* A level that was ceded longer ago, without a successor, is not relied on. */
+#define CEDED_MS 500
+/* Time without a report after which a process has stood still. */
+#define STOOD_STILL_MS 300
 /* Weight of the last interval in the moving averages of requests. */
 #define INTERVAL_WEIGHT 0.3
 
@@ -48,6 +63,17 @@
 	unsigned unreported; /* admitted and in no report yet */
 	/* Admitted in place of the first home, since it was heard of them. */
 	unsigned stood_in;
+	/* In a large fleet: */
+	bool is_first; /* this instance is the first home */
+	bool is_adopting; /* it was not told what the one before has left */
+	clk_ms taken; /* when it became the first home */
+	double granted; /* since then */
+	clk_ms
+	    ceded; /* when a home named this one and its level; 0: none did */
+	clk_ms
+	    ceding_until; /* it tells its successor the level; 0: it doesn't */
+	uint32_t successor; /* of then; another one is not told */
+	bool is_told; /* the level of a home, since the bucket was created */
 	clk_ms repeat_until;
 	double fleet_admitted; /* by all instances */
 	double fleet_begun;
@@ -83,6 +109,7 @@
 	struct quota_tolerance tolerance;
 	double share; /* of the limit, for this instance and its live peers */
 	clk_ms start;
+	clk_ms reported; /* the last report; 0: none */
 };
 
 static void
@@ -315,8 +342,60 @@
 	return (news);
 }
 
+/* The first home of an organisation, as this instance knows it. */
+static uint32_t
+first_home(const struct quota *quota, uint32_t organisation, clk_ms now)
+{
+	const char *home = roster_home(quota->roster, organisation, 0, now);
+
+	return (
+	    home != NULL ? quota_hash(home) : roster_own_hash(quota->roster));
+}
+
+/* Begins to be the first home, with what can't have been admitted elsewhere. */
+static void
+bucket_take_over(const struct quota *quota, struct bucket *bucket, clk_ms now)
+{
+	clk_ms since = MAX(
+	    roster_first_since(quota->roster, bucket->hash, now), quota->start);
+	double certain = TAKEOVER_PART * bucket_tolerance(quota, bucket) +
+	    bucket->rate * quota->share * (double)(now - since) /
+		(double)CLK_SECOND;
+
+	bucket->granted = 0;
+	bucket->taken = since;
+	bucket->is_adopting =
+	    bucket->ceded == 0 || now - bucket->ceded >= CEDED_MS;
+	bucket->ceded = 0;
+	/* If all are absent, all have started: see START_PART. */
+	if (bucket->is_adopting)
+		bucket->level = fmin(bucket->level, certain);
+}
+
+/* Follows a change of the first home, in a large fleet. */
+static void
+bucket_home_check(struct quota *quota, struct bucket *bucket, clk_ms now)
+{
+	bool is_first;
+
+	if (!roster_is_relayed(quota->roster) || bucket->rate <= 0)
+		return;
+	is_first = roster_is_home(quota->roster, bucket->hash, 0, now);
+	if (is_first && !bucket->is_first) {
+		bucket_take_over(quota, bucket, now);
+	} else if (!is_first && bucket->is_first) {
+		bucket->ceding_until = bucket->is_adopting ? 0 : now + CEDE_MS;
+		bucket->successor = first_home(quota, bucket->hash, now);
+		bucket->ceded = 0;
+	}
+	bucket->is_first = is_first;
+	if (!is_first || now - bucket->taken >= CEDE_MS)
+		bucket->is_adopting = false;
+}
+
 /*
- * A home of a large fleet has told its bucket.  Another home has a bucket of
+ * A home of a large fleet has told its bucket.  One that names this instance
+ * has kept the bucket until it saw this one.  Else another home has a bucket of
  * its own, which may be newer and then knows less.
  */
 static void
@@ -324,6 +403,7 @@
     const struct quota_count *count, clk_ms now)
 {
 	uint32_t organisation = count->limit.organisation;
+	double told = count->level / LIMIT_UNITS;
 	struct bucket *bucket;
 
 	if (!roster_is_relayed(quota->roster))
@@ -331,10 +411,30 @@
 	bucket = bucket_ensure(quota, organisation);
 	bucket_limit_set(quota, bucket, &count->limit);
 	bucket_refill(quota, bucket, now);
-	bucket->level = fmin(bucket->level, count->level / LIMIT_UNITS);
+	bucket_home_check(quota, bucket, now);
 	if (g_strcmp0(roster_home(quota->roster, organisation, 0, now), peer) ==
 	    0)
 		bucket->stood_in = 0;
+	if (count->level == QUOTA_LEVEL_UNKNOWN)
+		return;
+	if (count->first == roster_own_hash(quota->roster)) {
+		if (!bucket->is_first) {
+			bucket->level = told;
+			bucket->ceded = now;
+		} else if (bucket->is_adopting) {
+			bucket->level = told - bucket->granted;
+			bucket->is_adopting = false;
+		} else {
+			bucket->level = fmin(bucket->level, told);
+		}
+	} else {
+		if (count->first == quota_hash(peer))
+			bucket->ceding_until = 0;
+		bucket->level = !bucket->is_told && !bucket->is_first
+		    ? told
+		    : fmin(bucket->level, told);
+	}
+	bucket->is_told = true;
 }
 
 void
@@ -477,6 +577,9 @@
 	if (!roster_is_relayed(quota->roster))
 		return (bucket->unreported + 1.0 <=
 		    report_allowance(quota, bucket, level, now));
+	/* One that has just started takes itself for the home of all. */
+	if (roster_is_absent(quota->roster, now) && quota->share <= 0.5)
+		return (false);
 	if (roster_is_home(quota->roster, bucket->hash, 0, now))
 		return (true);
 	if (!roster_is_home(quota->roster, bucket->hash, 1, now) ||
@@ -518,6 +621,7 @@
 	if (!may_admit(quota, bucket, level, now))
 		return (QUOTA_ASK);
 	bucket_take(bucket, 1.0, priority == QUOTA_NEW_PROGRAM ? 1.0 : 0.0);
+	bucket->granted++;
 	bucket_report_soon(quota, bucket);
 	bucket->admitted++;
 	bucket->begun += priority == QUOTA_NEW_PROGRAM;
@@ -525,14 +629,48 @@
 	return (QUOTA_ADMITTED);
 }
 
+/*
+ * In a large fleet, before each report and after a pause of them: has those
+ * buckets told whose first home is another one now.  A process that has stood
+ * still doesn't know what others have admitted meanwhile.
+ */
+static void
+homes_check(struct quota *quota, clk_ms now)
+{
+	bool has_stood_still =
+	    quota->reported > 0 && now - quota->reported >= STOOD_STILL_MS;
+	GHashTableIter iter;
+	void *value;
+
+	quota->reported = now;
+	g_hash_table_iter_init(&iter, quota->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bucket *bucket = value;
+
+		if (!bucket->is_first)
+			continue;
+		bucket_refill(quota, bucket, now);
+		bucket_home_check(quota, bucket, now);
+		if (!bucket->is_first)
+			bucket_report_soon(quota, bucket);
+		else if (has_stood_still)
+			bucket->level = fmin(bucket->level,
+			    TAKEOVER_PART * bucket_tolerance(quota, bucket));
+	}
+}
+
 static struct bucket *
 bucket_prepare(struct quota *quota, const struct quota_limit *limit, clk_ms now)
 {
 	struct bucket *bucket = bucket_ensure(quota, limit->organisation);
 
+	if (roster_is_relayed(quota->roster) &&
+	    now - quota->reported >= STOOD_STILL_MS)
+		homes_check(quota, now);
 	bucket_advance(quota, bucket);
 	bucket_limit_set(quota, bucket, limit);
 	bucket_refill(quota, bucket, now);
+	bucket_home_check(quota, bucket, now);
 	return (bucket);
 }
 
@@ -590,12 +728,22 @@
 {
 	const struct quota_limit limit = {bucket->hash,
 	    limit_units(bucket->rate), limit_units(bucket->burst)};
+	struct quota_count count = {limit, bucket->period, bucket->requested,
+	    bucket->admitted, bucket->begun, 0, 0};
+	bool is_known = true;
 
-	if (roster_is_relayed(quota->roster))
+	if (roster_is_relayed(quota->roster)) {
 		bucket_refill(quota, bucket, now);
-	return ((struct quota_count){limit, bucket->period, bucket->requested,
-	    bucket->admitted, bucket->begun,
-	    (uint32_t)(fmax(bucket->level, 0) * LIMIT_UNITS)});
+		bucket_home_check(quota, bucket, now);
+		count.first = first_home(quota, bucket->hash, now);
+		is_known = bucket->is_first ? !bucket->is_adopting
+					    : now < bucket->ceding_until &&
+			count.first == bucket->successor;
+	}
+	count.level = is_known
+	    ? (uint32_t)(fmax(bucket->level, 0) * LIMIT_UNITS)
+	    : QUOTA_LEVEL_UNKNOWN;
+	return (count);
 }
 
 size_t
@@ -607,6 +755,8 @@
 	size_t n = 0;
 
 	quota->interval++;
+	if (roster_is_relayed(quota->roster))
+		homes_check(quota, now);
 	while (n < max && (bucket = g_queue_peek_head(&quota->news)) != NULL) {
 		counts[n++] = bucket_report(quota, bucket, now);
 		bucket->unreported = 0;
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -18,7 +18,9 @@
  * In a large fleet (roster.h) reports would be too many and too late.  There
  * the organisation's first home admits all of its requests, for the others by
  * their questions, and tells the second one, which stands in while the first
- * does not answer.
+ * does not answer.  A home that sees a better one says so with its level, which
+ * is then the new home's; without that, as after a death, a new home begins
+ * with a part of the tolerance, as it can't know what was just admitted.
  *
  * A refused turn wastes all turns before it.  A new program is therefore
  * refused if the expected requests of the active programs already need the
@@ -53,9 +55,17 @@
 	uint32_t requested;
 	uint32_t admitted;
 	uint32_t programs; /* first requests of programs among them */
-	uint32_t level; /* thousandths of a token in the fleet's bucket */
+	/*
+	 * Thousandths of a token in the fleet's bucket, or QUOTA_LEVEL_UNKNOWN:
+	 * the sender has not kept the bucket itself until now.
+	 */
+	uint32_t level;
+	/* In a large fleet, roster_hash() of the first home for the sender. */
+	uint32_t first;
 };
 
+#define QUOTA_LEVEL_UNKNOWN UINT32_MAX
+
 /*
  * By how much all instances together may exceed rate x window + burst in any
  * window: a fraction of it, plus a number of requests.
--- a/src/relay/test_fleet.h
+++ b/src/relay/test_fleet.h
@@ -18,7 +18,8 @@
 #define FLEET_STEP_MS	  10
 #define FLEET_PERIOD_MS	  100
 /* Time of a message between two instances. */
-#define FLEET_MESSAGE_MS 10
+#define FLEET_MESSAGE_MS   10
+#define FLEET_ABSENCES_MAX 64
 
 struct fleet_instance {
 	char *name;
@@ -28,6 +29,9 @@
 	bool is_dead;
 	clk_ms frozen_until;
 	bool was_frozen;
+	clk_ms started;
+	bool is_stopping;
+	GArray *absences; /* struct roster_absence of the messages sent now */
 	unsigned long messages; /* sent */
 	unsigned long bytes;
 	unsigned long heard_bytes;
@@ -39,6 +43,7 @@
 	int from;
 	int to;
 	GArray *summaries; /* struct relay_summary; nil: a state */
+	GArray *absences;
 };
 
 struct fleet {
@@ -47,6 +52,7 @@
 	GRand *rand;
 	double lost; /* fraction of the messages */
 	int cut; /* data centre that is cut off; -1: none */
+	bool is_untold; /* instances don't say that they start and stop */
 	clk_ms now;
 	GQueue messages; /* struct fleet_message, in the order of due */
 };
@@ -78,6 +84,10 @@
 	instance->roster = roster_open(instance->name);
 	instance->relay = relay_open(instance->name, instance->datacentre);
 	instance->is_dead = false;
+	instance->is_stopping = false;
+	instance->started = f->now;
+	instance->absences =
+	    g_array_new(FALSE, FALSE, sizeof(struct roster_absence));
 	roster_size_set(instance->roster, (unsigned)f->size, f->now);
 	for (int j = 0; j < f->size; j++) {
 		const struct fleet_instance *other = &f->instances[j];
@@ -97,6 +107,7 @@
 
 	roster_close(instance->roster);
 	relay_close(instance->relay);
+	g_array_unref(instance->absences);
 	instance->roster = NULL;
 	instance->relay = NULL;
 	instance->is_dead = true;
@@ -136,6 +147,7 @@
 
 	if (message->summaries != NULL)
 		g_array_unref(message->summaries);
+	g_array_unref(message->absences);
 	g_free(message);
 }
 
@@ -164,7 +176,8 @@
 		return;
 	message = g_new0(struct fleet_message, 1);
 	*message = (struct fleet_message){f->now + FLEET_MESSAGE_MS, from, to,
-	    summaries != NULL ? g_array_ref(summaries) : NULL};
+	    summaries != NULL ? g_array_ref(summaries) : NULL,
+	    g_array_ref(f->instances[from].absences)};
 	g_queue_push_tail(&f->messages, message);
 }
 
@@ -251,6 +264,27 @@
 		    fleet_summaries_bytes(copy));
 }
 
+/* Before each message: what is said of those that are no homes. */
+static inline void
+fleet_absences_update(struct fleet *f, int i)
+{
+	struct fleet_instance *instance = &f->instances[i];
+	struct roster_absence absences[FLEET_ABSENCES_MAX];
+	size_t n;
+
+	if (f->is_untold)
+		return;
+	roster_absence_update(
+	    instance->roster, instance->is_stopping, instance->started, f->now);
+	n = roster_absences_collect(
+	    instance->roster, absences, FLEET_ABSENCES_MAX, f->now);
+	g_array_unref(instance->absences);
+	instance->absences =
+	    g_array_new(FALSE, FALSE, sizeof(struct roster_absence));
+	g_array_append_vals(
+	    instance->absences, absences, (guint)MIN(n, FLEET_ABSENCES_MAX));
+}
+
 static inline void
 fleet_instance_send(struct fleet *f, int i)
 {
@@ -258,6 +292,7 @@
 	const char *targets[RELAY_TARGETS_MAX];
 	size_t n = relay_targets(instance->relay, f->now, targets);
 
+	fleet_absences_update(f, i);
 	for (size_t k = 0; k < n; k++) {
 		int to = fleet_index(targets[k]);
 
@@ -278,6 +313,9 @@
 	if (!fleet_is_running(f, message->to))
 		return;
 	roster_peer_heard(to->roster, name, f->now);
+	(void)roster_absences_merge(to->roster,
+	    (const struct roster_absence *)(void *)message->absences->data,
+	    message->absences->len, f->now);
 	if (message->summaries == NULL) {
 		relay_beat(to->relay, name, true, NULL, 0, f->now);
 		return;
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -288,6 +288,80 @@
 	relay_close(relay);
 }
 
+/* The instances that take i for the first home of the key. */
+static int
+takers(const struct fleet *f, uint32_t key, int i)
+{
+	int n = 0;
+
+	for (int j = 0; j < f->size; j++) {
+		const struct roster *roster = f->instances[j].roster;
+		const char *home;
+
+		if (!fleet_is_running(f, j))
+			continue;
+		home = roster_home(roster, key, 0, f->now);
+		n += home != NULL
+		    ? fleet_index(home) == i
+		    : j == i && roster_is_home(roster, key, 0, f->now);
+	}
+	return (n);
+}
+
+static void
+steps_run(struct fleet *f, clk_ms time)
+{
+	for (clk_ms until = f->now + time; f->now < until;)
+		fleet_step(f);
+}
+
+/*
+ * Guards against questions to a home that has exited: all know of a planned
+ * stop long before the exit, 2.5 s later.  And against a notice that is passed
+ * on without end: the instance that starts is a home again, once all know it.
+ */
+static void
+absence_run(int size)
+{
+	struct fleet f;
+	uint32_t key = roster_hash("o");
+	clk_ms told, since;
+	int home = 0;
+
+	fleet_open(&f, orders_seed(), size);
+	f.lost = 0.01;
+	steps_run(&f, 4000);
+	while (takers(&f, key, home) < size) {
+		home++;
+		g_assert_cmpint(home, <, size);
+	}
+	f.instances[home].is_stopping = true;
+	for (since = f.now; takers(&f, key, home) > 0;)
+		fleet_step(&f);
+	told = f.now - since;
+	steps_run(&f, 2500 - told);
+	g_assert_cmpint(takers(&f, key, home), ==, 0);
+	fleet_instance_end(&f, home);
+	steps_run(&f, 500);
+	fleet_instance_start(&f, home);
+	for (since = f.now;
+	     takers(&f, key, home) < size && f.now - since < 5000;)
+		fleet_step(&f);
+	g_print("# figure absence size=%d told_ms=%ld home_again_ms=%ld\n",
+	    size, (long)told, (long)(f.now - since));
+	g_assert_cmpint(told, <=, 1000);
+	g_assert_cmpint(f.now - since, >=, 1000);
+	g_assert_cmpint(f.now - since, <, 3000);
+	fleet_close(&f);
+}
+
+static void
+test_absence(void)
+{
+	absence_run(30);
+	absence_run(195);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -299,5 +373,6 @@
 	g_test_add_func("/relay/losses", test_losses);
 	g_test_add_func("/relay/orders", test_orders);
 	g_test_add_func("/relay/cost", test_cost);
+	g_test_add_func("/relay/absence", test_absence);
 	return (g_test_run());
 }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -22,6 +22,26 @@
 #define UNNAMED_LIVE_MS 150
 /* A peer that sent no gossip message for this time is removed. */
 #define PEER_EXPIRY_MS (30 * CLK_SECOND)
+/*
+ * Time for which an instance is no home after it said so: five messages and
+ * the hops between relays, so that lost ones don't end it earlier at some.
+ */
+#define ABSENT_MS 1000
+/*
+ * After this time nobody repeats what an instance has said, and what it says
+ * is news even if its clock has begun anew.
+ */
+#define ABSENCE_FORGOTTEN_MS 10000
+/*
+ * Time from its start in which an instance of a large fleet is no home: all
+ * others know it after 0.5 s (docs/decisions/0015).
+ */
+#define START_ABSENT_MS 1000
+/*
+ * The same if it hears half of them or less: it may have started on the smaller
+ * side of a partition, which needs homes as well.
+ */
+#define START_ABSENT_MAX_MS 3000
 /* Period of counting the live peers. */
 #define SHARE_PERIOD_MS 20
 /* Number of instances that is assumed until one is known. */
@@ -37,6 +57,9 @@
 	clk_ms known; /* when its record was last read; 0: never */
 	clk_ms heard; /* a message, or as named by a relay */
 	clk_ms live_until;
+	clk_ms absent_since; /* 0: it never was */
+	clk_ms absent_heard;
+	uint32_t absent_said; /* by its clock */
 };
 
 struct roster {
@@ -46,6 +69,11 @@
 	unsigned instances;
 	double share;
 	clk_ms share_until; /* when it is to be computed again */
+	guint first_absence; /* with which the next message begins */
+	bool is_counted; /* see absences_count() */
+	clk_ms counted_since; /* when this changed */
+	bool is_absent; /* this instance says that it is no home */
+	clk_ms absent_until; /* for the others */
 };
 
 struct roster *
@@ -232,13 +260,147 @@
 	return (roster->share);
 }
 
+bool
+roster_is_absent(const struct roster *roster, clk_ms now)
+{
+	return (roster->is_absent ||
+	    (roster_is_relayed(roster) && now < roster->absent_until));
+}
+
+static bool
+is_absent(const struct peer *peer, clk_ms now)
+{
+	return (peer->absent_heard > 0 && now - peer->absent_heard < ABSENT_MS);
+}
+
+/*
+ * Decides whether absences count.  They don't if most of those that are alive
+ * are absent, as after a loss of power: the homes would then change with each
+ * absence that ends, which is at different times at different instances.
+ */
+static void
+absences_count(struct roster *roster, clk_ms now)
+{
+	unsigned live = 1, absent = roster_is_absent(roster, now);
+	GHashTableIter iter;
+	void *value;
+	bool counted;
+
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!peer_is_live(value, now))
+			continue;
+		live++;
+		absent += is_absent(value, now);
+	}
+	counted = 2 * absent <= live;
+	if (counted != roster->is_counted)
+		roster->counted_since = now;
+	roster->is_counted = counted;
+}
+
+void
+roster_absence_update(
+    struct roster *roster, bool is_stopping, clk_ms started, clk_ms now)
+{
+	bool is_starting = roster_is_relayed(roster) &&
+	    (now - started < START_ABSENT_MS ||
+		(roster_share(roster, now) <= 0.5 &&
+		    now - started < START_ABSENT_MAX_MS));
+
+	/* Only once: a side of a partition needs homes. */
+	if (now - started >= START_ABSENT_MS && !roster_is_absent(roster, now))
+		is_starting = false;
+	roster->is_absent = is_stopping || is_starting;
+	if (roster->is_absent)
+		roster->absent_until = now + ABSENT_MS;
+	absences_count(roster, now);
+}
+
+size_t
+roster_absences_collect(struct roster *roster, struct roster_absence *absences,
+    size_t max, clk_ms now)
+{
+	g_autoptr(GArray) all =
+	    g_array_new(FALSE, FALSE, sizeof(struct roster_absence));
+	GHashTableIter iter;
+	void *value;
+	size_t n;
+
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+		const struct roster_absence absence = {
+		    peer->hash, peer->absent_said};
+
+		if (is_absent(peer, now))
+			g_array_append_val(all, absence);
+	}
+	n = 0;
+	if (roster->is_absent && max > 0)
+		absences[n++] =
+		    (struct roster_absence){roster->hash, (uint32_t)now};
+	/* What is left out comes first in the next message. */
+	for (guint i = 0; i < all->len && n < max; i++)
+		absences[n++] = g_array_index(all, struct roster_absence,
+		    (roster->first_absence + i) % all->len);
+	roster->first_absence += (guint)max;
+	return (all->len + roster->is_absent);
+}
+
+unsigned
+roster_absences_merge(struct roster *roster,
+    const struct roster_absence *absences, size_t n, clk_ms now)
+{
+	unsigned begun = 0;
+	bool is_new = false;
+
+	for (size_t i = 0; i < n; i++) {
+		struct peer *peer = g_hash_table_lookup(
+		    roster->by_hash, GUINT_TO_POINTER(absences[i].instance));
+
+		/*
+		 * Only news count, not their arrival: what is passed on in
+		 * turn would else never end.
+		 */
+		if (peer == NULL ||
+		    (peer->absent_heard > 0 &&
+			now - peer->absent_heard < ABSENCE_FORGOTTEN_MS &&
+			(int32_t)(absences[i].said - peer->absent_said) <= 0))
+			continue;
+		if (!is_absent(peer, now)) {
+			peer->absent_since = now;
+			begun++;
+		}
+		peer->absent_said = absences[i].said;
+		peer->absent_heard = now;
+		is_new = true;
+	}
+	if (is_new)
+		absences_count(roster, now);
+	return (begun);
+}
+
+/*
+ * The place of an instance in the ranking of a key.  Those that are absent come
+ * last: they are homes only if there are too few others.
+ */
+static uint64_t
+instance_score(uint32_t key, uint32_t hash, bool absent)
+{
+	uint64_t score = 1 + (uint64_t)rdv_score(key, hash);
+
+	return (absent ? score : score + ((uint64_t)1 << 33));
+}
+
 /* Finds the names of the homes; nil for this instance, and for none. */
 static void
 homes_find(const struct roster *roster, uint32_t key, clk_ms now,
     const char *names[ROSTER_RANKS], bool is_self[ROSTER_RANKS])
 {
-	uint64_t scores[ROSTER_RANKS] = {
-	    1 + (uint64_t)rdv_score(key, roster->hash)};
+	bool counts = roster->is_counted;
+	uint64_t scores[ROSTER_RANKS] = {instance_score(
+	    key, roster->hash, counts && roster_is_absent(roster, now))};
 	GHashTableIter iter;
 	void *name, *value;
 
@@ -249,7 +411,8 @@
 	g_hash_table_iter_init(&iter, roster->peers);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct peer *peer = value;
-		uint64_t score = 1 + (uint64_t)rdv_score(key, peer->hash);
+		uint64_t score = instance_score(
+		    key, peer->hash, counts && is_absent(peer, now));
 		int at = ROSTER_RANKS;
 
 		if (!peer_is_live(peer, now))
@@ -290,3 +453,27 @@
 	homes_find(roster, key, now, names, is_self);
 	return (is_self[rank]);
 }
+
+clk_ms
+roster_first_since(const struct roster *roster, uint32_t key, clk_ms now)
+{
+	uint32_t own = rdv_score(key, roster->hash);
+	clk_ms since = roster->counted_since;
+	GHashTableIter iter;
+	void *value;
+
+	if (roster->is_counted && !roster_is_absent(roster, now))
+		since = MAX(since, roster->absent_until);
+	g_hash_table_iter_init(&iter, roster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (rdv_score(key, peer->hash) <= own)
+			continue;
+		if (!peer_is_live(peer, now))
+			since = MAX(since, peer->live_until);
+		else if (is_absent(peer, now))
+			since = MAX(since, peer->absent_since);
+	}
+	return (MIN(since, now));
+}
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -8,6 +8,12 @@
  *
  * In a large fleet peers are not heard themselves: the relays of their data
  * centre name those that are alive, see relay/relay.h.
+ *
+ * An instance that stops as planned is alive until it exits, and one that has
+ * just started knows little: both say so, and are homes only if there is
+ * nobody else.  Questions to homes that had exited, or had not yet heard of
+ * the buckets, were most of the refusals below the rate while instances were
+ * restarted in turn.
  */
 #ifndef SAMPHIRESHED_ROSTER_H
 #define SAMPHIRESHED_ROSTER_H
@@ -78,6 +84,34 @@
 unsigned roster_live_peers(const struct roster *roster, clk_ms now);
 double roster_share(struct roster *roster, clk_ms now);
 
+/* An instance has said that it is no home for now. */
+struct roster_absence {
+	uint32_t instance; /* roster_hash() of its name */
+	uint32_t said; /* when, in ms of its clock */
+};
+
+/*
+ * roster_absence_update(roster, is_stopping, started, now)
+ *	Decide, before each message, whether this instance says that it is no
+ *	home: while it stops, and in a large fleet from its start until the
+ *	others know it and it hears most of them.  In a large fleet it is one
+ *	again only when the others have forgotten what it said.
+ * roster_is_absent(roster, now): whether it is no home.
+ * roster_absences_collect(roster, absences, max, now)
+ *	Write what is to be told of this instance and the others.  Returns
+ *	their number, of which at most max are written.
+ * roster_absences_merge(roster, absences, n, now)
+ *	Another instance has told this.  Returns how many are absent that
+ *	weren't before.
+ */
+void roster_absence_update(
+    struct roster *roster, bool is_stopping, clk_ms started, clk_ms now);
+bool roster_is_absent(const struct roster *roster, clk_ms now);
+size_t roster_absences_collect(struct roster *roster,
+    struct roster_absence *absences, size_t max, clk_ms now);
+unsigned roster_absences_merge(struct roster *roster,
+    const struct roster_absence *absences, size_t n, clk_ms now);
+
 /*
  * Number of homes of a key, and of ranks: those from ROSTER_HOMES on are the
  * next homes.
@@ -97,4 +131,13 @@
 bool roster_is_home(
     const struct roster *roster, uint32_t key, unsigned rank, clk_ms now);
 
+/*
+ * roster_first_since(roster, key, now)
+ *	If this instance is the first home of the key, since when: the last time
+ *	that it, or one that ranks before it, ceased to be alive or was told to
+ *	be no home; at the earliest, since the roster was opened.
+ */
+clk_ms
+roster_first_since(const struct roster *roster, uint32_t key, clk_ms now);
+
 #endif
