--- a/src/gossip/gossip_message.c
+++ b/src/gossip/gossip_message.c
@@ -20,7 +20,8 @@
 	    xdr_uint32_t(xdrs, &count->requested) &&
 	    xdr_uint32_t(xdrs, &count->admitted) &&
 	    xdr_uint32_t(xdrs, &count->programs) &&
-	    xdr_uint32_t(xdrs, &count->level));
+	    xdr_uint32_t(xdrs, &count->level) &&
+	    xdr_uint32_t(xdrs, &count->first));
 }
 
 static bool_t
@@ -96,6 +97,13 @@
 		(xdrproc_t)xdr_datacentre));
 }
 
+static bool_t
+xdr_absence(XDR *xdrs, struct roster_absence *absence)
+{
+	return (xdr_uint32_t(xdrs, &absence->instance) &&
+	    xdr_uint32_t(xdrs, &absence->said));
+}
+
 static bool_t
 xdr_message(XDR *xdrs, void *data)
 {
@@ -131,6 +139,9 @@
 	    xdr_array(xdrs, (char **)&message->summaries, &message->summary_len,
 		RELAY_SUMMARIES_MAX, sizeof(*message->summaries),
 		(xdrproc_t)xdr_summary) &&
+	    xdr_array(xdrs, (char **)&message->absences, &message->absence_len,
+		GOSSIP_ABSENCES_MAX, sizeof(*message->absences),
+		(xdrproc_t)xdr_absence) &&
 	    xdr_evacuations(xdrs, &message->evacuations));
 }
 
@@ -180,5 +191,6 @@
 	     i++)
 		free(message->evacuations.names[i]);
 	free(message->evacuations.names);
+	free(message->absences);
 	memset(message, 0, sizeof(*message));
 }
--- a/src/gossip/test_gossip.c
+++ b/src/gossip/test_gossip.c
@@ -9,8 +9,8 @@
 static void
 test_datagram(void)
 {
-	struct quota_count counts[] = {{{1, 7000, 8000}, 4, 15, 10, 2, 500},
-	    {{2, 9000, 9500}, 5, 25, 20, 3, 0}};
+	struct quota_count counts[] = {{{1, 7000, 8000}, 4, 15, 10, 2, 500, 7},
+	    {{2, 9000, 9500}, 5, 25, 20, 3, 0, 8}};
 	uint64_t programs[] = {7, 8, 9};
 	struct place_load loads[] = {{5, 6}};
 	struct place_cached_part cached_parts[] = {{11, 12}};
@@ -19,6 +19,7 @@
 	    {13, 3500, 120, 14, 7000, 30}, {14, 0, 9, 0, 0, 0}};
 	struct departure departures[] = {{1754000000000, 15, 16}};
 	char *evacuated[] = {(char *)"dc-2", (char *)"dc-3"};
+	struct roster_absence absences[] = {{18, 19}, {20, 21}};
 	const struct gossip_message message = {.name = (char *)"i-1",
 	    .incarnation = 17,
 	    .datacentre = (char *)"dc-1",
@@ -37,7 +38,9 @@
 	    .limit_len = 2,
 	    .departures = departures,
 	    .departure_len = 1,
-	    .evacuations = {77, evacuated, 2, 1}};
+	    .evacuations = {77, evacuated, 2, 1},
+	    .absences = absences,
+	    .absence_len = 2};
 	char buf[1024];
 	struct gossip_message read;
 	size_t len = gossip_message_encode(buf, sizeof(buf), &message);
@@ -53,6 +56,11 @@
 	g_assert_cmpuint(read.counts[1].requested, ==, 25);
 	g_assert_cmpuint(read.counts[1].admitted, ==, 20);
 	g_assert_cmpuint(read.counts[1].programs, ==, 3);
+	g_assert_cmpuint(read.counts[0].level, ==, 500);
+	g_assert_cmpuint(read.counts[1].first, ==, 8);
+	g_assert_cmpuint(read.absence_len, ==, 2);
+	g_assert_cmpuint(read.absences[1].instance, ==, 20);
+	g_assert_cmpuint(read.absences[1].said, ==, 21);
 	g_assert_cmpuint(read.counts[1].limit.rate, ==, 9000);
 	g_assert_cmpuint(read.counts[1].limit.burst, ==, 9500);
 	g_assert_cmpuint(read.programs[2], ==, 9);
@@ -98,6 +106,7 @@
 	struct sched_crash crashes[GOSSIP_CRASHES_MAX] = {0};
 	struct throttle_limit limits[GOSSIP_LIMITS_MAX] = {0};
 	struct departure departures[GOSSIP_DEPARTURES_MAX] = {0};
+	struct roster_absence absences[GOSSIP_ABSENCES_MAX] = {0};
 	char name[GOSSIP_NAME_MAX + 1] = {0};
 	char datacentre[EVACUATION_NAME_MAX + 1] = {0};
 	char *evacuated[EVACUATION_NAMES_MAX];
@@ -118,7 +127,9 @@
 	    .limit_len = GOSSIP_LIMITS_MAX,
 	    .departures = departures,
 	    .departure_len = GOSSIP_DEPARTURES_MAX,
-	    .evacuations = {77, evacuated, EVACUATION_NAMES_MAX, 1}};
+	    .evacuations = {77, evacuated, EVACUATION_NAMES_MAX, 1},
+	    .absences = absences,
+	    .absence_len = GOSSIP_ABSENCES_MAX};
 	struct gossip_message read;
 	char buf[GOSSIP_DATAGRAM_MAX];
 	size_t len;
@@ -136,6 +147,7 @@
 	g_assert_cmpuint(read.crash_len, ==, GOSSIP_CRASHES_MAX);
 	g_assert_cmpuint(read.limit_len, ==, GOSSIP_LIMITS_MAX);
 	g_assert_cmpuint(read.departure_len, ==, GOSSIP_DEPARTURES_MAX);
+	g_assert_cmpuint(read.absence_len, ==, GOSSIP_ABSENCES_MAX);
 	gossip_message_clear(&read);
 }
 
