Admission: queue and shed at the instance while a service is full

Cause: upstreams admit in order of arrival. At 1.5 times the capacity nearly all programs end late: each turn waits in upstreams' queues.

Change: src/admission decides from the places and the running requests of a service's open upstreams (place_service_load()) whether a request is sent, waits at the instance in an ordered and bounded queue, or is refused. src/edge/edge_admission.c enters it before the choice of an upstream, and for new programs after the rate was admitted. While a service is full an instance holds its own requests to its part of the places. A program that is refused at once is not recorded as active. The priority of an organisation overrides that of the route where the configuration states it.

--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -55,7 +55,7 @@
 
 struct catalogue_organisation {
 	char *name;
-	int priority;
+	int priority; /* overrides that of the route; -1: does not */
 	double rate; /* requests per second over the fleet; 0: no limit */
 	double burst;
 };
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -86,6 +86,7 @@
 	char resumes[80];
 
 	ev_timer_stop(edge->deps.loop, &call->timer);
+	(void)edge_admission_cancel(call);
 	edge_upstream_cancel(call);
 	edge_budget_settle(call);
 	lg_event(edge->deps.lg, LG_INFO, "request",
@@ -95,7 +96,7 @@
 	    " upstream_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
 	    " catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
 	    " rate_level=%.1f rate_unreported=%u resumed=%d resumes=%s"
-	    " lost=%u",
+	    " lost=%u queued_ms=%" G_GINT64_FORMAT,
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
 	    call->route != NULL ? call->route->name : "-",
@@ -112,7 +113,7 @@
 	    call->request.is_resumed,
 	    lg_quote(resumes, sizeof(resumes),
 		call->request.resumes != NULL ? call->request.resumes : "-"),
-	    call->lost);
+	    call->lost, call->waited);
 	cnt_observe(edge->latency, now - call->arrived);
 	cnt_add(cnt_counter(edge->deps.cnt, "requests_total",
 		    "Requests by outcome.", "outcome", outcome),
@@ -187,7 +188,7 @@
 	if (call->runs > 0 || call->upstream != NULL)
 		verdict = vd_make(VD_MAYBE, VD_UPSTREAM_TIMEOUT,
 		    "the upstream did not answer in time");
-	else if (call->attempts > 0)
+	else if (call->attempts > 0 || call->waiting != NULL)
 		verdict = vd_make(VD_NOT_RUN, VD_NO_UPSTREAM,
 		    "no upstream accepted the request in time");
 	else
@@ -306,9 +307,6 @@
 {
 	struct edge *edge = call->edge;
 
-	if (call->program != NULL)
-		active_programs_add(
-		    edge->deps.activity, call->program, call->arrived);
 	call->service_name =
 	    catalogue_service_pick(call->route, edge_version_draw(call));
 	call->service =
@@ -319,6 +317,11 @@
 		    "the instance stops before the request's time is over");
 		return;
 	}
+	if (!edge_admission_begin(call))
+		return;
+	if (call->program != NULL)
+		active_programs_add(
+		    edge->deps.activity, call->program, call->arrived);
 	if (edge_version_admit(call))
 		edge_history_load(call);
 }
@@ -388,6 +391,7 @@
 	 */
 	hsv_drain_set(edge->hsv, edge->draining || !edge_is_ready(edge));
 	edge_probes_tick(edge);
+	edge_admission_tick(edge);
 }
 
 static void
@@ -455,6 +459,7 @@
 	edge_throttle_open(edge);
 	edge_reach_open(edge);
 	edge_rollout_open(edge);
+	edge_admission_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
 	edge->latency = cnt_histogram(deps->cnt, "request_seconds",
@@ -479,6 +484,7 @@
 	edge_throttle_close(edge);
 	edge_reach_close(edge);
 	edge_rollout_close(edge);
+	edge_admission_close(edge);
 	edge_budget_close(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
@@ -509,6 +515,7 @@
 	edge->catalogue = catalogue_ref(catalogue);
 	edge_rollout_timeout_set(edge, catalogue_stream_timeout(catalogue));
 	hsv_limits_set(edge->hsv, &server);
+	edge_admission_catalogue(edge);
 }
 
 void
@@ -546,6 +553,7 @@
 {
 	edge->is_stopped = true;
 	hsv_stop(edge->hsv);
+	edge_admission_stop(edge);
 	if (edge_now(edge) < edge->stop_at)
 		return;
 	/* A call is unlinked when it ends. */
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -44,6 +44,7 @@
 	GHashTable *probes; /* struct edge_probe in progress, or of late */
 	clk_ms store_answered; /* last answer of the store */
 	clk_ms worse_since; /* see edge_is_worse_off(); 0: it is not */
+	struct edge_admission *admission;
 	struct rollout *rollout;
 	struct ev_timer rollout_timer; /* until the plans are read again */
 	clk_ms rollout_asked; /* when the last read of them began */
@@ -122,6 +123,11 @@
 	char *version; /* the only one at which it may run; nil: any */
 	char *recorded; /* version in the stream's record; nil: none */
 	struct edge_version_op *version_op; /* store call in progress */
+	/* Admission to a service whose upstreams may be full. */
+	struct edge_waiting *waiting; /* nil: it does not wait */
+	bool is_new_program; /* as of its arrival */
+	bool is_admitted; /* the next choice of an upstream is free */
+	clk_ms waited; /* in all */
 	/* Upstream. */
 	unsigned char fingerprint[SCHED_FINGERPRINT_SIZE];
 	struct hcp_call *upstream;
@@ -292,6 +298,43 @@
 void edge_rate_open(struct edge *edge);
 void edge_rate_close(struct edge *edge);
 
+/*
+ * edge_admission_begin(call)
+ *	The request's rate was admitted.  Refuses a new program at once if there
+ *	is no room for it, and returns false then.
+ * edge_admission_pass(call)
+ *	Whether an upstream may be chosen for the request now.  If not, the
+ *	request waits and edge_upstream_send() is called later, or it has been
+ *	refused.
+ * edge_admission_cancel(call)
+ *	Stop waiting.  Returns whether the request did wait.
+ * edge_admission_ended(call)
+ *	The request's attempt at an upstream has ended, or was cancelled.
+ * edge_admission_tick(edge)
+ *	The loads of other instances may have changed.
+ * edge_admission_catalogue(edge)
+ *	The configuration has changed: refuse what may not run any more.
+ * edge_admission_stop(edge)
+ *	The instance stops: refuse what would wait beyond its end.
+ * edge_admission_open(edge), edge_admission_close(edge)
+ *	Create and free the queue.
+ */
+bool edge_admission_begin(struct edge_call *call);
+bool edge_admission_pass(struct edge_call *call);
+bool edge_admission_cancel(struct edge_call *call);
+void edge_admission_ended(struct edge_call *call);
+void edge_admission_tick(struct edge *edge);
+void edge_admission_catalogue(struct edge *edge);
+void edge_admission_stop(struct edge *edge);
+void edge_admission_open(struct edge *edge);
+void edge_admission_close(struct edge *edge);
+
+/*
+ * edge_place_request(call)
+ *	Return what the choice of an upstream rests on.
+ */
+struct place_request edge_place_request(const struct edge_call *call);
+
 /* edge_reply_clear(call): drop what has arrived of the response's body. */
 void edge_reply_clear(struct edge_call *call);
 
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -80,8 +80,8 @@
 		TOKEN_WAIT_LEFT_PART * (double)left)));
 }
 
-static struct place_request
-place_request_make(const struct edge_call *call)
+struct place_request
+edge_place_request(const struct edge_call *call)
 {
 	unsigned tokens = call->request.length_hint;
 	struct place_request request = {
@@ -114,7 +114,7 @@
 upstream_choose(struct edge_call *call)
 {
 	struct edge *edge = call->edge;
-	struct place_request request = place_request_make(call);
+	struct place_request request = edge_place_request(call);
 	clk_ms now = edge_now(edge);
 
 	if (call->attempts == EDGE_MAX_ATTEMPTS)
@@ -141,7 +141,7 @@
 retry_after(const struct edge_call *call)
 {
 	struct edge *edge = call->edge;
-	struct place_request request = place_request_make(call);
+	struct place_request request = edge_place_request(call);
 	clk_ms now = edge_now(edge);
 	clk_ms until = edge_version_request(call, &request)
 	    ? place_held_until(edge->deps.place, &request, now)
@@ -222,6 +222,8 @@
 		    "the request has crashed the upstreams that ran it");
 		return;
 	}
+	if (!edge_admission_pass(call))
+		return;
 	if (!upstream_choose(call)) {
 		edge_refuse_unless_run(call, retry_after(call),
 		    "no upstream can take the request now");
@@ -239,6 +241,7 @@
 	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
 	    edge_now(call->edge));
 	call->attempts--;
+	call->is_admitted = true;
 	edge_upstream_send(call);
 }
 
@@ -316,6 +319,7 @@
 	attempt_unlink(call);
 	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
 	    edge_now(call->edge));
+	edge_admission_ended(call);
 }
 
 void
@@ -638,6 +642,7 @@
 		outcome = PLACE_REJECTED;
 	place_request_end(
 	    edge->deps.place, call->handle, outcome, edge_now(edge));
+	edge_admission_ended(call);
 	if (outcome != PLACE_SERVED)
 		lg_event(edge->deps.lg, LG_INFO, "attempt",
 		    "request=%s upstream=%s try=%u end=%d timed_out=%d "
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -851,6 +851,50 @@
 	return (last->is_cut);
 }
 
+/* Part of an idle engine's speed that the upstream has, the fastest 1. */
+static double
+relative_speed(const struct upstream *upstream, double best)
+{
+	if (upstream->token_ms <= 0)
+		return (1.0);
+	return (fmin(best / upstream->token_ms, 1.0));
+}
+
+struct place_service_load
+place_service_load(
+    struct place *place, const struct place_request *request, clk_ms now)
+{
+	bool is_engine = request->part_count > 0;
+	double best =
+	    is_engine ? best_sample(place, request->service, true) : 0;
+	struct place_service_load load = {0};
+	struct cut cut = {0};
+
+	peer_loads_sum(place);
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		const struct upstream *upstream = place->upstreams->pdata[i];
+		bool is_in_backoff = now < upstream->backoff_until;
+		double slots = upstream->entry.slots;
+		double running = upstream->running + upstream->peers_running;
+		double weight;
+
+		if (!is_eligible(place, request, i, now) ||
+		    (is_in_backoff && upstream->failures > 0) ||
+		    held_until(upstream, request, now) > 0 ||
+		    is_cut(request, upstream, &cut, now))
+			continue;
+		weight = is_engine ? relative_speed(upstream, best) : 1.0;
+		/* It has just refused a request because it is full. */
+		if (is_in_backoff)
+			running = fmax(running, slots);
+		load.upstreams++;
+		load.places += weight * slots;
+		load.running += weight * running;
+		load.own += weight * upstream->running;
+	}
+	return (load);
+}
+
 /* The upstream of the request's object; nil: none. */
 static const struct upstream *
 object_upstream(
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -224,6 +224,27 @@
 bool place_choose(struct place *place, const struct place_request *request,
     clk_ms now, struct place_handle *handle);
 
+/*
+ * The open upstreams that could run a request, together.  Those of engines
+ * count by their speed, the fastest as 1 a slot.
+ */
+struct place_service_load {
+	unsigned upstreams;
+	double places; /* requests that they run at once */
+	double running; /* of all instances, as far as known */
+	double own; /* of these, of this instance */
+};
+
+/*
+ * place_service_load(place, request, now)
+ *	Return the load of the upstreams that could run the request now: those
+ *	that don't fail, don't leave, have a token and are within reach.  In
+ *	place of estimated requests of the other instances it has those that
+ *	they have reported: an estimate for each upstream is too high in sum.
+ */
+struct place_service_load place_service_load(
+    struct place *place, const struct place_request *request, clk_ms now);
+
 /*
  * place_parts_record(place, handle, parts, count, now)
  *	A request with these parts is sent to the upstream.
