Admission: bound of the loads in the load-pattern test

Cause: an upstream that returns while requests still run at its former entry has two loads, and the model passed on the number of all loads with room for one of each: AddressSanitizer reported a read beyond the buffer.

Change: room for the former entries, checked.

--- a/src/admission/test_load.h
+++ b/src/admission/test_load.h
@@ -514,7 +514,8 @@
 static inline void
 load_gossip(struct load *load, unsigned instance)
 {
-	struct place_load loads[LOAD_UPSTREAMS];
+	/* Also of upstreams that have returned and still run old requests. */
+	struct place_load loads[4 * LOAD_UPSTREAMS];
 	g_autofree char *name = g_strdup_printf("i%u", instance);
 	size_t n;
 
@@ -522,6 +523,7 @@
 	    sizeof(load->told[instance]));
 	n = place_loads_collect(
 	    load->places[instance], loads, G_N_ELEMENTS(loads));
+	g_assert_cmpuint(n, <=, G_N_ELEMENTS(loads));
 	for (unsigned i = 0; i < LOAD_INSTANCES; i++) {
 		if (i != instance)
 			place_gossip_merge(
