--- a/fuzz/fuzz_datagram.c
+++ b/fuzz/fuzz_datagram.c
@@ -33,7 +33,9 @@
 	check(size > 0 && gossip_message_decode(buf, size, &again));
 	check(strcmp(message.name, again.name) == 0 &&
 	    message.count_len == again.count_len &&
-	    message.departure_len == again.departure_len);
+	    message.departure_len == again.departure_len &&
+	    message.evacuations.end == again.evacuations.end &&
+	    message.evacuations.name_len == again.evacuations.name_len);
 	gossip_message_clear(&again);
 	gossip_message_clear(&message);
 }
