Outage: requests are turned away once the others are better off for 150 ms

Cause: when the store falls silent for all instances, those that had its last answer earliest believe for up to 150 ms that it answers the others, refused new turns at once, and would refuse what waits.

Change: a request that needs the store waits in that time. The check before the history is the one for all that wait.

--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -283,12 +283,6 @@
 		edge_budget_acquire(call);
 		return;
 	}
-	if (edge_is_worse_off(call->edge)) {
-		edge_refuse_not_run(call, VD_HISTORY_UNPROVEN,
-		    edge_store_retry_after(call->edge),
-		    "the turn can't be recorded here now");
-		return;
-	}
 	if (strlen(call->turn_id) > TURN_ID_MAX) {
 		edge_refuse_not_run(call, VD_BAD_REQUEST, 0,
 		    "the id of the request is too long for a turn");
--- a/src/edge/edge_outage.c
+++ b/src/edge/edge_outage.c
@@ -30,6 +30,12 @@
 #define RETRY_MIN_MS  50
 #define RETRY_MAX_MS  1500
 #define RETRY_BUSY_MS 500
+/*
+ * Time for which the others have to be better off before requests are turned
+ * away.  When the store falls silent for all, those that had its last answer
+ * earliest count as worse off for up to 150 ms.
+ */
+#define WORSE_OFF_MS 150
 /*
  * A probe deletes this key, which nobody writes, expecting an empty partition:
  * it is refused as a conflict and changes nothing.  In an empty partition it
@@ -366,6 +372,13 @@
 }
 
 /* Callers are better served by the instances that the store answers. */
+static bool
+is_better_elsewhere(const struct edge *edge)
+{
+	return (edge->worse_since > 0 &&
+	    edge_now(edge) - edge->worse_since >= WORSE_OFF_MS);
+}
+
 static void
 held_turn_away(struct edge_outage *outage)
 {
@@ -418,7 +431,7 @@
 		ev_timer_stop(edge->deps.loop, &outage->timer);
 		return;
 	}
-	if (edge_is_worse_off(edge))
+	if (is_better_elsewhere(edge))
 		held_turn_away(outage);
 	while ((entry = hold_expired(outage->hold, now)) != NULL)
 		held_end(hold_arg(entry));
@@ -460,7 +473,7 @@
 		call->wait.needed = *needed;
 	if (is_ready(call))
 		return (false);
-	if (edge_is_worse_off(edge)) {
+	if (is_better_elsewhere(edge)) {
 		held_record(call, "elsewhere", 0);
 		held_refuse(call, edge_store_retry_after(edge),
 		    "the store does not answer this instance");
