--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -530,6 +530,67 @@
 	place_close(place);
 }
 
+static struct place_service_load
+service_load(struct place *place, const struct place_part *part, clk_ms now)
+{
+	const struct place_request request = {
+	    .service = "pool", .parts = part, .part_count = part != NULL};
+
+	return (place_service_load(place, &request, now));
+}
+
+/*
+ * Guards against a service that counts as full, or as free, because of
+ * upstreams that get nothing: those that leave, fail or are gone; because of
+ * what this instance guesses of the others; and because of free places of
+ * engines that are slow.
+ */
+static void
+test_service_load(void)
+{
+	struct place *place = place_open("a");
+	const struct place_part part = {1000, 10};
+	struct place_load told;
+	struct place_service_load load;
+	struct place_handle handle;
+	struct place_entry e;
+
+	g_assert_cmpuint(service_load(place, NULL, 0).upstreams, ==, 0);
+	add(place, "u1", 1);
+	add(place, "u2", 2);
+	place_instances_set(place, INSTANCES);
+	told = (struct place_load){roster_hash("u1"), 5};
+	place_gossip_merge(place, "peer", &told, 1, 0);
+	g_assert_nonnull(choose(place, NULL, 0, 0, &handle));
+	load = service_load(place, NULL, 0);
+	g_assert_cmpuint(load.upstreams, ==, 2);
+	g_assert_cmpfloat(load.places, ==, 128);
+	g_assert_cmpfloat(load.running, ==, 6);
+	g_assert_cmpfloat(load.own, ==, 1);
+	/* One that has just refused a request as full has no place. */
+	place_request_end(place, handle, PLACE_REJECTED, 0);
+	load = service_load(place, NULL, 0);
+	g_assert_cmpfloat(load.places, ==, 128);
+	g_assert_cmpfloat(load.running, >=, 64);
+	g_assert_cmpfloat(service_load(place, NULL, 60).running, ==, 5);
+	/* One that is leaving, and one that can't be reached. */
+	e = entry("u3", 3, 64);
+	e.is_ready = false;
+	place_upstream_update(place, &e, 60);
+	g_assert_cmpuint(service_load(place, NULL, 60).upstreams, ==, 2);
+	g_assert_nonnull(choose(place, NULL, 0, 60, &handle));
+	place_request_end(place, handle, PLACE_UNREACHABLE, 60);
+	g_assert_cmpuint(service_load(place, NULL, 60).upstreams, ==, 1);
+	g_assert_cmpuint(service_load(place, NULL, 10000).upstreams, ==, 2);
+	/* An engine at a third of the other's speed. */
+	place_gossip_merge(place, "peer", NULL, 0, 10000);
+	add_speed_samples(place, "u1");
+	load = service_load(place, &part, 10000);
+	g_assert_cmpfloat(load.places, >, 64 + 20);
+	g_assert_cmpfloat(load.places, <, 64 + 23);
+	place_close(place);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -549,5 +610,6 @@
 	g_test_add_func("/plc/entries", test_entries);
 	g_test_add_func("/plc/started-anew", test_restarted_upstream);
 	g_test_add_func("/plc/loads-take-turns", test_loads_take_turns);
+	g_test_add_func("/place/service-load", test_service_load);
 	return (g_test_run());
 }
