Intake: a budget for the memory that callers make an instance hold

Cause: an instance kept all that callers sent: 40 bodies that stop 1,000 bytes short of 4 MiB took it to 171 MB, 30 whole ones for an upstream that reads nothing to 254 MB; 64 connections kept the readiness probe out.

Change: src/intake counts heads, bodies, pipelined input and unread answers of all servers of the process against parts of limits.memory_mb (half in total, a quarter for unread answers and for incomplete answers of upstreams, an eighth for incomplete input). The servers stop reading, then refuse with 503 those that make no progress or waited 1 s, and close those with most unread answers. Requests without a route, key or rate, or declared too long, are answered from the head. Pipelined requests wait until the answer before them is read. A new connection takes the place of the oldest without a request. No descriptor left pauses accepting for 100 ms. A request that an upstream leaves unread for 2 s is given up, and what was sent of it is freed.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -306,6 +306,12 @@
 {
 	struct edge *edge = call->edge;
 
+	if (hsv_is_early(call->client)) {
+		/* The rate had room again a moment later. */
+		edge_refuse_not_run(call, VD_RATE_EXCEEDED,
+		    RETRY_ELSEWHERE_MIN_MS, "above the organisation's rate");
+		return;
+	}
 	if (call->program != NULL)
 		active_programs_add(
 		    edge->deps.activity, call->program, call->arrived);
@@ -418,6 +424,7 @@
 	cnt_set(cnt_gauge(edge->deps.cnt, "requests_active",
 		    "Requests in progress.", NULL, NULL),
 	    (int64_t)hsv_active(edge->hsv));
+	edge_intake_tick(edge);
 }
 
 struct edge *
@@ -446,6 +453,7 @@
 		return (NULL);
 	}
 	edge->hcp = hcp_open(deps->loop);
+	edge_intake_open(edge);
 	edge->budgets = budget_open(settings->session, settings->retention);
 	edge->turns =
 	    turn_cache_open(settings->cache_bytes, settings->retention);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -17,6 +17,7 @@
 #include "edge/wire.h"
 #include "lib/clk.h"
 #include "lib/cnt.h"
+#include "intake/intake.h"
 #include "lib/lg.h"
 #include "place/place.h"
 #include "quota/active_programs.h"
@@ -56,6 +57,7 @@
 	struct active_programs *activity;
 	struct crash_table *crashes;
 	struct reach *reach;
+	struct intake *intake;
 	/* Look up an instance's address by name; false if unknown. */
 	bool (*instance_address)(
 	    void *arg, const char *name, struct sockaddr_in *address);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -355,6 +355,21 @@
 void edge_loan_open(struct edge *edge);
 void edge_loan_close(struct edge *edge);
 
+/*
+ * edge_intake_open(edge)
+ *	Charge what callers and requests hold to the instance's budget.
+ * edge_intake_tick(edge)
+ *	Export the fill level.
+ * edge_intake_fits(call)
+ *	Whether the copy of the request that is sent to an upstream fits.
+ * edge_answers_fit(edge, bytes)
+ *	Whether so many bytes more of incomplete answers fit.
+ */
+void edge_intake_open(struct edge *edge);
+void edge_intake_tick(struct edge *edge);
+bool edge_intake_fits(struct edge_call *call);
+bool edge_answers_fit(const struct edge *edge, size_t bytes);
+
 /* edge_upstream_cancel(call): cancel the attempt in progress, if any. */
 void edge_upstream_cancel(struct edge_call *call);
 
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -34,11 +34,6 @@
 #define STREAM_BYTES_MAX ((size_t)16 << 20)
 /* Output of a turn; the store takes less. */
 #define TURN_OUTPUT_MAX ((size_t)1 << 20)
-/*
- * Bytes of all responses, events and turns that are not complete yet: a part
- * of the memory of the smallest instance.
- */
-#define ANSWERS_BYTES_MAX ((size_t)24 << 20)
 /* Expected output of a turn whose caller gives no length hint. */
 #define DEFAULT_OUTPUT_TOKENS 256
 /* Lower bound of an instance's share of the connections to an upstream. */
@@ -222,6 +217,11 @@
 		    "the request has crashed the upstreams that ran it");
 		return;
 	}
+	if (!edge_intake_fits(call)) {
+		edge_refuse_unless_run(call, RETRY_NO_UPSTREAM_MS,
+		    "the instance has no memory for the request now");
+		return;
+	}
 	if (!upstream_choose(call)) {
 		edge_refuse_unless_run(call, retry_after(call),
 		    "no upstream can take the request now");
@@ -252,7 +252,7 @@
 	    place_entry_get(edge->deps.place, call->handle);
 	struct edge_forward forward;
 	struct hcp_request request;
-	g_autoptr(GByteArray) body = g_byte_array_new();
+	g_autoptr(GByteArray) body = NULL;
 	g_autoptr(GString) out = g_string_sized_new(1024);
 
 	if (!place_is_open(edge->deps.place, call->handle,
@@ -263,8 +263,14 @@
 	}
 	place_parts_record(edge->deps.place, call->handle, call->request.parts,
 	    call->request.part_count, edge_now(edge));
-	body_append(body, call->history);
-	body_append(body, input);
+	/* hcp_start() copies it; only a body with a history is joined here. */
+	if (call->history == NULL || call->history->len == 0) {
+		body = g_byte_array_ref((GByteArray *)input);
+	} else {
+		body = g_byte_array_new();
+		body_append(body, call->history);
+		body_append(body, input);
+	}
 	call->sent_at = edge_now(edge);
 	call->heard = call->sent_at;
 	call->last_event = 0;
@@ -477,7 +483,7 @@
 	edge->reply_bytes += held - call->held_bytes;
 	call->held_bytes = held;
 	return (call->sse.is_too_long || output > TURN_OUTPUT_MAX ||
-	    (held > 0 && edge->reply_bytes > ANSWERS_BYTES_MAX));
+	    (held > 0 && !edge_answers_fit(edge, 0)));
 }
 
 static void
@@ -492,7 +498,7 @@
 		if (call->client != NULL && is_held_too_much(call))
 			attempt_cut(call);
 		edge_call_unref(call);
-	} else if (call->edge->reply_bytes + len > ANSWERS_BYTES_MAX) {
+	} else if (!edge_answers_fit(call->edge, len)) {
 		attempt_cut(call);
 	} else {
 		call->edge->reply_bytes += len;
--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -19,6 +19,11 @@
 #define STATED_IDLE_MAX_S 3600.0
 /* Time before the server's stated idle timeout at which ours ends. */
 #define IDLE_MARGIN_MS 500
+/*
+ * A server that reads nothing of a request for this time is given up, like a
+ * silent one: what it leaves unread stays in memory.
+ */
+#define SEND_STALL_S 2.0
 /*
  * A silent server is given up within 3 s: before callers' timeouts, and after
  * a packet that was lost and sent again.
@@ -35,6 +40,7 @@
 	void *arg;
 	GByteArray *out;
 	size_t out_done;
+	size_t counted; /* bytes of out in hcp->unsent */
 	struct ev_io readable;
 	struct ev_io writable;
 	struct ev_timer timer; /* of the call, or of the idle connection */
@@ -62,6 +68,7 @@
 	struct hcp_call *closed; /* freed by the reaper */
 	struct ev_prepare reaper;
 	unsigned long opened;
+	size_t unsent;
 };
 
 static void
@@ -85,6 +92,14 @@
 	call->next = NULL;
 }
 
+/* Count the bytes of the request that are held. */
+static void
+unsent_set(struct hcp_call *call, size_t bytes)
+{
+	call->hcp->unsent += bytes - call->counted;
+	call->counted = bytes;
+}
+
 static void
 list_push(struct hcp_call *call)
 {
@@ -113,6 +128,7 @@
 	ev_timer_stop(loop, &call->stall_timer);
 	if (call->fd >= 0)
 		(void)close(call->fd);
+	unsent_set(call, 0);
 	list_remove(call);
 	call->next = call->hcp->closed;
 	call->hcp->closed = call;
@@ -163,6 +179,8 @@
 {
 	call->idle = true;
 	call->handler = NULL;
+	ev_timer_stop(call->hcp->loop, &call->connect_timer);
+	unsent_set(call, 0);
 	if (call->out->len > KEPT_BUFFER) {
 		(void)g_byte_array_unref(call->out);
 		call->out = g_byte_array_new();
@@ -325,6 +343,9 @@
 		}
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
 			ev_io_start(call->hcp->loop, &call->writable);
+			ev_timer_stop(call->hcp->loop, &call->connect_timer);
+			ev_timer_set(&call->connect_timer, SEND_STALL_S, 0.0);
+			ev_timer_start(call->hcp->loop, &call->connect_timer);
 			return;
 		}
 		/* An answer may have come before the connection failed. */
@@ -334,6 +355,14 @@
 		return;
 	}
 	ev_io_stop(call->hcp->loop, &call->writable);
+	ev_timer_stop(call->hcp->loop, &call->connect_timer);
+	unsent_set(call, 0);
+	if (call->out->len > KEPT_BUFFER) {
+		/* The answer can be a long time coming. */
+		(void)g_byte_array_unref(call->out);
+		call->out = g_byte_array_new();
+		call->out_done = 0;
+	}
 }
 
 static void
@@ -506,6 +535,7 @@
 	if (request->body_len > 0)
 		(void)g_byte_array_append(
 		    call->out, request->body, (guint)request->body_len);
+	unsent_set(call, call->out->len);
 	if (request->timeout > 0) {
 		ev_timer_set(
 		    &call->timer, (double)request->timeout / 1000.0, 0.0);
@@ -570,3 +600,9 @@
 {
 	return (hcp->opened);
 }
+
+size_t
+hcp_unsent(const struct hcp *hcp)
+{
+	return (hcp->unsent);
+}
--- a/src/http/hcp.h
+++ b/src/http/hcp.h
@@ -93,6 +93,9 @@
  */
 void hcp_idle_close(struct hcp *hcp);
 
+/* hcp_unsent(hcp): bytes of requests that are not sent yet. */
+size_t hcp_unsent(const struct hcp *hcp);
+
 /* hcp_opened(hcp): how many connections have been opened so far. */
 unsigned long hcp_opened(const struct hcp *hcp);
 
--- a/src/http/hmsg.c
+++ b/src/http/hmsg.c
@@ -5,6 +5,9 @@
 
 /* Bytes of a field beside its name and value: ": " and the end of the line. */
 #define FIELD_EXTRA 4
+/* Longer buffers, and more fields, are freed between messages. */
+#define KEPT_TEXT   4096
+#define KEPT_FIELDS 64
 
 static const char *const connection_fields[] = {"Connection", "Keep-Alive",
     "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -189,14 +192,29 @@
 	reader->head.text = NULL;
 }
 
+static void
+text_reset(GString **text)
+{
+	if ((*text)->allocated_len > KEPT_TEXT) {
+		g_string_free(*text, TRUE);
+		*text = g_string_new(NULL);
+	}
+	g_string_truncate(*text, 0);
+}
+
 void
 hmsg_reader_next(struct hmsg_reader *reader)
 {
 	/* The library ends the process if a failed parser is resumed. */
 	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
 		http_parser_pause(&reader->parser, 0);
-	g_string_truncate(reader->head.text, 0);
-	g_string_truncate(reader->head.target, 0);
+	text_reset(&reader->head.text);
+	text_reset(&reader->head.target);
+	if (reader->head.fields->len > KEPT_FIELDS) {
+		g_array_free(reader->head.fields, TRUE);
+		reader->head.fields =
+		    g_array_new(FALSE, FALSE, sizeof(struct hmsg_field));
+	}
 	g_array_set_size(reader->head.fields, 0);
 	reader->head.status = 0;
 	reader->head_bytes = 0;
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -14,16 +15,26 @@
 /* A peer that leaves this much of a stream unread is cut off. */
 #define MAX_UNSENT ((size_t)4 << 20)
 /*
- * Bytes of all answers that peers have left unread: a part of the memory of
- * the smallest instance.  Beyond them the peer that has most is cut off.
+ * Bytes of all answers that peers have left unread at a server without a
+ * budget.  Beyond them the peer that has most is cut off.
  */
 #define MAX_UNSENT_ALL ((size_t)24 << 20)
+/* Bytes already sent are dropped from a buffer at this size. */
+#define COMPACT_SIZE 65536
+/* Period of the check for paused connections that may be read again. */
+#define SWEEP_PERIOD_S 0.05
+/* Time before new connections are accepted when there is no descriptor. */
+#define ACCEPT_PAUSE_S 0.1
+/* Retry-After of a request that did not fit, in s: callers have 1 s or more. */
+#define RETRY_FIELDS "Retry-After: 0.300\r\n"
 /* A buffer that was larger is freed between requests. */
 #define KEPT_BUFFER 65536
 /* Bytes of pipelined requests that are kept while one is handled. */
 #define MAX_PENDING 65536
 /* Time for a peer to read the last answer before its connection is closed. */
 #define LINGER_MS 1000
+/* The same if the body was not read: 4 MiB take 1.5 s at 22 Mbit/s. */
+#define LINGER_BODY_MS 3000
 /* Connections accepted in one turn of the loop. */
 #define ACCEPT_BATCH 64
 /*
@@ -54,6 +65,7 @@
 	struct ev_io readable;
 	struct ev_io writable;
 	struct ev_timer timer;
+	struct intake_conn intake;
 	void *arg;
 	int fd;
 	double opened; /* loop time */
@@ -61,6 +73,7 @@
 	enum state state;
 	bool processing; /* process_pending() is on the stack */
 	bool close_after; /* this answer ends the connection */
+	bool is_early; /* handled before its body was read */
 	bool lingering; /* the last answer is sent; input is discarded */
 	bool is_new; /* no byte of a request has been read */
 	bool dead;
@@ -70,6 +83,12 @@
 	struct ev_loop *loop;
 	struct hsv_limits limits;
 	struct hsv_handler handler;
+	hsv_refuses *refuses; /* nil: no early answers */
+	struct intake *intake; /* nil: no budget */
+	struct clk clk;
+	struct ev_timer sweep;
+	struct ev_timer accept_pause;
+	unsigned long refused;
 	struct ev_io acceptor;
 	struct hsv_call *calls;
 	struct hsv_call *closed; /* freed by the reaper */
@@ -99,6 +118,29 @@
 	return (call->out->len - call->out_done);
 }
 
+/* Report to the budget what the connection holds. */
+static void
+account(struct hsv_call *call)
+{
+	struct intake *intake = call->hsv->intake;
+	const struct hmsg_head *head = &call->reader.head;
+	size_t bytes;
+
+	if (intake == NULL || call->dead)
+		return;
+	/* The array of fields has up to twice the size that is used. */
+	bytes = head->text->allocated_len + head->target->allocated_len +
+	    2 * sizeof(struct hmsg_field) * head->fields->len + call->body->len;
+	if (call->state == READING && !call->reader.in_message)
+		bytes = 0;
+	bytes += call->pending->len;
+	intake_set(intake, &call->intake, INTAKE_INPUT,
+	    call->state == READING ? bytes : 0);
+	intake_set(intake, &call->intake, INTAKE_REQUEST,
+	    call->state == READING ? 0 : bytes);
+	intake_set(intake, &call->intake, INTAKE_ANSWER, call->out->len);
+}
+
 /*
  * Close the connection.  Its memory is freed from the loop, when no callback
  * of it is on the stack.
@@ -116,6 +158,8 @@
 	ev_timer_stop(hsv->loop, &call->timer);
 	(void)close(call->fd);
 	hsv->unsent -= unsent(call);
+	if (hsv->intake != NULL)
+		intake_remove(hsv->intake, &call->intake);
 	if (call->prev != NULL)
 		call->prev->next = call->next;
 	else
@@ -183,6 +227,17 @@
 static void
 unsent_limit(struct hsv *hsv)
 {
+	enum intake_reason reason;
+	struct intake_conn *conn;
+
+	while (hsv->intake != NULL &&
+	    intake_held(hsv->intake, INTAKE_ANSWER) >
+		intake_limits(hsv->intake)->answers) {
+		conn = intake_victim(hsv->intake, 0, &reason);
+		call_lost(conn->owner);
+	}
+	if (hsv->intake != NULL)
+		return;
 	while (hsv->calls != NULL && hsv->unsent > MAX_UNSENT_ALL) {
 		struct hsv_call *most = hsv->calls;
 
@@ -206,10 +261,12 @@
 		if (n > 0) {
 			call->out_done += (size_t)n;
 			call->hsv->unsent -= (size_t)n;
+			intake_received(&call->intake, (size_t)n);
 			continue;
 		}
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
 			ev_io_start(call->hsv->loop, &call->writable);
+			account(call);
 			return (true);
 		}
 		call_lost(call);
@@ -218,6 +275,7 @@
 	ev_io_stop(call->hsv->loop, &call->writable);
 	buffer_reset(&call->out);
 	call->out_done = 0;
+	account(call);
 	if (call->state == READING && call->close_after && !call->lingering) {
 		/*
 		 * A close while input is unread would reset the connection,
@@ -225,7 +283,7 @@
 		 */
 		(void)shutdown(call->fd, SHUT_WR);
 		call->lingering = true;
-		timer_set(call, LINGER_MS);
+		timer_set(call, call->is_early ? LINGER_BODY_MS : LINGER_MS);
 	}
 	return (!call->lingering);
 }
@@ -233,6 +291,13 @@
 static void
 put(struct hsv_call *call, const void *data, size_t len)
 {
+	/* A peer that reads slowly never empties the buffer. */
+	if (call->out_done >= COMPACT_SIZE &&
+	    call->out_done >= call->out->len / 2) {
+		(void)g_byte_array_remove_range(
+		    call->out, 0, (guint)call->out_done);
+		call->out_done = 0;
+	}
 	(void)g_byte_array_append(call->out, data, (guint)len);
 	call->hsv->unsent += len;
 }
@@ -266,6 +331,7 @@
 	buffer_reset(&call->body);
 	hmsg_reader_next(&call->reader);
 	call->arg = NULL;
+	account(call);
 	if (flush_out(call) && !call->dead) {
 		timer_set(call, call->hsv->limits.idle_timeout);
 		/* It is stopped while too much of later requests waits. */
@@ -336,14 +402,63 @@
 refuse(struct hsv_call *call, int status)
 {
 	call->close_after = true;
-	hsv_answer(call, status, "", "", 0);
+	hsv_answer(call, status, status == 503 ? RETRY_FIELDS : "", "", 0);
+}
+
+static bool
+has_body(const struct hmsg_reader *reader)
+{
+	const http_parser *parser = &reader->parser;
+
+	return ((parser->flags & F_CHUNKED) != 0 ||
+	    (parser->content_length != ULLONG_MAX &&
+		parser->content_length > 0));
+}
+
+/* Let the handler answer a request whose body isn't needed. */
+static void
+answer_early(struct hsv_call *call)
+{
+	struct hsv *hsv = call->hsv;
+
+	call->is_early = true;
+	call->close_after = true;
+	timer_set(call, 0);
+	call->state = HANDLING;
+	hsv->handler.on_request(hsv->handler.arg, call);
+	/* It can't wait for anything: its body would be missing. */
+	if (!call->dead && call->state != READING)
+		call_lost(call);
+}
+
+static bool
+is_too_long(const struct hsv_call *call)
+{
+	const http_parser *parser = &call->reader.parser;
+
+	return ((parser->flags & F_CHUNKED) == 0 &&
+	    parser->content_length != ULLONG_MAX &&
+	    parser->content_length > call->hsv->limits.max_body);
 }
 
 static enum hmsg_next
 on_head(struct hmsg_reader *reader)
 {
 	struct hsv_call *call = reader->owner;
+	struct hsv *hsv = call->hsv;
 
+	if (has_body(reader)) {
+		if (is_too_long(call)) {
+			call->is_early = true;
+			refuse(call, 413);
+			return (HMSG_STOP);
+		}
+		if (hsv->refuses != NULL &&
+		    hsv->refuses(hsv->handler.arg, call)) {
+			answer_early(call);
+			return (HMSG_STOP);
+		}
+	}
 	timer_set(call, call->hsv->limits.idle_timeout);
 	call->head_read = ev_now(call->hsv->loop);
 	if (reader->head.has_expect) {
@@ -402,7 +517,7 @@
 
 	call->processing = true;
 	while (!call->dead && call->state == READING &&
-	    call->pending->len > 0 && !call->close_after) {
+	    call->pending->len > 0 && !call->close_after && unsent(call) == 0) {
 		bool begun = call->reader.in_message;
 		size_t used;
 
@@ -417,27 +532,41 @@
 		if (call->dead || call->reader.stopped)
 			break;
 		(void)g_byte_array_remove_range(call->pending, 0, (guint)used);
+		if (!begun && hsv->intake != NULL)
+			intake_begin(
+			    hsv->intake, &call->intake, clk_now(&hsv->clk));
 		if (!begun && call->reader.in_message && !call->reader.has_head)
 			timer_set(call, hsv->limits.head_timeout);
 		if (call->state == HANDLING)
 			hsv->handler.on_request(hsv->handler.arg, call);
 	}
 	call->processing = false;
+	/* Nothing more of it is read. */
+	if (!call->dead && call->state == READING && call->close_after)
+		buffer_reset(&call->pending);
+	account(call);
 }
 
 static void
 readable_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
 	struct hsv_call *call = watcher->data;
+	struct hsv *hsv = call->hsv;
 	char buf[READ_SIZE];
 	ssize_t n;
 
 	(void)events;
-	if (call->state != READING && call->pending->len >= MAX_PENDING) {
+	if ((call->state != READING || unsent(call) > 0) &&
+	    call->pending->len >= MAX_PENDING) {
 		/* The kernel holds the rest until the answer is sent. */
 		ev_io_stop(loop, watcher);
 		return;
 	}
+	if (hsv->intake != NULL && !call->lingering &&
+	    !intake_may_read(hsv->intake, &call->intake, clk_now(&hsv->clk))) {
+		ev_io_stop(loop, watcher);
+		return;
+	}
 	n = recv(call->fd, buf, sizeof(buf), 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -445,12 +574,14 @@
 		call_lost(call);
 		return;
 	}
-	if (call->lingering)
+	intake_received(&call->intake, (size_t)n);
+	if (call->lingering || (call->close_after && call->state == READING))
 		return;
 	call->is_new = false;
 	(void)g_byte_array_append(call->pending, (const guint8 *)buf, (guint)n);
 	if (call->state == READING)
 		process_pending(call);
+	account(call);
 }
 
 static void
@@ -460,8 +591,12 @@
 
 	(void)loop;
 	(void)events;
-	if (flush_out(call) && !call->dead)
-		ev_io_start(call->hsv->loop, &call->readable);
+	if (!flush_out(call) || call->dead)
+		return;
+	ev_io_start(call->hsv->loop, &call->readable);
+	/* Pipelined requests wait until the answer before them is read. */
+	if (unsent(call) == 0 && call->state == READING && !call->processing)
+		process_pending(call);
 }
 
 static void
@@ -477,11 +612,34 @@
 		call_close(call);
 }
 
+/* The oldest connection at which no whole request has arrived, or nil. */
+static struct hsv_call *
+oldest_unused(struct hsv *hsv)
+{
+	struct hsv_call *oldest = NULL;
+
+	/* The list begins with the newest. */
+	for (struct hsv_call *call = hsv->calls; call != NULL;
+	     call = call->next) {
+		if (call->lingering ||
+		    (call->state == READING && call->out->len == 0 &&
+			(call->reader.in_message || call->is_new)))
+			oldest = call;
+	}
+	return (oldest);
+}
+
 static void
-accept_one(struct hsv *hsv, int fd)
+accept_one(struct hsv *hsv, int fd, const struct sockaddr_in *from)
 {
 	struct hsv_call *call;
 
+	if (hsv->count >= hsv->limits.max_connections) {
+		call = oldest_unused(hsv);
+		if (call != NULL)
+			call_close(call);
+		hsv->refused++;
+	}
 	if (hsv->count >= hsv->limits.max_connections) {
 		(void)close(fd);
 		return;
@@ -511,10 +669,43 @@
 		call->next->prev = call;
 	hsv->calls = call;
 	hsv->count++;
+	if (hsv->intake != NULL)
+		intake_add(hsv->intake, &call->intake, call,
+		    from->sin_addr.s_addr, clk_now(&hsv->clk));
 	ev_io_start(hsv->loop, &call->readable);
 	timer_set(call, hsv->limits.idle_timeout);
 }
 
+static void
+accept_pause_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct hsv *hsv = watcher->data;
+
+	(void)events;
+	ev_io_start(loop, &hsv->acceptor);
+}
+
+/*
+ * Without a descriptor the connection stays in the queue, and the listener
+ * readable: the loop would spin.
+ */
+static void
+accept_failed(struct hsv *hsv, int error)
+{
+	struct hsv_call *unused;
+
+	if (hsv->stopped || (error != EMFILE && error != ENFILE))
+		return;
+	unused = oldest_unused(hsv);
+	if (unused != NULL) {
+		call_close(unused);
+		hsv->refused++;
+	}
+	ev_io_stop(hsv->loop, &hsv->acceptor);
+	ev_timer_set(&hsv->accept_pause, ACCEPT_PAUSE_S, 0.0);
+	ev_timer_start(hsv->loop, &hsv->accept_pause);
+}
+
 /* Accepts up to ACCEPT_BATCH connections; returns how many. */
 static int
 accept_batch(struct hsv *hsv)
@@ -522,12 +713,16 @@
 	int n;
 
 	for (n = 0; n < ACCEPT_BATCH; n++) {
-		int fd =
-		    accept4(hsv->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct sockaddr_in from = {0};
+		socklen_t len = sizeof(from);
+		int fd = accept4(hsv->fd, (struct sockaddr *)&from, &len,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-		if (fd < 0)
+		if (fd < 0) {
+			accept_failed(hsv, errno);
 			break;
-		accept_one(hsv, fd);
+		}
+		accept_one(hsv, fd, &from);
 	}
 	return (n);
 }
@@ -567,6 +762,8 @@
 	ev_io_init(&hsv->acceptor, accept_cb, fd, EV_READ);
 	hsv->acceptor.data = hsv;
 	ev_io_start(loop, &hsv->acceptor);
+	ev_timer_init(&hsv->accept_pause, accept_pause_cb, 0.0, 0.0);
+	hsv->accept_pause.data = hsv;
 	ev_prepare_init(&hsv->reaper, reaper_cb);
 	hsv->reaper.data = hsv;
 	ev_prepare_start(loop, &hsv->reaper);
@@ -582,6 +779,9 @@
 		call_close(hsv->calls);
 	reap(hsv);
 	ev_prepare_stop(hsv->loop, &hsv->reaper);
+	ev_timer_stop(hsv->loop, &hsv->accept_pause);
+	if (hsv->intake != NULL)
+		ev_timer_stop(hsv->loop, &hsv->sweep);
 	if (!hsv->stopped) {
 		ev_io_stop(hsv->loop, &hsv->acceptor);
 		(void)close(hsv->fd);
@@ -589,6 +789,70 @@
 	g_free(hsv);
 }
 
+static void
+victim_close(struct hsv_call *call, enum intake_reason reason)
+{
+	call->hsv->refused++;
+	if (reason == INTAKE_UNREAD || call->state != READING) {
+		call_lost(call);
+		return;
+	}
+	/* The answer is sent at once; what arrives meanwhile is discarded. */
+	call->is_early = true;
+	buffer_reset(&call->pending);
+	refuse(call, 503);
+	if (!call->dead)
+		ev_io_start(call->hsv->loop, &call->readable);
+}
+
+/* Relieve the budget, and read on where there is room again. */
+static void
+sweep_cb(struct ev_loop *loop, struct ev_timer *watcher, int events)
+{
+	struct hsv *hsv = watcher->data;
+	clk_ms now = clk_now(&hsv->clk);
+	enum intake_reason reason;
+	struct intake_conn *conn;
+	size_t promised = 0;
+
+	(void)events;
+	while ((conn = intake_victim(hsv->intake, now, &reason)) != NULL)
+		victim_close(conn->owner, reason);
+	while ((conn = intake_resume(hsv->intake, &promised, now)) != NULL) {
+		struct hsv_call *call = conn->owner;
+
+		ev_io_start(loop, &call->readable);
+	}
+}
+
+void
+hsv_early_set(struct hsv *hsv, hsv_refuses *refuses)
+{
+	hsv->refuses = refuses;
+}
+
+bool
+hsv_is_early(const struct hsv_call *call)
+{
+	return (call->is_early);
+}
+
+void
+hsv_intake_set(struct hsv *hsv, struct intake *intake, struct clk clk)
+{
+	hsv->intake = intake;
+	hsv->clk = clk;
+	ev_timer_init(&hsv->sweep, sweep_cb, SWEEP_PERIOD_S, SWEEP_PERIOD_S);
+	hsv->sweep.data = hsv;
+	ev_timer_start(hsv->loop, &hsv->sweep);
+}
+
+unsigned long
+hsv_refused(const struct hsv *hsv)
+{
+	return (hsv->refused);
+}
+
 void
 hsv_limits_set(struct hsv *hsv, const struct hsv_limits *limits)
 {
@@ -638,6 +902,7 @@
 		while (accept_batch(hsv) == ACCEPT_BATCH)
 			continue;
 		ev_io_stop(hsv->loop, &hsv->acceptor);
+		ev_timer_stop(hsv->loop, &hsv->accept_pause);
 		(void)close(hsv->fd);
 		hsv->stopped = true;
 	}
--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -16,6 +16,7 @@
 #include <stddef.h>
 
 #include "http/hmsg.h"
+#include "intake/intake.h"
 #include "lib/clk.h"
 
 struct hsv;
@@ -54,6 +55,28 @@
 /* hsv_limits_set(hsv, limits): for requests that begin from now on. */
 void hsv_limits_set(struct hsv *hsv, const struct hsv_limits *limits);
 
+/*
+ * hsv_early_set(hsv, refuses)
+ *	Ask refuses() about each request that has a body, when its head has been
+ *	read.  If it returns true, on_request() is called at once, and has to
+ *	answer; the body isn't read.
+ * hsv_is_early(call)
+ *	Whether on_request() was called before the body was read.
+ */
+typedef bool hsv_refuses(void *arg, struct hsv_call *call);
+void hsv_early_set(struct hsv *hsv, hsv_refuses *refuses);
+bool hsv_is_early(const struct hsv_call *call);
+
+/*
+ * hsv_intake_set(hsv, intake, clk)
+ *	Charge what callers make this server hold to the budget, which several
+ *	servers can share.  To be called before the loop runs.
+ */
+void hsv_intake_set(struct hsv *hsv, struct intake *intake, struct clk clk);
+
+/* hsv_refused(hsv): connections refused or closed for the budget so far. */
+unsigned long hsv_refused(const struct hsv *hsv);
+
 /* hsv_drain_set(hsv, drain): whether answers carry Connection: close. */
 void hsv_drain_set(struct hsv *hsv, bool drain);
 
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -10,6 +10,7 @@
 #include "edge/edge.h"
 #include "gossip/gossip.h"
 #include "http/hsv.h"
+#include "intake/intake.h"
 #include "lib/cnt.h"
 #include "quota/quota.h"
 #include "quota/token.h"
@@ -71,6 +72,7 @@
 	struct active_programs *activity;
 	struct crash_table *crashes;
 	struct reach *reach;
+	struct intake *intake;
 	struct edge *edge;
 	struct gossip *gossip;
 	struct sweeper *sweeper;
@@ -227,8 +229,12 @@
 	    OPS_TIMEOUT_MS, OPS_TIMEOUT_MS, OPS_MAX_CONNECTIONS};
 	const struct hsv_handler handler = {
 	    on_ops_request, on_ops_closed, instance};
+	struct hsv *hsv =
+	    hsv_open(instance->deps.loop, address, &limits, &handler);
 
-	return (hsv_open(instance->deps.loop, address, &limits, &handler));
+	if (hsv != NULL)
+		hsv_intake_set(hsv, instance->intake, instance->deps.clk);
+	return (hsv);
 }
 
 struct inst *
@@ -236,6 +242,7 @@
 {
 	struct inst *instance = g_new0(struct inst, 1);
 	clk_ms now = clk_now(&deps->clk);
+	const struct intake_limits limits = intake_limits_of(settings->memory);
 	uint64_t incarnation = (uint64_t)clk_wall_ms();
 	g_autofree char *session = g_strdup_printf(
 	    "%s/%llx", settings->name, (unsigned long long)incarnation);
@@ -256,14 +263,16 @@
 	instance->activity = active_programs_open(settings->retention);
 	instance->crashes = crash_table_open(CRASHES_TO_BLOCK);
 	instance->reach = reach_open(settings->datacentre);
+	instance->intake = intake_open(&limits);
 	instance->store_answered = now;
 	instance->sweeper = sweeper_open(deps->loop, deps->lg, &deps->store,
 	    sweep_rules, G_N_ELEMENTS(sweep_rules));
-	edge_deps = (struct edge_deps){deps->loop, deps->clk, deps->lg,
-	    instance->cnt, deps->wire, deps->store, instance->place,
-	    instance->roster, instance->quota, instance->throttle,
-	    instance->activity, instance->crashes, instance->reach,
-	    lookup_instance_address, send_to_instance, instance};
+	edge_deps =
+	    (struct edge_deps){deps->loop, deps->clk, deps->lg, instance->cnt,
+		deps->wire, deps->store, instance->place, instance->roster,
+		instance->quota, instance->throttle, instance->activity,
+		instance->crashes, instance->reach, instance->intake,
+		lookup_instance_address, send_to_instance, instance};
 	edge_settings = (struct edge_settings){settings->callers, session,
 	    settings->max_catalogue_age, settings->retention,
 	    settings->turn_cache, settings->max_connections};
@@ -312,6 +321,7 @@
 	hsv_close(instance->ready);
 	hsv_close(instance->metrics);
 	edge_close(instance->edge);
+	intake_close(instance->intake);
 	throttle_close(instance->throttle);
 	quota_close(instance->quota);
 	roster_close(instance->roster);
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -37,6 +37,7 @@
 	/* How long a leaving upstream may still get requests. */
 	clk_ms upstream_drain;
 	size_t max_connections; /* from callers */
+	size_t memory; /* bytes of the machine's; 0: not known */
 	unsigned weight; /* processor share, see relay/relay.h */
 	struct quota_tolerance rate_tolerance;
 };
