--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -176,6 +177,138 @@
 	(void)close(fd);
 }
 
+/* A body that is declared too long is refused before any of it is sent. */
+static void
+test_too_long(struct fixture *f, gconstpointer data)
+{
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+
+	(void)data;
+	put(fd, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4097\r\n\r\n");
+	text = take(f, fd, 100);
+	g_assert_cmpuint(count(text, "HTTP/1.1 413 "), ==, 1);
+	g_assert_cmpuint(f->requests, ==, 0);
+	(void)close(fd);
+}
+
+static bool
+refuses_all(void *arg, struct hsv_call *call)
+{
+	(void)arg;
+	(void)call;
+	return (true);
+}
+
+/*
+ * Guards against a request that is handled without its body: a handler that
+ * does not answer at once is told that its caller has gone.
+ */
+static void
+test_early(struct fixture *f, gconstpointer data)
+{
+	static const char request[] = "POST /1 HTTP/1.1\r\nHost: h\r\n"
+				      "Content-Length: 3000\r\n\r\nabc";
+	int fd = dial(&f->address);
+	g_autofree char *text = NULL;
+	g_autofree char *none = NULL;
+
+	(void)data;
+	hsv_early_set(f->hsv, refuses_all);
+	put(fd, request);
+	text = take(f, fd, 100);
+	g_assert_cmpuint(count(text, "HTTP/1.1 200 OK"), ==, 1);
+	g_assert_cmpuint(count(text, "Connection: close"), ==, 1);
+	g_assert_cmpuint(f->gone, ==, 0);
+	(void)close(fd);
+	f->hold = true;
+	fd = dial(&f->address);
+	put(fd, request);
+	none = take(f, fd, 100);
+	g_assert_cmpstr(none, ==, "");
+	g_assert_cmpuint(f->gone, ==, 1);
+	(void)close(fd);
+}
+
+/*
+ * Guards against a loop that spins while a connection waits and there is no
+ * descriptor for it; it is accepted when there is one.
+ */
+static void
+test_no_descriptor(struct fixture *f, gconstpointer data)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int next = dup(fd);
+	struct rlimit before;
+	struct rlimit none;
+	g_autofree char *text = NULL;
+	int accepts = 0;
+
+	(void)data;
+	g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &before), ==, 0);
+	(void)close(next);
+	none = (struct rlimit){(rlim_t)next, before.rlim_max};
+	g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &none), ==, 0);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&f->address, sizeof(f->address)), ==,
+	    0);
+	/* Each turn of the loop waits for something to happen. */
+	for (double until = ev_time() + 0.35; ev_time() < until; accepts++)
+		(void)ev_run(f->loop, EVRUN_ONCE);
+	g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &before), ==, 0);
+	g_assert_cmpint(accepts, <, 50);
+	put(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	text = take(f, fd, 300);
+	g_assert_cmpuint(count(text, "HTTP/1.1 200 OK"), ==, 1);
+	(void)close(fd);
+}
+
+/*
+ * Guards against answers that were read and stay in memory, because their
+ * reader is always a little behind.
+ */
+static void
+test_reader_behind(struct fixture *f, gconstpointer data)
+{
+	const struct intake_limits limits = intake_limits_of(0);
+	struct intake *intake = intake_open(&limits);
+	g_autofree char *block = g_strnfill(65536, 'x');
+	g_autofree char *buf = g_malloc(65536);
+	size_t peak = 0;
+	int size = 16384;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	(void)data;
+	hsv_intake_set(f->hsv, intake, clk_monotonic());
+	/* With larger buffers the kernel could take all at once. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&f->address, sizeof(f->address)), ==,
+	    0);
+	f->hold = true;
+	put(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(f->loop, 20);
+	g_assert_nonnull(f->held);
+	hsv_stream_begin(f->held, 200, "");
+	for (int i = 0; i < 600; i++) {
+		hsv_stream_data(f->held, block, 65536);
+		g_assert_nonnull(f->held);
+		while (hsv_unsent(f->hsv) > ((size_t)3 << 20)) {
+			(void)recv(fd, buf, 65536, MSG_DONTWAIT);
+			turn(f->loop, 1);
+		}
+		peak = MAX(peak, intake_held(intake, INTAKE_ANSWER));
+	}
+	g_assert_cmpuint(peak, >, 3 << 20);
+	/* Twice what is unread. */
+	g_assert_cmpuint(peak, <, 8 << 20);
+	(void)close(fd);
+	hsv_close(f->hsv);
+	f->hsv = NULL;
+	g_assert_cmpuint(intake_total(intake), ==, 0);
+	intake_close(intake);
+}
+
 /* Guards against a request that is smuggled inside another one. */
 static void
 test_smuggled(struct fixture *f, gconstpointer data)
@@ -877,6 +1010,10 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	SERVER("bodies", test_bodies);
+	SERVER("too-long", test_too_long);
+	SERVER("early", test_early);
+	SERVER("no-descriptor", test_no_descriptor);
+	SERVER("reader-behind", test_reader_behind);
 	SERVER("smuggled", test_smuggled);
 	SERVER("limits", test_limits);
 	SERVER("slow-head", test_slow_head);
