Place: upstreams that hang, or answer with errors of their own, come last

Change: a request without a byte of its answer for five times the upstream's usual time, and 0.5 s at least, is overdue. While there is one, the upstream counts as full, also at the other instances, since the reported load is higher; if it is given up then, the upstream gets a backoff. Errors of an upstream's own cost 100 ms each and are forgotten within some seconds.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -167,6 +167,7 @@
 	GList attempt_link; /* in edge->attempts, while upstream is set */
 	clk_ms heard; /* when the upstream last sent something */
 	clk_ms sent_at;
+	bool is_overdue; /* no byte of the answer for long */
 	double last_event; /* loop time */
 	clk_ms first_event_ms; /* from sending; 0: no event */
 	struct edge_reply reply;
--- a/src/edge/edge_reach.c
+++ b/src/edge/edge_reach.c
@@ -2,6 +2,9 @@
  * Attempts at upstreams that are out of reach.  When a data centre falls
  * silent, a new connection tells for each upstream there that runs a request
  * whether it can be reached; if it can't, its requests don't wait for it.
+ *
+ * And attempts whose answer is overdue, at upstreams that are reached and may
+ * have stopped to serve.
  */
 #include "edge/edge_internal.h"
 
@@ -130,6 +133,27 @@
 	return (probe->call == NULL && *now - probe->ended >= PROBE_PAUSE_MS);
 }
 
+/* Tell placement of a request that waits too long for its answer. */
+static void
+overdue_check(struct edge_call *call, clk_ms now)
+{
+	struct edge *edge = call->edge;
+	clk_ms waited = now - call->sent_at;
+
+	if (call->has_reply || call->is_overdue ||
+	    waited < place_overdue_after(edge->deps.place, call->handle))
+		return;
+	call->is_overdue = true;
+	place_overdue_set(edge->deps.place, call->handle, true);
+	lg_event(edge->deps.lg, LG_INFO, "upstream_overdue",
+	    "request=%s upstream=%s waited_ms=%" G_GINT64_FORMAT,
+	    call->request.id, call->upstream_id, waited);
+	cnt_add(cnt_counter(edge->deps.cnt, "upstream_overdue_total",
+		    "Requests that waited too long for an answer's first byte.",
+		    NULL, NULL),
+	    1);
+}
+
 void
 edge_probes_tick(struct edge *edge)
 {
@@ -138,10 +162,11 @@
 	(void)g_hash_table_foreach_remove(edge->probes, is_probe_old, &now);
 	for (GList *link = edge->attempts.head; link != NULL;
 	     link = link->next) {
-		const struct edge_call *call = link->data;
+		struct edge_call *call = link->data;
 		const struct place_entry *entry =
 		    place_entry_get(edge->deps.place, call->handle);
 
+		overdue_check(call, now);
 		if (entry != NULL && is_quiet(call, now) &&
 		    reach_is_cut(edge->deps.reach, entry->datacentre, now))
 			probe_start(edge, call->handle, entry, now);
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -335,6 +335,7 @@
 	call->last_event = 0;
 	call->is_lost = false;
 	call->is_withheld = false;
+	call->is_overdue = false;
 	forward = (struct edge_forward){
 	    .upstream_id = upstream->id,
 	    .organisation =
@@ -381,9 +382,19 @@
 	return (!call->is_withheld);
 }
 
+/* The attempt has got an answer, or has ended. */
+static void
+overdue_clear(struct edge_call *call)
+{
+	if (call->is_overdue)
+		place_overdue_set(call->edge->deps.place, call->handle, false);
+	call->is_overdue = false;
+}
+
 static void
 attempt_unlink(struct edge_call *call)
 {
+	overdue_clear(call);
 	if (call->upstream != NULL)
 		g_queue_unlink(&call->edge->attempts, &call->attempt_link);
 	call->upstream = NULL;
@@ -392,13 +403,16 @@
 void
 edge_upstream_cancel(struct edge_call *call)
 {
+	enum place_outcome outcome =
+	    call->is_overdue ? PLACE_SILENT : PLACE_CANCELLED;
+
 	if (call->upstream == NULL && !edge_throttle_cancel(call) &&
 	    !edge_version_cancel(call))
 		return;
 	if (call->upstream != NULL)
 		hcp_cancel(call->upstream);
 	attempt_unlink(call);
-	place_request_end(call->edge->deps.place, call->handle, PLACE_CANCELLED,
+	place_request_end(call->edge->deps.place, call->handle, outcome,
 	    edge_now(call->edge));
 	edge_admission_ended(call);
 }
@@ -467,6 +481,7 @@
 	if (reply->is_foreign || (!reply->is_for_request && !reply->is_not_run))
 		return (HCP_SKIP);
 	call->has_reply = true;
+	overdue_clear(call);
 	limit_observe(call);
 	if (call->reply_fields == NULL)
 		call->reply_fields = g_string_new(NULL);
@@ -727,10 +742,12 @@
 		outcome = PLACE_MISDIRECTED;
 	else if (is_rejected)
 		outcome = PLACE_REJECTED;
+	else if (call->has_reply && call->reply.status >= 500)
+		outcome = PLACE_ERROR;
 	place_request_end(
 	    edge->deps.place, call->handle, outcome, edge_now(edge));
 	edge_admission_ended(call);
-	if (outcome != PLACE_SERVED)
+	if (outcome != PLACE_SERVED && outcome != PLACE_ERROR)
 		lg_event(edge->deps.lg, LG_INFO, "attempt",
 		    "request=%s upstream=%s try=%u end=%d timed_out=%d "
 		    "status=%d not_run=%d misdirected=%d lost=%d",
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -37,6 +37,14 @@
  * request's object lately.  It also bounds the load that it gets for that.
  */
 #define OBJECT_GAIN 0.5
+/*
+ * Cost of a recent error of the upstream's own, and the time in which most of
+ * it is forgotten.  An upstream that fails a part of its requests while its
+ * health checks pass comes after all that are not overloaded; a single error,
+ * which may be due to the request, moves few requests.
+ */
+#define ERROR_COST_MS	100.0
+#define ERROR_MEMORY_MS 5000.0
 /* Backoff after a failure; it doubles up to the maximum. */
 #define BACKOFF_FIRST_MS 500
 #define BACKOFF_MAX_MS	 8000
@@ -53,6 +61,13 @@
 #define CUT_COST_MS 1e6
 /* Added to the cost of an upstream that is leaving: it comes after these. */
 #define LEAVING_COST_MS 1e13
+/*
+ * A request without a byte of its answer is overdue after so many times the
+ * upstream's usual time, and after no less than the second figure, which is
+ * above a full engine's time for the first byte.
+ */
+#define OVERDUE_FACTOR 5.0
+#define OVERDUE_MIN_MS 500
 /* Time after which a prompt part counts as evicted from an engine's cache. */
 #define PART_CACHED_MS (60 * CLK_SECOND)
 /*
@@ -86,6 +101,7 @@
 	bool is_evacuated; /* its data centre is */
 	uint32_t hash; /* of its id */
 	unsigned running; /* requests of this instance */
+	unsigned overdue; /* of these, see place_overdue_after() */
 	unsigned peers_running; /* requests of the peers, by their gossip */
 	unsigned unsent; /* requests of this instance since its last gossip */
 	unsigned told; /* requests of this instance in its last gossip */
@@ -93,6 +109,8 @@
 	double answer_ms; /* moving average of the first byte; 0: no sample */
 	double cold_token_ms; /* the same while it is cold */
 	double cold_answer_ms;
+	double errors; /* its own, decaying, as of errors_at */
+	clk_ms errors_at;
 	clk_ms backoff_until;
 	clk_ms remove_at; /* its entry has expired; 0: it has not */
 	clk_ms leaving_since; /* or DEPARTURE_NONE */
@@ -689,6 +707,14 @@
 	return (is_engine ? INITIAL_TOKEN_MS : INITIAL_ANSWER_MS);
 }
 
+/* Requests of this instance there; as many as it runs if one is overdue. */
+static unsigned
+reported_load(const struct upstream *upstream)
+{
+	return (upstream->running +
+	    (upstream->overdue > 0 ? upstream->entry.slots : 0));
+}
+
 /*
  * Returns the estimated number of requests that run at the upstream.  Each
  * other instance is assumed to have sent as many requests there since the
@@ -697,7 +723,7 @@
 static double
 estimated_load(const struct place *place, const struct upstream *upstream)
 {
-	return (upstream->running + upstream->peers_running +
+	return (reported_load(upstream) + (double)upstream->peers_running +
 	    (double)upstream->unsent * (place->instances - 1));
 }
 
@@ -775,6 +801,15 @@
 	return (sample > 0 ? sample : best);
 }
 
+static double
+recent_errors(const struct upstream *upstream, clk_ms now)
+{
+	if (upstream->errors == 0)
+		return (0);
+	return (upstream->errors *
+	    exp(-(double)(now - upstream->errors_at) / ERROR_MEMORY_MS));
+}
+
 /* Cost of running the request at the upstream, in ms. */
 static double
 cost_ms(const struct place *place, const struct upstream *upstream,
@@ -794,7 +829,7 @@
 		ms += QUEUE_WAIT_MS * (load - slots + 1.0);
 	if (!is_home(place, upstream))
 		ms += cross_ms(place, request);
-	return (ms);
+	return (ms + ERROR_COST_MS * recent_errors(upstream, now));
 }
 
 static bool
@@ -858,15 +893,15 @@
 		struct upstream *upstream = place->upstreams->pdata[i];
 
 		upstream->unsent = 0;
-		upstream->told = upstream->running;
+		upstream->told = reported_load(upstream);
 		if (!upstream->in_use || upstream->running == 0)
 			continue;
 		/* What is left out comes first in the next message. */
 		if (n == max)
 			place->first_load = i;
 		if (n++ < max)
-			loads[n - 1] = (struct place_load){
-			    upstream->hash, upstream->running};
+			loads[n - 1] =
+			    (struct place_load){upstream->hash, upstream->told};
 	}
 	return (n);
 }
@@ -1180,6 +1215,32 @@
 	return (true);
 }
 
+clk_ms
+place_overdue_after(const struct place *place, struct place_handle handle)
+{
+	const struct upstream *upstream = lookup(place, handle);
+
+	if (upstream == NULL)
+		return (OVERDUE_MIN_MS);
+	return (
+	    MAX((clk_ms)(OVERDUE_FACTOR * speed_sample(place, upstream, false)),
+		OVERDUE_MIN_MS));
+}
+
+void
+place_overdue_set(
+    struct place *place, struct place_handle handle, bool is_overdue)
+{
+	struct upstream *upstream = lookup(place, handle);
+
+	if (upstream == NULL)
+		return;
+	if (is_overdue)
+		upstream->overdue++;
+	else if (upstream->overdue > 0)
+		upstream->overdue--;
+}
+
 void
 place_request_end(struct place *place, struct place_handle handle,
     enum place_outcome outcome, clk_ms now)
@@ -1194,10 +1255,16 @@
 	case PLACE_SERVED:
 		upstream->failures = 0;
 		break;
+	case PLACE_ERROR:
+		upstream->failures = 0;
+		upstream->errors = 1.0 + recent_errors(upstream, now);
+		upstream->errors_at = now;
+		break;
 	case PLACE_REJECTED:
 		upstream->backoff_until = now + BACKOFF_FULL_MS;
 		break;
 	case PLACE_UNREACHABLE:
+	case PLACE_SILENT:
 	case PLACE_FAILED:
 	case PLACE_MISDIRECTED:
 		backoff = BACKOFF_FIRST_MS << MIN(upstream->failures, 4U);
@@ -1206,8 +1273,8 @@
 		if (outcome == PLACE_FAILED && upstream->failures == 1)
 			break;
 		upstream->backoff_until = now + MIN(backoff, BACKOFF_MAX_MS);
-		if (outcome != PLACE_MISDIRECTED && !upstream->is_removed &&
-		    place->on_doubt != NULL)
+		if (outcome != PLACE_MISDIRECTED && outcome != PLACE_SILENT &&
+		    !upstream->is_removed && place->on_doubt != NULL)
 			place->on_doubt(
 			    place->on_doubt_arg, upstream->hash, true);
 		break;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -334,13 +334,29 @@
 /* How a request ended at an upstream. */
 enum place_outcome {
 	PLACE_SERVED,
+	PLACE_ERROR, /* it ran the request and answered with its own error */
 	PLACE_REJECTED, /* it was full and did not run the request */
 	PLACE_MISDIRECTED, /* another upstream answers at the address */
 	PLACE_UNREACHABLE, /* no connection */
 	PLACE_FAILED, /* the answer was incomplete, invalid or missing */
+	PLACE_SILENT, /* given up while it was overdue */
 	PLACE_CANCELLED /* by this instance */
 };
 
+/*
+ * place_overdue_after(place, handle)
+ *	Return the time after which a request that has got no byte of an answer
+ *	is overdue: several times what the upstream needs.
+ * place_overdue_set(place, handle, is_overdue)
+ *	A request that runs there has become overdue, or isn't any more.  While
+ *	there is one, the upstream counts as full, here and at the other
+ *	instances: it may have stopped to serve while its health checks pass.
+ */
+clk_ms
+place_overdue_after(const struct place *place, struct place_handle handle);
+void place_overdue_set(
+    struct place *place, struct place_handle handle, bool is_overdue);
+
 /* place_request_end(place, handle, outcome, now): a request ended. */
 void place_request_end(struct place *place, struct place_handle handle,
     enum place_outcome outcome, clk_ms now);
--- a/src/place/test_place.c
+++ b/src/place/test_place.c
@@ -828,6 +828,83 @@
 	place_close(place);
 }
 
+/*
+ * Guards against an upstream that has stopped to serve while it is reached and
+ * its health checks pass: until the first of its requests is given up, nothing
+ * told it from one with a short queue, so that it went on getting requests,
+ * here and from the other instances.
+ */
+static void
+test_overdue(void)
+{
+	struct place *place = place_open("a");
+	struct place *peer = place_open("a");
+	struct place_handle hung, other;
+	struct place_load loads[2];
+
+	place_instances_set(place, 1);
+	place_instances_set(peer, 1);
+	for (int i = 0; i < 2; i++) {
+		add(i == 0 ? place : peer, "u1", 1);
+		add(i == 0 ? place : peer, "u2", 2);
+	}
+	g_assert_nonnull(choose(place, NULL, 0, 0, &hung));
+	g_assert_cmpint(place_overdue_after(place, hung), ==, 500);
+	place_first_byte_record(place, hung, 200);
+	g_assert_cmpint(place_overdue_after(place, hung), ==, 1000);
+	place_overdue_set(place, hung, true);
+	/* 64 more than run there count. */
+	for (int i = 0; i < 40; i++) {
+		g_assert_nonnull(choose(place, NULL, 0, 0, &other));
+		g_assert_cmpuint(other.index, !=, hung.index);
+	}
+	g_assert_cmpuint(place_loads_collect(place, loads, 2), ==, 2);
+	place_gossip_merge(peer, "place", loads, 2, 0);
+	for (int i = 0; i < 20; i++) {
+		g_assert_nonnull(choose(peer, NULL, 0, 0, &other));
+		g_assert_cmpuint(other.index, !=, hung.index);
+	}
+	place_overdue_set(place, hung, false);
+	place_request_end(place, hung, PLACE_SILENT, 0);
+	for (int i = 0; i < 40; i++) {
+		g_assert_nonnull(choose(place, NULL, 0, 100, &other));
+		g_assert_cmpuint(other.index, !=, hung.index);
+	}
+	place_close(peer);
+	place_close(place);
+}
+
+/*
+ * Guards against an upstream that fails a part of its requests with errors of
+ * its own, quickly, and so looks like the fastest one.
+ */
+static void
+test_errors(void)
+{
+	struct place *place = place_open("a");
+	struct place_handle handle;
+	clk_ms now = 0;
+
+	place_instances_set(place, 1);
+	add(place, "grey", 1);
+	add(place, "sound", 2);
+	for (int i = 0; i < 20; i++) {
+		bool is_grey;
+
+		is_grey =
+		    strcmp(choose(place, NULL, 0, now, &handle), "grey") == 0;
+		place_first_byte_record(place, handle, is_grey ? 5 : 30);
+		place_request_end(
+		    place, handle, is_grey ? PLACE_ERROR : PLACE_SERVED, now);
+		now += 10;
+		g_assert_true(i < 4 || !is_grey);
+	}
+	/* It gets requests again when the errors are long ago. */
+	now += 60000;
+	g_assert_cmpstr(choose(place, NULL, 0, now, &handle), ==, "grey");
+	place_close(place);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -851,6 +928,8 @@
 	g_test_add_func("/plc/started-anew", test_restarted_upstream);
 	g_test_add_func("/plc/loads-take-turns", test_loads_take_turns);
 	g_test_add_func("/plc/spill", test_spill);
+	g_test_add_func("/plc/overdue", test_overdue);
+	g_test_add_func("/plc/errors", test_errors);
 	g_test_add_func("/place/service-load", test_service_load);
 	return (g_test_run());
 }
