Quota: new homes leave the reserve of new programs out of withheld tokens

Cause: a home that begins with 0.15 of the tolerance has fewer tokens than new programs leave to active ones, and refused all that began.

--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -42,6 +42,12 @@
 #define CEDE_MS 1800
 /* A level that was ceded longer ago, without a successor, is not relied on. */
 #define CEDED_MS 500
+/*
+ * Time from such a change in which the tokens that the new home may not count
+ * on are probably there: what the one before could at most admit in its last
+ * 100 ms is by then given anew by the rate, unless the burst is large.
+ */
+#define WITHHELD_MS 2000
 /* Time without a report after which a process has stood still. */
 #define STOOD_STILL_MS 300
 /* Weight of the last interval in the moving averages of requests. */
@@ -68,6 +74,8 @@
 	bool is_adopting; /* it was not told what the one before has left */
 	clk_ms taken; /* when it became the first home */
 	double granted; /* since then */
+	double withheld; /* tokens that it may not count on, but may be there */
+	clk_ms withheld_until;
 	clk_ms
 	    ceded; /* when a home named this one and its level; 0: none did */
 	clk_ms
@@ -352,6 +360,17 @@
 	    home != NULL ? quota_hash(home) : roster_own_hash(quota->roster));
 }
 
+/* Keeps no more than this, as the rest may have been admitted elsewhere. */
+static void
+bucket_withhold(struct bucket *bucket, double certain, clk_ms now)
+{
+	if (bucket->level <= certain)
+		return;
+	bucket->withheld = bucket->level - certain;
+	bucket->withheld_until = now + WITHHELD_MS;
+	bucket->level = certain;
+}
+
 /* Begins to be the first home, with what can't have been admitted elsewhere. */
 static void
 bucket_take_over(const struct quota *quota, struct bucket *bucket, clk_ms now)
@@ -369,7 +388,7 @@
 	bucket->ceded = 0;
 	/* If all are absent, all have started: see START_PART. */
 	if (bucket->is_adopting)
-		bucket->level = fmin(bucket->level, certain);
+		bucket_withhold(bucket, certain, now);
 }
 
 /* Follows a change of the first home, in a large fleet. */
@@ -590,17 +609,35 @@
 	return (true);
 }
 
-/* Tokens that the first requests of programs may take. */
+/* What may be there and must not be used. */
+static double
+withheld_tokens(
+    const struct quota *quota, const struct bucket *bucket, clk_ms now)
+{
+	if (now >= bucket->withheld_until)
+		return (0);
+	return (fmin(bucket->withheld,
+	    fmax(bucket->burst * quota->share - bucket->level, 0)));
+}
+
+/*
+ * Tokens that the first requests of programs may take.  What is withheld is
+ * left to active programs like other tokens, or a new home would refuse all new
+ * programs.
+ */
 static double
-new_program_level(const struct quota *quota, const struct bucket *bucket)
+new_program_level(
+    const struct quota *quota, const struct bucket *bucket, double withheld)
 {
 	bool is_relayed = roster_is_relayed(quota->roster);
 	double reserved = is_relayed ? HOME_RESERVED_PART : RESERVED_PART;
 	double within = is_relayed ? HOME_EXPECTED_WITHIN_S : EXPECTED_WITHIN_S;
+	double level = bucket->level + withheld;
 
-	return (fmin(bucket->level - reserved * bucket->burst * quota->share,
-	    bucket->level + within * bucket->rate * quota->share -
-		bucket->expected - program_requests(bucket)));
+	level = fmin(level - reserved * bucket->burst * quota->share,
+	    level + within * bucket->rate * quota->share - bucket->expected -
+		program_requests(bucket));
+	return (withheld > 0 ? fmin(level, bucket->level) : level);
 }
 
 static enum quota_answer
@@ -612,7 +649,8 @@
 
 	*wait = 0;
 	if (priority == QUOTA_NEW_PROGRAM)
-		level = new_program_level(quota, bucket);
+		level = new_program_level(
+		    quota, bucket, withheld_tokens(quota, bucket, now));
 	if (level < 1.0) {
 		*wait = (clk_ms)ceil((1.0 - level) / (bucket->rate * share) *
 		    (double)CLK_SECOND);
@@ -654,8 +692,9 @@
 		if (!bucket->is_first)
 			bucket_report_soon(quota, bucket);
 		else if (has_stood_still)
-			bucket->level = fmin(bucket->level,
-			    TAKEOVER_PART * bucket_tolerance(quota, bucket));
+			bucket_withhold(bucket,
+			    TAKEOVER_PART * bucket_tolerance(quota, bucket),
+			    now);
 	}
 }
 
--- a/src/quota/test_homes.c
+++ b/src/quota/test_homes.c
@@ -36,6 +36,7 @@
 /* A request that asks again. */
 struct waiting {
 	int instance;
+	enum quota_priority priority;
 	clk_ms next;
 	clk_ms until;
 };
@@ -50,6 +51,7 @@
 	GArray *admitted; /* clk_ms */
 	unsigned refused; /* as above the rate */
 	unsigned undecided; /* no home has answered */
+	bool has_programs; /* one request in eight begins one */
 	bool is_asked_once; /* today's rule: both homes, once */
 	GArray *waiting; /* struct waiting */
 	clk_ms stopped[FLEET_MAX]; /* signal of a planned stop; 0: none */
@@ -144,7 +146,7 @@
 
 /* What a home says; QUOTA_ASK: nothing, or that it may not say. */
 static enum quota_answer
-home_ask(struct homes *h, int i, int home)
+home_ask(struct homes *h, int i, int home, enum quota_priority priority)
 {
 	struct fleet *f = &h->fleet;
 	clk_ms wait;
@@ -152,8 +154,8 @@
 
 	if (is_lost(h, i, home))
 		return (QUOTA_ASK);
-	granted = quota_grant(
-	    h->quotas[home], &h->limit, QUOTA_ACTIVE_PROGRAM, f->now, &wait);
+	granted =
+	    quota_grant(h->quotas[home], &h->limit, priority, f->now, &wait);
 	/* An answer that is lost leaves the token unused. */
 	if (is_lost(h, home, i))
 		return (QUOTA_ASK);
@@ -164,12 +166,12 @@
 
 /* A request at instance i, which asks the homes in turn. */
 static enum quota_answer
-admit(struct homes *h, int i)
+admit(struct homes *h, int i, enum quota_priority priority)
 {
 	struct fleet *f = &h->fleet;
 	clk_ms wait;
-	enum quota_answer answer = quota_admit(
-	    h->quotas[i], &h->limit, QUOTA_ACTIVE_PROGRAM, f->now, &wait);
+	enum quota_answer answer =
+	    quota_admit(h->quotas[i], &h->limit, priority, f->now, &wait);
 	unsigned ranks = h->is_asked_once ? ROSTER_HOMES : ROSTER_RANKS;
 
 	for (unsigned rank = 0; answer == QUOTA_ASK && rank < ranks; rank++) {
@@ -177,10 +179,10 @@
 		    h->limit.organisation, rank, f->now);
 
 		if (home != NULL)
-			answer = home_ask(h, i, fleet_index(home));
+			answer = home_ask(h, i, fleet_index(home), priority);
 		else if (!h->is_asked_once &&
-		    quota_grant(h->quotas[i], &h->limit, QUOTA_ACTIVE_PROGRAM,
-			f->now, &wait))
+		    quota_grant(
+			h->quotas[i], &h->limit, priority, f->now, &wait))
 			answer = QUOTA_ADMITTED;
 	}
 	return (answer);
@@ -188,11 +190,11 @@
 
 /* Counts what became of a request; returns whether it is to ask again. */
 static bool
-request_try(struct homes *h, int i, bool is_last)
+request_try(struct homes *h, int i, enum quota_priority priority, bool is_last)
 {
 	struct fleet *f = &h->fleet;
 
-	switch (admit(h, i)) {
+	switch (admit(h, i, priority)) {
 	case QUOTA_ADMITTED:
 		g_array_append_val(h->admitted, f->now);
 		return (false);
@@ -215,9 +217,14 @@
 request_begin(struct homes *h, int i)
 {
 	clk_ms now = h->fleet.now;
-	const struct waiting waiting = {i, now + AGAIN_MS, now + GIVE_UP_MS};
-
-	if (request_try(h, i, false))
+	enum quota_priority priority =
+	    h->has_programs && g_rand_int_range(h->fleet.rand, 0, 8) == 0
+	    ? QUOTA_NEW_PROGRAM
+	    : QUOTA_ACTIVE_PROGRAM;
+	const struct waiting waiting = {
+	    i, priority, now + AGAIN_MS, now + GIVE_UP_MS};
+
+	if (request_try(h, i, priority, false))
 		g_array_append_val(h->waiting, waiting);
 }
 
@@ -234,7 +241,7 @@
 			continue;
 		waiting->next = f->now + AGAIN_MS;
 		if (!fleet_is_running(f, waiting->instance) ||
-		    !request_try(h, waiting->instance,
+		    !request_try(h, waiting->instance, waiting->priority,
 			f->now + AGAIN_MS > waiting->until))
 			g_array_remove_index_fast(h->waiting, k - 1);
 	}
@@ -439,6 +446,55 @@
 	}
 }
 
+/*
+ * Below the rate, with homes that die without notice, one each 2 s, and start
+ * again: those that have just begun refuse no more than a few, new programs
+ * included.
+ */
+static void
+deaths_run(int size, bool is_today)
+{
+	struct homes h;
+	int died = -1;
+
+	homes_open(&h, orders_seed(), size, RATE, BURST);
+	h.has_programs = true;
+	h.is_asked_once = is_today;
+	h.fleet.is_untold = is_today;
+	h.fleet.lost = 0.01;
+	homes_run(&h, 3000, 0.5 * RATE);
+	for (int i = 0; i < STOPS; i++) {
+		int home = first_home(&h);
+
+		instance_end(&h, home);
+		homes_run(&h, 2000, 0.5 * RATE);
+		if (died >= 0)
+			instance_start(&h, died);
+		died = home;
+	}
+	homes_run(&h, 3000, 0.5 * RATE);
+	g_print("# figure homes_deaths rule=%s size=%d deaths=%d admitted=%u "
+		"refused=%u undecided=%u worst_window=%u of=%u\n",
+	    is_today ? "today" : "told", size, STOPS, h.admitted->len,
+	    h.refused, h.undecided, worst_window(&h), window_limit(&h));
+	g_assert_cmpuint(worst_window(&h), <=, window_limit(&h));
+	if (!is_today)
+		g_assert_cmpuint(
+		    h.refused + h.undecided, <=, h.admitted->len / 50);
+	homes_close(&h);
+}
+
+static void
+test_deaths(void)
+{
+	static const int sizes[] = {30, 195};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		deaths_run(sizes[i], true);
+		deaths_run(sizes[i], false);
+	}
+}
+
 static void
 disturb(struct homes *h, int kinds)
 {
@@ -555,6 +611,7 @@
 	g_test_add_func("/homes/below_rate", test_below_rate);
 	g_test_add_func("/homes/home_ends", test_home_ends);
 	g_test_add_func("/homes/planned_stops", test_planned_stops);
+	g_test_add_func("/homes/deaths", test_deaths);
 	g_test_add_func("/homes/orders", test_orders);
 	g_test_add_func("/homes/orders_planned", test_orders_planned);
 	return (g_test_run());
