Admission: places that some instances leave unused

Cause: the part of an instance whose callers send all of the load was 85 % of the places with two instances, because 30 % are divided equally.

Change: while the known requests are fewer than the places, the parts grow by their ratio, at most 1.5 times.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -47,6 +47,11 @@
  * one place, if none of its requests run.
  */
 #define ALONE_WAIT_MS 100
+/*
+ * Most by which the parts grow in a period while places are free: instances
+ * learn of free places at the same time.
+ */
+#define UNUSED_MAX 1.5
 /* Time constant of the average of an instance's own requests. */
 #define OWN_MEMORY_MS 300.0
 /* Time after which a waiting request moves up by one class. */
@@ -230,22 +235,25 @@
  * Computes the number of requests that this instance may have at the upstreams
  * while they are full: its part of the requests that run now, of all places.
  * The sum over the instances is the number of places, whatever their parts
- * are.  A pull towards equal parts gives places to one that has none; what is
- * not used by some is taken by the others, whose parts grow.
+ * are.  A pull towards equal parts gives places to one that has none.
  */
 static void
 limit_update(struct admission *admission, struct admission_service *service,
     const struct admission_state *state, clk_ms now)
 {
 	double equal = 1.0 / MAX(state->instances, 1U);
+	/* Some leave a part of their places to the others. */
+	double unused = state->running > 0
+	    ? CLAMP(state->places / state->running, 1.0, UNUSED_MAX)
+	    : 1.0;
 	double part = state->running > 0
 	    ? fmin(service->own_average / state->running, 1.0)
 	    : equal;
 
 	if (service->limit_at > 0 && now - service->limit_at < LIMIT_PERIOD_MS)
 		return;
-	service->limit =
-	    state->places * ((1.0 - LIMIT_PULL) * part + LIMIT_PULL * equal);
+	service->limit = unused * state->places *
+	    ((1.0 - LIMIT_PULL) * part + LIMIT_PULL * equal);
 	service->dither = g_rand_double(admission->rand);
 	service->limit_at = now;
 }
