Intake: copies of requests, addresses, and answers within the memory

Cause: the input and the history that a turn copies were not counted; of two callers the one of a crowd did not go first; answers could grow beside a full budget, and a quarter of 88 MB was less than the 24 MB that answers had.

Change: the edge counts what it copies for each request. Of the connections to close, those of the address that holds most go first.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -51,6 +51,7 @@
 {
 	if (--call->refs > 0)
 		return;
+	edge_copies_release(call);
 	turn_unref(call->turn);
 	call->edge->reply_bytes -= call->held_bytes;
 	if (call->turns_read != NULL)
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -269,6 +269,7 @@
 	call->turn = turn_new(call->turn_id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
+	edge_copies_count(call);
 	if (call->previous_turn == NULL)
 		edge_budget_acquire(call);
 	else
--- a/src/edge/edge_intake.c
+++ b/src/edge/edge_intake.c
@@ -68,15 +68,32 @@
 edge_intake_open(struct edge *edge)
 {
 	hsv_early_set(edge->hsv, refuses);
-	if (edge->deps.intake != NULL)
-		hsv_intake_set(edge->hsv, edge->deps.intake, edge->deps.clk);
+	hsv_intake_set(edge->hsv, edge->deps.intake, edge->deps.clk);
 }
 
 /* Copies on their way to upstreams, and answers on their way from them. */
 static size_t
 other_bytes(const struct edge *edge)
 {
-	return (hcp_unsent(edge->hcp) + edge->reply_bytes);
+	return (hcp_unsent(edge->hcp) + edge->reply_bytes + edge->copy_bytes);
+}
+
+void
+edge_copies_count(struct edge_call *call)
+{
+	size_t copied = call->history != NULL ? call->history->len : 0;
+
+	if (call->turn != NULL)
+		copied += call->turn->input->len;
+	call->edge->copy_bytes += copied - call->copied;
+	call->copied = copied;
+}
+
+void
+edge_copies_release(struct edge_call *call)
+{
+	call->edge->copy_bytes -= call->copied;
+	call->copied = 0;
 }
 
 bool
@@ -85,21 +102,18 @@
 	struct edge *edge = call->edge;
 	size_t history = call->history != NULL ? call->history->len : 0;
 
-	if (edge->deps.intake == NULL)
-		return (true);
+	edge_copies_count(call);
 	intake_other_set(edge->deps.intake, other_bytes(edge));
-	return (intake_fits(
-	    edge->deps.intake, hsv_body(call->client)->len + history));
+	return (intake_fits(edge->deps.intake,
+	    hsv_body(call->client)->len + history, call->copied));
 }
 
 bool
 edge_answers_fit(const struct edge *edge, size_t bytes)
 {
-	const struct intake_limits limits = edge->deps.intake != NULL
-	    ? *intake_limits(edge->deps.intake)
-	    : intake_limits_of(0);
-
-	return (edge->reply_bytes + bytes <= limits.answers);
+	intake_other_set(edge->deps.intake, other_bytes(edge));
+	return (
+	    intake_answer_fits(edge->deps.intake, edge->reply_bytes, bytes));
 }
 
 static void
@@ -117,8 +131,6 @@
 	struct cnt_metric *refused;
 	int64_t before;
 
-	if (intake == NULL)
-		return;
 	intake_other_set(intake, other_bytes(edge));
 	level_set(edge, "input", intake_held(intake, INTAKE_INPUT));
 	level_set(edge, "request", intake_held(intake, INTAKE_REQUEST));
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -29,6 +29,7 @@
 	struct turn_cache *turns;
 	/* Of answers, events and turns that are not complete yet. */
 	size_t reply_bytes;
+	size_t copy_bytes; /* of histories and inputs that calls hold */
 	GHashTable *ledgers; /* program -> struct edge_ledger in progress */
 	GQueue idle; /* programs whose grants may be returned */
 	GQueue idle_first; /* the same, if their first session is this one */
@@ -147,6 +148,7 @@
 	GString *reply_fields;
 	GByteArray *reply_body;
 	struct sse sse;
+	size_t copied; /* bytes counted in copy_bytes */
 	size_t held_bytes; /* of the stream, as counted in reply_bytes */
 	int64_t events;
 	GString *last_id; /* of the events sent to the caller; nil: none */
@@ -362,12 +364,16 @@
  *	Export the fill level.
  * edge_intake_fits(call)
  *	Whether the copy of the request that is sent to an upstream fits.
+ * edge_copies_count(call), edge_copies_release(call)
+ *	Count the history and the input that the call has copied, or no more.
  * edge_answers_fit(edge, bytes)
  *	Whether so many bytes more of incomplete answers fit.
  */
 void edge_intake_open(struct edge *edge);
 void edge_intake_tick(struct edge *edge);
 bool edge_intake_fits(struct edge_call *call);
+void edge_copies_count(struct edge_call *call);
+void edge_copies_release(struct edge_call *call);
 bool edge_answers_fit(const struct edge *edge, size_t bytes);
 
 /* edge_upstream_cancel(call): cancel the attempt in progress, if any. */
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -230,9 +230,7 @@
 	enum intake_reason reason;
 	struct intake_conn *conn;
 
-	while (hsv->intake != NULL &&
-	    intake_held(hsv->intake, INTAKE_ANSWER) >
-		intake_limits(hsv->intake)->answers) {
+	while (hsv->intake != NULL && intake_is_unread(hsv->intake)) {
 		conn = intake_victim(hsv->intake, 0, &reason);
 		call_lost(conn->owner);
 	}
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -6,12 +6,14 @@
 #define MEMORY_DEFAULT ((size_t)88 << 20)
 /*
  * Parts of the memory.  The process takes 9 MB without load, the turns in
- * memory 12 MB and a copy of the largest body up to 8 MB; with half of the
- * memory for callers, 96 MB hold all of it.  Answers had 24 MB of 96 before.
+ * memory 12 MB and a copy of the largest body up to 8 MB.  Unread answers had
+ * 24 MB before there was a budget, of 88 MB too.
  */
-#define TOTAL_PART   2
-#define ANSWERS_PART 4
-#define INPUT_PART   8
+#define TOTAL_PART   0.5
+#define ANSWERS_PART 0.285
+#define INPUT_PART   0.125
+/* With answers, which can't be paused: 66 of 88 MB. */
+#define ANSWERED_PART 0.75
 /* The unread answers of an ordinary deployment stay below. */
 #define ANSWERS_MIN ((size_t)8 << 20)
 /*
@@ -34,6 +36,7 @@
 struct intake {
 	struct intake_limits limits;
 	struct intake_conn *first, *last; /* the oldest request first */
+	GHashTable *sources; /* address -> struct intake_source */
 	size_t held[INTAKE_KINDS];
 	size_t other;
 	unsigned paused;
@@ -46,9 +49,11 @@
 
 	if (memory == 0)
 		memory = MEMORY_DEFAULT;
-	limits.total = memory / TOTAL_PART;
-	limits.answers = MAX(memory / ANSWERS_PART, ANSWERS_MIN);
-	limits.input = memory / INPUT_PART;
+	limits.total = (size_t)(TOTAL_PART * (double)memory);
+	limits.answered = (size_t)(ANSWERED_PART * (double)memory);
+	limits.input = (size_t)(INPUT_PART * (double)memory);
+	limits.answers =
+	    MAX((size_t)(ANSWERS_PART * (double)memory), ANSWERS_MIN);
 	return (limits);
 }
 
@@ -58,12 +63,16 @@
 	struct intake *intake = g_new0(struct intake, 1);
 
 	intake->limits = *limits;
+	intake->sources = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	return (intake);
 }
 
 void
 intake_close(struct intake *intake)
 {
+	if (intake == NULL)
+		return;
+	g_hash_table_destroy(intake->sources);
 	g_free(intake);
 }
 
@@ -110,12 +119,36 @@
 	conn->received = 0;
 }
 
+static struct intake_source *
+source_add(struct intake *intake, uint32_t address)
+{
+	struct intake_source *source =
+	    g_hash_table_lookup(intake->sources, GUINT_TO_POINTER(address));
+
+	if (source == NULL) {
+		source = g_new0(struct intake_source, 1);
+		source->address = address;
+		(void)g_hash_table_insert(
+		    intake->sources, GUINT_TO_POINTER(address), source);
+	}
+	source->connections++;
+	return (source);
+}
+
+static void
+source_remove(struct intake *intake, struct intake_source *source)
+{
+	if (--source->connections == 0)
+		(void)g_hash_table_remove(
+		    intake->sources, GUINT_TO_POINTER(source->address));
+}
+
 void
 intake_add(struct intake *intake, struct intake_conn *conn, void *owner,
     uint32_t address, clk_ms now)
 {
 	conn->owner = owner;
-	conn->address = address;
+	conn->source = source_add(intake, address);
 	window_begin(conn, now);
 	list_append(intake, conn);
 }
@@ -129,6 +162,8 @@
 		intake_set(intake, conn, (enum intake_kind)kind, 0);
 	resume(intake, conn);
 	list_remove(intake, conn);
+	source_remove(intake, conn->source);
+	conn->source = NULL;
 }
 
 void
@@ -144,6 +179,7 @@
     enum intake_kind kind, size_t bytes)
 {
 	intake->held[kind] += bytes - conn->held[kind];
+	conn->source->held += bytes - conn->held[kind];
 	conn->held[kind] = bytes;
 }
 
@@ -233,13 +269,38 @@
 }
 
 bool
-intake_fits(const struct intake *intake, size_t bytes)
+intake_fits(const struct intake *intake, size_t bytes, size_t own)
 {
-	return (intake->other == 0 ||
+	return (intake->other <= own ||
 	    intake_total(intake) + bytes <= intake->limits.total);
 }
 
-/* The connection with most unread answers. */
+/* Whether a is to go before b, of what they hold of a kind. */
+static bool
+is_worse(const struct intake_conn *a, const struct intake_conn *b,
+    enum intake_kind kind)
+{
+	if (a->source != b->source && a->source->held != b->source->held)
+		return (a->source->held > b->source->held);
+	return (a->held[kind] > b->held[kind]);
+}
+
+bool
+intake_is_unread(const struct intake *intake)
+{
+	return (intake->held[INTAKE_ANSWER] > intake->limits.answers ||
+	    (intake->held[INTAKE_ANSWER] > 0 &&
+		intake_total(intake) > intake->limits.answered));
+}
+
+bool
+intake_answer_fits(const struct intake *intake, size_t answers, size_t bytes)
+{
+	return (answers + bytes <= intake->limits.answers &&
+	    intake_total(intake) + bytes <= intake->limits.answered);
+}
+
+/* The connection with most unread answers, of the address that has most. */
 static struct intake_conn *
 most_unread(struct intake *intake)
 {
@@ -248,8 +309,7 @@
 	for (struct intake_conn *conn = intake->first; conn != NULL;
 	     conn = conn->next) {
 		if (conn->held[INTAKE_ANSWER] > 0 &&
-		    (most == NULL ||
-			conn->held[INTAKE_ANSWER] > most->held[INTAKE_ANSWER]))
+		    (most == NULL || is_worse(conn, most, INTAKE_ANSWER)))
 			most = conn;
 	}
 	return (most);
@@ -280,8 +340,7 @@
 	for (struct intake_conn *conn = intake->first; conn != NULL;
 	     conn = conn->next) {
 		if (is_stalled(conn, now) &&
-		    (worst == NULL ||
-			conn->held[INTAKE_INPUT] > worst->held[INTAKE_INPUT]))
+		    (worst == NULL || is_worse(conn, worst, INTAKE_INPUT)))
 			worst = conn;
 	}
 	return (worst);
@@ -306,7 +365,7 @@
 	struct intake_conn *conn;
 
 	*reason = INTAKE_NONE;
-	if (intake->held[INTAKE_ANSWER] > intake->limits.answers) {
+	if (intake_is_unread(intake)) {
 		*reason = INTAKE_UNREAD;
 		return (most_unread(intake));
 	}
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -27,7 +27,8 @@
 struct intake_limits {
 	size_t input; /* bytes of INTAKE_INPUT, the oldest request aside */
 	size_t answers; /* bytes of INTAKE_ANSWER */
-	size_t total; /* bytes of all kinds */
+	size_t total; /* bytes of all kinds, when more is to be read */
+	size_t answered; /* the same, when an answer grows */
 };
 
 /*
@@ -37,11 +38,18 @@
  */
 struct intake_limits intake_limits_of(size_t memory);
 
+/* What the connections of one address hold together. */
+struct intake_source {
+	uint32_t address;
+	unsigned connections;
+	size_t held;
+};
+
 /* A connection; the driver keeps it, zeroed before intake_add(). */
 struct intake_conn {
 	struct intake_conn *prev, *next; /* in order of the requests' begin */
 	void *owner;
-	uint32_t address; /* of the caller */
+	struct intake_source *source; /* the caller's address */
 	size_t held[INTAKE_KINDS];
 	size_t received; /* bytes since window */
 	clk_ms window; /* begin of the measurement of its progress */
@@ -88,15 +96,27 @@
  * intake_resume(intake, promised, now)
  *	Return a paused connection, the oldest first, for which there is room
  *	again, and count it in *promised, at first 0; nil: there is none.
- * intake_fits(intake, bytes)
- *	Whether so many bytes more fit into the total.  One request always
- *	fits where there is no other.
+ * intake_fits(intake, bytes, own)
+ *	Whether so many bytes more fit into the total, for a request that has
+ *	own bytes of those of intake_other_set().  One request always fits
+ *	where there is no other.
  */
 bool
 intake_may_read(struct intake *intake, struct intake_conn *conn, clk_ms now);
 struct intake_conn *
 intake_resume(struct intake *intake, size_t *promised, clk_ms now);
-bool intake_fits(const struct intake *intake, size_t bytes);
+bool intake_fits(const struct intake *intake, size_t bytes, size_t own);
+
+/*
+ * intake_answer_fits(intake, answers, bytes)
+ *	Whether so many bytes more of answers of upstreams fit, of which there
+ *	are answers bytes now.
+ * intake_is_unread(intake)
+ *	Whether callers leave too much unread: see intake_victim().
+ */
+bool
+intake_answer_fits(const struct intake *intake, size_t answers, size_t bytes);
+bool intake_is_unread(const struct intake *intake);
 
 /* Why a connection is to be closed. */
 enum intake_reason {
@@ -109,7 +129,8 @@
 /*
  * intake_victim(intake, now, reason)
  *	Return the connection to refuse or close next, or nil.  To be called
- *	again after it was removed.  Without pressure there is none.
+ *	again after it was removed.  Without pressure there is none.  Those of
+ *	the address that holds most go first.
  */
 struct intake_conn *
 intake_victim(struct intake *intake, clk_ms now, enum intake_reason *reason);
