Intake: a burst of ordinary bodies is not refused

Connections counted as stalled whose bytes waited in the kernel while the instance was busy, and an eighth of the memory made others wait for longer than 1 s.

Change: a connection with bytes to read is not stalled.

--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -787,6 +787,15 @@
 	g_free(hsv);
 }
 
+/* Whether bytes of a request wait to be read. */
+static bool
+has_input(const struct hsv_call *call)
+{
+	char byte;
+
+	return (recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
+}
+
 static void
 victim_close(struct hsv_call *call, enum intake_reason reason)
 {
@@ -814,8 +823,13 @@
 	size_t promised = 0;
 
 	(void)events;
-	while ((conn = intake_victim(hsv->intake, now, &reason)) != NULL)
-		victim_close(conn->owner, reason);
+	while ((conn = intake_victim(hsv->intake, now, &reason)) != NULL) {
+		/* A busy instance has not read what a caller has sent. */
+		if (reason == INTAKE_STALLED && has_input(conn->owner))
+			intake_window_restart(conn, now);
+		else
+			victim_close(conn->owner, reason);
+	}
 	while ((conn = intake_resume(hsv->intake, &promised, now)) != NULL) {
 		struct hsv_call *call = conn->owner;
 
@@ -866,15 +880,6 @@
 	hsv->draining = drain;
 }
 
-/* Whether bytes of a request wait to be read. */
-static bool
-has_input(const struct hsv_call *call)
-{
-	char byte;
-
-	return (recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
-}
-
 /* Whether nothing of a request, nor of an answer, is under way. */
 static bool
 is_idle(const struct hsv_call *call)
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -11,7 +11,7 @@
  */
 #define TOTAL_PART   0.5
 #define ANSWERS_PART 0.285
-#define INPUT_PART   0.125
+#define INPUT_PART   0.25
 /* With answers, which can't be paused: 66 of 88 MB. */
 #define ANSWERED_PART 0.75
 /* The unread answers of an ordinary deployment stay below. */
@@ -189,6 +189,12 @@
 	conn->received += bytes;
 }
 
+void
+intake_window_restart(struct intake_conn *conn, clk_ms now)
+{
+	window_begin(conn, now);
+}
+
 void
 intake_other_set(struct intake *intake, size_t bytes)
 {
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -71,6 +71,8 @@
  *	It holds so many bytes of a kind from now on.
  * intake_received(conn, bytes)
  *	The caller has sent or read so many bytes.
+ * intake_window_restart(conn, now)
+ *	Its progress could not be measured: what it sent is not read yet.
  */
 void intake_add(struct intake *intake, struct intake_conn *conn, void *owner,
     uint32_t address, clk_ms now);
@@ -79,6 +81,7 @@
 void intake_set(struct intake *intake, struct intake_conn *conn,
     enum intake_kind kind, size_t bytes);
 void intake_received(struct intake_conn *conn, size_t bytes);
+void intake_window_restart(struct intake_conn *conn, clk_ms now);
 
 /*
  * intake_other_set(intake, bytes)
