--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -284,6 +284,7 @@
 	call->turn = turn_new(call->turn_id,
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
+	edge_copies_count(call);
 	is_read = call->previous_turn != NULL &&
 	    turn_find(call, call->previous_turn) == NULL;
 	if (is_read)
