--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -34,8 +34,24 @@
 export -f run_one known_red_of
 export logs known_red
 
-printf '%s\0' "$@" |
-    xargs -0 -P "${TEST_JOBS:-4}" -I '{}' bash -c 'run_one "$1"' _ '{}'
+# Programs that measure the memory of processes run alone, after the others.
+alone=" test_callers "
+together=()
+last=()
+for program in "$@"; do
+	if [[ $alone == *" $(basename "$program") "* ]]; then
+		last+=("$program")
+	else
+		together+=("$program")
+	fi
+done
+if [ ${#together[@]} -gt 0 ]; then
+	printf '%s\0' "${together[@]}" |
+	    xargs -0 -P "${TEST_JOBS:-4}" -I '{}' bash -c 'run_one "$1"' _ '{}'
+fi
+for program in "${last[@]}"; do
+	run_one "$program"
+done
 
 # Where a program failed: the end of a long report alone has to tell.
 failure_of() {
