--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -107,18 +107,18 @@
 	enum quota_priority priority;
 	bool is_counted; /* against the limit */
 	bool is_from_home; /* the token is from home_address */
+	bool is_home_silent; /* one of them did not answer */
+	bool is_ask_paused; /* until the next round */
 	const char *home; /* interned name of the last home asked */
 	struct sockaddr_in home_address;
 	unsigned homes_asked;
 	unsigned home_rank; /* of the next one to be asked */
+	unsigned homes_passed; /* in this round: silent, or not a home */
 	uint64_t ask_serial;
 	clk_ms asked_at;
 	clk_ms ask_wait; /* stated by the last home */
 	clk_ms ask_since; /* the first question */
 	clk_ms ask_until; /* when it gives up; 0: no home was asked */
-	unsigned homes_passed; /* in this round: silent, or not a home */
-	bool is_home_silent; /* one of them did not answer */
-	bool is_ask_paused; /* until the next round */
 	struct ev_timer ask_timer;
 	struct quota_state rate; /* after its admission or refusal */
 	/* History. */
@@ -168,12 +168,12 @@
 	GList attempt_link; /* in edge->attempts, while upstream is set */
 	clk_ms heard; /* when the upstream last sent something */
 	clk_ms sent_at;
-	bool is_overdue; /* no byte of the answer for long */
 	double last_event; /* loop time */
 	clk_ms first_event_ms; /* from sending; 0: no event */
 	struct edge_reply reply;
 	bool is_choice_bound; /* handle was chosen for its software version */
 	bool is_withheld; /* not sent, though a connection was there */
+	bool is_overdue; /* no byte of the answer for long */
 	bool has_reply;
 	bool is_streaming;
 	bool is_undelimited; /* the response ends with its connection */
