Explain: where a request would go now, and why, without sending it

Operators had logs of what was decided, and nothing that tells what would be. samphireshed ctl explain HOST PATH [ORG] asks an instance on its metrics port: route, the organisation's rate, places and requests of the service, whether the store answers, the cheapest upstream here and elsewhere with the part that leaves, and for each upstream the terms of its cost and what excludes it.

The choice and the explanation use the same functions: why an upstream is excluded, and what it costs. Nothing is taken or changed.

--- a/completions/samphireshed.bash
+++ b/completions/samphireshed.bash
@@ -19,7 +19,7 @@
 	done
 	case "${words[*]}" in
 	"") echo "status config key program upstream instance datacentre" \
-	    "trace" ;;
+	    "trace explain" ;;
 	config) echo "apply show history where" ;;
 	key) echo "create list withdraw" ;;
 	program) echo "list show cancel" ;;
--- a/src/catalogue/catalogue.c
+++ b/src/catalogue/catalogue.c
@@ -268,6 +268,12 @@
 	return (g_hash_table_lookup(catalogue->services, name));
 }
 
+const struct catalogue_organisation *
+catalogue_organisation_find(const struct catalogue *catalogue, const char *name)
+{
+	return (g_hash_table_lookup(catalogue->organisations, name));
+}
+
 const struct catalogue_organisation *
 catalogue_key_find(const struct catalogue *catalogue, const char *key)
 {
--- a/src/catalogue/catalogue.h
+++ b/src/catalogue/catalogue.h
@@ -144,6 +144,8 @@
     void (*visit)(void *arg, const struct catalogue_service *service),
     void *arg);
 
+const struct catalogue_organisation *catalogue_organisation_find(
+    const struct catalogue *catalogue, const char *name);
 const struct catalogue_organisation *
 catalogue_key_find(const struct catalogue *catalogue, const char *key);
 
--- a/src/cli/ctl.c
+++ b/src/cli/ctl.c
@@ -38,7 +38,7 @@
 	int args_max;
 	int (*run)(struct ctl *ctl, char **args);
 	const char *synopsis;
-	const char *help;
+	const char *help; /* nil: the entry before has it */
 };
 
 static void
@@ -607,6 +607,47 @@
 	return (run_request(ctl, "trace", "GET", path, NULL));
 }
 
+/* Print the summary of an explanation, and its candidates as a table. */
+static void
+print_explanation(struct ctl *ctl, json_t *explanation)
+{
+	json_t *candidates =
+	    json_incref(json_object_get(explanation, "candidates"));
+
+	if (ctl->json) {
+		print_json(ctl, explanation);
+	} else {
+		(void)json_object_del(explanation, "candidates");
+		cli_value_print(ctl->io->out, explanation);
+		(void)fputc('\n', ctl->io->out);
+		cli_value_print(ctl->io->out, candidates);
+	}
+	json_decref(candidates);
+}
+
+static int
+run_explain(struct ctl *ctl, char **args)
+{
+	g_autofree char *host = g_uri_escape_string(args[0], NULL, FALSE);
+	g_autofree char *route = g_uri_escape_string(args[1], NULL, FALSE);
+	g_autoptr(GString) path = g_string_new(NULL);
+	struct reply reply;
+	int status = CLI_OK;
+
+	g_string_printf(path, "/explain?host=%s&path=%s", host, route);
+	if (args[2] != NULL) {
+		g_string_append(path, "&organisation=");
+		g_string_append_uri_escaped(path, args[2], NULL, FALSE);
+	}
+	fetch(ctl, "GET", path->str, NULL, &reply);
+	if (is_success(&reply))
+		print_explanation(ctl, reply.json);
+	else
+		status = report_failure(ctl, "explain", false, &reply);
+	reply_free(&reply);
+	return (status);
+}
+
 static const struct command commands[] = {
     {{"status", NULL}, 0, 0, run_status, "status", "state of the instance"},
     {{"config", "apply"}, 1, 1, run_config_apply, "config apply FILE",
@@ -623,9 +664,8 @@
     {{"key", "withdraw"}, 1, 1, run_key_withdraw, "key withdraw ID",
 	"withdraw a key"},
     {{"program", "list"}, 0, 0, run_program_list, "program list",
-	"programs that the instance owns"},
-    {{"program", "show"}, 1, 1, run_program_show, "program show ID",
-	"one program"},
+	"programs that the instance owns; show ID: one"},
+    {{"program", "show"}, 1, 1, run_program_show, "program show ID", NULL},
     {{"program", "cancel"}, 1, 1, run_program_cancel, "program cancel ID",
 	"end a program"},
     {{"upstream", "list"}, 0, 0, run_upstream_list, "upstream list",
@@ -639,6 +679,8 @@
     {{"datacentre", "lost"}, 1, 1, run_datacentre_lost, "datacentre lost NAME",
 	"let others claim its shards"},
     {{"trace", NULL}, 1, 1, run_trace, "trace ID", "spans of one trace"},
+    {{"explain", NULL}, 2, 3, run_explain, "explain HOST PATH [ORG]",
+	"where a request would go now, and why (metrics port)"},
 };
 
 static char *
@@ -646,9 +688,11 @@
 {
 	GString *text = g_string_new("Commands:\n");
 
-	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		g_string_append_printf(text, "  %-25s%s\n",
-		    commands[i].synopsis, commands[i].help);
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (commands[i].help != NULL)
+			g_string_append_printf(text, "  %-25s%s\n",
+			    commands[i].synopsis, commands[i].help);
+	}
 	return (g_string_free(text, FALSE));
 }
 
--- a/src/cli/test_cli.c
+++ b/src/cli/test_cli.c
@@ -117,6 +117,11 @@
 	else if (strcmp(path, "/ctl/where") == 0)
 		reply_json(req, 200,
 		    json_pack("{s:s}", "offset", web_query(req, "offset")));
+	else if (strcmp(path, "/explain") == 0)
+		reply_json(req, 200,
+		    json_pack("{s:s,s:[{s:s,s:s}]}", "route",
+			web_query(req, "path"), "candidates", "upstream", "u-1",
+			"excluded", web_query(req, "organisation")));
 	else if (strcmp(path, "/ctl/programs/p-gone") == 0)
 		serve_object(f, req, "p-gone");
 	else if (strcmp(path, "/ctl/status") == 0)
@@ -637,6 +642,18 @@
 	}
 }
 
+/* Guards against arguments that change the query, and a lost table. */
+static void
+test_explain(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	g_assert_cmpint(run_ctl(f, "explain h /chat/1&x=2 o%20x"), ==, CLI_OK);
+	assert_holds(f->out, "/chat/1&x=2");
+	assert_holds(f->out, "u-1");
+	assert_holds(f->out, "o%20x");
+	g_assert_cmpint(run_ctl(f, "explain h"), ==, CLI_USAGE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -651,6 +668,7 @@
 	ADD("/cli/print-questions", test_print_questions);
 	ADD("/cli/tables", test_tables);
 	ADD("/cli/routes", test_routes);
+	ADD("/cli/explain", test_explain);
 	ADD("/cli/refusal", test_refusal);
 	ADD("/cli/config-apply", test_config_apply);
 	ADD("/cli/lost-race", test_lost_race);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -143,6 +143,15 @@
 void edge_throttle_receive(
     struct edge *edge, const struct sockaddr_in *from, char *data, size_t len);
 
+/*
+ * edge_explain(edge, host, path, organisation, problem)
+ *	Return, as JSON to be freed by free(), where a request of the
+ *	organisation (nil: none) would go now, and why; nil and *problem if
+ *	there is no route or organisation.  Nothing is sent or taken.
+ */
+char *edge_explain(struct edge *edge, const char *host, const char *path,
+    const char *organisation, const char **problem);
+
 /*
  * edge_fleet_size_set(edge, instances)
  *	Set the number of instances that share the upstreams.
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -261,6 +261,8 @@
  *	the call may go on.
  * edge_outage_is_expected(edge, partition)
  *	Whether a call of the partition can be expected to be answered.
+ * edge_outage_store_answers(edge)
+ *	Whether the store as a whole can be expected to answer.
  * edge_outage_cancel(call)
  *	The call ends: it waits no longer.
  * edge_outage_ran(call)
@@ -274,6 +276,7 @@
     const struct store_partition *needed, edge_stage *next);
 bool edge_outage_is_expected(
     const struct edge *edge, const struct store_partition *partition);
+bool edge_outage_store_answers(const struct edge *edge);
 void edge_outage_cancel(struct edge_call *call);
 void edge_outage_ran(const struct edge_call *call);
 void edge_outage_tick(struct edge *edge);
--- a/src/edge/edge_outage.c
+++ b/src/edge/edge_outage.c
@@ -144,6 +144,13 @@
 	return (is_answering(edge->outage, partition));
 }
 
+bool
+edge_outage_store_answers(const struct edge *edge)
+{
+	return (outage_store_verdict(edge->outage->outage, edge_now(edge)) ==
+	    OUTAGE_ANSWERS);
+}
+
 /* Whether the call's key can't be checked: the configuration is too old. */
 static bool
 is_unconfirmed(const struct edge_call *call)
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -66,6 +67,7 @@
 #define OPS_MAX_BODY	    1024
 #define OPS_TIMEOUT_MS	    (10 * CLK_SECOND)
 #define OPS_MAX_CONNECTIONS 64
+#define EXPLAIN_PATH	    "/explain"
 
 static const struct sweeper_rule sweep_rules[] = {
     {STORE_TURNS, STORE_SLOT_COUNT, turn_is_expired},
@@ -144,6 +146,35 @@
 	spill_each(instance->spill, spill_part_report, instance);
 }
 
+/* GET /explain?host=HOST&path=PATH[&organisation=NAME] */
+static void
+explain_answer(struct inst *instance, struct hsv_call *call, const char *query)
+{
+	g_autoptr(GHashTable) fields =
+	    g_uri_parse_params(query, -1, "&", G_URI_PARAMS_NONE, NULL);
+	const char *host = NULL, *path = NULL;
+	const char *problem = "host and path are needed";
+	g_autofree char *error = NULL;
+	char *text = NULL;
+
+	if (fields != NULL) {
+		host = g_hash_table_lookup(fields, "host");
+		path = g_hash_table_lookup(fields, "path");
+	}
+	if (host != NULL && path != NULL)
+		text = edge_explain(instance->edge, host, path,
+		    g_hash_table_lookup(fields, "organisation"), &problem);
+	if (text != NULL) {
+		ops_answer(call, 200, "application/json", text);
+		free(text);
+		return;
+	}
+	error = g_strdup_printf("{\"error\":{\"code\":\"not_found\","
+				"\"message\":\"%s\",\"ran\":\"no\"}}",
+	    problem);
+	ops_answer(call, 404, "application/json", error);
+}
+
 static void
 on_ops_request(void *arg, struct hsv_call *call)
 {
@@ -163,6 +194,8 @@
 		    ready ? "ready\n" : "not ready\n");
 	} else if (strcmp(path, "/healthz") == 0) {
 		ops_answer(call, 200, "text/plain", "ok\n");
+	} else if (g_str_has_prefix(path, EXPLAIN_PATH "?")) {
+		explain_answer(instance, call, path + strlen(EXPLAIN_PATH "?"));
 	} else if (strcmp(path, "/metrics") == 0) {
 		g_autofree char *text = NULL;
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -416,6 +416,12 @@
 	place->spill = spill;
 }
 
+double
+place_spill_part(const struct place *place, const char *service)
+{
+	return (place->spill != NULL ? spill_part(place->spill, service) : 1.0);
+}
+
 void
 place_instances_set(struct place *place, unsigned instances)
 {
@@ -983,23 +989,47 @@
 	return (is_listed);
 }
 
-/* Whether the upstream could run the request, if it has a token. */
-static bool
-is_eligible(const struct place *place, const struct place_request *request,
+/* Why an upstream of the service can't run the request; nil: it can. */
+static const char *
+excluded_because(const struct place *place, const struct place_request *request,
     guint index, clk_ms now)
 {
 	const struct upstream *upstream = place->upstreams->pdata[index];
 
+	if (upstream->is_evacuated)
+		return ("evacuated");
+	if (evacuations_is_stale(place->evacuations, now))
+		return ("evacuations are not known");
+	if (!is_open(place, upstream, request->version != NULL, now))
+		return ("leaving");
+	if (request->version != NULL &&
+	    g_strcmp0(upstream->version, request->version) != 0)
+		return ("software version");
+	if (!is_allowed(request->route_regions, upstream->region) ||
+	    !is_allowed(request->organisation_regions, upstream->region))
+		return ("region");
+	if (was_tried(request, index, upstream->generation))
+		return ("tried");
+	if (request->max_connections > 0 &&
+	    upstream->running >= request->max_connections)
+		return ("connections");
+	return (NULL);
+}
+
+static bool
+serves(const struct upstream *upstream, const char *service)
+{
 	return (upstream->in_use && !upstream->is_removed &&
-	    is_open(place, upstream, request->version != NULL, now) &&
-	    strcmp(upstream->service, request->service) == 0 &&
-	    (request->version == NULL ||
-		g_strcmp0(upstream->version, request->version) == 0) &&
-	    is_allowed(request->route_regions, upstream->region) &&
-	    is_allowed(request->organisation_regions, upstream->region) &&
-	    !was_tried(request, index, upstream->generation) &&
-	    (request->max_connections == 0 ||
-		upstream->running < request->max_connections));
+	    strcmp(upstream->service, service) == 0);
+}
+
+/* Whether the upstream could run the request, if it has a token. */
+static bool
+is_eligible(const struct place *place, const struct place_request *request,
+    guint index, clk_ms now)
+{
+	return (serves(place->upstreams->pdata[index], request->service) &&
+	    excluded_because(place, request, index, now) == NULL);
 }
 
 /* The time before which the upstream has no token; 0: there may be one. */
@@ -1120,6 +1150,31 @@
 	return (best);
 }
 
+/* Cost of an upstream with what speaks against it, or for it. */
+static double
+total_ms(const struct place *place, const struct upstream *upstream,
+    const struct place_request *request, const struct upstream *object,
+    double best, struct cut *cut, clk_ms now)
+{
+	clk_ms until = held_until(upstream, request, now);
+	double ms = cost_ms(place, upstream, request, best, now);
+
+	if (request->preferred_version != NULL &&
+	    g_strcmp0(upstream->version, request->preferred_version) != 0)
+		ms += request->other_version_ms;
+	if (upstream == object)
+		ms -= OBJECT_GAIN * best;
+	if (now < upstream->backoff_until)
+		ms += BACKOFF_COST_MS;
+	if (until > 0)
+		ms += HELD_COST_MS * (double)(until - now);
+	if (is_leaving(upstream))
+		ms += LEAVING_COST_MS;
+	if (is_cut(request, upstream, cut, now))
+		ms += CUT_COST_MS;
+	return (ms);
+}
+
 /* The cheapest upstream of this data centre, or of the others. */
 struct candidate {
 	struct upstream *upstream; /* nil: there is none */
@@ -1184,21 +1239,8 @@
 		until = held_until(upstream, request, now);
 		if (until > 0 && until - now > request->max_wait)
 			continue;
-		ms = cost_ms(place, upstream, request, best_sample_ms, now);
-		if (request->preferred_version != NULL &&
-		    g_strcmp0(upstream->version, request->preferred_version) !=
-			0)
-			ms += request->other_version_ms;
-		if (upstream == object)
-			ms -= OBJECT_GAIN * best_sample_ms;
-		if (now < upstream->backoff_until)
-			ms += BACKOFF_COST_MS;
-		if (until > 0)
-			ms += HELD_COST_MS * (double)(until - now);
-		if (is_leaving(upstream))
-			ms += LEAVING_COST_MS;
-		if (is_cut(request, upstream, &cut, now))
-			ms += CUT_COST_MS;
+		ms = total_ms(place, upstream, request, object, best_sample_ms,
+		    &cut, now);
 		side = is_home(place, upstream) ? &home : &away;
 		if (side->upstream == NULL || ms < side->ms)
 			*side = (struct candidate){upstream, ms, i};
@@ -1215,6 +1257,49 @@
 	return (true);
 }
 
+void
+place_explain(struct place *place, const struct place_request *request,
+    clk_ms now, place_visit *visit, void *arg)
+{
+	const struct upstream *object = object_upstream(place, request, now);
+	bool is_engine = request->part_count > 0;
+	double best = best_sample(place, request->service, is_engine);
+	struct cut cut = {0};
+
+	peer_loads_sum(place);
+	for (guint i = 0; i < place->upstreams->len; i++) {
+		const struct upstream *upstream = place->upstreams->pdata[i];
+		struct place_candidate candidate;
+
+		if (!serves(upstream, request->service))
+			continue;
+		candidate = (struct place_candidate){
+		    .entry = &upstream->entry,
+		    .excluded = excluded_because(place, request, i, now),
+		    .is_home = is_home(place, upstream),
+		    .is_in_backoff = now < upstream->backoff_until,
+		    .running = upstream->running,
+		    .peers_running = upstream->peers_running,
+		    .cost_ms = total_ms(
+			place, upstream, request, object, best, &cut, now),
+		    .read_ms = is_engine
+			? prefill_ms(upstream, request,
+			      token_ms_of(place, upstream, best), now)
+			: 0,
+		    .errors = recent_errors(upstream, now),
+		};
+		if (!candidate.is_home)
+			candidate.cross_ms = cross_ms(place, request);
+		if (candidate.excluded == NULL &&
+		    held_until(upstream, request, now) > 0)
+			candidate.excluded = "no token";
+		else if (candidate.excluded == NULL &&
+		    is_cut(request, upstream, &cut, now))
+			candidate.excluded = "cut off";
+		visit(arg, &candidate);
+	}
+}
+
 clk_ms
 place_overdue_after(const struct place *place, struct place_handle handle)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -187,6 +187,9 @@
  */
 void place_spill_set(struct place *place, struct spill *spill);
 
+/* place_spill_part(place, service): see spill_part(); 1 without spill. */
+double place_spill_part(const struct place *place, const char *service);
+
 /*
  * place_instances_set(place, instances)
  *	Set the number of instances that share the upstreams.
@@ -303,6 +306,29 @@
 struct place_service_load place_service_load(
     struct place *place, const struct place_request *request, clk_ms now);
 
+/* An upstream of a request's service, as its choice sees it. */
+struct place_candidate {
+	const struct place_entry *entry;
+	const char *excluded; /* why it can't be chosen; nil: it can */
+	bool is_home; /* in this data centre */
+	bool is_in_backoff; /* after a failure */
+	unsigned running; /* requests of this instance */
+	unsigned peers_running; /* and of the others, as they told */
+	double cost_ms; /* all terms of the choice together */
+	double cross_ms; /* of these: it is in another data centre */
+	double read_ms; /* to read the parts of the prompt it doesn't hold */
+	double errors; /* its own, of late */
+};
+
+/*
+ * place_explain(place, request, now, visit, arg)
+ *	Call visit() for each upstream of the service.  Nothing is chosen, and
+ *	nothing changes.
+ */
+typedef void place_visit(void *arg, const struct place_candidate *candidate);
+void place_explain(struct place *place, const struct place_request *request,
+    clk_ms now, place_visit *visit, void *arg);
+
 /*
  * place_parts_record(place, handle, parts, count, now)
  *	A request with these parts is sent to the upstream.
