Intake: a request that a home has to decide on isn't answered from its head

Cause: whether the rate was spent was decided from the head as a home decides, and then, as any request, by asking a home. The answer takes time, and the server closes a connection whose body it doesn't read and that isn't answered.

Change: only what this instance refuses by itself is answered from the head, and a request whose body isn't read never asks a home.

/instance/rate-with-body failed before ("end == HCP_COMPLETE: 2 == 0"), passes 3 of 3.

--- a/src/edge/edge_intake.c
+++ b/src/edge/edge_intake.c
@@ -7,7 +7,11 @@
  */
 #include "edge/edge_internal.h"
 
-/* Whether the organisation's bucket has no token now; takes none. */
+/*
+ * Whether the organisation is known here to be above its rate; takes no token.
+ * A request that a home would have to decide on isn't: its answer takes time,
+ * in which the body has to be read.
+ */
 static bool
 is_rate_spent(
     struct edge *edge, const struct catalogue_organisation *organisation)
@@ -21,9 +25,15 @@
 	/* Elsewhere the organisation's homes decide. */
 	if (limit.rate == 0 || roster_is_relayed(edge->deps.roster))
 		return (false);
-	if (!quota_grant(quota, &limit, QUOTA_ACTIVE_PROGRAM, now, &wait))
+	switch (quota_admit(quota, &limit, QUOTA_ACTIVE_PROGRAM, now, &wait)) {
+	case QUOTA_REFUSED:
 		return (true);
-	quota_refund(quota, limit.organisation);
+	case QUOTA_ADMITTED:
+		quota_refund(quota, limit.organisation);
+		break;
+	case QUOTA_ASK:
+		break;
+	}
 	return (false);
 }
 
--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -412,7 +412,11 @@
 		edge_call_admitted(call);
 		break;
 	case QUOTA_ASK:
-		home_ask(call);
+		/* Its body isn't read, so it can't wait for an answer. */
+		if (hsv_is_early(call->client))
+			rate_refuse(call, wait);
+		else
+			home_ask(call);
 		break;
 	case QUOTA_REFUSED:
 		rate_refuse(call, wait);
