Place: an engine has at least the places that its service's configuration states

Change: the larger of the two counts. Requests that wait for a place that there is lose more than requests that queue at an engine.

--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -88,6 +88,9 @@
 	unsigned tokens = call->request.length_hint;
 	struct place_request request = {
 	    .service = call->service_name,
+	    .slots = call->service != NULL && call->service->has_engine
+		? call->service->slots
+		: 0,
 	    .parts = call->request.parts,
 	    .part_count = call->request.part_count,
 	    .bytes = hsv_body(call->client)->len +
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1104,7 +1104,11 @@
 	for (guint i = 0; i < place->upstreams->len; i++) {
 		const struct upstream *upstream = place->upstreams->pdata[i];
 		bool is_in_backoff = now < upstream->backoff_until;
-		double slots = upstream->entry.slots;
+		/*
+		 * Where entry and configuration differ, a wait for a place
+		 * that exists would cost more than a queue at the engine.
+		 */
+		double slots = MAX(upstream->entry.slots, request->slots);
 		double running = upstream->running + upstream->peers_running;
 		double weight;
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -65,6 +65,8 @@
 	/* Hash of the object that a request without parts concerns; 0: none. */
 	uint32_t object;
 	unsigned output_tokens; /* expected */
+	unsigned
+	    slots; /* of the service's engines, as configured; 0: unknown */
 	size_t bytes; /* of the request, with its history */
 	clk_ms left; /* until its deadline; 0: not known */
 	unsigned max_connections; /* to one upstream from this instance */
