Docs: queue functions say what they remove

Three doc comments of the queues said that a request "waits no longer" or is "no longer in the queue", which left open what the function does. They name the removal now.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -92,9 +92,9 @@
 
 /*
  * admission_wait(admission, ticket, request, now)
- *	Add a request to the queue.  Returns the ticket, no longer in the
- *	queue, that has to be refused because the queue is full; nil: none.  It
- *	may be the same ticket.
+ *	Add a request to the queue.  Returns the ticket that is removed and
+ *	has to be refused because the queue is full; nil: none.  It may be the
+ *	same ticket.
  * admission_cancel(admission, ticket)
  *	Remove a request from the queue, if it is there.
  */
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -264,7 +264,7 @@
  * edge_outage_store_answers(edge)
  *	Whether the store as a whole can be expected to answer.
  * edge_outage_cancel(call)
- *	The call ends: it waits no longer.
+ *	The call ends: remove it from the queue.
  * edge_outage_ran(call)
  *	The call ended after it ran: learn how long its route takes.
  * edge_outage_tick(edge)
--- a/src/outage/hold.h
+++ b/src/outage/hold.h
@@ -57,7 +57,7 @@
  * hold_add(hold, request, now)
  *	Add a request; nil if there is no room.
  * hold_remove(hold, entry)
- *	The request waits no longer.
+ *	Remove a request from the queue.
  */
 bool hold_is_too_late(
     const struct hold *hold, const struct hold_request *request, clk_ms now);
