Turn: streams that are taken up are recorded with the events before that

Cause: each turn began with an empty output, also that of a request that goes on after an event, and nobody kept the events of the request before it.

Change: on such routes events are recorded in the store before their caller gets them (src/turn/checkpoint.c, edge_checkpoint.c), under a key that all requests of a stream have in common. A take-up reads them; they are a part of the turn's output. If it isn't certain which ones the caller has, 503, not run. Closing an edge frees its requests and their store calls, so that tests can kill instances in one process.

Why it works: a run sends no event before its first record is acknowledged, so of the runs with the same beginning the caller has the newest one's events, and what that run has taken over; docs/decisions/0016.

--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -1,12 +1,13 @@
 /*
- * Fuzz target: records of the store that other instances wrote: turns, ledgers
- * of budgets, plans and streams of software versions.
+ * Fuzz target: records of the store that other instances wrote: turns,
+ * checkpoints, ledgers of budgets, plans and streams of software versions.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "budget/budget.h"
 #include "rollout/rollout.h"
+#include "turn/checkpoint.h"
 #include "turn/turn.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
@@ -85,12 +86,29 @@
 	rollout_stream_clear(&stream);
 }
 
+static void
+try_checkpoint(const struct store_record *record)
+{
+	const struct store_reply reply = {
+	    .status = STORE_OK, .records = record, .count = 1};
+	struct checkpoint_run run;
+	GPtrArray *events =
+	    checkpoint_find(&reply, record->key, NULL, "1", &run);
+
+	(void)checkpoint_is_expired(record, 5000);
+	if (events != NULL) {
+		check(events->len > 0);
+		g_ptr_array_unref(events);
+	}
+	g_free(run.began);
+}
+
 /* The first byte says what the others are. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
 {
 	static void (*const tries[])(const struct store_record *) = {
-	    try_turn, try_ledger, try_plan, try_stream};
+	    try_turn, try_ledger, try_plan, try_stream, try_checkpoint};
 
 	if (len > 0) {
 		const struct store_record record = {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -70,6 +70,7 @@
 		return;
 	edge_copies_release(call);
 	turn_unref(call->turn);
+	edge_checkpoint_free(call);
 	call->edge->reply_bytes -= call->held_bytes;
 	if (call->turns_read != NULL)
 		g_ptr_array_unref(call->turns_read);
@@ -503,6 +504,8 @@
 	edge_throttle_open(edge);
 	edge_reach_open(edge);
 	edge_rollout_open(edge);
+	edge_history_open(edge);
+	edge_checkpoint_open(edge);
 	edge_admission_open(edge);
 	edge->rand = g_rand_new();
 	edge->instances = 1;
@@ -515,6 +518,21 @@
 	return (edge);
 }
 
+/* Free the requests in progress, whose connections are closed. */
+static void
+calls_drop(struct edge *edge)
+{
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(&edge->calls)) != NULL) {
+		struct edge_call *call = link->data;
+
+		ev_timer_stop(edge->deps.loop, &call->timer);
+		call->client = NULL;
+		edge_call_unref(call);
+	}
+}
+
 void
 edge_close(struct edge *edge)
 {
@@ -528,9 +546,12 @@
 	edge_throttle_close(edge);
 	edge_reach_close(edge);
 	edge_rollout_close(edge);
+	edge_history_close(edge);
+	edge_checkpoint_close(edge);
 	edge_admission_close(edge);
 	edge_budget_close(edge);
 	edge_outage_close(edge);
+	calls_drop(edge);
 	budget_close(edge->budgets);
 	turn_cache_close(edge->turns);
 	g_rand_free(edge->rand);
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -46,8 +46,11 @@
 static history_op_start record_turn;
 
 static void
-history_op_free(struct history_op *op)
+op_free(void *data)
 {
+	struct history_op *op = data;
+
+	ev_timer_stop(op->call->edge->deps.loop, &op->timer);
 	edge_call_unref(op->call);
 	if (op->records != NULL)
 		g_ptr_array_unref(op->records);
@@ -55,6 +58,27 @@
 	g_free(op);
 }
 
+static void
+history_op_free(struct history_op *op)
+{
+	(void)g_hash_table_remove(op->call->edge->history_ops, op);
+}
+
+void
+edge_history_open(struct edge *edge)
+{
+	edge->history_ops = g_hash_table_new_full(NULL, NULL, op_free, NULL);
+}
+
+void
+edge_history_close(struct edge *edge)
+{
+	g_hash_table_destroy(edge->history_ops);
+}
+
+static void
+retry_cb(struct ev_loop *loop, struct ev_timer *watcher, int events);
+
 static struct history_op *
 history_op_new(struct edge_call *call, history_op_start *start, const char *id)
 {
@@ -66,6 +90,9 @@
 	op->round = call->wait.round;
 	op->started = edge_now(call->edge);
 	op->backoff = STORE_BACKOFF_MIN_MS;
+	ev_timer_init(&op->timer, retry_cb, 0.0, 0.0);
+	op->timer.data = op;
+	(void)g_hash_table_add(call->edge->history_ops, op);
 	return (op);
 }
 
@@ -82,9 +109,8 @@
 static void
 history_op_retry(struct history_op *op)
 {
-	ev_timer_init(&op->timer, retry_cb, (double)op->backoff / 1000.0, 0.0);
+	ev_timer_set(&op->timer, (double)op->backoff / 1000.0, 0.0);
 	op->backoff = MIN(2 * op->backoff, STORE_BACKOFF_MAX_MS);
-	op->timer.data = op;
 	ev_timer_start(op->call->edge->deps.loop, &op->timer);
 }
 
@@ -180,26 +206,56 @@
 	edge_budget_acquire(call);
 }
 
+static history_op_start read_checkpoint;
+
 /* Read the history, or what is still missing of it. */
 static void
 history_begin(struct edge_call *call)
 {
+	const char *slot = edge_checkpoint_slot(call);
+
 	call->wait.round++;
 	call->turns_missing = 0;
-	if (call->previous_turn == NULL)
+	if (slot != NULL)
+		read_checkpoint(history_op_new(call, read_checkpoint, slot));
+	else if (call->previous_turn == NULL)
 		edge_budget_acquire(call);
 	else
 		history_assemble(call);
 }
 
+/* A read has failed: wait for the store, try again, or refuse the request. */
 static void
-on_turn_read(void *arg, const struct store_reply *reply)
+read_failed(struct history_op *op)
 {
-	struct history_op *op = arg;
 	struct edge_call *call = op->call;
 	struct edge *edge = call->edge;
 	const struct store_partition partition = {
 	    STORE_TURNS, store_slot(op->id)};
+
+	/* Reads that are in progress belong to an earlier round. */
+	if (edge_outage_hold(call, &partition, history_begin)) {
+		call->wait.round++;
+		history_op_free(op);
+		return;
+	}
+	if (edge_now(edge) - op->started < READ_DEADLINE_MS &&
+	    !edge_is_worse_off(edge)) {
+		history_op_retry(op);
+		return;
+	}
+	edge_refuse_not_run(call, VD_HISTORY_UNPROVEN,
+	    edge_store_retry_after(edge),
+	    "the program's history can't be read now");
+	history_op_free(op);
+}
+
+static void
+on_turn_read(void *arg, const struct store_reply *reply)
+{
+	struct history_op *op = arg;
+	struct edge_call *call = op->call;
+	struct edge *edge = call->edge;
 	clk_ms now = edge_now(edge);
 	struct turn *turn;
 
@@ -208,21 +264,7 @@
 		return;
 	}
 	if (reply->status != STORE_OK) {
-		/* Reads that are in progress belong to an earlier round. */
-		if (edge_outage_hold(call, &partition, history_begin)) {
-			call->wait.round++;
-			history_op_free(op);
-			return;
-		}
-		if (now - op->started < READ_DEADLINE_MS &&
-		    !edge_is_worse_off(edge)) {
-			history_op_retry(op);
-			return;
-		}
-		edge_refuse_not_run(call, VD_HISTORY_UNPROVEN,
-		    edge_store_retry_after(edge),
-		    "the program's history can't be read now");
-		history_op_free(op);
+		read_failed(op);
 		return;
 	}
 	turn = turn_join(op->id, reply);
@@ -250,8 +292,9 @@
 	history_op_free(op);
 }
 
+/* Read the slot of the operation's id. */
 static void
-read_turn(struct history_op *op)
+slot_read(struct history_op *op, store_done_cb *done)
 {
 	struct store *store = &op->call->edge->deps.store;
 	const struct store_partition partition = {
@@ -261,16 +304,53 @@
 		history_op_free(op);
 		return;
 	}
-	store->ops->read(
-	    store->impl, &partition, STORE_TIMEOUT_MS, on_turn_read, op);
+	store->ops->read(store->impl, &partition, STORE_TIMEOUT_MS, done, op);
+}
+
+static void
+read_turn(struct history_op *op)
+{
+	slot_read(op, on_turn_read);
+}
+
+static void
+on_checkpoint_read(void *arg, const struct store_reply *reply)
+{
+	struct history_op *op = arg;
+	struct edge_call *call = op->call;
+
+	if (call->client == NULL || op->round != call->wait.round) {
+		history_op_free(op);
+		return;
+	}
+	if (reply->status != STORE_OK) {
+		read_failed(op);
+		return;
+	}
+	if (edge_checkpoint_take(call, reply)) {
+		history_begin(call);
+	} else {
+		lg_event(call->edge->deps.lg, LG_WARNING, "checkpoint_missing",
+		    "request=%s end=%" G_GINT64_FORMAT, call->request.id,
+		    reply->end);
+		edge_refuse_not_run(call, VD_HISTORY_UNPROVEN, 0,
+		    "the events before this one are not known");
+	}
+	history_op_free(op);
+}
+
+static void
+read_checkpoint(struct history_op *op)
+{
+	slot_read(op, on_checkpoint_read);
 }
 
 void
 edge_history_load(struct edge_call *call)
 {
 	const GByteArray *input = hsv_body(call->client);
-	struct store_partition previous = {STORE_TURNS, 0};
-	bool is_read;
+	struct store_partition needed = {STORE_TURNS, 0};
+	const char *slot;
 
 	if (!call->route->stateful) {
 		edge_budget_acquire(call);
@@ -285,11 +365,15 @@
 	    call->organisation != NULL ? call->organisation->name : "");
 	(void)g_byte_array_append(call->turn->input, input->data, input->len);
 	edge_copies_count(call);
-	is_read = call->previous_turn != NULL &&
-	    turn_find(call, call->previous_turn) == NULL;
-	if (is_read)
-		previous.slot = store_slot(call->previous_turn);
-	if (!edge_outage_hold(call, is_read ? &previous : NULL, history_begin))
+	edge_checkpoint_begin(call);
+	slot = edge_checkpoint_slot(call);
+	if (slot == NULL && call->previous_turn != NULL &&
+	    turn_find(call, call->previous_turn) == NULL)
+		slot = call->previous_turn;
+	if (slot != NULL)
+		needed.slot = store_slot(slot);
+	if (!edge_outage_hold(
+		call, slot != NULL ? &needed : NULL, history_begin))
 		history_begin(call);
 }
 
@@ -311,14 +395,11 @@
 	hsv_stream_end(client);
 }
 
-/*
- * Send the end of the response, once the turn and its ancestors are recorded
- * for as long as the turn is to be kept.
- */
-static void
-turn_finish(struct edge_call *call)
+void
+edge_turn_finish(struct edge_call *call)
 {
-	if (call->record_since > 0 && call->turn == NULL && call->renewals == 0)
+	if (call->record_since > 0 && call->turn == NULL &&
+	    call->renewals == 0 && edge_checkpoint_bytes(call) == 0)
 		finish_stream(call);
 }
 
@@ -342,21 +423,18 @@
 	history_op_free(op);
 }
 
-/*
- * Append the next records of the operation, as many as one append takes.
- * Idempotent: a retry appends the same keys and values.
- */
-static void
-records_append(struct history_op *op, const char *id, store_done_cb *done)
+guint
+edge_records_append(struct edge *edge, const char *id, const GPtrArray *records,
+    guint from, clk_ms timeout, store_done_cb *done, void *arg)
 {
-	const struct store *store = &op->call->edge->deps.store;
+	const struct store *store = &edge->deps.store;
 	const struct store_partition partition = {STORE_TURNS, store_slot(id)};
 	g_autoptr(GArray) batch =
 	    g_array_new(FALSE, FALSE, sizeof(struct store_record));
 	size_t bytes = 0;
 
-	for (guint i = op->appended; i < op->records->len; i++) {
-		const struct turn_record *record = op->records->pdata[i];
+	for (guint i = from; i < records->len; i++) {
+		const struct turn_record *record = records->pdata[i];
 		const struct store_record next = {
 		    record->key, record->value->data, record->value->len};
 
@@ -366,10 +444,21 @@
 			break;
 		g_array_append_val(batch, next);
 	}
-	op->appending = batch->len;
 	store->ops->append(store->impl, &partition, STORE_ANY_END,
 	    (const struct store_record *)(void *)batch->data, batch->len,
-	    STORE_TIMEOUT_MS, done, op);
+	    timeout, done, arg);
+	return (batch->len);
+}
+
+/*
+ * Append the next records of the operation.  Idempotent: a retry appends the
+ * same keys and values.
+ */
+static void
+records_append(struct history_op *op, const char *id, store_done_cb *done)
+{
+	op->appending = edge_records_append(op->call->edge, id, op->records,
+	    op->appended, STORE_TIMEOUT_MS, done, op);
 }
 
 /* Count what was appended; returns whether it was the last of the records. */
@@ -408,7 +497,7 @@
 		return;
 	}
 	call->renewals--;
-	turn_finish(call);
+	edge_turn_finish(call);
 	history_op_free(op);
 }
 
@@ -437,7 +526,7 @@
 	} else {
 		turn_cache_put(edge->turns, call->turn, edge_now(edge));
 		call->turn = NULL;
-		turn_finish(call);
+		edge_turn_finish(call);
 		history_op_free(op);
 	}
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -54,6 +54,8 @@
 	struct ev_timer rollout_timer; /* until the plans are read again */
 	clk_ms rollout_asked; /* when the last read of them began */
 	GHashTable *version_ops; /* struct edge_version_op in progress */
+	GHashTable *history_ops; /* store calls for histories, in progress */
+	GHashTable *checkpoint_ops; /* the same, for checkpoints */
 	clk_ms record_failed; /* when one could not be recorded; 0: never */
 	struct ev_timer idle_timer;
 	GRand *rand;
@@ -127,6 +129,7 @@
 	GPtrArray *turns_read; /* struct turn, until history is assembled */
 	unsigned turns_missing; /* store reads in progress */
 	unsigned renewals; /* ancestors whose records are being rewritten */
+	struct edge_checkpoint *checkpoint; /* nil: events aren't recorded */
 	/* Time of the first attempt to record the turn; 0: it has not ended. */
 	clk_ms record_since;
 	/* Budget. */
@@ -252,6 +255,60 @@
 void edge_upstream_send(struct edge_call *call);
 void edge_turn_record(struct edge_call *call);
 
+/*
+ * edge_turn_finish(call)
+ *	Send the end of the response, once the caller has all events, and the
+ *	turn and its ancestors are recorded for as long as the turn is kept.
+ * edge_history_open(edge), edge_history_close(edge)
+ *	Create and free the table of store calls for histories.
+ */
+void edge_turn_finish(struct edge_call *call);
+void edge_history_open(struct edge *edge);
+void edge_history_close(struct edge *edge);
+
+/*
+ * edge_records_append(edge, id, records, from, timeout, done, arg)
+ *	Append records (struct turn_record) from the index from on to the slot
+ *	of id, as many as one append takes.  Returns their number.
+ */
+guint
+edge_records_append(struct edge *edge, const char *id, const GPtrArray *records,
+    guint from, clk_ms timeout, store_done_cb *done, void *arg);
+
+/*
+ * edge_checkpoint_begin(call)
+ *	From now on record the events of the turn's stream, if it may be taken
+ *	up.
+ * edge_checkpoint_slot(call)
+ *	Return the id of the slot that has to be read before the turn can run,
+ *	because it goes on after an event, or nil if none has.
+ * edge_checkpoint_take(call, reply)
+ *	Take the events before that from a read of the slot: they are a part of
+ *	the turn's output.  Returns false if they are not known for certain.
+ * edge_checkpoint_began(call)
+ *	Return the id of the request that began the stream, or nil if it is not
+ *	known.
+ * edge_event_send(call, event, len)
+ *	Send an event to the caller, once it is recorded if it has to be.  This
+ *	may end the call.
+ * edge_checkpoint_bytes(call)
+ *	Return the bytes of the events that wait to be recorded.
+ * edge_checkpoint_free(call)
+ *	Free what the call keeps of its stream.
+ * edge_checkpoint_open(edge), edge_checkpoint_close(edge)
+ *	Create and free the table of store calls for checkpoints.
+ */
+void edge_checkpoint_begin(struct edge_call *call);
+const char *edge_checkpoint_slot(const struct edge_call *call);
+bool
+edge_checkpoint_take(struct edge_call *call, const struct store_reply *reply);
+const char *edge_checkpoint_began(const struct edge_call *call);
+void edge_event_send(struct edge_call *call, const char *event, size_t len);
+size_t edge_checkpoint_bytes(const struct edge_call *call);
+void edge_checkpoint_free(struct edge_call *call);
+void edge_checkpoint_open(struct edge *edge);
+void edge_checkpoint_close(struct edge *edge);
+
 /*
  * edge_outage_hold(call, needed, next)
  *	If a write of the call's turn, or a call of the partition needed (nil:
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -222,8 +222,10 @@
 static const char *
 stream_id(const struct edge_call *call)
 {
-	return (call->request.is_resumed ? call->request.resumes
-					 : call->request.id);
+	if (!call->request.is_resumed)
+		return (call->request.id);
+	return (call->request.resumes != NULL ? call->request.resumes
+					      : edge_checkpoint_began(call));
 }
 
 /* What is the same for all requests of a stream and decides on its cohort. */
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -511,27 +511,15 @@
 static void
 event_id_record(struct edge_call *call, const char *event, size_t len)
 {
-	const char *end = event + len;
-
-	while (event < end) {
-		const char *stop = memchr(event, '\n', (size_t)(end - event));
-		const char *line_end = stop != NULL ? stop : end;
-		const char *value = event + 3;
-
-		if (line_end - event > 3 && memcmp(event, "id:", 3) == 0) {
-			while (value < line_end && *value == ' ')
-				value++;
-			while (line_end > value && line_end[-1] == '\r')
-				line_end--;
-			if (call->last_id == NULL)
-				call->last_id = g_string_new(NULL);
-			(void)g_string_truncate(call->last_id, 0);
-			(void)g_string_append_len(
-			    call->last_id, value, line_end - value);
-			return;
-		}
-		event = line_end + 1;
-	}
+	size_t id_len;
+	const char *id = sse_id_find(event, len, &id_len);
+
+	if (id == NULL)
+		return;
+	if (call->last_id == NULL)
+		call->last_id = g_string_new(NULL);
+	(void)g_string_truncate(call->last_id, 0);
+	(void)g_string_append_len(call->last_id, id, (gssize)id_len);
 }
 
 static void
@@ -557,7 +545,7 @@
 	if (is_repeatable(call))
 		event_id_record(call, event, len);
 	/* This may end the call, if the caller has disconnected. */
-	hsv_stream_data(call->client, event, len);
+	edge_event_send(call, event, len);
 }
 
 /* Give up an upstream whose response does not end. */
@@ -574,8 +562,8 @@
 {
 	struct edge *edge = call->edge;
 	size_t output = call->turn != NULL ? call->turn->output->len : 0;
-	size_t held =
-	    output + (call->sse.partial != NULL ? call->sse.partial->len : 0);
+	size_t held = output + edge_checkpoint_bytes(call) +
+	    (call->sse.partial != NULL ? call->sse.partial->len : 0);
 
 	edge->reply_bytes += held - call->held_bytes;
 	call->held_bytes = held;
--- a/src/edge/sse.c
+++ b/src/edge/sse.c
@@ -89,3 +89,26 @@
 	}
 	(void)g_byte_array_append(out, (const guint8 *)"\n", 1);
 }
+
+const char *
+sse_id_find(const char *event, size_t len, size_t *id_len)
+{
+	const char *end = event + len;
+
+	while (event < end) {
+		const char *stop = memchr(event, '\n', (size_t)(end - event));
+		const char *line_end = stop != NULL ? stop : end;
+		const char *value = event + 3;
+
+		if (line_end - event > 3 && memcmp(event, "id:", 3) == 0) {
+			while (value < line_end && *value == ' ')
+				value++;
+			while (line_end > value && line_end[-1] == '\r')
+				line_end--;
+			*id_len = (size_t)(line_end - value);
+			return (value);
+		}
+		event = line_end + 1;
+	}
+	return (NULL);
+}
--- a/src/edge/sse.h
+++ b/src/edge/sse.h
@@ -39,4 +39,10 @@
  */
 void sse_data_append(GByteArray *out, const char *event, size_t len);
 
+/*
+ * sse_id_find(event, len, id_len)
+ *	Return the event's id, of *id_len bytes, or nil if it has none.
+ */
+const char *sse_id_find(const char *event, size_t len, size_t *id_len);
+
 #endif
--- a/src/edge/wire.h
+++ b/src/edge/wire.h
@@ -33,6 +33,7 @@
 	const char *previous_turn; /* id of the previous turn; nil: none */
 	const char *object; /* that it concerns; nil: not stated */
 	bool is_resumed; /* it goes on after an event that the caller has */
+	const char *resume_after; /* id of that event; nil: it isn't resumed */
 	const char *resumes; /* id of the request that began the stream */
 	unsigned length_hint; /* expected output tokens; 0: not stated */
 	struct place_part *parts; /* of the prompt; free with g_free() */
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -22,6 +22,7 @@
 #include "store/sweeper.h"
 #include "throttle/cold.h"
 #include "throttle/throttle.h"
+#include "turn/checkpoint.h"
 #include "turn/turn.h"
 
 /*
@@ -69,8 +70,16 @@
 #define OPS_MAX_CONNECTIONS 64
 #define EXPLAIN_PATH	    "/explain"
 
+static bool
+is_history_expired(
+    const struct store_record *record, clk_ms retention, clk_ms wall)
+{
+	return (turn_is_expired(record, retention, wall) ||
+	    checkpoint_is_expired(record, wall));
+}
+
 static const struct sweeper_rule sweep_rules[] = {
-    {STORE_TURNS, STORE_SLOT_COUNT, turn_is_expired},
+    {STORE_TURNS, STORE_SLOT_COUNT, is_history_expired},
     {STORE_BUDGETS, STORE_SLOT_COUNT, budget_ledger_is_expired},
     {STORE_STREAMS, STORE_STREAM_SLOT_COUNT, rollout_stream_is_expired},
 };
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -18,7 +18,7 @@
 #include "lib/clk.h"
 
 enum store_space {
-	STORE_TURNS, /* histories of programs, one record per turn */
+	STORE_TURNS, /* histories of programs: turns, events of streams */
 	STORE_BUDGETS, /* token grants, one record per program */
 	STORE_MEMBERS, /* addresses of instances, one record per instance */
 	STORE_STREAMS, /* software versions of streams, one record each */
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -182,8 +182,8 @@
 	return (turn);
 }
 
-static void
-record_free(void *data)
+void
+turn_record_free(void *data)
 {
 	struct turn_record *record = data;
 
@@ -219,7 +219,7 @@
 GPtrArray *
 turn_split(const struct turn *turn, size_t record_max)
 {
-	GPtrArray *records = g_ptr_array_new_with_free_func(record_free);
+	GPtrArray *records = g_ptr_array_new_with_free_func(turn_record_free);
 	g_autoptr(GByteArray) whole = turn_encode(turn);
 	size_t overhead = record_size(STORE_KEY_MAX, PART_HEAD);
 	size_t room = record_max > overhead ? record_max - overhead : 1;
--- a/src/turn/turn.h
+++ b/src/turn/turn.h
@@ -52,6 +52,8 @@
 	GByteArray *value;
 };
 
+void turn_record_free(void *record);
+
 /*
  * turn_split(turn, record_max)
  *	Return the records of a turn (struct turn_record), each with its key of
