Turn, budget, rollout: records say how long they are kept

Cause: the sweeper drops records by the longest retention of the newest configuration, here 10 s while the route was away, and the records did not state theirs.

Change: a turn's record and a program's ledger state their retention, a stream's record its life. A record is dropped by that, or by the configuration if that is longer, and a turn is written again when it could go before a later turn of its chain. An instance whose configuration may be out of date drops nothing, and one that arrives late is ignored. Records of earlier versions are read, and kept for an hour at least. A record that can't be read is answered 503, no longer 404.

/turn/record expected each truncated record to be rejected; one that is cut just before the retention is the whole record of an earlier version and must be read. The test checks this length by its content and all others as before.

Why it works: what decides on a record no longer depends on which configuration the deciding instance has seen.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -13,6 +13,8 @@
 #define GRANT_TURNS_OTHER 1
 /* Allowance for clock differences between instances, and a late sweep. */
 #define CLOCK_MARGIN_MS (15 * CLK_SECOND)
+/* Retention of ledgers that state none: those of earlier versions. */
+#define UNSTATED_RETENTION_MS (1800 * CLK_SECOND)
 /* Most tokens of a budget or a grant; a larger number counts as this one. */
 #define BUDGET_MAX ((json_int_t)1 << 50)
 
@@ -30,6 +32,7 @@
 	 * still take effect at this end; -1: none.
 	 */
 	int64_t unsettled_end;
+	clk_ms retention; /* of the ledger, as far as it is known here */
 	clk_ms held_until; /* the rest is granted to other sessions */
 	clk_ms last_used; /* by a turn or a change of the ledger */
 	char *ledger; /* as last read or written; nil: none */
@@ -48,6 +51,7 @@
 /* A ledger as stored. */
 struct ledger {
 	int64_t budget;
+	clk_ms retention;
 	json_t *grants; /* session -> tokens */
 };
 
@@ -128,6 +132,15 @@
 		: BUDGET_GRANT_NEEDED);
 }
 
+void
+budget_retention_set(
+    struct budgets *budgets, const char *id, clk_ms retention, clk_ms now)
+{
+	struct program *program = program_ensure(budgets, id, now);
+
+	program->retention = MAX(program->retention, retention);
+}
+
 bool
 budget_is_granted(
     const struct budgets *budgets, const char *id, int64_t turn_max)
@@ -156,6 +169,18 @@
 	return (CLAMP(json_integer_value(value), 0, BUDGET_MAX));
 }
 
+/* The retention that a ledger states, or fallback. */
+static clk_ms
+ledger_retention(const json_t *root, clk_ms fallback)
+{
+	const json_t *value = json_object_get(root, "retention");
+
+	return (json_is_integer(value)
+		? (clk_ms)CLAMP(
+		      json_integer_value(value), 0, (json_int_t)STORE_TIME_MAX)
+		: fallback);
+}
+
 static void
 ledger_parse(
     struct ledger *ledger, const struct program *program, int64_t budget)
@@ -173,15 +198,16 @@
 	/* The first turn sets the budget; later turns can't raise it. */
 	if (json_is_integer(json_object_get(root, "budget")))
 		ledger->budget = tokens(json_object_get(root, "budget"));
+	ledger->retention = MAX(program->retention, ledger_retention(root, 0));
 	json_decref(root);
 }
 
 static char *
 ledger_format(const struct ledger *ledger, clk_ms wall)
 {
-	json_t *root =
-	    json_pack("{s:I, s:O, s:I}", "budget", (json_int_t)ledger->budget,
-		"grants", ledger->grants, "time", (json_int_t)wall);
+	json_t *root = json_pack("{s:I, s:O, s:I, s:I}", "budget",
+	    (json_int_t)ledger->budget, "grants", ledger->grants, "time",
+	    (json_int_t)wall, "retention", (json_int_t)ledger->retention);
 	char *json = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	char *text = g_strdup(json);
 
@@ -412,7 +438,10 @@
 	const json_t *time = json_object_get(root, "time");
 	bool expired = json_is_integer(time) && json_integer_value(time) >= 0 &&
 	    (uint64_t)json_integer_value(time) <= STORE_TIME_MAX &&
-	    wall - json_integer_value(time) > 2 * retention + CLOCK_MARGIN_MS;
+	    wall - json_integer_value(time) > 2 *
+			MAX(retention,
+			    ledger_retention(root, UNSTATED_RETENTION_MS)) +
+		    CLOCK_MARGIN_MS;
 
 	json_decref(root);
 	return (expired);
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -61,6 +61,14 @@
 enum budget_verdict budget_reserve(
     struct budgets *budgets, const char *program, int64_t turn_max, clk_ms now);
 
+/*
+ * budget_retention_set(budgets, program, retention, now)
+ *	The program may come again within that time, in ms: its ledger is kept
+ *	for so long at least, whatever becomes of the routes.
+ */
+void budget_retention_set(
+    struct budgets *budgets, const char *program, clk_ms retention, clk_ms now);
+
 /*
  * budget_is_granted(budgets, program, turn_max)
  *	Whether budget_reserve() needs no grant: it would reserve the tokens,
@@ -157,7 +165,9 @@
 /*
  * budget_ledger_is_expired(record, retention, wall)
  *	Whether the last change of a ledger is so old, at the time of day
- *	wall, that its program has expired at every instance.
+ *	wall, that its program has expired at every instance.  It is kept for
+ *	twice the time that it states, or twice the longest retention of the
+ *	configuration if that is longer.
  */
 bool budget_ledger_is_expired(
     const struct store_record *record, clk_ms retention, clk_ms wall);
--- a/src/budget/test_budget.c
+++ b/src/budget/test_budget.c
@@ -565,6 +565,46 @@
 	budget_close(budgets);
 }
 
+/*
+ * Guards against a program that gets its budget twice: its ledger is dropped
+ * when its route has gone from the configuration, or was written by an earlier
+ * version, which states no retention.
+ */
+static void
+test_ledger_retention(void)
+{
+	const char *earlier =
+	    "{\"budget\":600,\"grants\":{\"s\":100},\"time\":1000000}";
+	struct store_record record = {"p", earlier, strlen(earlier)};
+	struct budgets *budgets = budget_open("s", 60000);
+	g_autofree char *value = NULL;
+	g_autofree char *next = NULL;
+	int64_t end = 0;
+
+	g_assert_false(budget_ledger_is_expired(&record, 0, 1600000));
+	g_assert_true(budget_ledger_is_expired(&record, 0, 86400000));
+	budget_ledger_set(budgets, "p", &record, 1, 0);
+	budget_retention_set(budgets, "p", 300000, 0);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 600, TURN_MAX, 0,
+			    &value, &end, 0, 1000000),
+	    ==, BUDGET_WRITE_LEDGER);
+	record = (struct store_record){"p", value, strlen(value)};
+	g_assert_false(budget_ledger_is_expired(&record, 1000, 1300000));
+	g_assert_true(budget_ledger_is_expired(&record, 1000, 1700000));
+	g_assert_false(budget_ledger_is_expired(&record, 600000, 1700000));
+	budget_close(budgets);
+	/* Another instance, which knows of a shorter one, keeps it. */
+	budgets = budget_open("other", 60000);
+	budget_retention_set(budgets, "p", 1000, 0);
+	budget_ledger_set(budgets, "p", &record, 2, 0);
+	g_assert_cmpint(budget_grant_take(budgets, "p", 600, TURN_MAX, 0, &next,
+			    &end, 0, 1000000),
+	    ==, BUDGET_WRITE_LEDGER);
+	record = (struct store_record){"p", next, strlen(next)};
+	g_assert_false(budget_ledger_is_expired(&record, 1000, 1300000));
+	budget_close(budgets);
+}
+
 /*
  * A ledger with numbers that no instance writes neither grants more than its
  * budget nor expires.
@@ -613,6 +653,7 @@
 	g_test_add_func("/bgt/first-budget-binds", test_first_budget_binds);
 	g_test_add_func("/bgt/forgotten", test_forgotten);
 	g_test_add_func("/bgt/ledger-expiry", test_ledger_expiry);
+	g_test_add_func("/bgt/ledger-retention", test_ledger_retention);
 	g_test_add_func("/bgt/odd-ledger", test_odd_ledger);
 	g_test_add_func("/bgt/expiry", test_expiry);
 	return (g_test_run());
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -591,14 +591,20 @@
 }
 
 bool
-edge_is_ready(const struct edge *edge)
+edge_is_current(const struct edge *edge)
 {
-	return (!edge->draining && edge->catalogue != NULL &&
-	    rollout_is_read(edge->rollout) && edge->worse_since == 0 &&
+	return (edge->catalogue != NULL &&
 	    edge_now(edge) - edge->confirmed <=
 		edge->settings.max_catalogue_age);
 }
 
+bool
+edge_is_ready(const struct edge *edge)
+{
+	return (!edge->draining && edge_is_current(edge) &&
+	    rollout_is_read(edge->rollout) && edge->worse_since == 0);
+}
+
 void
 edge_drain(struct edge *edge, clk_ms stop_at)
 {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -99,10 +99,13 @@
 void edge_tick(struct edge *edge);
 
 /*
+ * edge_is_current(edge)
+ *	Whether the configuration is known to be recent enough to check keys.
  * edge_is_ready(edge)
  *	Whether callers should come to this instance: it can serve requests,
  *	as well as the others.
  */
+bool edge_is_current(const struct edge *edge);
 bool edge_is_ready(const struct edge *edge);
 
 /*
--- a/src/edge/edge_budget.c
+++ b/src/edge/edge_budget.c
@@ -597,6 +597,9 @@
 		call->request.turn_max_tokens) &&
 	    edge_outage_hold(call, &partition, edge_budget_reserve_own))
 		return;
+	budget_retention_set(call->edge->budgets, call->program,
+	    MAX(call->route->retention, catalogue_retention(call->catalogue)),
+	    edge_now(call->edge));
 	reservation = g_new0(struct reservation, 1);
 	*reservation = (struct reservation){.call = edge_call_ref(call),
 	    .tokens = call->request.turn_max_tokens,
@@ -610,6 +613,9 @@
 {
 	struct reservation *reservation = g_new0(struct reservation, 1);
 
+	if (edge->catalogue != NULL)
+		budget_retention_set(edge->budgets, program,
+		    catalogue_retention(edge->catalogue), edge_now(edge));
 	reservation->loan = *loan;
 	reservation->loan.borrower = g_strdup(loan->borrower);
 	reservation->tokens = tokens;
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -36,6 +36,7 @@
 	guint appended; /* of these, so far */
 	guint appending;
 	clk_ms recorded; /* time of day in these records */
+	clk_ms retention; /* that they state */
 	clk_ms started;
 	clk_ms backoff; /* before the next attempt */
 	struct ev_timer timer;
@@ -131,9 +132,11 @@
 		return;
 	again = *turn;
 	again.recorded = wall;
+	again.retention = MAX(turn->retention, call->route->retention);
 	op = history_op_new(call, renew_turn, turn->id);
 	op->records = turn_split(&again, call->edge->deps.store.record_max);
 	op->recorded = wall;
+	op->retention = again.retention;
 	call->renewals++;
 	renew_turn(op);
 }
@@ -281,7 +284,10 @@
 		    "request=%s turn=%s found=%d end=%" G_GINT64_FORMAT,
 		    call->request.id, op->id,
 		    store_reply_find(reply, op->id) != NULL, reply->end);
-		if (strcmp(op->id, call->previous_turn) == 0)
+		/* A record that can't be read does not show that there is none.
+		 */
+		if (strcmp(op->id, call->previous_turn) == 0 &&
+		    store_reply_find(reply, op->id) == NULL)
 			edge_refuse_not_run(
 			    call, VD_UNKNOWN_PROGRAM, 0, "no such turn");
 		else
@@ -479,7 +485,8 @@
 	bool is_done = reply->status == STORE_OK && records_appended(op);
 
 	if (is_done)
-		turn_cache_renewed(edge->turns, op->id, op->recorded);
+		turn_cache_renewed(
+		    edge->turns, op->id, op->recorded, op->retention);
 	if (call->client == NULL) {
 		history_op_free(op);
 		return;
@@ -553,6 +560,7 @@
 	}
 	call->record_since = edge_now(call->edge);
 	call->turn->recorded = clk_wall_ms();
+	call->turn->retention = call->route->retention;
 	op = history_op_new(call, record_turn, NULL);
 	op->records = turn_split(call->turn, call->edge->deps.store.record_max);
 	record_turn(op);
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -598,6 +598,7 @@
 	    .service = (char *)call->service_name,
 	    .version = (char *)version,
 	    .recorded = (uint64_t)clk_wall_ms(),
+	    .life = (uint64_t)(LIFE_TIMEOUTS * call->route->timeout),
 	};
 	g_autoptr(GByteArray) value = NULL;
 	g_autofree char *key = NULL;
--- a/src/instance/instance.c
+++ b/src/instance/instance.c
@@ -252,6 +252,7 @@
 	place_expire(instance->place, now);
 	reach_tick(instance->reach, gossip_is_told(instance->gossip), now);
 	edge_tick(instance->edge);
+	sweeper_pause_set(instance->sweeper, !edge_is_current(instance->edge));
 	if (instance->stop_begun > 0)
 		stop_advance(instance, now);
 }
@@ -536,9 +537,9 @@
 		catalogue_services_each(catalogue, on_service, instance->colds);
 		cold_services_apply(instance->colds, instance_now(instance));
 		regions_check(instance, catalogue);
+		sweeper_retention_set(
+		    instance->sweeper, catalogue_retention(catalogue));
 	}
-	sweeper_retention_set(
-	    instance->sweeper, catalogue_retention(catalogue));
 }
 
 void
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -80,7 +80,7 @@
 void
 rollout_stream_life_set(struct rollout *rollout, clk_ms life)
 {
-	rollout->life = MAX(life, STREAM_LIFE_MIN_MS);
+	rollout->life = MAX(rollout->life, life);
 }
 
 static const char *
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -32,7 +32,8 @@
 /*
  * rollout_stream_life_set(rollout, life)
  *	Set the longest time, in ms, between the beginning of a stream and a
- *	request that takes it up.
+ *	request that takes it up.  A longer one that was set before stays:
+ *	streams may have begun by it.
  */
 void rollout_stream_life_set(struct rollout *rollout, clk_ms life);
 
@@ -126,6 +127,7 @@
 	char *service;
 	char *version;
 	uint64_t recorded; /* time of day, ms since 1970 */
+	uint64_t life; /* ms for which it may be taken up; 0: not stated */
 };
 
 /*
@@ -146,7 +148,8 @@
 
 /*
  * rollout_stream_is_expired(record, retention, wall)
- *	Whether nobody takes the stream up any more at the time of day wall.
+ *	Whether nobody takes the stream up any more at the time of day wall, by
+ *	the time that its record states and the configuration's retention.
  */
 bool rollout_stream_is_expired(
     const struct store_record *record, clk_ms retention, clk_ms wall);
--- a/src/rollout/rollout_record.c
+++ b/src/rollout/rollout_record.c
@@ -43,6 +43,15 @@
 	    xdr_uint64_t(xdrs, &stream->recorded));
 }
 
+/* Records of earlier versions end before the life of the stream. */
+static bool_t
+xdr_stream_life(XDR *xdrs, void *data)
+{
+	struct rollout_stream *stream = data;
+
+	return (xdr_stream(xdrs, stream) && xdr_uint64_t(xdrs, &stream->life));
+}
+
 static GByteArray *
 encode(uint32_t format, dgram_xdr *xdr, void *content)
 {
@@ -113,7 +122,8 @@
 {
 	struct rollout_stream copy = *stream;
 
-	return (encode(STREAM_FORMAT, xdr_stream, &copy));
+	return (encode(STREAM_FORMAT,
+	    copy.life > 0 ? xdr_stream_life : xdr_stream, &copy));
 }
 
 bool
@@ -121,9 +131,15 @@
     const struct store_record *record, struct rollout_stream *stream)
 {
 	memset(stream, 0, sizeof(*stream));
-	if (decode(record, STREAM_FORMAT, xdr_stream, stream) &&
-	    stream->recorded <= STORE_TIME_MAX)
+	if (!decode(record, STREAM_FORMAT, xdr_stream_life, stream)) {
+		rollout_stream_clear(stream);
+		if (!decode(record, STREAM_FORMAT, xdr_stream, stream))
+			goto fail;
+	}
+	if (stream->recorded <= STORE_TIME_MAX &&
+	    stream->life <= STORE_TIME_MAX)
 		return (true);
+fail:
 	rollout_stream_clear(stream);
 	return (false);
 }
@@ -145,8 +161,8 @@
 
 	if (!rollout_stream_decode(record, &stream))
 		return (false);
-	is_expired =
-	    wall - (clk_ms)stream.recorded > MAX(2 * retention, RECORD_KEPT_MS);
+	is_expired = wall - (clk_ms)stream.recorded >
+	    MAX(2 * MAX(retention, (clk_ms)stream.life), RECORD_KEPT_MS);
 	rollout_stream_clear(&stream);
 	return (is_expired);
 }
--- a/src/rollout/test_rollout.c
+++ b/src/rollout/test_rollout.c
@@ -514,6 +514,29 @@
 	sim_close(&sim);
 }
 
+/*
+ * Guards against a stream whose version is forgotten while it may be taken up:
+ * its route has a long timeout, and has gone from the configuration.
+ */
+static void
+test_stream_life(void)
+{
+	const struct rollout_stream stream = {.service = (char *)SERVICE,
+	    .version = (char *)"v1",
+	    .recorded = 7,
+	    .life = 400000};
+	g_autoptr(GByteArray) value = rollout_stream_encode(&stream);
+	const struct store_record record = {"r1", value->data, value->len};
+	struct rollout_stream decoded;
+
+	g_assert_true(rollout_stream_decode(&record, &decoded));
+	g_assert_cmpuint(decoded.life, ==, 400000);
+	g_assert_cmpstr(decoded.version, ==, "v1");
+	rollout_stream_clear(&decoded);
+	g_assert_false(rollout_stream_is_expired(&record, 1000, 400007));
+	g_assert_true(rollout_stream_is_expired(&record, 1000, 900000));
+}
+
 /* Guards against records of other writers, or cut ones, that are used. */
 static void
 test_records(void)
@@ -564,5 +587,6 @@
 	g_test_add_func("/rollout/killed-often", test_killed_often);
 	g_test_add_func("/rollout/balance", test_balance);
 	g_test_add_func("/rollout/records", test_records);
+	g_test_add_func("/rollout/stream-life", test_stream_life);
 	return (g_test_run());
 }
--- a/src/store/sweeper.c
+++ b/src/store/sweeper.c
@@ -23,6 +23,7 @@
 	size_t next; /* index of the next partition, over all rules */
 	struct store_partition current;
 	bool is_busy;
+	bool is_paused;
 };
 
 static void
@@ -57,7 +58,9 @@
 	g_autoptr(GArray) expired =
 	    g_array_new(FALSE, FALSE, sizeof(struct store_record));
 
-	for (size_t i = 0; reply->status == STORE_OK && i < reply->count; i++) {
+	for (size_t i = 0; reply->status == STORE_OK && !sweeper->is_paused &&
+	     i < reply->count;
+	     i++) {
 		const struct store_record *record = &reply->records[i];
 		const struct store_record drop = {record->key, NULL, 0};
 
@@ -102,7 +105,7 @@
 
 	(void)loop;
 	(void)events;
-	if (sweeper->is_busy || sweeper->retention == 0)
+	if (sweeper->is_busy || sweeper->is_paused || sweeper->retention == 0)
 		return;
 	if (sweeper->next >= partition_count(sweeper))
 		sweeper->next = sweeper->rank % partition_count(sweeper);
@@ -160,3 +163,9 @@
 {
 	sweeper->retention = retention;
 }
+
+void
+sweeper_pause_set(struct sweeper *sweeper, bool is_paused)
+{
+	sweeper->is_paused = is_paused;
+}
--- a/src/store/sweeper.h
+++ b/src/store/sweeper.h
@@ -40,6 +40,15 @@
  */
 void
 sweeper_fleet_set(struct sweeper *sweeper, unsigned instances, unsigned rank);
+
+/*
+ * sweeper_retention_set(sweeper, retention)
+ *	Set the longest retention of the configuration, in ms.  Nothing is swept
+ *	while it is 0.
+ * sweeper_pause_set(sweeper, is_paused)
+ *	Sweep nothing meanwhile: the retention may be out of date.
+ */
 void sweeper_retention_set(struct sweeper *sweeper, clk_ms retention);
+void sweeper_pause_set(struct sweeper *sweeper, bool is_paused);
 
 #endif
--- a/src/store/test_sweeper.c
+++ b/src/store/test_sweeper.c
@@ -183,6 +183,31 @@
 	memory_close(&memory);
 }
 
+/*
+ * Guards against records that are dropped by a configuration that may be out
+ * of date: nothing is swept meanwhile, and the sweeper goes on afterwards.
+ */
+static void
+test_paused(void)
+{
+	struct memory memory;
+	struct sweeper *sweeper;
+
+	memory_open(&memory);
+	sweeper = sweeper_start(&memory, 1, 0);
+	sweeper_pause_set(sweeper, true);
+	for (int i = 0; i < 2000; i++) {
+		(void)ev_run(memory.loop, EVRUN_NOWAIT);
+		g_usleep(100);
+	}
+	g_assert_cmpuint(memory.reads, ==, 0);
+	sweeper_pause_set(sweeper, false);
+	run(&memory, 2);
+	g_assert_false(g_hash_table_contains(memory.records, "old-turn"));
+	sweeper_close(sweeper);
+	memory_close(&memory);
+}
+
 /* The round continues after a read that the store refuses. */
 static void
 test_refused(void)
@@ -207,5 +232,6 @@
 	g_test_add_func("/sweeper/ranks", test_ranks);
 	g_test_add_func("/sweeper/conflict", test_conflict);
 	g_test_add_func("/sweeper/refused", test_refused);
+	g_test_add_func("/sweeper/paused", test_paused);
 	return (g_test_run());
 }
--- a/src/turn/test_turn.c
+++ b/src/turn/test_turn.c
@@ -6,6 +6,9 @@
 
 #include "turn/turn.h"
 
+/* Bytes of a record that earlier versions did not write. */
+#define RETENTION_SIZE 12
+
 static struct turn *
 turn_with_text(const char *id, const char *input, const char *output)
 {
@@ -29,23 +32,37 @@
 	g_ptr_array_add(turn->ancestors, g_strdup("t1"));
 	g_ptr_array_add(turn->ancestors, g_strdup("t2"));
 	turn->recorded = 1234567890123;
+	turn->retention = 60000;
 	bytes = turn_encode(turn);
 	record = (struct store_record){"t3", bytes->data, bytes->len};
 	read = turn_decode("t3", &record);
 	g_assert_cmpstr(read->organisation, ==, "o");
 	g_assert_cmpint(read->recorded, ==, 1234567890123);
+	g_assert_cmpint(read->retention, ==, 60000);
 	g_assert_cmpuint(read->ancestors->len, ==, 2);
 	g_assert_cmpstr(read->ancestors->pdata[1], ==, "t2");
 	g_assert_cmpmem(read->input->data, read->input->len, "in\n", 3);
 	g_assert_cmpmem(read->output->data, read->output->len, "out\n", 4);
 	turn_unref(read);
 	turn_unref(turn);
-	/* A truncated record is rejected. */
+	/*
+	 * A truncated record is rejected, except where it is the whole record
+	 * of an earlier version.
+	 */
 	for (guint len = 0; len < bytes->len; len++) {
 		g_autofree guint8 *cut = g_memdup2(bytes->data, len);
 
 		record = (struct store_record){"t3", cut, len};
-		g_assert_null(turn_decode("t3", &record));
+		read = turn_decode("t3", &record);
+		if (len != bytes->len - RETENTION_SIZE) {
+			g_assert_null(read);
+			continue;
+		}
+		g_assert_cmpuint(read->ancestors->len, ==, 2);
+		g_assert_cmpmem(
+		    read->output->data, read->output->len, "out\n", 4);
+		g_assert_cmpint(read->retention, ==, 0);
+		turn_unref(read);
 	}
 }
 
@@ -110,31 +127,121 @@
 }
 
 /*
- * Guards against a chain whose first turns expire while its last one is
- * kept: at any age a record either is renewed when the next turn is recorded,
- * or doesn't expire within that turn's retention.
+ * Guards against a large turn of an earlier version that can't be read while it
+ * is written again: its parts and the new ones are of the same sizes.
+ */
+static void
+test_split_earlier(void)
+{
+	const size_t record_max = 600;
+	g_autofree char *input = g_strnfill(3 * record_max, 'x');
+	struct turn *turn = turn_with_text("t", input, "out");
+	g_autoptr(GPtrArray) records = turn_split(turn, record_max);
+
+	g_assert_cmpuint(records->len, >, 3);
+	for (guint mixed = 0; mixed < 1U << records->len; mixed++) {
+		g_autoptr(GPtrArray) some =
+		    g_ptr_array_new_with_free_func(turn_record_free);
+		struct turn *whole;
+
+		for (guint i = 0; i < records->len; i++) {
+			const struct turn_record *record = records->pdata[i];
+			struct turn_record *copy =
+			    g_new0(struct turn_record, 1);
+
+			copy->key = g_strdup(record->key);
+			copy->value = g_byte_array_new();
+			(void)g_byte_array_append(copy->value,
+			    record->value->data, record->value->len);
+			if ((mixed & 1U << i) != 0) {
+				copy->value->data[0] = 3;
+				(void)g_byte_array_remove_range(
+				    copy->value, 9, sizeof(guint64));
+			}
+			g_ptr_array_add(some, copy);
+		}
+		whole = join_without(some, some->len);
+		g_assert_nonnull(whole);
+		g_assert_cmpmem(whole->input->data, whole->input->len, input,
+		    3 * record_max);
+		turn_unref(whole);
+	}
+	turn_unref(turn);
+}
+
+/*
+ * Guards against a turn that is dropped within its retention, and a chain whose
+ * first turns expire while its last one is kept, whatever the configuration
+ * was when each was recorded and is when the record is looked at: at any age a
+ * record either is renewed when the next turn is recorded, or doesn't expire
+ * within that turn's retention.
  */
 static void
 test_expiry(void)
 {
-	const clk_ms retention = 60000;
+	static const clk_ms retentions[] = {0, 1000, 10000, 60000, 300000};
+	const size_t count = G_N_ELEMENTS(retentions);
 
-	for (clk_ms age = 0; age < 4 * retention; age += 500) {
-		struct turn *turn = turn_with_text("t", "in", "out");
-		g_autoptr(GByteArray) bytes = NULL;
-		struct store_record record;
-		clk_ms wall;
+	for (size_t i = 0; i < count * count * count; i++) {
+		clk_ms own = retentions[i % count];
+		clk_ms later = retentions[i / count % count];
+		clk_ms configured = retentions[i / count / count];
 
-		turn->recorded = 1000000;
-		wall = turn->recorded + age;
-		bytes = turn_encode(turn);
-		record = (struct store_record){"t", bytes->data, bytes->len};
-		g_assert_true(turn_needs_renewal(turn, retention, wall) ||
-		    !turn_is_expired(&record, retention, wall + retention));
-		turn_unref(turn);
+		for (clk_ms age = 0; age < 4 * MAX(own, later); age += 499) {
+			struct turn *turn = turn_with_text("t", "in", "out");
+			g_autoptr(GByteArray) bytes = NULL;
+			struct store_record record;
+			clk_ms wall;
+
+			turn->recorded = 1000000;
+			turn->retention = own;
+			wall = turn->recorded + age;
+			bytes = turn_encode(turn);
+			record =
+			    (struct store_record){"t", bytes->data, bytes->len};
+			g_assert_true(turn_needs_renewal(turn, later, wall) ||
+			    !turn_is_expired(
+				&record, configured, wall + later));
+			g_assert_true(age >= MAX(own, configured) ||
+			    !turn_is_expired(&record, configured, wall));
+			g_assert_true(turn_is_expired(&record, configured,
+			    wall + 2 * MAX(own, configured) + 16000));
+			turn_unref(turn);
+		}
 	}
-	g_assert_false(turn_is_expired(
-	    &(struct store_record){"t", "other", 5}, retention, 0));
+	g_assert_false(
+	    turn_is_expired(&(struct store_record){"t", "other", 5}, 60000, 0));
+}
+
+/*
+ * Guards against turns of earlier versions, whose records don't state their
+ * retention, that are dropped when their route has gone, and against chains of
+ * them that are not renewed.
+ */
+static void
+test_expiry_earlier(void)
+{
+	/* Version, time, organisation, ancestors, input, output; a part. */
+	static const guint8 whole[] = {2, 0, 0, 0, 0, 0, 15, 66, 64, 0, 0, 0, 1,
+	    'o', 0, 0, 0, 5, 'a', ' ', 'b', ' ', 'c', 0, 0, 0, 2, 'i', 'n', 0,
+	    0, 0, 1, 'x'};
+	static const guint8 part[] = {
+	    3, 0, 0, 0, 0, 0, 15, 66, 64, 0, 0, 0, 1, 0, 0, 0, 2, 'x'};
+	const struct store_record records[] = {
+	    {"t", whole, sizeof(whole)}, {"t\n1", part, sizeof(part)}};
+	struct turn *turn = turn_decode("t", &records[0]);
+
+	g_assert_nonnull(turn);
+	g_assert_cmpuint(turn->ancestors->len, ==, 3);
+	g_assert_cmpmem(turn->input->data, turn->input->len, "in", 2);
+	g_assert_true(turn_needs_renewal(turn, 1000, turn->recorded));
+	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+		g_assert_false(turn_is_expired(
+		    &records[i], 1000, turn->recorded + 600000));
+		g_assert_true(turn_is_expired(
+		    &records[i], 1000, turn->recorded + 86400000));
+	}
+	turn_unref(turn);
 }
 
 /* A record whose time no instance writes is no turn and doesn't expire. */
@@ -186,7 +293,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/turn/record", test_record);
 	g_test_add_func("/turn/split", test_split);
+	g_test_add_func("/turn/split-earlier", test_split_earlier);
 	g_test_add_func("/turn/expiry", test_expiry);
+	g_test_add_func("/turn/expiry-earlier", test_expiry_earlier);
 	g_test_add_func("/turn/odd-time", test_odd_time);
 	g_test_add_func("/turn/cache", test_cache);
 	return (g_test_run());
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -3,18 +3,26 @@
 #include <string.h>
 
 /*
- * Record: version, time of day in ms (8 bytes), then four strings, each with a
+ * Record: version, time of day in ms (8 bytes), then strings, each with a
  * length of 4 bytes, the most significant first: organisation, ancestors
- * (separated by spaces), input, output.
+ * (separated by spaces), input, output, and the retention in ms (8 bytes).
+ * Earlier versions wrote the first four and ignore the others.
  */
 #define RECORD_VERSION 2
+#define STRINGS	       4
 /*
- * Record of a part: version, time of day in ms (8 bytes), number of the part
- * and number of parts (4 bytes each), then the part of such a record.  Part 0
- * has the turn's id as its key, the others the id and their number.
+ * Record of a part: version, time of day in ms and retention (8 bytes each),
+ * number of the part and number of parts (4 bytes each), then the part of such
+ * a record.  Part 0 has the turn's id as its key, the others the id and their
+ * number.  Earlier versions wrote no retention.
  */
-#define PART_VERSION 3
-#define PART_HEAD    17
+#define PART_VERSION	   4
+#define PART_HEAD	   25
+#define OLDER_PART_VERSION 3
+#define OLDER_PART_HEAD	   17
+#define RETENTION_AT	   9 /* in the head of a part */
+/* Retention of records that state none. */
+#define UNSTATED_RETENTION_MS (1800 * CLK_SECOND)
 /* Parts of a turn that are read. */
 #define PARTS_MAX 256
 /* Allows for clock skew between instances and for a delayed expiry pass. */
@@ -79,6 +87,7 @@
 	g_autoptr(GString) ancestors = g_string_new(NULL);
 	guint8 version = RECORD_VERSION;
 	guint64 recorded = GUINT64_TO_BE((guint64)turn->recorded);
+	guint64 retention = GUINT64_TO_BE((guint64)turn->retention);
 
 	for (guint i = 0; i < turn->ancestors->len; i++)
 		g_string_append_printf(ancestors, "%s%s", i == 0 ? "" : " ",
@@ -90,6 +99,7 @@
 	put_string(out, ancestors->str, ancestors->len);
 	put_string(out, turn->input->data, turn->input->len);
 	put_string(out, turn->output->data, turn->output->len);
+	put_string(out, &retention, sizeof(retention));
 	return (out);
 }
 
@@ -111,6 +121,15 @@
 	return (true);
 }
 
+static guint64
+get_number(const guint8 *bytes)
+{
+	guint64 value;
+
+	memcpy(&value, bytes, sizeof(value));
+	return (GUINT64_FROM_BE(value));
+}
+
 /* Read the time of a record; returns false if it isn't a turn's record. */
 static bool
 get_recorded(const struct store_record *record, clk_ms *recorded)
@@ -119,14 +138,57 @@
 	guint64 value;
 
 	if (record->len < 1 + sizeof(value) ||
-	    (bytes[0] != RECORD_VERSION && bytes[0] != PART_VERSION))
+	    (bytes[0] != RECORD_VERSION && bytes[0] != PART_VERSION &&
+		bytes[0] != OLDER_PART_VERSION))
 		return (false);
-	memcpy(&value, bytes + 1, sizeof(value));
-	value = GUINT64_FROM_BE(value);
+	value = get_number(bytes + 1);
 	*recorded = (clk_ms)value;
 	return (value <= STORE_TIME_MAX);
 }
 
+/* The strings of a whole turn's record; the last one is its retention. */
+struct strings {
+	const guint8 *data[STRINGS + 1];
+	size_t len[STRINGS + 1];
+};
+
+/* Returns false if the record is malformed; earlier ones have no retention. */
+static bool
+get_strings(const struct store_record *record, struct strings *strings,
+    bool *has_retention)
+{
+	const guint8 *at = record->value;
+	const guint8 *end = at + record->len;
+
+	at += 1 + sizeof(guint64);
+	for (size_t i = 0; i < STRINGS; i++) {
+		if (!get_string(&at, end, &strings->data[i], &strings->len[i]))
+			return (false);
+	}
+	*has_retention = at < end;
+	return (at == end ||
+	    (get_string(
+		 &at, end, &strings->data[STRINGS], &strings->len[STRINGS]) &&
+		strings->len[STRINGS] == sizeof(guint64)));
+}
+
+/* The retention that a turn's record states, or that of those which don't. */
+static clk_ms
+get_retention(const struct store_record *record)
+{
+	const guint8 *bytes = record->value;
+	struct strings strings;
+	bool has_retention;
+	guint64 value = UNSTATED_RETENTION_MS;
+
+	if (bytes[0] == PART_VERSION && record->len >= PART_HEAD)
+		value = get_number(bytes + RETENTION_AT);
+	else if (bytes[0] == RECORD_VERSION &&
+	    get_strings(record, &strings, &has_retention) && has_retention)
+		value = get_number(strings.data[STRINGS]);
+	return ((clk_ms)MIN(value, STORE_TIME_MAX));
+}
+
 bool
 turn_is_expired(
     const struct store_record *record, clk_ms retention, clk_ms wall)
@@ -134,51 +196,52 @@
 	clk_ms recorded;
 
 	return (get_recorded(record, &recorded) &&
-	    wall - recorded > 2 * retention + EXPIRY_MARGIN_MS);
+	    wall - recorded >
+		2 * MAX(retention, get_retention(record)) + EXPIRY_MARGIN_MS);
 }
 
 bool
 turn_needs_renewal(const struct turn *turn, clk_ms retention, clk_ms wall)
 {
-	return (wall - turn->recorded > retention);
+	return (wall + retention > turn->recorded + 2 * turn->retention);
 }
 
 struct turn *
 turn_decode(const char *id, const struct store_record *record)
 {
-	const guint8 *at = record->value;
-	const guint8 *end;
-	const guint8 *part[4];
-	size_t len[4];
+	const guint8 *bytes = record->value;
+	struct strings strings;
 	struct turn *turn;
 	clk_ms recorded;
+	bool has_retention;
 
-	if (!get_recorded(record, &recorded) || at[0] != RECORD_VERSION)
+	if (!get_recorded(record, &recorded) || bytes[0] != RECORD_VERSION ||
+	    !get_strings(record, &strings, &has_retention))
 		return (NULL);
-	end = at + record->len;
-	at += 1 + sizeof(guint64);
-	for (int i = 0; i < 4; i++) {
-		if (!get_string(&at, end, &part[i], &len[i]))
-			return (NULL);
-	}
 	turn = g_new0(struct turn, 1);
 	turn->refs = 1;
 	turn->id = g_strdup(id);
 	turn->recorded = recorded;
-	turn->organisation = g_strndup((const char *)part[0], len[0]);
+	if (has_retention)
+		turn->retention = (clk_ms)MIN(
+		    get_number(strings.data[STRINGS]), STORE_TIME_MAX);
+	turn->organisation =
+	    g_strndup((const char *)strings.data[0], strings.len[0]);
 	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
-	if (len[1] > 0) {
+	if (strings.len[1] > 0) {
 		g_autofree char *text =
-		    g_strndup((const char *)part[1], len[1]);
+		    g_strndup((const char *)strings.data[1], strings.len[1]);
 		g_auto(GStrv) ids = g_strsplit(text, " ", -1);
 
 		for (char **p = ids; *p != NULL; p++)
 			g_ptr_array_add(turn->ancestors, g_strdup(*p));
 	}
-	turn->input = g_byte_array_sized_new((guint)len[2]);
-	turn->output = g_byte_array_sized_new((guint)len[3]);
-	(void)g_byte_array_append(turn->input, part[2], (guint)len[2]);
-	(void)g_byte_array_append(turn->output, part[3], (guint)len[3]);
+	turn->input = g_byte_array_sized_new((guint)strings.len[2]);
+	turn->output = g_byte_array_sized_new((guint)strings.len[3]);
+	(void)g_byte_array_append(
+	    turn->input, strings.data[2], (guint)strings.len[2]);
+	(void)g_byte_array_append(
+	    turn->output, strings.data[3], (guint)strings.len[3]);
 	return (turn);
 }
 
@@ -221,8 +284,14 @@
 {
 	GPtrArray *records = g_ptr_array_new_with_free_func(turn_record_free);
 	g_autoptr(GByteArray) whole = turn_encode(turn);
-	size_t overhead = record_size(STORE_KEY_MAX, PART_HEAD);
+	/*
+	 * Parts are as large as those of earlier versions, so that a turn that
+	 * is being written again can be read.  Keys are shorter than the
+	 * longest one by more than the heads differ.
+	 */
+	size_t overhead = record_size(STORE_KEY_MAX, OLDER_PART_HEAD);
 	size_t room = record_max > overhead ? record_max - overhead : 1;
+	guint64 retention = GUINT64_TO_BE((guint64)turn->retention);
 	guint32 count;
 
 	if (record_max == 0 ||
@@ -243,6 +312,8 @@
 		(void)g_byte_array_append(value, &version, 1);
 		(void)g_byte_array_append(
 		    value, whole->data + 1, sizeof(guint64));
+		(void)g_byte_array_append(
+		    value, (const guint8 *)&retention, sizeof(retention));
 		(void)g_byte_array_append(
 		    value, (const guint8 *)numbers, sizeof(numbers));
 		(void)g_byte_array_append(value, whole->data + from,
@@ -258,15 +329,20 @@
 {
 	const guint8 *bytes;
 	guint32 numbers[2];
+	size_t head;
 
-	if (record == NULL || record->len < PART_HEAD)
+	if (record == NULL || record->len < OLDER_PART_HEAD)
 		return (0);
 	bytes = record->value;
-	memcpy(numbers, bytes + PART_HEAD - sizeof(numbers), sizeof(numbers));
-	if (bytes[0] != PART_VERSION || GUINT32_FROM_BE(numbers[0]) != part)
+	head = bytes[0] == PART_VERSION ? PART_HEAD : OLDER_PART_HEAD;
+	if ((bytes[0] != PART_VERSION && bytes[0] != OLDER_PART_VERSION) ||
+	    record->len < head)
+		return (0);
+	memcpy(numbers, bytes + head - sizeof(numbers), sizeof(numbers));
+	if (GUINT32_FROM_BE(numbers[0]) != part)
 		return (0);
 	(void)g_byte_array_append(
-	    whole, bytes + PART_HEAD, (guint)(record->len - PART_HEAD));
+	    whole, bytes + head, (guint)(record->len - head));
 	return (GUINT32_FROM_BE(numbers[1]));
 }
 
@@ -280,7 +356,7 @@
 
 	if (first == NULL || first->len == 0)
 		return (NULL);
-	if (((const guint8 *)first->value)[0] != PART_VERSION)
+	if (((const guint8 *)first->value)[0] == RECORD_VERSION)
 		return (turn_decode(id, first));
 	count = part_append(whole, first, 0);
 	if (count == 0 || count > PARTS_MAX)
@@ -370,12 +446,16 @@
 }
 
 void
-turn_cache_renewed(struct turn_cache *cache, const char *id, clk_ms wall)
+turn_cache_renewed(
+    struct turn_cache *cache, const char *id, clk_ms wall, clk_ms retention)
 {
 	GList *node = g_hash_table_lookup(cache->turns, id);
+	struct turn *turn = node != NULL ? node->data : NULL;
 
-	if (node != NULL)
-		((struct turn *)node->data)->recorded = wall;
+	if (turn == NULL)
+		return;
+	turn->recorded = wall;
+	turn->retention = retention;
 }
 
 void
--- a/src/turn/turn.h
+++ b/src/turn/turn.h
@@ -23,6 +23,7 @@
 	GByteArray *input;
 	GByteArray *output; /* each event's data and a line feed */
 	clk_ms recorded; /* time of day at which the record was written */
+	clk_ms retention; /* that the record states; 0: an earlier one */
 	clk_ms used; /* time of the last use, on the instance's clock */
 	unsigned refs;
 };
@@ -68,21 +69,27 @@
 
 /*
  * turn_is_expired(record, retention, wall)
- *	Whether the record has expired at the time of day wall.  Records are
- *	kept for twice the retention, because a later turn needs the records of
- *	its ancestors for as long as it is kept itself.  Recording that turn
- *	renews those that are older than the retention (turn_needs_renewal()).
+ *	Whether the record has expired at the time of day wall.  It is kept for
+ *	twice the time that it states, or twice the longest retention of the
+ *	configuration if that is longer: a route may change or go before its
+ *	turns expire, and a later turn needs the records of its ancestors for as
+ *	long as it is kept itself.
  * turn_needs_renewal(turn, retention, wall)
- *	Whether the turn's record has to be written again when a later turn
- *	of its chain is recorded.
+ *	Whether the record could expire before a later turn of its chain that is
+ *	recorded at the time of day wall and kept for the time retention: it has
+ *	to be written again.
  */
 bool turn_is_expired(
     const struct store_record *record, clk_ms retention, clk_ms wall);
 bool turn_needs_renewal(const struct turn *turn, clk_ms retention, clk_ms wall);
 
-/* turn_cache_renewed(cache, id, wall): the record was rewritten at wall. */
+/*
+ * turn_cache_renewed(cache, id, wall, retention)
+ *	The record was written again at wall, and states that retention.
+ */
 struct turn_cache;
-void turn_cache_renewed(struct turn_cache *cache, const char *id, clk_ms wall);
+void turn_cache_renewed(
+    struct turn_cache *cache, const char *id, clk_ms wall, clk_ms retention);
 
 /*
  * turn_cache_open(max_bytes, retention)
