Turn, edge: any name or id may be a part of a record and of its key

Cause: a turn's record joined the ids of the turns before with spaces and was split at spaces, and ids have the organisation's name in them.

Change: ids with spaces are strings with lengths, behind what earlier versions read; records of earlier versions are split by the organisation's scope. An id that is too long for a key, or not UTF-8, is kept under its digest; before, a long turn got 400, a long program's ledger was never found again. The same in the records by which instances find each other, the names of lenders, log lines and the bodies of errors.

Why it works: lengths decide where a string ends, not what is in it.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -103,6 +103,8 @@
 	char id[80];
 	char program[80];
 	char resumes[80];
+	char route[80];
+	char organisation[80];
 
 	ev_timer_stop(edge->deps.loop, &call->timer);
 	edge_outage_cancel(call);
@@ -119,8 +121,10 @@
 	    " lost=%u queued_ms=%" G_GINT64_FORMAT,
 	    lg_quote(id, sizeof(id),
 		call->request.id != NULL ? call->request.id : "-"),
-	    call->route != NULL ? call->route->name : "-",
-	    call->organisation != NULL ? call->organisation->name : "-",
+	    lg_quote(route, sizeof(route),
+		call->route != NULL ? call->route->name : "-"),
+	    lg_quote(organisation, sizeof(organisation),
+		call->organisation != NULL ? call->organisation->name : "-"),
 	    lg_quote(program, sizeof(program),
 		call->request.program != NULL ? call->request.program : "-"),
 	    outcome, status,
@@ -254,16 +258,25 @@
 	return (true);
 }
 
-/* The length of the name keeps two pairs of name and id apart. */
+/*
+ * The length of the name keeps two pairs of name and id apart.  An id that is
+ * no key of the store is replaced by its digest, which no other id can be.
+ */
 char *
-edge_scoped_id(const struct edge_call *call, const char *id)
+edge_scoped_id(const struct edge_call *call, const char *id, size_t max)
 {
 	const char *name =
 	    call->organisation != NULL ? call->organisation->name : "";
+	g_autofree char *scoped = NULL;
+	g_autofree char *digest = NULL;
 
 	if (id == NULL)
 		return (NULL);
-	return (g_strdup_printf("%zu/%s/%s", strlen(name), name, id));
+	scoped = g_strdup_printf("%zu/%s/%s", strlen(name), name, id);
+	if (strlen(scoped) <= max && g_utf8_validate(scoped, -1, NULL))
+		return (g_steal_pointer(&scoped));
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, scoped, -1);
+	return (g_strconcat("#", digest, NULL));
 }
 
 /*
@@ -273,9 +286,11 @@
 static void
 scope_ids(struct edge_call *call)
 {
-	call->program = edge_scoped_id(call, call->request.program);
-	call->turn_id = edge_scoped_id(call, call->request.id);
-	call->previous_turn = edge_scoped_id(call, call->request.previous_turn);
+	call->program =
+	    edge_scoped_id(call, call->request.program, STORE_KEY_MAX);
+	call->turn_id = edge_scoped_id(call, call->request.id, TURN_ID_MAX);
+	call->previous_turn =
+	    edge_scoped_id(call, call->request.previous_turn, TURN_ID_MAX);
 }
 
 static void
--- a/src/edge/edge_admission.c
+++ b/src/edge/edge_admission.c
@@ -102,14 +102,16 @@
     const struct admission_state *state, const char *outcome, clk_ms waited)
 {
 	struct edge *edge = call->edge;
+	char service[80];
 
 	lg_event(edge->deps.lg, LG_INFO, "admission",
 	    "request=%s service=%s kind=%s outcome=%s places=%.1f "
 	    "running=%.1f own=%.1f waiting=%u waited_ms=%" G_GINT64_FORMAT
 	    " left_ms=%" G_GINT64_FORMAT,
-	    call->request.id, call->service_name, kind_names[kind], outcome,
-	    state->places, state->running, state->own,
-	    admission_waiting(edge->admission->admission), waited,
+	    call->request.id,
+	    lg_quote(service, sizeof(service), call->service_name),
+	    kind_names[kind], outcome, state->places, state->running,
+	    state->own, admission_waiting(edge->admission->admission), waited,
 	    call->deadline - edge_now(edge));
 	cnt_add(
 	    cnt_counter(edge->deps.cnt, "admission_total",
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -197,12 +197,13 @@
 clk_ms edge_now(const struct edge *edge);
 
 /*
- * edge_scoped_id(call, id)
+ * edge_scoped_id(call, id, max)
  *	Return an id of the caller's, made unique among organisations, to be
  *	freed by g_free(), or nil if id is nil.  Public routes have a scope of
- *	their own.
+ *	their own.  The result has max bytes at most, at least 65, and is UTF-8:
+ *	the store's answers are JSON.
  */
-char *edge_scoped_id(const struct edge_call *call, const char *id);
+char *edge_scoped_id(const struct edge_call *call, const char *id, size_t max);
 
 /*
  * edge_refuse(call, verdict)
--- a/src/edge/edge_loan.c
+++ b/src/edge/edge_loan.c
@@ -23,7 +23,10 @@
 static char *
 session_instance_name(const char *session)
 {
-	return (g_strndup(session, strcspn(session, "/")));
+	const char *end = strrchr(session, '/');
+
+	return (end != NULL ? g_strndup(session, (gsize)(end - session))
+			    : g_strdup(session));
 }
 
 static bool
@@ -122,14 +125,20 @@
 	    .program = (char *)call->program,
 	    .tokens = call->request.turn_max_tokens,
 	    .budget = call->request.budget};
-	g_autofree char *name = session_instance_name(lender);
+	struct sockaddr_in address = {0};
+	bool is_known =
+	    edge->deps.instance_address(edge->deps.arg, lender, &address);
+	g_autofree char *name =
+	    is_known ? g_strdup(lender) : session_instance_name(lender);
 
 	if (call->loan_requests == MAX_LENDERS ||
 	    g_strcmp0(call->lender, name) == 0)
 		return (false);
-	if (!edge->deps.instance_address(
-		edge->deps.arg, name, &call->lender_address) ||
-	    !message_send(edge, &call->lender_address, &message)) {
+	if (!is_known)
+		is_known =
+		    edge->deps.instance_address(edge->deps.arg, name, &address);
+	call->lender_address = address;
+	if (!is_known || !message_send(edge, &call->lender_address, &message)) {
 		call->is_lender_silent = true;
 		return (false);
 	}
--- a/src/edge/edge_outage.c
+++ b/src/edge/edge_outage.c
@@ -296,13 +296,15 @@
 	const struct edge *edge = call->edge;
 	const struct hold *hold = edge->outage->hold;
 	char id[80];
+	char route[80];
 
 	lg_event(edge->deps.lg, LG_INFO, "held",
 	    "request=%s route=%s outcome=%s waited_ms=%" G_GINT64_FORMAT
 	    " left_ms=%" G_GINT64_FORMAT " program_left_ms=%" G_GINT64_FORMAT
 	    " waiting=%u waiting_bytes=%zu",
-	    lg_quote(id, sizeof(id), call->request.id), call->route->name,
-	    outcome, waited, call->deadline - edge_now(edge),
+	    lg_quote(id, sizeof(id), call->request.id),
+	    lg_quote(route, sizeof(route), call->route->name), outcome, waited,
+	    call->deadline - edge_now(edge),
 	    call->request.program_time_left > 0 ? call->arrived +
 		    call->request.program_time_left - edge_now(edge)
 						: 0,
--- a/src/edge/edge_rate.c
+++ b/src/edge/edge_rate.c
@@ -34,15 +34,16 @@
 	const struct quota_state *state = &call->rate;
 	const struct catalogue_organisation *organisation = call->organisation;
 	bool is_new_program = call->priority == QUOTA_NEW_PROGRAM;
+	char name[80];
 
 	lg_event(call->edge->deps.lg, LG_INFO, "rate",
 	    "request=%s organisation=%s rate=%.0f burst=%.0f new_program=%d "
 	    "level=%.1f expected=%.1f part=%.3f share=%.3f unreported=%u "
 	    "asked=%u wait_ms=%" G_GINT64_FORMAT,
-	    call->request.id, organisation->name, organisation->rate,
-	    organisation->burst, is_new_program, state->level, state->expected,
-	    state->part, state->share, state->unreported, call->homes_asked,
-	    wait);
+	    call->request.id, lg_quote(name, sizeof(name), organisation->name),
+	    organisation->rate, organisation->burst, is_new_program,
+	    state->level, state->expected, state->part, state->share,
+	    state->unreported, call->homes_asked, wait);
 	edge_refuse_not_run(call, VD_RATE_EXCEEDED,
 	    MAX(wait,
 		is_new_program ? RETRY_NEW_PROGRAM_MIN_MS : RETRY_RATE_MIN_MS),
@@ -85,12 +86,14 @@
 ask_record(struct edge_call *call, const char *outcome)
 {
 	struct edge *edge = call->edge;
+	char name[80];
 
 	lg_event(edge->deps.lg, LG_INFO, "token",
 	    "request=%s organisation=%s home=%s outcome=%s "
 	    "waited_ms=%" G_GINT64_FORMAT,
-	    call->request.id, call->organisation->name, call->home, outcome,
-	    edge_now(edge) - call->asked_at);
+	    call->request.id,
+	    lg_quote(name, sizeof(name), call->organisation->name), call->home,
+	    outcome, edge_now(edge) - call->asked_at);
 	cnt_add(cnt_counter(edge->deps.cnt, "tokens_asked_total",
 		    "Tokens asked of homes, by outcome.", "outcome", outcome),
 	    1);
@@ -138,12 +141,15 @@
 home_refuse(struct edge_call *call)
 {
 	struct edge *edge = call->edge;
+	char name[80];
 
 	lg_event(edge->deps.lg, LG_INFO, "rate_undecided",
 	    "request=%s organisation=%s asked=%u silent=%d "
 	    "waited_ms=%" G_GINT64_FORMAT,
-	    call->request.id, call->organisation->name, call->homes_asked,
-	    call->is_home_silent, edge_now(edge) - call->ask_since);
+	    call->request.id,
+	    lg_quote(name, sizeof(name), call->organisation->name),
+	    call->homes_asked, call->is_home_silent,
+	    edge_now(edge) - call->ask_since);
 	cnt_add(cnt_counter(edge->deps.cnt, "rate_undecided_total",
 		    "Requests refused because no home answered.", NULL, NULL),
 	    1);
--- a/src/edge/edge_rollout.c
+++ b/src/edge/edge_rollout.c
@@ -240,7 +240,7 @@
 static char *
 record_key(const struct edge_call *call)
 {
-	return (edge_scoped_id(call, stream_id(call)));
+	return (edge_scoped_id(call, stream_id(call), STORE_KEY_MAX));
 }
 
 static void
@@ -601,7 +601,6 @@
 	    .life = (uint64_t)(LIFE_TIMEOUTS * call->route->timeout),
 	};
 	g_autoptr(GByteArray) value = NULL;
-	g_autofree char *key = NULL;
 	struct edge_version_op *op;
 
 	if (!needs_record(call, version)) {
@@ -609,8 +608,7 @@
 		return;
 	}
 	value = rollout_stream_encode(&stream);
-	key = record_key(call);
-	if (value == NULL || strlen(key) > STORE_KEY_MAX) {
+	if (value == NULL) {
 		/* Names that are too long for a record. */
 		call->is_unrecordable = true;
 		edge_upstream_refused(call);
--- a/src/gossip/gossip_records.c
+++ b/src/gossip/gossip_records.c
@@ -33,15 +33,23 @@
 record_parse(const char *text, struct record *record)
 {
 	char ip[INET_ADDRSTRLEN];
+	const char *weight = strrchr(text, ' ');
 	unsigned port;
+	int at = 0;
+	size_t len;
 
 	memset(record, 0, sizeof(*record));
 	record->address.sin_family = AF_INET;
-	if (sscanf(text, "%15s %u %*u %*u %128s %u", ip, &port,
-		record->datacentre, &record->weight) != 4 ||
-	    port > 65535 ||
+	/* The name of the data centre may have spaces. */
+	if (sscanf(text, "%15s %u %*u %*u%n", ip, &port, &at) != 2 || at == 0 ||
+	    text[at] != ' ' || weight <= text + at + 1 ||
+	    sscanf(weight, "%u", &record->weight) != 1 || port > 65535 ||
 	    inet_pton(AF_INET, ip, &record->address.sin_addr) != 1)
 		return (false);
+	len = (size_t)(weight - (text + at + 1));
+	if (len > GOSSIP_DATACENTRE_MAX)
+		return (false);
+	memcpy(record->datacentre, text + at + 1, len);
 	record->address.sin_port = htons((uint16_t)port);
 	return (true);
 }
--- a/src/lib/test_lib.c
+++ b/src/lib/test_lib.c
@@ -34,6 +34,20 @@
 	    "\\\"down\\\"\",\"ran\":\"no\",\"request_id\":\"r-1\"}}");
 }
 
+/* Guards against an empty body, which doesn't say whether the request ran. */
+static void
+test_verdict_id(void)
+{
+	const char *const ids[] = {"\xe9t\xe9", "\xff", NULL, "", "a b"};
+	struct vd vd = vd_make(VD_NOT_RUN, VD_RATE_EXCEEDED, "slow");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		g_autofree char *body = vd_body(&vd, ids[i]);
+
+		g_assert_nonnull(strstr(body, "\"ran\":\"no\""));
+	}
+}
+
 /* Guards against log lines that a value from outside can split or forge. */
 static void
 test_log_quote(void)
@@ -154,6 +168,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/vd/names", test_verdict_names);
 	g_test_add_func("/vd/body", test_verdict_body);
+	g_test_add_func("/vd/id", test_verdict_id);
 	g_test_add_func("/lg/quote", test_log_quote);
 	g_test_add_func("/cnt/text", test_counter_text);
 	g_test_add_func("/trc/context", test_trace_context);
--- a/src/lib/vd.c
+++ b/src/lib/vd.c
@@ -104,12 +104,15 @@
 char *
 vd_body(const struct vd *vd, const char *request_id)
 {
+	/* A caller's id need not be UTF-8, and may be missing. */
+	g_autofree char *id =
+	    g_utf8_make_valid(request_id != NULL ? request_id : "", -1);
 	json_t *body;
 	char *text, *copy;
 
 	body = json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "code",
 	    vd_code_name(vd->code), "message", vd->detail, "ran",
-	    vd_ran_name(vd->ran), "request_id", request_id);
+	    vd_ran_name(vd->ran), "request_id", id);
 	text = json_dumps(body, JSON_COMPACT);
 	copy = g_strdup(text != NULL ? text : "{}");
 	free(text);
--- a/src/turn/turn.c
+++ b/src/turn/turn.c
@@ -5,11 +5,23 @@
 /*
  * Record: version, time of day in ms (8 bytes), then strings, each with a
  * length of 4 bytes, the most significant first: organisation, ancestors
- * (separated by spaces), input, output, and the retention in ms (8 bytes).
- * Earlier versions wrote the first four and ignore the others.
+ * (separated by spaces), input, output, the retention in ms (8 bytes), and the
+ * ancestors once more as strings, if one has a space.  Earlier versions wrote
+ * the first four and ignore the others.
  */
 #define RECORD_VERSION 2
-#define STRINGS	       4
+
+enum string {
+	STRING_ORGANISATION,
+	STRING_JOINED,
+	STRING_INPUT,
+	STRING_OUTPUT,
+	STRING_RETENTION,
+	STRING_ANCESTORS,
+	STRING_COUNT
+};
+
+#define EARLIER_STRINGS STRING_RETENTION
 /*
  * Record of a part: version, time of day in ms and retention (8 bytes each),
  * number of the part and number of parts (4 bytes each), then the part of such
@@ -79,27 +91,44 @@
 	(void)g_byte_array_append(out, data, (guint)len);
 }
 
+/* The ancestors as strings; none if they can be told apart when joined. */
+static GByteArray *
+ancestors_encode(const GPtrArray *ancestors)
+{
+	GByteArray *out = g_byte_array_new();
+	bool has_space = false;
+
+	for (guint i = 0; i < ancestors->len; i++)
+		has_space |= strchr(ancestors->pdata[i], ' ') != NULL;
+	for (guint i = 0; has_space && i < ancestors->len; i++)
+		put_string(
+		    out, ancestors->pdata[i], strlen(ancestors->pdata[i]));
+	return (out);
+}
+
 GByteArray *
 turn_encode(const struct turn *turn)
 {
 	GByteArray *out =
 	    g_byte_array_sized_new(turn->input->len + turn->output->len + 256);
-	g_autoptr(GString) ancestors = g_string_new(NULL);
+	g_autoptr(GString) joined = g_string_new(NULL);
+	g_autoptr(GByteArray) ancestors = ancestors_encode(turn->ancestors);
 	guint8 version = RECORD_VERSION;
 	guint64 recorded = GUINT64_TO_BE((guint64)turn->recorded);
 	guint64 retention = GUINT64_TO_BE((guint64)turn->retention);
 
 	for (guint i = 0; i < turn->ancestors->len; i++)
-		g_string_append_printf(ancestors, "%s%s", i == 0 ? "" : " ",
+		g_string_append_printf(joined, "%s%s", i == 0 ? "" : " ",
 		    (const char *)turn->ancestors->pdata[i]);
 	(void)g_byte_array_append(out, &version, 1);
 	(void)g_byte_array_append(
 	    out, (const guint8 *)&recorded, sizeof(recorded));
 	put_string(out, turn->organisation, strlen(turn->organisation));
-	put_string(out, ancestors->str, ancestors->len);
+	put_string(out, joined->str, joined->len);
 	put_string(out, turn->input->data, turn->input->len);
 	put_string(out, turn->output->data, turn->output->len);
 	put_string(out, &retention, sizeof(retention));
+	put_string(out, ancestors->data, ancestors->len);
 	return (out);
 }
 
@@ -146,30 +175,30 @@
 	return (value <= STORE_TIME_MAX);
 }
 
-/* The strings of a whole turn's record; the last one is its retention. */
+/* The strings of a whole turn's record. */
 struct strings {
-	const guint8 *data[STRINGS + 1];
-	size_t len[STRINGS + 1];
+	const guint8 *data[STRING_COUNT];
+	size_t len[STRING_COUNT];
 };
 
-/* Returns false if the record is malformed; earlier ones have no retention. */
+/* Returns false if the record is malformed; earlier ones have fewer strings. */
 static bool
 get_strings(const struct store_record *record, struct strings *strings,
-    bool *has_retention)
+    bool *is_earlier)
 {
 	const guint8 *at = record->value;
 	const guint8 *end = at + record->len;
 
+	*is_earlier = false;
 	at += 1 + sizeof(guint64);
-	for (size_t i = 0; i < STRINGS; i++) {
+	for (int i = 0; i < STRING_COUNT; i++) {
+		*is_earlier = i == EARLIER_STRINGS && at == end;
+		if (*is_earlier)
+			return (true);
 		if (!get_string(&at, end, &strings->data[i], &strings->len[i]))
 			return (false);
 	}
-	*has_retention = at < end;
-	return (at == end ||
-	    (get_string(
-		 &at, end, &strings->data[STRINGS], &strings->len[STRINGS]) &&
-		strings->len[STRINGS] == sizeof(guint64)));
+	return (strings->len[STRING_RETENTION] == sizeof(guint64));
 }
 
 /* The retention that a turn's record states, or that of those which don't. */
@@ -178,14 +207,14 @@
 {
 	const guint8 *bytes = record->value;
 	struct strings strings;
-	bool has_retention;
+	bool is_earlier;
 	guint64 value = UNSTATED_RETENTION_MS;
 
 	if (bytes[0] == PART_VERSION && record->len >= PART_HEAD)
 		value = get_number(bytes + RETENTION_AT);
 	else if (bytes[0] == RECORD_VERSION &&
-	    get_strings(record, &strings, &has_retention) && has_retention)
-		value = get_number(strings.data[STRINGS]);
+	    get_strings(record, &strings, &is_earlier) && !is_earlier)
+		value = get_number(strings.data[STRING_RETENTION]);
 	return ((clk_ms)MIN(value, STORE_TIME_MAX));
 }
 
@@ -206,42 +235,83 @@
 	return (wall + retention > turn->recorded + 2 * turn->retention);
 }
 
+/*
+ * Split ids that are joined by spaces.  All have the organisation's scope, by
+ * which ids that have spaces themselves are told apart.
+ */
+static void
+ids_split(GPtrArray *ids, const char *joined, const char *organisation)
+{
+	g_autofree char *scope =
+	    g_strdup_printf("%zu/%s/", strlen(organisation), organisation);
+	g_autofree char *separator = g_strconcat(" ", scope, NULL);
+	bool is_scoped = g_str_has_prefix(joined, scope);
+	g_auto(GStrv) parts = is_scoped
+	    ? g_strsplit(joined + strlen(scope), separator, -1)
+	    : g_strsplit(joined, " ", -1);
+
+	for (char **part = parts; *part != NULL; part++)
+		g_ptr_array_add(
+		    ids, g_strconcat(is_scoped ? scope : "", *part, NULL));
+}
+
+/* Returns false if the list of ancestors is malformed. */
+static bool
+ancestors_decode(
+    struct turn *turn, const struct strings *strings, bool is_earlier)
+{
+	const guint8 *at, *end, *data;
+	size_t len;
+
+	if (is_earlier || strings->len[STRING_ANCESTORS] == 0) {
+		g_autofree char *joined =
+		    g_strndup((const char *)strings->data[STRING_JOINED],
+			strings->len[STRING_JOINED]);
+
+		if (joined[0] != '\0')
+			ids_split(turn->ancestors, joined, turn->organisation);
+		return (true);
+	}
+	at = strings->data[STRING_ANCESTORS];
+	end = at + strings->len[STRING_ANCESTORS];
+	while (at < end) {
+		if (!get_string(&at, end, &data, &len))
+			return (false);
+		g_ptr_array_add(
+		    turn->ancestors, g_strndup((const char *)data, len));
+	}
+	return (true);
+}
+
 struct turn *
 turn_decode(const char *id, const struct store_record *record)
 {
 	const guint8 *bytes = record->value;
+	g_autofree char *organisation = NULL;
 	struct strings strings;
 	struct turn *turn;
 	clk_ms recorded;
-	bool has_retention;
+	bool is_earlier;
 
 	if (!get_recorded(record, &recorded) || bytes[0] != RECORD_VERSION ||
-	    !get_strings(record, &strings, &has_retention))
+	    !get_strings(record, &strings, &is_earlier))
 		return (NULL);
-	turn = g_new0(struct turn, 1);
-	turn->refs = 1;
-	turn->id = g_strdup(id);
+	organisation =
+	    g_strndup((const char *)strings.data[STRING_ORGANISATION],
+		strings.len[STRING_ORGANISATION]);
+	turn = turn_new(id, organisation);
 	turn->recorded = recorded;
-	if (has_retention)
+	if (!is_earlier)
 		turn->retention = (clk_ms)MIN(
-		    get_number(strings.data[STRINGS]), STORE_TIME_MAX);
-	turn->organisation =
-	    g_strndup((const char *)strings.data[0], strings.len[0]);
-	turn->ancestors = g_ptr_array_new_with_free_func(g_free);
-	if (strings.len[1] > 0) {
-		g_autofree char *text =
-		    g_strndup((const char *)strings.data[1], strings.len[1]);
-		g_auto(GStrv) ids = g_strsplit(text, " ", -1);
-
-		for (char **p = ids; *p != NULL; p++)
-			g_ptr_array_add(turn->ancestors, g_strdup(*p));
+		    get_number(strings.data[STRING_RETENTION]), STORE_TIME_MAX);
+	(void)g_byte_array_append(turn->input, strings.data[STRING_INPUT],
+	    (guint)strings.len[STRING_INPUT]);
+	(void)g_byte_array_append(turn->output, strings.data[STRING_OUTPUT],
+	    (guint)strings.len[STRING_OUTPUT]);
+	if (!ancestors_decode(turn, &strings, is_earlier)) {
+		turn_unref(turn);
+		return (NULL);
 	}
-	turn->input = g_byte_array_sized_new((guint)strings.len[2]);
-	turn->output = g_byte_array_sized_new((guint)strings.len[3]);
-	(void)g_byte_array_append(
-	    turn->input, strings.data[2], (guint)strings.len[2]);
-	(void)g_byte_array_append(
-	    turn->output, strings.data[3], (guint)strings.len[3]);
 	return (turn);
 }
 
