HTTP client: the end of a connection ends no answer while a request is sent

Cause: the failed write consumed the reset, and the reads after it ended as after a proper close.

Change: an answer without a length is complete at the end of its connection only if the whole request was written.

--- a/src/http/hcp.c
+++ b/src/http/hcp.c
@@ -322,8 +322,13 @@
 			process(call, buf, (size_t)n);
 	} else {
 		call->reusable = false;
-		if (n == 0 && hmsg_reader_finish(&call->reader) &&
-		    !call->dead && call->taken)
+		/*
+		 * While the request is being sent, the end of the connection
+		 * may be a reset that the failed send has reported.
+		 */
+		if (n == 0 && call->out_done == call->out->len &&
+		    hmsg_reader_finish(&call->reader) && !call->dead &&
+		    call->taken)
 			answer_ended(call, false);
 		else
 			call_failed(call, false);
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -756,6 +756,150 @@
 	g_assert_false(has_connection(c));
 }
 
+/* A reset in place of a close. */
+static void
+reset(int fd)
+{
+	const struct linger now = {1, 0};
+
+	g_assert_cmpint(
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now)), ==, 0);
+	(void)close(fd);
+}
+
+#define LONG_BODY ((size_t)8 << 20)
+
+/*
+ * Guards against an answer without a length that looks complete, although its
+ * connection was reset or closed while the request was still being sent: the
+ * failed send hides the reset from the read after it.
+ */
+static void
+test_upload_cut(struct client *c, gconstpointer data)
+{
+	static const char *const answers[] = {
+	    "HTTP/1.1 200 OK\r\n\r\na part of the",
+	    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part of the",
+	    "HTTP/1.0 200 OK\r\n\r\na part of the"};
+	g_autofree char *body = g_strnfill(LONG_BODY, 'x');
+
+	(void)data;
+	for (size_t i = 0; i < 4 * G_N_ELEMENTS(answers); i++) {
+		bool is_reset = i % 2 == 0;
+		/* The answer is read before the end, or with it. */
+		bool is_read = i / 2 % 2 == 0;
+		int fd;
+
+		(void)start(c, body, LONG_BODY);
+		fd = take_connection(c);
+		drain_request(fd);
+		put(fd, answers[i / 4]);
+		if (is_read)
+			turn(c->loop, 20);
+		if (is_reset)
+			reset(fd);
+		else
+			(void)close(fd);
+		turn(c->loop, 50);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, !=, HCP_COMPLETE);
+	}
+}
+
+/* The same after the whole request was sent. */
+static void
+test_answer_reset(struct client *c, gconstpointer data)
+{
+	(void)data;
+	for (int i = 0; i < 4; i++) {
+		bool is_read = i % 2 == 0;
+		int fd;
+
+		(void)start(c, NULL, 0);
+		fd = take_connection(c);
+		drain_request(fd);
+		put(fd,
+		    i < 2
+			? "HTTP/1.1 200 OK\r\n\r\na part"
+			: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part");
+		if (is_read)
+			turn(c->loop, 20);
+		reset(fd);
+		turn(c->loop, 50);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, !=, HCP_COMPLETE);
+	}
+}
+
+/*
+ * An answer without a length that ends with its connection is complete if the
+ * server has read the request, and one with a length in any case.
+ */
+static void
+test_upload_answered_early(struct client *c, gconstpointer data)
+{
+	g_autofree char *body = g_strnfill(LONG_BODY, 'x');
+	int fd;
+
+	(void)data;
+	(void)start(c, body, LONG_BODY);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, OK_5);
+	turn(c->loop, 20);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+	(void)close(fd);
+	(void)start(c, NULL, 0);
+	fd = take_connection(c);
+	drain_request(fd);
+	put(fd, "HTTP/1.1 200 OK\r\n\r\nhello");
+	(void)close(fd);
+	turn(c->loop, 20);
+	g_assert_cmpint(c->outcome.end, ==, HCP_COMPLETE);
+	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
+}
+
+/*
+ * Guards against an answer whose head is cut and that is passed on: at any byte
+ * of it, also behind an answer of another request or an interim one.
+ */
+static void
+test_head_cut_anywhere(struct client *c, gconstpointer data)
+{
+	static const char *const before[] = {"",
+	    "HTTP/1.1 100 Continue\r\n\r\n",
+	    "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno"};
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Id: own\r\n"
+				   "Content-Type: text/plain\r\n\r\n";
+
+	(void)data;
+	c->outcome.skip = "other";
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(before) * (sizeof(head) - 1);
+	     i++) {
+		size_t cut = i / 2 / G_N_ELEMENTS(before);
+		g_autofree char *part = g_strndup(head, cut);
+		int fd;
+
+		(void)start(c, NULL, 0);
+		turn(c->loop, 3);
+		fd = accept4(c->listener, NULL, NULL, 0);
+		g_assert_cmpint(fd, >=, 0);
+		turn(c->loop, 3);
+		drain_request(fd);
+		put(fd, before[i / 2 % G_N_ELEMENTS(before)]);
+		put(fd, part);
+		if (i % 2 == 0)
+			(void)close(fd);
+		else
+			reset(fd);
+		turn(c->loop, 5);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, ==, HCP_NO_ANSWER);
+		g_assert_cmpuint(c->outcome.heads, ==, 0);
+	}
+}
+
 /* Guards against bytes after an answer that become part of the next one. */
 static void
 test_bytes_after(struct client *c, gconstpointer data)
@@ -1140,6 +1284,10 @@
 	SERVER("stop", test_stop);
 	CLIENT("reuse", test_reuse);
 	CLIENT("reused-dies", test_reused_dies);
+	CLIENT("upload-cut", test_upload_cut);
+	CLIENT("answer-reset", test_answer_reset);
+	CLIENT("upload-answered-early", test_upload_answered_early);
+	CLIENT("head-cut-anywhere", test_head_cut_anywhere);
 	CLIENT("bytes-after", test_bytes_after);
 	CLIENT("foreign-skipped", test_foreign_skipped);
 	CLIENT("no-length", test_no_length);
