Serve's HTTP client: a reply whose head is cut has not arrived

Cause: libcurl takes that close for the end of the reply once the status line has arrived.

Change: the client notes the line that ends a head. Without it the reply counts as cut: the request may have run.

--- a/src/lib/hcl.c
+++ b/src/lib/hcl.c
@@ -36,6 +36,7 @@
 	curl_off_t progress;
 	unsigned attempts; /* how often the request was about to be written */
 	bool head_seen;
+	bool head_ended; /* the line that ends the reply's head has arrived */
 	bool too_large;
 	bool idle_expired;
 	bool cancelled;
@@ -78,15 +79,45 @@
 	    call->attempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT);
 }
 
+/*
+ * Called by libcurl for each whole line of a head.  libcurl takes a connection
+ * that closes in the middle of a head for the end of the reply.
+ */
+static size_t
+on_curl_header(char *line, size_t size, size_t count, void *arg)
+{
+	struct hcl_call *call = arg;
+	size_t len = size * count;
+
+	if (len >= 5 && memcmp(line, "HTTP/", 5) == 0)
+		call->head_ended = false;
+	else if (len > 0 && (line[0] == '\r' || line[0] == '\n'))
+		call->head_ended = true;
+	return (len);
+}
+
+/* What is wrong with a reply that libcurl takes for a whole one; nil: nothing.
+ */
+static const char *
+reply_problem(const struct hcl_call *call)
+{
+	if (!call->head_ended)
+		return ("the reply's head is cut");
+	return (NULL);
+}
+
 static void
 call_finish(struct hcl_call *call, CURLcode code)
 {
 	struct hcl_result result = {0};
+	const char *problem = NULL;
 	long status = 0;
 
 	(void)curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	result.status = (int)status;
 	if (code == CURLE_OK)
+		problem = reply_problem(call);
+	result.status = (int)status;
+	if (code == CURLE_OK && problem == NULL)
 		result.sent = HCL_REPLIED;
 	else if (call->attempts == 0)
 		result.sent = HCL_NOT_SENT;
@@ -94,8 +125,8 @@
 		result.sent = HCL_MAYBE_SENT;
 	result.timed_out =
 	    code == CURLE_OPERATION_TIMEDOUT || call->idle_expired;
-	result.cut = code != CURLE_OK && status != 0;
-	result.error = "";
+	result.cut = result.sent != HCL_REPLIED && status != 0;
+	result.error = problem != NULL ? problem : "";
 	if (code != CURLE_OK)
 		result.error = call->error[0] != '\0'
 		    ? call->error
@@ -362,6 +393,8 @@
 	    : CONNECT_TIMEOUT;
 
 	(void)curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	(void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
+	(void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	(void)curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	(void)curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
--- a/src/lib/test_web.c
+++ b/src/lib/test_web.c
@@ -151,6 +151,18 @@
 	ev_timer_stop(f->loop, &timer);
 }
 
+/* Lets the server's side of a connection end. */
+static void
+run_briefly(struct fixture *f)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_timeout, 0.1, 0.0);
+	ev_timer_start(f->loop, &timer);
+	ev_run(f->loop, 0);
+	ev_timer_stop(f->loop, &timer);
+}
+
 static void
 fetch(struct fixture *f, uint16_t port, const char *path, const char *body,
     clk_ms idle_timeout)
@@ -307,6 +319,114 @@
 	g_assert_cmpuint(web_active(f->web), ==, 0);
 }
 
+/* A server that sends a text on each connection and breaks it off. */
+struct raw_server {
+	int fd;
+	uint16_t port;
+	const char *text;
+	bool is_reset;
+	struct ev_io acceptor;
+	struct ev_timer later;
+	int connection;
+};
+
+static void
+raw_close_cb(struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+	struct raw_server *server = timer->data;
+	const struct linger now = {1, 0};
+
+	(void)loop;
+	(void)events;
+	if (server->is_reset)
+		g_assert_cmpint(setsockopt(server->connection, SOL_SOCKET,
+				    SO_LINGER, &now, sizeof(now)),
+		    ==, 0);
+	(void)close(server->connection);
+}
+
+static void
+raw_accept_cb(struct ev_loop *loop, struct ev_io *watcher, int events)
+{
+	struct raw_server *server = watcher->data;
+	char buf[4096];
+
+	(void)events;
+	server->connection = accept(server->fd, NULL, NULL);
+	g_assert_cmpint(server->connection, >=, 0);
+	g_assert_cmpint(recv(server->connection, buf, sizeof(buf), 0), >, 0);
+	g_assert_cmpint(send(server->connection, server->text,
+			    strlen(server->text), MSG_NOSIGNAL),
+	    ==, strlen(server->text));
+	ev_timer_set(&server->later, 0.05, 0.0);
+	ev_timer_start(loop, &server->later);
+}
+
+static void
+raw_open(struct raw_server *server, struct ev_loop *loop)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t len = sizeof(address);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->fd = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(server->fd, (struct sockaddr *)&address, len), ==, 0);
+	g_assert_cmpint(listen(server->fd, 4), ==, 0);
+	g_assert_cmpint(
+	    getsockname(server->fd, (struct sockaddr *)&address, &len), ==, 0);
+	server->port = ntohs(address.sin_port);
+	ev_io_init(&server->acceptor, raw_accept_cb, server->fd, EV_READ);
+	server->acceptor.data = server;
+	ev_io_start(loop, &server->acceptor);
+	ev_timer_init(&server->later, raw_close_cb, 0.0, 0.0);
+	server->later.data = server;
+}
+
+#define LONG_BODY ((size_t)8 << 20)
+
+/*
+ * Guards against answers that are none, or a part of one, and that count as
+ * answers: a status that is none, a head that is cut, a body without a length
+ * that ends with a reset, also while the request is being sent.
+ */
+static void
+test_odd_answers(struct fixture *f, gconstpointer unused)
+{
+	static const char *const texts[] = {
+	    "HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nhello",
+	    "HTTP/1.1 000 Odd\r\n\r\nhello",
+	    "HTTP/1.1 042 Odd\r\nContent-Length: 5\r\n\r\nhello",
+	    "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Ty",
+	    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n",
+	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part",
+	    /* The next one is whole if it ends with a close. */
+	    "HTTP/1.1 200 OK\r\n\r\na part"};
+	g_autofree char *body = g_strnfill(LONG_BODY, 'x');
+	struct raw_server server = {.fd = -1};
+
+	(void)unused;
+	raw_open(&server, f->loop);
+	for (size_t i = 0; i < 4 * G_N_ELEMENTS(texts); i++) {
+		bool is_long = i % 2 == 0;
+		bool is_last;
+
+		server.text = texts[i / 4];
+		server.is_reset = i / 2 % 2 == 0;
+		is_last = i / 4 + 1 == G_N_ELEMENTS(texts);
+		if (is_last && !server.is_reset && !is_long)
+			continue;
+		fetch(f, server.port, "/", is_long ? body : "x", 0);
+		g_assert_cmpint(f->result.sent, ==, HCL_MAYBE_SENT);
+		run_briefly(f);
+	}
+	ev_io_stop(f->loop, &server.acceptor);
+	(void)close(server.fd);
+}
+
 /*
  * Guards against a planned stop that ends with SIGABRT because a request, for
  * example an operator's change that waits for the log, is still in progress.
@@ -341,6 +461,7 @@
 	ADD("/web/cut-stream-is-reported", test_cut_stream_is_reported);
 	ADD("/web/large-body-is-refused", test_large_body_is_refused);
 	ADD("/web/large-header-is-refused", test_large_header_is_refused);
+	ADD("/web/odd-answers", test_odd_answers);
 	ADD("/web/caller-leaves", test_caller_leaves);
 	ADD("/web/refused-is-not-sent", test_refused_is_not_sent);
 	ADD("/web/silence-is-maybe-sent", test_silence_is_maybe_sent);
