HTTP clients: a status outside of 100 to 599 is no answer

Cause: everything below 200 was taken for an interim answer, and nothing bounded the status above.

Change: such an answer is malformed for the reader of heads, and invalid for serve's client, so the attempt ends at once: 502, or another attempt if the request may be repeated.

--- a/src/http/hmsg.c
+++ b/src/http/hmsg.c
@@ -5,6 +5,9 @@
 
 /* Bytes of a field beside its name and value: ": " and the end of the line. */
 #define FIELD_EXTRA 4
+/* Status codes outside of these are invalid (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 /* Longer buffers, and more fields, are freed between messages. */
 #define KEPT_TEXT   4096
 #define KEPT_FIELDS 64
@@ -125,6 +128,8 @@
 		head->has_expect = expect != NULL;
 	} else {
 		head->status = (int)parser->status_code;
+		if (head->status < STATUS_MIN || head->status > STATUS_MAX)
+			return (-1);
 		head->is_undelimited = (parser->flags & F_CHUNKED) == 0 &&
 		    parser->content_length == ULLONG_MAX;
 	}
--- a/src/http/hmsg.h
+++ b/src/http/hmsg.h
@@ -2,7 +2,8 @@
  * hmsg: heads of HTTP/1.1 messages, parsed by libhttp_parser.
  *
  * The reader is strict: a message with both Content-Length and
- * Transfer-Encoding, or with two lengths, is an error.
+ * Transfer-Encoding, or with two lengths, is an error, and so is a status
+ * outside of 100 to 599.
  */
 #ifndef SAMPHIRESHED_HMSG_H
 #define SAMPHIRESHED_HMSG_H
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -860,6 +860,38 @@
 	g_assert_cmpstr(c->outcome.body->str, ==, "hello");
 }
 
+/*
+ * Guards against an answer whose status is none and that is passed on, or
+ * waited for until the request's time is over.
+ */
+static void
+test_odd_status(struct client *c, gconstpointer data)
+{
+	static const char *const odd[] = {
+	    "000", "001", "042", "099", "600", "999"};
+	static const char *const rests[] = {"Content-Length: 5\r\n\r\nhello",
+	    "Content-Length: 0\r\n\r\n", "\r\nhello",
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd) * G_N_ELEMENTS(rests); i++) {
+		g_autofree char *answer = g_strdup_printf(
+		    "HTTP/1.1 %s Odd\r\n%s", odd[i / G_N_ELEMENTS(rests)],
+		    rests[i % G_N_ELEMENTS(rests)]);
+		int fd;
+
+		(void)start(c, NULL, 0);
+		fd = take_connection(c);
+		drain_request(fd);
+		put(fd, answer);
+		turn(c->loop, 20);
+		g_assert_cmpuint(c->outcome.ends, ==, 1);
+		g_assert_cmpint(c->outcome.end, !=, HCP_COMPLETE);
+		g_assert_cmpuint(c->outcome.heads, ==, 0);
+		(void)close(fd);
+	}
+}
+
 /*
  * Guards against an answer whose head is cut and that is passed on: at any byte
  * of it, also behind an answer of another request or an interim one.
@@ -1287,6 +1319,7 @@
 	CLIENT("upload-cut", test_upload_cut);
 	CLIENT("answer-reset", test_answer_reset);
 	CLIENT("upload-answered-early", test_upload_answered_early);
+	CLIENT("odd-status", test_odd_status);
 	CLIENT("head-cut-anywhere", test_head_cut_anywhere);
 	CLIENT("bytes-after", test_bytes_after);
 	CLIENT("foreign-skipped", test_foreign_skipped);
--- a/src/lib/hcl.c
+++ b/src/lib/hcl.c
@@ -7,6 +7,9 @@
 #define MAX_REPLY	  ((size_t)8 * 1024 * 1024)
 #define KEEPALIVE_IDLE_S  10L
 #define KEEPALIVE_PROBE_S 5L
+/* Status codes outside of these are invalid (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 /* A connection idle for longer is not reused: it may have gone silent. */
 #define MAX_IDLE_S 15L
 
@@ -99,10 +102,12 @@
 /* What is wrong with a reply that libcurl takes for a whole one; nil: nothing.
  */
 static const char *
-reply_problem(const struct hcl_call *call)
+reply_problem(const struct hcl_call *call, long status)
 {
 	if (!call->head_ended)
 		return ("the reply's head is cut");
+	if (status < STATUS_MIN || status > STATUS_MAX)
+		return ("the reply's status is invalid");
 	return (NULL);
 }
 
@@ -115,7 +120,7 @@
 
 	(void)curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code == CURLE_OK)
-		problem = reply_problem(call);
+		problem = reply_problem(call, status);
 	result.status = (int)status;
 	if (code == CURLE_OK && problem == NULL)
 		result.sent = HCL_REPLIED;
