Edge: a stream that goes on ends only with events of the upstream it goes on at

Callers saw (a report of other operators, looked for here): a stream has begun and its upstream goes out of reach; the next one sends the head of an answer without a length and closes, and the stream ends as if it were complete.

Cause: such an answer is complete if it has an event, and the events of all attempts were counted.

Change: the events of the last attempt count.

Evidence: /instance/stream-goes-on/empty fails on (0 == 3, complete in place of cut) and passes now; the other eight answers of the next upstream, of errors, cut heads and resets, passed before: no text of theirs reaches a caller.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -188,6 +188,7 @@
 	size_t copied; /* bytes counted in copy_bytes */
 	size_t held_bytes; /* of the stream, as counted in reply_bytes */
 	int64_t events;
+	int64_t attempt_events; /* of the last attempt */
 	GString *last_id; /* of the events sent to the caller; nil: none */
 };
 
--- a/src/edge/edge_upstream.c
+++ b/src/edge/edge_upstream.c
@@ -365,6 +365,7 @@
 	    .arg = call,
 	};
 	call->has_reply = false;
+	call->attempt_events = 0;
 	call->upstream = hcp_start(edge->hcp, &request);
 	call->attempt_link.data = call;
 	g_queue_push_tail_link(&edge->attempts, &call->attempt_link);
@@ -531,6 +532,7 @@
 
 	if (call->client == NULL)
 		return;
+	call->attempt_events++;
 	if (call->events++ == 0) {
 		call->first_event_ms = edge_now(edge) - call->sent_at;
 		hsv_stream_begin(call->client, 200, call->reply_fields->str);
@@ -664,7 +666,7 @@
 is_stream_complete(const struct edge_call *call, enum hcp_end end)
 {
 	return (end == HCP_COMPLETE && call->sse.partial->len == 0 &&
-	    (!call->is_undelimited || call->events > 0));
+	    (!call->is_undelimited || call->attempt_events > 0));
 }
 
 /*
