--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -436,12 +436,11 @@
 {
 	json_t *root = json_loadb(record->value, record->len, 0, NULL);
 	const json_t *time = json_object_get(root, "time");
+	clk_ms kept =
+	    MAX(retention, ledger_retention(root, UNSTATED_RETENTION_MS));
 	bool expired = json_is_integer(time) && json_integer_value(time) >= 0 &&
 	    (uint64_t)json_integer_value(time) <= STORE_TIME_MAX &&
-	    wall - json_integer_value(time) > 2 *
-			MAX(retention,
-			    ledger_retention(root, UNSTATED_RETENTION_MS)) +
-		    CLOCK_MARGIN_MS;
+	    wall - json_integer_value(time) > 2 * kept + CLOCK_MARGIN_MS;
 
 	json_decref(root);
 	return (expired);
--- a/src/edge/edge_checkpoint.c
+++ b/src/edge/edge_checkpoint.c
@@ -9,9 +9,7 @@
 #include "edge/edge_internal.h"
 #include "turn/checkpoint.h"
 
-/*
- * After the first record, events wait for theirs for this time at most.
- */
+/* After the first record, events wait for theirs for this time at most. */
 #define HOLD_MS 100
 /* Other records that are not answered in this time are retried. */
 #define STORE_TIMEOUT_MS 400
--- a/src/edge/edge_history.c
+++ b/src/edge/edge_history.c
@@ -253,6 +253,23 @@
 	history_op_free(op);
 }
 
+/* Returns false if the operation has ended, or is tried again. */
+static bool
+read_succeeded(struct history_op *op, const struct store_reply *reply)
+{
+	const struct edge_call *call = op->call;
+
+	if (call->client == NULL || op->round != call->wait.round) {
+		history_op_free(op);
+		return (false);
+	}
+	if (reply->status != STORE_OK) {
+		read_failed(op);
+		return (false);
+	}
+	return (true);
+}
+
 static void
 on_turn_read(void *arg, const struct store_reply *reply)
 {
@@ -262,14 +279,8 @@
 	clk_ms now = edge_now(edge);
 	struct turn *turn;
 
-	if (call->client == NULL || op->round != call->wait.round) {
-		history_op_free(op);
+	if (!read_succeeded(op, reply))
 		return;
-	}
-	if (reply->status != STORE_OK) {
-		read_failed(op);
-		return;
-	}
 	turn = turn_join(op->id, reply);
 	if (turn != NULL) {
 		if (call->turns_read == NULL)
@@ -284,8 +295,7 @@
 		    "request=%s turn=%s found=%d end=%" G_GINT64_FORMAT,
 		    call->request.id, op->id,
 		    store_reply_find(reply, op->id) != NULL, reply->end);
-		/* A record that can't be read does not show that there is none.
-		 */
+		/* An unreadable record may be one of that turn. */
 		if (strcmp(op->id, call->previous_turn) == 0 &&
 		    store_reply_find(reply, op->id) == NULL)
 			edge_refuse_not_run(
@@ -325,14 +335,8 @@
 	struct history_op *op = arg;
 	struct edge_call *call = op->call;
 
-	if (call->client == NULL || op->round != call->wait.round) {
-		history_op_free(op);
-		return;
-	}
-	if (reply->status != STORE_OK) {
-		read_failed(op);
+	if (!read_succeeded(op, reply))
 		return;
-	}
 	if (edge_checkpoint_take(call, reply)) {
 		history_begin(call);
 	} else {
--- a/src/lib/hcl.c
+++ b/src/lib/hcl.c
@@ -99,8 +99,7 @@
 	return (len);
 }
 
-/* What is wrong with a reply that libcurl takes for a whole one; nil: nothing.
- */
+/* Returns what is wrong with a reply without an error of libcurl, or nil. */
 static const char *
 reply_problem(const struct hcl_call *call, long status)
 {
--- a/src/turn/checkpoint.c
+++ b/src/turn/checkpoint.c
@@ -119,11 +119,14 @@
 static bool
 record_decode(const struct store_record *from, struct record *record)
 {
-	g_autofree char *copy = g_memdup2(from->value, from->len);
+	g_autofree char *copy = NULL;
 
 	memset(record, 0, sizeof(*record));
-	if (copy != NULL &&
-	    dgram_decode(copy, from->len, FORMAT, xdr_record, record) &&
+	if (from->value == NULL ||
+	    !dgram_has_version(from->value, from->len, FORMAT))
+		return (false);
+	copy = g_memdup2(from->value, from->len);
+	if (dgram_decode(copy, from->len, FORMAT, xdr_record, record) &&
 	    record->run.recorded <= STORE_TIME_MAX &&
 	    record->run.life <= STORE_TIME_MAX)
 		return (true);
