Edge: no answer is sent where one has begun

An upstream ends a stream without an event, the store does not take its turn's record, and the caller's time is over.

Cause: whether an answer had begun was told from the number of events.

Change: the server knows it, and the places that refuse ask the server.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -159,8 +159,8 @@
 
 	if (client == NULL)
 		return;
-	if (call->events > 0) {
-		/* A part of the stream was sent, and no other can go on. */
+	if (hsv_is_streaming(client)) {
+		/* The stream has begun, and no other upstream can go on. */
 		edge_call_end(call, "stream_cut", 0);
 		hsv_abort(client);
 		return;
@@ -206,7 +206,7 @@
 	struct hsv_call *client = call->client;
 	struct vd verdict;
 
-	if (call->is_streaming && call->events > 0) {
+	if (hsv_is_streaming(client)) {
 		edge_call_end(call, "stream_timeout", 0);
 		hsv_abort(client);
 		return;
--- a/src/http/hsv.c
+++ b/src/http/hsv.c
@@ -381,6 +381,12 @@
 		unsent_limit(call->hsv);
 }
 
+bool
+hsv_is_streaming(const struct hsv_call *call)
+{
+	return (call->state == STREAMING);
+}
+
 void
 hsv_stream_end(struct hsv_call *call)
 {
--- a/src/http/hsv.h
+++ b/src/http/hsv.h
@@ -122,12 +122,15 @@
  * hsv_stream_begin(call, status, fields), hsv_stream_data(call, data, len),
  * hsv_stream_end(call)
  *	Send an answer in chunks.
+ * hsv_is_streaming(call)
+ *	Whether an answer in chunks has begun: no other can be sent.
  * hsv_abort(call)
  *	Close the connection, so that the answer does not look complete.
  */
 void hsv_stream_begin(struct hsv_call *call, int status, const char *fields);
 void hsv_stream_data(struct hsv_call *call, const void *data, size_t len);
 void hsv_stream_end(struct hsv_call *call);
+bool hsv_is_streaming(const struct hsv_call *call);
 void hsv_abort(struct hsv_call *call);
 
 #endif
