Tests: the ancestors of a turn are compared in one place

Reading the change as a newcomer: two tests of ids had the same loop. They share assert_same_ancestors() now, which also takes their number from the turn that was written. No other file changes.

--- a/src/turn/test_turn.c
+++ b/src/turn/test_turn.c
@@ -70,6 +70,15 @@
 static const char *const odd_texts[] = {"a", "a b", " ", "a  b ", "7/a b/c",
     "1/a/1 1/a/2", "a,b;c=d", "\"a\\", "\xc3\xa9t\xc3\xa9", "a\tb", "/", ""};
 
+static void
+assert_same_ancestors(const struct turn *read, const struct turn *turn)
+{
+	g_assert_cmpuint(read->ancestors->len, ==, turn->ancestors->len);
+	for (guint i = 0; i < turn->ancestors->len; i++)
+		g_assert_cmpstr(
+		    read->ancestors->pdata[i], ==, turn->ancestors->pdata[i]);
+}
+
 /*
  * Guards against a program whose history can't be found any more: any id of any
  * organisation comes back from a turn's record, at any length of the chain.
@@ -98,10 +107,7 @@
 		read = turn_decode("t", &record);
 		g_assert_nonnull(read);
 		g_assert_cmpstr(read->organisation, ==, organisation);
-		g_assert_cmpuint(read->ancestors->len, ==, 4);
-		for (guint k = 0; k < 4; k++)
-			g_assert_cmpstr(read->ancestors->pdata[k], ==,
-			    turn->ancestors->pdata[k]);
+		assert_same_ancestors(read, turn);
 		turn_unref(read);
 		turn_unref(turn);
 	}
@@ -136,10 +142,7 @@
 		read = turn_decode("t", &record);
 		g_assert_nonnull(read);
 		g_assert_cmpint(read->retention, ==, 0);
-		g_assert_cmpuint(read->ancestors->len, ==, 3);
-		for (guint k = 0; k < 3; k++)
-			g_assert_cmpstr(read->ancestors->pdata[k], ==,
-			    turn->ancestors->pdata[k]);
+		assert_same_ancestors(read, turn);
 		turn_unref(read);
 		turn_unref(turn);
 	}
