--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -129,7 +129,9 @@
 	g_autofree char *path = settings_path(rig, i);
 	g_autofree char *boot = g_strconcat("SAMPHIRESHED_BOOT=", path, NULL);
 	g_autofree char *log = g_strdup_printf("%s/log-%u", rig->directory, i);
-	char *argv[] = {(char *)PROGRAM, (char *)"serve-platform", NULL};
+	const char *other = g_getenv("PROGRAM");
+	char *argv[] = {(char *)(other != NULL ? other : PROGRAM),
+	    (char *)"serve-platform", NULL};
 	char *envp[] = {(char *)"PATH=/usr/bin:/bin", boot, NULL};
 	g_autoptr(GError) error = NULL;
 
